--- /dev/null
+++ b/internal/manifest/manifest.go
@@ -0,0 +1,97 @@
+// Package manifest holds the operators' versioned configuration: its schema,
+// its checks and the difference between two versions.
+package manifest
+
+import (
+	"time"
+
+	"currantstall/internal/structs"
+)
+
+// Manifest is one version of the configuration. Version 0 means that none has
+// been accepted yet. Kinds and Teams are sorted by name.
+type Manifest struct {
+	Version uint64 `json:"version" yaml:"version,omitempty" cbor:"1,keyasint"`
+	Kinds   []Kind `json:"kinds" yaml:"kinds" cbor:"2,keyasint"`
+	Teams   []Team `json:"teams" yaml:"teams" cbor:"3,keyasint"`
+	Limits  Limits `json:"limits" yaml:"limits" cbor:"4,keyasint"`
+}
+
+// Kind describes one kind of work.
+type Kind struct {
+	Name string `json:"name" yaml:"name" cbor:"1,keyasint"`
+	// Class is "request" (runs on runners) or "job" (runs on workers).
+	Class string `json:"class" yaml:"class" cbor:"2,keyasint"`
+	// Urgency orders the use of spare capacity; a higher number goes first.
+	Urgency int `json:"urgency" yaml:"urgency" cbor:"3,keyasint"`
+	// Share is the guaranteed part of its class's capacity, 0 to 1. The
+	// shares of a class sum to at most 1.
+	Share float64 `json:"share" yaml:"share" cbor:"4,keyasint"`
+	// DeadlineMS applies to work that brings no deadline, in ms.
+	DeadlineMS int64 `json:"deadline_ms" yaml:"deadline_ms" cbor:"5,keyasint"`
+	// Repeatable work may run more than once; it needs no claim, and may be
+	// retried and hedged.
+	Repeatable bool `json:"repeatable" yaml:"repeatable" cbor:"6,keyasint"`
+	// ServiceMS is the declared run time of one task in ms, a first guess.
+	ServiceMS int64 `json:"service_ms" yaml:"service_ms" cbor:"7,keyasint"`
+	// Needs is the declared need of one task of a job, a first guess.
+	Needs structs.Resources `json:"needs,omitempty" yaml:"needs,omitempty" cbor:"8,keyasint"`
+}
+
+// Deadline returns DeadlineMS as a duration.
+func (k *Kind) Deadline() time.Duration { return time.Duration(k.DeadlineMS) * time.Millisecond }
+
+// Service returns ServiceMS as a duration.
+func (k *Kind) Service() time.Duration { return time.Duration(k.ServiceMS) * time.Millisecond }
+
+// WorkClass returns the class as the shared vocabulary has it.
+func (k *Kind) WorkClass() structs.Class {
+	if k.Class == structs.Job.String() {
+		return structs.Job
+	}
+	return structs.Request
+}
+
+// Team is a group of callers with a quota.
+type Team struct {
+	Name string `json:"name" yaml:"name" cbor:"1,keyasint"`
+	// Weight is the team's part of a kind's capacity under contention,
+	// relative to the other teams that ask; 0 stands for 1.
+	Weight float64 `json:"weight,omitempty" yaml:"weight,omitempty" cbor:"2,keyasint"`
+	// RatePerSecond bounds the team's task starts over all entries; 0 means
+	// no bound.
+	RatePerSecond float64 `json:"rate_per_second,omitempty" yaml:"rate_per_second,omitempty" cbor:"3,keyasint"`
+	// Burst is the number of tasks that may exceed the rate at once.
+	Burst int `json:"burst,omitempty" yaml:"burst,omitempty" cbor:"4,keyasint"`
+}
+
+// Limits bounds what is kept and accepted. Zero values stand for defaults.
+type Limits struct {
+	KeyTTLMS        int64 `json:"key_ttl_ms,omitempty" yaml:"key_ttl_ms,omitempty" cbor:"1,keyasint"`               // life of a key, ms
+	MaxBodyBytes    int64 `json:"max_body_bytes,omitempty" yaml:"max_body_bytes,omitempty" cbor:"2,keyasint"`       // of one task
+	MaxAnswerBytes  int64 `json:"max_answer_bytes,omitempty" yaml:"max_answer_bytes,omitempty" cbor:"3,keyasint"`   // of one task
+	KeptAnswerBytes int64 `json:"kept_answer_bytes,omitempty" yaml:"kept_answer_bytes,omitempty" cbor:"4,keyasint"` // kept answers, an entry
+	RetryPercent    int   `json:"retry_percent,omitempty" yaml:"retry_percent,omitempty" cbor:"5,keyasint"`         // retries, % of fresh traffic
+	HedgePercent    int   `json:"hedge_percent,omitempty" yaml:"hedge_percent,omitempty" cbor:"6,keyasint"`         // hedges, % of fresh traffic
+	HeadroomPercent int   `json:"headroom_percent,omitempty" yaml:"headroom_percent,omitempty" cbor:"7,keyasint"`   // of each idle kind's share kept free
+}
+
+// KindNamed returns the kind of that name, or nil.
+func (m *Manifest) KindNamed(name string) *Kind {
+	for i := range m.Kinds {
+		if m.Kinds[i].Name == name {
+			return &m.Kinds[i]
+		}
+	}
+	return nil
+}
+
+// TeamNamed returns the team of that name, or nil.
+func (m *Manifest) TeamNamed(name string) *Team {
+	for i := range m.Teams {
+		if m.Teams[i].Name == name {
+			return &m.Teams[i]
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/metrics/metrics.go
@@ -0,0 +1,74 @@
+// Package metrics declares the names of all metrics once and counts through
+// tally.
+package metrics
+
+import (
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	promreporter "github.com/uber-go/tally/v4/prometheus"
+
+	"currantstall/internal/verdict"
+)
+
+// Names of counters with a reason tag.
+const (
+	Refused = "refused" // requests refused, by reason and verdict
+	Retried = "retried" // attempts repeated, by reason
+	Hedged  = "hedged"  // second attempts started, by reason
+	Dropped = "dropped" // answers and messages dropped, by reason
+	Failed  = "failed"  // attempts that failed at a target, by reason
+)
+
+const (
+	tagReason      = "reason"
+	tagVerdict     = "verdict"
+	reportInterval = time.Second
+)
+
+// Metrics counts for one process.
+type Metrics struct {
+	scope   tally.Scope
+	handler http.Handler
+	closer  io.Closer
+}
+
+// New starts a root scope whose values Handler serves in the Prometheus text
+// format. Close stops it.
+func New() *Metrics {
+	r := promreporter.NewReporter(promreporter.Options{})
+	scope, closer := tally.NewRootScope(tally.ScopeOptions{
+		Prefix:          "currantstall",
+		CachedReporter:  r,
+		Separator:       promreporter.DefaultSeparator,
+		SanitizeOptions: &promreporter.DefaultSanitizerOpts,
+	}, reportInterval)
+	return &Metrics{scope: scope, handler: r.HTTPHandler(), closer: closer}
+}
+
+// NewNop returns Metrics that go nowhere, for tests and tools.
+func NewNop() *Metrics {
+	return &Metrics{scope: tally.NoopScope, handler: http.NotFoundHandler(), closer: io.NopCloser(nil)}
+}
+
+// Handler serves the values.
+func (m *Metrics) Handler() http.Handler { return m.handler }
+
+// Scope returns the root scope, for counters without a reason and gauges.
+func (m *Metrics) Scope() tally.Scope { return m.scope }
+
+// Close flushes and stops the reporting.
+func (m *Metrics) Close() error { return m.closer.Close() }
+
+// Count adds one to the counter name under a reason.
+func (m *Metrics) Count(name string, r verdict.Reason) {
+	m.scope.Tagged(map[string]string{tagReason: string(r)}).Counter(name).Inc(1)
+}
+
+// CountRefused adds one to the refusals with the error's reason and verdict.
+func (m *Metrics) CountRefused(e *verdict.Error) {
+	tags := map[string]string{tagReason: string(e.Reason), tagVerdict: e.Verdict.String()}
+	m.scope.Tagged(tags).Counter(Refused).Inc(1)
+}
--- /dev/null
+++ b/internal/platform/platform.go
@@ -0,0 +1,105 @@
+// Package platform is the client of the platform's services: the
+// transactional table, the object store and the lagging list of VMs.
+package platform
+
+import (
+	"context"
+	"errors"
+
+	"currantstall/internal/structs"
+)
+
+// Errors of the table and the object store. What may be done next differs:
+// after ErrConflict read again, after ErrUnavailable repeat, after ErrUnknown
+// read back first, since the write may have taken effect.
+var (
+	ErrConflict    = errors.New("platform: condition does not hold")
+	ErrUnavailable = errors.New("platform: unavailable, nothing was written")
+	ErrUnknown     = errors.New("platform: no answer, the write may have taken effect")
+	ErrNotFound    = errors.New("platform: not found")
+)
+
+// Row is one row of the table. Version grows by one with each write of the
+// row; a row that does not exist has version 0.
+type Row struct {
+	Key     string `json:"key"`
+	Version uint64 `json:"version"`
+	Value   []byte `json:"value"`
+}
+
+// Condition demands that a row has exactly this version.
+type Condition struct {
+	Key     string `json:"key"`
+	Version uint64 `json:"version"`
+}
+
+// Put writes a row; a nil Value deletes it.
+type Put struct {
+	Key   string `json:"key"`
+	Value []byte `json:"value"`
+}
+
+// Txn is a set of writes that take effect together if every condition holds.
+type Txn struct {
+	Conditions []Condition `json:"conditions,omitempty"`
+	Puts       []Put       `json:"puts"`
+}
+
+// Table is the platform's transactional table.
+type Table interface {
+	// Get returns a row, or ErrNotFound or ErrUnavailable.
+	Get(ctx context.Context, key string) (Row, error)
+	// Scan returns up to limit rows with the prefix whose keys are above
+	// after, in key order.
+	Scan(ctx context.Context, prefix, after string, limit int) ([]Row, error)
+	// Commit applies a transaction, or returns ErrConflict, ErrUnavailable
+	// or ErrUnknown.
+	Commit(ctx context.Context, txn Txn) error
+}
+
+// Objects is the platform's object store.
+type Objects interface {
+	// PutObject writes a whole object, or returns ErrUnavailable or
+	// ErrUnknown. Objects may be overwritten.
+	PutObject(ctx context.Context, name string, data []byte) error
+	// GetObject returns a whole object, or ErrNotFound or ErrUnavailable.
+	GetObject(ctx context.Context, name string) ([]byte, error)
+}
+
+// Role says what runs on a VM.
+type Role string
+
+// The roles of VMs.
+const (
+	RoleEntry  Role = "entry"
+	RoleRunner Role = "runner"
+	RoleWorker Role = "worker"
+)
+
+// VM is one line of the platform's list.
+type VM struct {
+	Name    string            `json:"name"`
+	Role    Role              `json:"role"`
+	DC      string            `json:"data_centre"`
+	Rack    string            `json:"rack,omitempty"`
+	Addr    string            `json:"addr"` // host:port of its service; of an entry, of its peer listener
+	Leaving bool              `json:"leaving,omitempty"`
+	Slots   int               `json:"slots,omitempty"`    // of a runner: tasks at one time
+	Size    structs.Resources `json:"size"`               // of a worker
+	MaxConn int               `json:"max_conn,omitempty"` // connections it accepts, 0 for no limit
+}
+
+// List is the platform's list of live and leaving VMs. It lags.
+type List interface {
+	// VMs returns every listed VM, or ErrUnavailable.
+	VMs(ctx context.Context) ([]VM, error)
+	// Announce adds or replaces this VM's line, or marks it as leaving.
+	Announce(ctx context.Context, vm VM) error
+}
+
+// Platform is the whole service.
+type Platform interface {
+	Table
+	Objects
+	List
+}
--- /dev/null
+++ b/internal/rendezvous/rendezvous.go
@@ -0,0 +1,41 @@
+// Package rendezvous orders nodes by highest random weight for an item, so
+// that the loss of one node moves only the items it held.
+//
+// Source: Thaler and Ravishankar, "Using name-based mappings to increase hit
+// rates", IEEE/ACM Transactions on Networking 6(1), 1998.
+package rendezvous
+
+import "github.com/cespare/xxhash/v2"
+
+// Weight returns the weight of a node for an item's hash.
+func Weight(item uint64, node string) uint64 {
+	return mix(item ^ xxhash.Sum64String(node))
+}
+
+// Top returns the indexes in nodes of the first and second choice for the
+// item, -1 where there is none. Node names must differ.
+func Top(item uint64, nodes []string) (first, second int) {
+	first, second = -1, -1
+	var w1, w2 uint64
+	for i, n := range nodes {
+		w := Weight(item, n)
+		switch {
+		case first < 0 || w > w1:
+			second, w2 = first, w1
+			first, w1 = i, w
+		case second < 0 || w > w2:
+			second, w2 = i, w
+		}
+	}
+	return first, second
+}
+
+// mix is the 64-bit finalizer of MurmurHash3: every input bit reaches every
+// output bit.
+func mix(x uint64) uint64 {
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	x ^= x >> 33
+	x *= 0xc4ceb9fe1a85ec53
+	return x ^ x>>33
+}
--- /dev/null
+++ b/internal/rendezvous/rendezvous_test.go
@@ -0,0 +1,27 @@
+package rendezvous
+
+import (
+	"slices"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+func TestLossOfOneNodeMovesOnlyItsItems(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		nodes := rapid.SliceOfNDistinct(rapid.StringMatching(`[a-z]{1,6}`), 2, 9, rapid.ID).Draw(t, "nodes")
+		item := rapid.Uint64().Draw(t, "item")
+		gone := rapid.IntRange(0, len(nodes)-1).Draw(t, "gone")
+		first, second := Top(item, nodes)
+		rest := slices.Delete(slices.Clone(nodes), gone, gone+1)
+
+		got, _ := Top(item, rest)
+
+		want := nodes[first]
+		if gone == first {
+			want = nodes[second]
+		}
+		assert.Equal(t, rest[got], want)
+	})
+}
--- /dev/null
+++ b/internal/structs/structs.go
@@ -0,0 +1,161 @@
+// Package structs is the vocabulary that the dispatcher's packages share:
+// work, resources, outcomes, members and views. It holds data only.
+package structs
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"currantstall/internal/key"
+	"currantstall/internal/verdict"
+)
+
+// MaxTasks is the largest number of tasks in a job.
+const MaxTasks = 670
+
+// Class says which sort of target runs a kind of work.
+type Class uint8
+
+// The classes of work.
+const (
+	// Request is one task, run in a slot of a runner.
+	Request Class = iota + 1
+	// Job is 1 to MaxTasks tasks, run on the cores of workers.
+	Job
+)
+
+// String returns "request", "job" or "unknown".
+func (c Class) String() string {
+	switch c {
+	case Request:
+		return "request"
+	case Job:
+		return "job"
+	}
+	return "unknown"
+}
+
+// Resources is an amount of a worker's capacity.
+type Resources struct {
+	MilliCPU     int64 `cbor:"1,keyasint,omitempty" json:"milli_cpu,omitempty" yaml:"milli_cpu,omitempty"`       // thousandths of a core
+	MemoryMB     int64 `cbor:"2,keyasint,omitempty" json:"memory_mb,omitempty" yaml:"memory_mb,omitempty"`       // MiB
+	Accelerators int64 `cbor:"3,keyasint,omitempty" json:"accelerators,omitempty" yaml:"accelerators,omitempty"` // whole devices
+}
+
+// Fits reports whether r is within free in every resource.
+func (r Resources) Fits(free Resources) bool {
+	return r.MilliCPU <= free.MilliCPU && r.MemoryMB <= free.MemoryMB && r.Accelerators <= free.Accelerators
+}
+
+// Plus returns the sum by resource.
+func (r Resources) Plus(o Resources) Resources {
+	return Resources{r.MilliCPU + o.MilliCPU, r.MemoryMB + o.MemoryMB, r.Accelerators + o.Accelerators}
+}
+
+// Minus returns the difference by resource, which may be negative.
+func (r Resources) Minus(o Resources) Resources {
+	return Resources{r.MilliCPU - o.MilliCPU, r.MemoryMB - o.MemoryMB, r.Accelerators - o.Accelerators}
+}
+
+// Work is one request or one submission (a job) as accepted from a caller.
+type Work struct {
+	Key   key.Key   `cbor:"1,keyasint"`
+	Class Class     `cbor:"2,keyasint"`
+	Kind  string    `cbor:"3,keyasint"`
+	Team  string    `cbor:"4,keyasint"`
+	Tasks [][]byte  `cbor:"5,keyasint"` // one body a task; a request has one
+	Needs Resources `cbor:"6,keyasint"` // of each task, as declared
+	// Deadline is the time by which the answer has to be with the caller.
+	Deadline time.Time `cbor:"7,keyasint"`
+	// Repeatable work may run more than once and needs no claim.
+	Repeatable bool `cbor:"8,keyasint"`
+	// Fresh means that the receiving entry minted the key for this very
+	// request, so no other copy of the request can carry it.
+	Fresh bool `cbor:"9,keyasint"`
+}
+
+// Digest identifies what the work asks for. Two requests with one key and
+// different digests conflict. The deadline does not count.
+func (w *Work) Digest() uint64 {
+	d := xxhash.New()
+	for _, s := range []string{w.Class.String(), w.Kind, w.Team} {
+		_, _ = d.WriteString(s)
+		_, _ = d.Write([]byte{0})
+	}
+	for _, t := range w.Tasks {
+		var n [8]byte
+		for i, v := 0, uint64(len(t)); i < len(n); i++ {
+			n[i] = byte(v >> (8 * i))
+		}
+		_, _ = d.Write(n[:])
+		_, _ = d.Write(t)
+	}
+	return d.Sum64()
+}
+
+// Outcome is the end of a piece of work: its whole answer, or why there is
+// none. Answers is set only with verdict Completed, one body a task in order.
+type Outcome struct {
+	Verdict    verdict.Verdict `cbor:"1,keyasint"`
+	Reason     verdict.Reason  `cbor:"2,keyasint,omitempty"`
+	Message    string          `cbor:"3,keyasint,omitempty"`
+	Answers    [][]byte        `cbor:"4,keyasint,omitempty"`
+	RetryAfter time.Duration   `cbor:"5,keyasint,omitempty"`
+}
+
+// Err returns nil for a completed outcome, else the error that it stands for.
+func (o *Outcome) Err() error {
+	if o.Verdict == verdict.Completed {
+		return nil
+	}
+	return &verdict.Error{Verdict: o.Verdict, Reason: o.Reason, Message: o.Message, RetryAfter: o.RetryAfter}
+}
+
+// OutcomeOf returns the outcome of an error, read by verdict.Of.
+func OutcomeOf(err error) Outcome {
+	e := verdict.Of(err)
+	return Outcome{Verdict: e.Verdict, Reason: e.Reason, Message: e.Message, RetryAfter: e.RetryAfter}
+}
+
+// Size is the number of bytes that the outcome's texts and answers hold.
+func (o *Outcome) Size() int {
+	n := len(o.Message)
+	for _, a := range o.Answers {
+		n += len(a)
+	}
+	return n
+}
+
+// Member is one run of an entry process. A restarted process has the same
+// name and a higher incarnation.
+type Member struct {
+	Name        string `cbor:"1,keyasint" json:"name"`
+	Incarnation uint64 `cbor:"2,keyasint" json:"incarnation"`
+	Addr        string `cbor:"3,keyasint" json:"addr"` // host:port of the peer listener
+}
+
+// View is the set of entries of one data centre that may hold claims. Views
+// of a data centre are totally ordered by Version; members are sorted by name
+// and no name stands twice.
+type View struct {
+	DC      string   `cbor:"1,keyasint" json:"data_centre"`
+	Version uint64   `cbor:"2,keyasint" json:"version"`
+	Members []Member `cbor:"3,keyasint" json:"members"`
+}
+
+// Find returns the member of that name.
+func (v *View) Find(name string) (Member, bool) {
+	for _, m := range v.Members {
+		if m.Name == name {
+			return m, true
+		}
+	}
+	return Member{}, false
+}
+
+// Has reports whether this very run of an entry is in the view.
+func (v *View) Has(m Member) bool {
+	got, ok := v.Find(m.Name)
+	return ok && got.Incarnation == m.Incarnation
+}
--- /dev/null
+++ b/internal/verdict/reason.go
@@ -0,0 +1,84 @@
+package verdict
+
+// Reason names why a request was refused, retried, hedged or failed. It is
+// also the name of the counter under which the case is counted.
+type Reason string
+
+// Reasons of a refusal that the caller can mend by changing the request.
+const (
+	BadRequest       Reason = "bad_request"
+	BadKey           Reason = "bad_key"
+	KeyExpired       Reason = "key_expired"
+	KeyFromFuture    Reason = "key_from_future"
+	KeyConflict      Reason = "key_conflict"
+	UnknownKind      Reason = "unknown_kind"
+	UnknownTeam      Reason = "unknown_team"
+	UnknownDC        Reason = "unknown_data_centre"
+	TooLarge         Reason = "too_large"
+	TooManyTasks     Reason = "too_many_tasks"
+	DeadlinePassed   Reason = "deadline_passed"
+	NeverFits        Reason = "never_fits"
+	NotFound         Reason = "not_found"
+	ManifestConflict Reason = "manifest_conflict"
+	ManifestInvalid  Reason = "manifest_invalid"
+)
+
+// Reasons of a refusal by admission.
+const (
+	QueueFull          Reason = "queue_full"
+	DeadlineUnmeetable Reason = "deadline_unmeetable"
+	QuotaExceeded      Reason = "quota_exceeded"
+	NoTarget           Reason = "no_target"
+	Draining           Reason = "draining"
+	NotReady           Reason = "not_ready"
+	Cancelled          Reason = "cancelled"
+	MemoryFull         Reason = "memory_full"
+)
+
+// Reasons from the claim of a key.
+const (
+	// HomeUnreachable means that the key's home could not be asked.
+	HomeUnreachable Reason = "home_unreachable"
+	// LeaseLapsed means that this entry may not start work now.
+	LeaseLapsed Reason = "lease_lapsed"
+	// ClaimLost means that members that may have known of the key are gone.
+	ClaimLost Reason = "claim_lost"
+	// RefusedElsewhere means that another copy of the request was refused a
+	// moment ago, and that the refusal is kept true for this copy.
+	RefusedElsewhere Reason = "refused_elsewhere"
+	// ClaimTimeout means that no claim was granted in time.
+	ClaimTimeout Reason = "claim_timeout"
+	// StaleView means that the claim was sent under another view.
+	StaleView Reason = "stale_view"
+	// HolderLost means that the entry that ran the request is gone.
+	HolderLost Reason = "holder_lost"
+	// RanElsewhere means that the old system has claimed the key.
+	RanElsewhere Reason = "ran_elsewhere"
+)
+
+// Reasons of a failed attempt at a target.
+const (
+	DialFailed       Reason = "dial_failed"
+	NothingWritten   Reason = "nothing_written"
+	TargetRefused    Reason = "target_refused"
+	TargetLeaving    Reason = "target_leaving"
+	TargetError      Reason = "target_error"
+	TargetLost       Reason = "target_lost"
+	TargetSilent     Reason = "target_silent"
+	TruncatedAnswer  Reason = "truncated_answer"
+	MismatchedAnswer Reason = "mismatched_answer"
+	LateAnswer       Reason = "late_answer"
+	TaskFailed       Reason = "task_failed"
+	Timeout          Reason = "timeout"
+	HedgeLatency     Reason = "hedge_latency"
+	RetryBudget      Reason = "retry_budget"
+)
+
+// Reasons from the platform and from within.
+const (
+	PlatformUnavailable Reason = "platform_unavailable"
+	PlatformUnknown     Reason = "platform_unknown"
+	PlatformConflict    Reason = "platform_conflict"
+	WriteBudget         Reason = "write_budget"
+	Internal            Reason = "internal"
+)
--- /dev/null
+++ b/internal/verdict/verdict.go
@@ -0,0 +1,109 @@
+// Package verdict holds the error type of the dispatcher. A verdict tells a
+// caller the one thing it has to know about a request that was not answered:
+// whether it may have run.
+package verdict
+
+import (
+	"errors"
+	"fmt"
+	"time"
+)
+
+// Verdict says what is known about the execution of a request or job.
+type Verdict uint8
+
+// The verdicts, from the one that allows a repetition to the one that needs
+// none.
+const (
+	// NotRun is a proof that nothing was started under the key, and that no
+	// copy of the request received before the refusal starts later.
+	NotRun Verdict = iota + 1
+	// MayHaveRun means that a start cannot be ruled out.
+	MayHaveRun
+	// Failed means that the work ran, is over, and was not successful.
+	Failed
+	// Completed means that the work ran and its whole answer is known.
+	Completed
+)
+
+var names = [...]string{"", "not_run", "may_have_run", "failed", "completed"}
+
+// String returns the name used on the wire and in headers: not_run,
+// may_have_run, failed or completed; "unknown" for the zero value.
+func (v Verdict) String() string {
+	if v == 0 || int(v) >= len(names) {
+		return "unknown"
+	}
+	return names[v]
+}
+
+// Parse is the inverse of String. It reports an error for any other text.
+func Parse(s string) (Verdict, error) {
+	for v := NotRun; v <= Completed; v++ {
+		if names[v] == s {
+			return v, nil
+		}
+	}
+	return 0, fmt.Errorf("unknown verdict %q", s)
+}
+
+// MarshalText encodes the verdict by its name.
+func (v Verdict) MarshalText() ([]byte, error) { return []byte(v.String()), nil }
+
+// UnmarshalText decodes a name. It returns the error of Parse.
+func (v *Verdict) UnmarshalText(b []byte) error {
+	p, err := Parse(string(b))
+	if err != nil {
+		return err
+	}
+	*v = p
+	return nil
+}
+
+// Error is a request's refusal or failure. Each carries a Reason, under whose
+// name it is counted.
+type Error struct {
+	Verdict Verdict
+	Reason  Reason
+	// Message is one line for a person.
+	Message string
+	// RetryAfter is the shortest useful wait before a resubmission; zero
+	// means that the error gives no advice.
+	RetryAfter time.Duration
+	// Err is the cause, or nil.
+	Err error
+}
+
+// New returns an Error with a formatted message. A %w verb sets the cause.
+func New(v Verdict, r Reason, format string, args ...any) *Error {
+	wrapped := fmt.Errorf(format, args...)
+	return &Error{Verdict: v, Reason: r, Message: wrapped.Error(), Err: errors.Unwrap(wrapped)}
+}
+
+// After returns a copy of the error that advises a wait before a resubmission.
+func (e *Error) After(d time.Duration) *Error {
+	c := *e
+	c.RetryAfter = d
+	return &c
+}
+
+// Error returns verdict, reason and message in one line.
+func (e *Error) Error() string {
+	return fmt.Sprintf("%s (%s): %s", e.Verdict, e.Reason, e.Message)
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
+
+// Of returns the Error in err's chain. An error without one may stem from any
+// step, so it is reported as MayHaveRun with reason Internal. Of(nil) is nil.
+func Of(err error) *Error {
+	if err == nil {
+		return nil
+	}
+	var e *Error
+	if errors.As(err, &e) {
+		return e
+	}
+	return &Error{Verdict: MayHaveRun, Reason: Internal, Message: err.Error(), Err: err}
+}
--- /dev/null
+++ b/internal/verdict/verdict_test.go
@@ -0,0 +1,38 @@
+package verdict
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+func TestOfFindsTheErrorInAChain(t *testing.T) {
+	cause := errors.New("refused")
+	e := New(NotRun, DialFailed, "dial target: %w", cause)
+	wrapped := fmt.Errorf("start: %w", e)
+
+	got := Of(wrapped)
+
+	assert.Equal(t, got.Verdict, NotRun)
+	assert.Equal(t, got.Reason, DialFailed)
+	assert.ErrorIs(t, wrapped, cause)
+	assert.Equal(t, e.After(time.Second).RetryAfter, time.Second)
+}
+
+func TestOfAnUntypedErrorMayHaveRun(t *testing.T) {
+	assert.Equal(t, Of(errors.New("x")).Verdict, MayHaveRun)
+	assert.Assert(t, Of(nil) == nil)
+}
+
+func TestVerdictTextRoundTrip(t *testing.T) {
+	for v := NotRun; v <= Completed; v++ {
+		got, err := Parse(v.String())
+		assert.NilError(t, err)
+		assert.Equal(t, got, v)
+	}
+	_, err := Parse("maybe")
+	assert.ErrorContains(t, err, "unknown verdict")
+}
