State charts in YAML, checked at start and compiled to an index table

The issue asks for charts that code interprets. Ruled out: generated switch code (needs a generator) and string-keyed maps (a hash and a comparison a step). Unreachable states, unknown names, events that a state neither handles nor ignores, and names that differ from the code's are errors at start.

--- /dev/null
+++ b/internal/statechart/chart.go
@@ -0,0 +1,188 @@
+package statechart
+
+import (
+	"embed"
+	"errors"
+	"fmt"
+	"maps"
+	"slices"
+
+	"github.com/goccy/go-yaml"
+)
+
+//go:embed charts/*.yaml
+var files embed.FS
+
+// maxNames bounds states, events and actions, which are held in a uint8.
+const maxNames = 256
+
+// chart is the form of a file in charts/.
+type chart struct {
+	Chart   string           `yaml:"chart"`
+	Initial string           `yaml:"initial"`
+	Events  []string         `yaml:"events"`
+	Actions []string         `yaml:"actions"`
+	States  map[string]state `yaml:"states"`
+}
+
+// state names, for each event of the chart, a transition or that the event is
+// ignored. A final state ignores every event.
+type state struct {
+	On     map[string]transition `yaml:"on"`
+	Ignore []string              `yaml:"ignore"`
+	Final  bool                  `yaml:"final"`
+}
+
+// transition is the state that follows and the action on the way, if any.
+type transition struct {
+	To string `yaml:"to"`
+	Do string `yaml:"do"`
+}
+
+// parse reads a chart. Unknown fields and duplicate keys are errors.
+func parse(b []byte) (*chart, error) {
+	var c chart
+	if err := yaml.UnmarshalWithOptions(b, &c, yaml.Strict()); err != nil {
+		return nil, err
+	}
+	return &c, nil
+}
+
+// check returns every fault of the chart, joined.
+func (c *chart) check() error {
+	var errs []error
+	if len(c.States) > maxNames || len(c.Events) > maxNames || len(c.Actions) >= maxNames {
+		errs = append(errs, fmt.Errorf("more than %d states, events or actions", maxNames))
+	}
+	errs = append(errs, duplicates("event", c.Events), duplicates("action", c.Actions))
+	if _, ok := c.States[c.Initial]; !ok {
+		errs = append(errs, fmt.Errorf("initial state %q is unknown", c.Initial))
+	}
+	for _, name := range slices.Sorted(maps.Keys(c.States)) {
+		st := c.States[name]
+		errs = append(errs, c.checkTransitions(name, st), c.checkComplete(name, st))
+	}
+	errs = append(errs, c.checkReachable(), c.checkUsed())
+	return errors.Join(errs...)
+}
+
+func (c *chart) checkTransitions(name string, st state) error {
+	var errs []error
+	for _, event := range slices.Sorted(maps.Keys(st.On)) {
+		t := st.On[event]
+		if !slices.Contains(c.Events, event) {
+			errs = append(errs, fmt.Errorf("state %s: unknown event %q", name, event))
+		}
+		if _, ok := c.States[t.To]; !ok {
+			errs = append(errs, fmt.Errorf("state %s, event %s: unknown state %q", name, event, t.To))
+		}
+		if t.Do != "" && !slices.Contains(c.Actions, t.Do) {
+			errs = append(errs, fmt.Errorf("state %s, event %s: unknown action %q", name, event, t.Do))
+		}
+	}
+	for _, event := range st.Ignore {
+		if !slices.Contains(c.Events, event) {
+			errs = append(errs, fmt.Errorf("state %s: ignores unknown event %q", name, event))
+		}
+	}
+	return errors.Join(errs...)
+}
+
+// checkComplete demands that a state says exactly one thing on each event.
+func (c *chart) checkComplete(name string, st state) error {
+	if st.Final {
+		if len(st.On) > 0 || len(st.Ignore) > 0 {
+			return fmt.Errorf("state %s: is final and names events", name)
+		}
+		return nil
+	}
+	errs := []error{duplicates("ignored event", st.Ignore)}
+	for _, event := range c.Events {
+		_, handled := st.On[event]
+		ignored := slices.Contains(st.Ignore, event)
+		if !handled && !ignored {
+			errs = append(errs, fmt.Errorf("state %s: neither handles nor ignores event %s", name, event))
+		}
+		if handled && ignored {
+			errs = append(errs, fmt.Errorf("state %s: handles and ignores event %s", name, event))
+		}
+	}
+	return errors.Join(errs...)
+}
+
+func (c *chart) checkReachable() error {
+	seen := map[string]bool{c.Initial: true}
+	todo := []string{c.Initial}
+	for len(todo) > 0 {
+		name := todo[0]
+		todo = todo[1:]
+		for _, t := range c.States[name].On {
+			if !seen[t.To] {
+				seen[t.To] = true
+				todo = append(todo, t.To)
+			}
+		}
+	}
+	var errs []error
+	for _, name := range slices.Sorted(maps.Keys(c.States)) {
+		if !seen[name] {
+			errs = append(errs, fmt.Errorf("state %s is unreachable", name))
+		}
+	}
+	return errors.Join(errs...)
+}
+
+// checkUsed finds events that no state handles and actions of no transition.
+func (c *chart) checkUsed() error {
+	used := map[string]bool{}
+	for _, st := range c.States {
+		for event, t := range st.On {
+			used["event "+event] = true
+			used["action "+t.Do] = true
+		}
+	}
+	var errs []error
+	for _, e := range c.Events {
+		if !used["event "+e] {
+			errs = append(errs, fmt.Errorf("no state handles event %s", e))
+		}
+	}
+	for _, a := range c.Actions {
+		if !used["action "+a] {
+			errs = append(errs, fmt.Errorf("no transition has action %s", a))
+		}
+	}
+	return errors.Join(errs...)
+}
+
+// checkNames demands that code and chart name the same states, events and
+// actions.
+func (c *chart) checkNames(n Names) error {
+	if len(n.Actions) == 0 || n.Actions[0] != "" {
+		return errors.New("action 0 in code has to be the empty name")
+	}
+	return errors.Join(
+		sameNames("state", slices.Collect(maps.Keys(c.States)), n.States),
+		sameNames("event", c.Events, n.Events),
+		sameNames("action", c.Actions, n.Actions[1:]),
+	)
+}
+
+func sameNames(what string, inChart, inCode []string) error {
+	a, b := slices.Sorted(slices.Values(inChart)), slices.Sorted(slices.Values(inCode))
+	if !slices.Equal(a, b) {
+		return fmt.Errorf("%ss differ: the chart names %v, the code %v", what, a, b)
+	}
+	return nil
+}
+
+func duplicates(what string, names []string) error {
+	seen := map[string]bool{}
+	for _, n := range names {
+		if seen[n] {
+			return fmt.Errorf("%s %s stands twice", what, n)
+		}
+		seen[n] = true
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/statechart/statechart.go
@@ -0,0 +1,143 @@
+// Package statechart reads the state charts in charts/*.yaml, checks them when
+// the process starts, and compiles each to a table that is indexed by state
+// and event. A step is one look-up: it allocates nothing and may be called
+// from several goroutines, since the caller holds the state.
+//
+// The charts and their interpreters:
+//
+//	peer_link      internal/peer, one a peer
+//	target_health  internal/target, one a target
+//	member         internal/membership, one a member of a view
+//	rollout        internal/manifest, one an apply of a version
+//	task           internal/dispatch, one a task
+//	job            internal/engine, one a piece of work
+//	process        internal/entry, one a process
+package statechart
+
+import "fmt"
+
+// Machine is a compiled chart. S, E and A are the types of its states, events
+// and actions; their values are indexes into the Names it was compiled with.
+// Action 0 means that nothing is to be done.
+type Machine[S, E, A ~uint8] struct {
+	name    string
+	initial S
+	names   Names
+	events  int
+	cells   []cell[S, A]
+}
+
+// cell is what one event does in one state.
+type cell[S, A ~uint8] struct {
+	next    S
+	action  A
+	handled bool
+}
+
+// Names binds the constants of a Go type to the names in a chart: the name at
+// index i belongs to the constant i. Actions[0] is empty.
+type Names struct {
+	States  []string
+	Events  []string
+	Actions []string
+}
+
+// Step returns the state after the event and the action to carry out. With ok
+// false the event is ignored in this state, and next is the same state.
+func (m *Machine[S, E, A]) Step(state S, event E) (next S, action A, ok bool) {
+	if int(event) >= m.events {
+		return state, 0, false
+	}
+	i := int(state)*m.events + int(event)
+	if i >= len(m.cells) {
+		return state, 0, false
+	}
+	c := m.cells[i]
+	return c.next, c.action, c.handled
+}
+
+// Initial returns the state in which the chart starts.
+func (m *Machine[S, E, A]) Initial() S { return m.initial }
+
+// Name returns the chart's name.
+func (m *Machine[S, E, A]) Name() string { return m.name }
+
+// StateName returns the state's name in the chart, or "unknown".
+func (m *Machine[S, E, A]) StateName(s S) string { return nameAt(m.names.States, int(s)) }
+
+// EventName returns the event's name in the chart, or "unknown".
+func (m *Machine[S, E, A]) EventName(e E) string { return nameAt(m.names.Events, int(e)) }
+
+func nameAt(names []string, i int) string {
+	if i >= len(names) {
+		return "unknown"
+	}
+	return names[i]
+}
+
+// compile checks a chart against the names that code binds to it and returns
+// its table.
+func compile[S, E, A ~uint8](c *chart, names Names) (*Machine[S, E, A], error) {
+	if err := c.check(); err != nil {
+		return nil, err
+	}
+	if err := c.checkNames(names); err != nil {
+		return nil, err
+	}
+	states, events, actions := index(names.States), index(names.Events), index(names.Actions)
+	m := &Machine[S, E, A]{
+		name:    c.Chart,
+		initial: S(states[c.Initial]),
+		names:   names,
+		events:  len(names.Events),
+		cells:   make([]cell[S, A], len(names.States)*len(names.Events)),
+	}
+	for name, st := range c.States {
+		s := states[name]
+		row := m.cells[s*m.events : (s+1)*m.events]
+		for i := range row {
+			row[i].next = S(s)
+		}
+		for event, t := range st.On {
+			row[events[event]] = cell[S, A]{next: S(states[t.To]), action: A(actions[t.Do]), handled: true}
+		}
+	}
+	return m, nil
+}
+
+// mustLoad compiles an embedded chart. It panics on a wrong one, when the
+// package is initialized: a process never runs on a chart that fails a check.
+func mustLoad[S, E, A ~uint8](name string, names Names) *Machine[S, E, A] {
+	m, err := load[S, E, A](name, names)
+	if err != nil {
+		panic(err)
+	}
+	return m
+}
+
+func load[S, E, A ~uint8](name string, names Names) (*Machine[S, E, A], error) {
+	b, err := files.ReadFile("charts/" + name + ".yaml")
+	if err != nil {
+		return nil, fmt.Errorf("state chart %s: %w", name, err)
+	}
+	c, err := parse(b)
+	if err != nil {
+		return nil, fmt.Errorf("state chart %s: %w", name, err)
+	}
+	if c.Chart != name {
+		return nil, fmt.Errorf("state chart %s: the file holds chart %q", name, c.Chart)
+	}
+	m, err := compile[S, E, A](c, names)
+	if err != nil {
+		return nil, fmt.Errorf("state chart %s: %w", name, err)
+	}
+	return m, nil
+}
+
+func index(names []string) map[string]int {
+	m := make(map[string]int, len(names))
+	for i, n := range names {
+		m[n] = i
+	}
+	return m
+}
