Platform client and its stand-in

It tells a failure with proof that nothing was sent (ErrUnavailable) from a lost answer (ErrUnknown), sends each write at most once, fails at once during an outage but for one probe a beat, and keeps all writers of a process within one budget, background writers last.

The stand-in keeps rows, objects and a lagging VM list in memory, with switches for down, slow, answer lost after the write, and rate limits.

--- /dev/null
+++ b/internal/platform/client_test.go
@@ -0,0 +1,233 @@
+package platform_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"flag"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"currantstall/internal/platform"
+	"currantstall/internal/standin/platformd"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "2000", "rapid.nofailfile": "true"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+func startStandIn(t *testing.T) *platformd.Server {
+	t.Helper()
+	s, err := platformd.Start("")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = s.Close() })
+	return s
+}
+
+func newClient(t *testing.T, cfg platform.Config) *platform.Client {
+	t.Helper()
+	c, err := platform.NewClient(cfg)
+	assert.NilError(t, err)
+	t.Cleanup(c.Close)
+	return c
+}
+
+func put(key, value string) platform.Txn {
+	return platform.Txn{Puts: []platform.Put{{Key: key, Value: []byte(value)}}}
+}
+
+func TestClientReachesEveryService(t *testing.T) {
+	ctx := context.Background()
+	s := startStandIn(t)
+	s.Store.SetFaults(platformd.Faults{})
+	c := newClient(t, platform.Config{URL: s.URL()})
+
+	_, err := c.Get(ctx, "a/1")
+	assert.ErrorIs(t, err, platform.ErrNotFound)
+	assert.NilError(t, c.Commit(ctx, put("a/1", "x")))
+	assert.NilError(t, c.Commit(ctx, put("a/2", "")))
+	assert.NilError(t, c.Commit(ctx, put("b/1", "z")))
+	rows, err := c.Scan(ctx, "a/", "a/1", 10)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, rows, []platform.Row{{Key: "a/2", Version: 1, Value: []byte{}}})
+
+	stale := put("a/1", "y")
+	stale.Conditions = []platform.Condition{{Key: "a/1", Version: 7}}
+	assert.ErrorIs(t, c.Commit(ctx, stale), platform.ErrConflict)
+	assert.NilError(t, c.Commit(ctx, platform.Txn{Puts: []platform.Put{{Key: "a/1"}}}))
+	_, err = c.Get(ctx, "a/1")
+	assert.ErrorIs(t, err, platform.ErrNotFound)
+
+	assert.NilError(t, c.PutObject(ctx, "o/1?&", []byte{0, 255}))
+	data, err := c.GetObject(ctx, "o/1?&")
+	assert.NilError(t, err)
+	assert.DeepEqual(t, data, []byte{0, 255})
+
+	vm := platform.VM{Name: "vm-1", Role: platform.RoleRunner, DC: "rennes", Addr: "127.0.0.1:1", Slots: 8}
+	assert.NilError(t, c.Announce(ctx, vm))
+	vm.Leaving = true
+	assert.NilError(t, c.Announce(ctx, vm))
+	vms, err := c.VMs(ctx)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, vms, []platform.VM{vm})
+}
+
+func TestFailuresSayWhetherTheWriteMayHaveTakenEffect(t *testing.T) {
+	ctx := context.Background()
+	s := startStandIn(t)
+	c := newClient(t, platform.Config{URL: s.URL(), OutageAfter: 100})
+
+	s.Store.SetFaults(platformd.Faults{LoseNext: 1})
+	assert.ErrorIs(t, c.Commit(ctx, put("a", "lost")), platform.ErrUnknown)
+	row, err := c.Get(ctx, "a")
+	assert.NilError(t, err)
+	assert.Equal(t, string(row.Value), "lost")
+
+	s.Store.SetFaults(platformd.Faults{Down: true})
+	err = c.Commit(ctx, put("a", "down"))
+	assert.ErrorIs(t, err, platform.ErrUnavailable)
+	assert.Assert(t, !errors.Is(err, platform.ErrUnknown))
+
+	s.Store.SetFaults(platformd.Faults{WritesPerSecond: 1e-9})
+	big := platform.Txn{}
+	for range platform.MaxTxnPuts {
+		big.Puts = append(big.Puts, platform.Put{Key: "a", Value: []byte("x")})
+	}
+	assert.NilError(t, c.Commit(ctx, big))
+	assert.ErrorIs(t, c.Commit(ctx, put("a", "limited")), platform.ErrUnavailable)
+	assert.Equal(t, s.Store.Stats().RateLimited, int64(1))
+
+	big.Puts = append(big.Puts, platform.Put{Key: "a"})
+	assert.ErrorIs(t, c.Commit(ctx, big), platform.ErrRejected)
+}
+
+func TestAnAnswerThatIsNotThePlatformsLeavesTheWriteUnknown(t *testing.T) {
+	proxy := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(http.StatusNotFound)
+	}))
+	defer proxy.Close()
+	c := newClient(t, platform.Config{URL: proxy.URL})
+
+	assert.ErrorIs(t, c.Commit(context.Background(), put("a", "x")), platform.ErrUnknown)
+	_, err := c.Get(context.Background(), "a")
+	assert.ErrorIs(t, err, platform.ErrUnavailable)
+}
+
+func TestAnUnreachablePlatformIsUnavailable(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	addr := ln.Addr().String()
+	assert.NilError(t, ln.Close())
+	c := newClient(t, platform.Config{URL: "http://" + addr})
+
+	err = c.Commit(context.Background(), put("a", "x"))
+
+	assert.ErrorIs(t, err, platform.ErrUnavailable)
+	assert.Assert(t, !errors.Is(err, platform.ErrUnknown))
+}
+
+// dropSecond serves the first request of each connection and closes the
+// connection on the second, after reading it if readIt. It counts all that it
+// has read.
+func dropSecond(t *testing.T, readIt bool) (url string, requests *atomic.Int64) {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = ln.Close() })
+	requests = new(atomic.Int64)
+	serve := func(conn net.Conn) {
+		defer conn.Close()
+		r := bufio.NewReader(conn)
+		for i := range 2 {
+			if i == 1 && !readIt {
+				return
+			}
+			req, err := http.ReadRequest(r)
+			if err != nil {
+				return
+			}
+			_, _ = io.Copy(io.Discard, req.Body)
+			requests.Add(1)
+			if i == 0 {
+				_, _ = io.WriteString(conn, "HTTP/1.1 204 No Content\r\n\r\n")
+			}
+		}
+	}
+	go func() {
+		for {
+			conn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go serve(conn)
+		}
+	}()
+	return "http://" + ln.Addr().String(), requests
+}
+
+func TestTheTransportNeverSendsAWriteTwice(t *testing.T) {
+	ctx := context.Background()
+	for range 20 {
+		url, requests := dropSecond(t, true)
+		c := newClient(t, platform.Config{URL: url})
+		assert.NilError(t, c.Commit(ctx, put("a", "1")))
+		assert.ErrorIs(t, c.Commit(ctx, put("a", "2")), platform.ErrUnknown)
+		assert.ErrorIs(t, c.PutObject(ctx, "o", []byte("3")), nil)
+		assert.Equal(t, requests.Load(), int64(3))
+	}
+	for range 20 {
+		url, requests := dropSecond(t, false)
+		c := newClient(t, platform.Config{URL: url})
+		assert.NilError(t, c.Commit(ctx, put("a", "1")))
+		err := c.Commit(ctx, put("a", "2"))
+		sent := requests.Load()
+		assert.Assert(t, sent == 1 && err != nil || sent == 2 && err == nil, "%d requests, error %v", sent, err)
+	}
+}
+
+func TestAnOutageCostsOneAttemptAtEachBeat(t *testing.T) {
+	ctx := context.Background()
+	s := startStandIn(t)
+	s.Store.SetFaults(platformd.Faults{Down: true})
+	slow := newClient(t, platform.Config{URL: s.URL(), OutageAfter: 3, ProbeInterval: time.Hour})
+	for range 50 {
+		assert.ErrorIs(t, slow.Commit(ctx, put("a", "x")), platform.ErrUnavailable)
+	}
+	assert.Equal(t, s.Store.Stats().Unavailable, int64(3))
+	assert.Assert(t, slow.Outage())
+
+	quick := newClient(t, platform.Config{URL: s.URL(), OutageAfter: 3, ProbeInterval: time.Nanosecond})
+	for range 5 {
+		assert.ErrorIs(t, quick.Commit(ctx, put("a", "x")), platform.ErrUnavailable)
+	}
+	s.Store.SetFaults(platformd.Faults{})
+	assert.NilError(t, quick.Commit(ctx, put("a", "x")))
+	assert.Assert(t, !quick.Outage())
+}
+
+func TestABackgroundWriterHoldsNoPlaceInTheQueue(t *testing.T) {
+	b := platform.NewBudget(1)
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Millisecond)
+	defer cancel()
+	assert.NilError(t, b.Wait(ctx, 1))
+
+	assert.Assert(t, b.Wait(platform.WithBackground(ctx), 1) != nil)
+
+	urgent, stop := context.WithTimeout(context.Background(), 30*time.Second)
+	defer stop()
+	assert.NilError(t, b.Wait(urgent, 1))
+}
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -17,6 +17,9 @@
 	ErrUnavailable = errors.New("platform: unavailable, nothing was written")
 	ErrUnknown     = errors.New("platform: no answer, the write may have taken effect")
 	ErrNotFound    = errors.New("platform: not found")
+	// ErrRejected means that the platform will never take this request, for
+	// instance because it is over a limit; nothing was written.
+	ErrRejected = errors.New("platform: request rejected, nothing was written")
 )
 
 // Row is one row of the table. Version grows by one with each write of the
--- /dev/null
+++ b/internal/standin/platformd/stats.go
@@ -0,0 +1,53 @@
+package platformd
+
+import (
+	"maps"
+	"strings"
+)
+
+// Prefixes under which reads and writes outside the table are counted.
+const (
+	objectPrefix = "object:"
+	listPrefix   = "vms"
+)
+
+// Stats counts what the store has served. Reads are requests; Writes are rows
+// and objects written. Both are by the key's first part, up to the first '/'.
+type Stats struct {
+	Reads       map[string]int64 `json:"reads"`
+	Writes      map[string]int64 `json:"writes"`
+	Commits     int64            `json:"commits"`
+	Announces   int64            `json:"announces"`
+	AnswersLost int64            `json:"answers_lost"`
+	RateLimited int64            `json:"rate_limited"`
+	Unavailable int64            `json:"unavailable"`
+}
+
+// Stats returns a copy of the counters.
+func (s *Store) Stats() Stats {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := s.stats
+	c.Reads = maps.Clone(c.Reads)
+	c.Writes = maps.Clone(c.Writes)
+	return c
+}
+
+// TotalWrites returns the sum of Writes.
+func (s Stats) TotalWrites() int64 { return sum(s.Writes) }
+
+// TotalReads returns the sum of Reads.
+func (s Stats) TotalReads() int64 { return sum(s.Reads) }
+
+func sum(m map[string]int64) int64 {
+	var n int64
+	for _, v := range m {
+		n += v
+	}
+	return n
+}
+
+func keyPrefix(key string) string {
+	first, _, _ := strings.Cut(key, "/")
+	return first
+}
