--- /dev/null
+++ b/internal/admission/kind.go
@@ -0,0 +1,165 @@
+package admission
+
+import (
+	"math"
+	"time"
+
+	"currantstall/internal/estimate"
+	"currantstall/internal/manifest"
+)
+
+// arrivalMemory is the time over which the usual arrival rate of a kind is
+// remembered.
+const arrivalMemory = 30 * time.Second
+
+// kind is the queue and the accounts of one kind.
+type kind struct {
+	name     string
+	urgency  int
+	share    float64 // guaranteed part of the capacity, at least minShare
+	removed  bool    // no longer in the manifest
+	service  *estimate.Service
+	flows    map[string]*flow
+	active   flowHeap
+	weights  float64 // sum of the weights of the active flows
+	virtual  float64 // virtual time: start of the last unit served
+	running  int
+	queued   int
+	refused  uint64  // the round of Next in which there was no room
+	arrivals float64 // decayed number of arrivals
+	arrived  time.Time
+	turn     uint64  // of the last start, in starts of the queue
+	credit   float64 // slot time not used of the guarantee's fraction, ns
+	credited time.Time
+}
+
+func newKind(m *manifest.Kind) *kind {
+	return &kind{name: m.Name, service: estimate.NewService(m.Service()), flows: map[string]*flow{}}
+}
+
+// guaranteed returns the slots that the kind may always use.
+func (k *kind) guaranteed(capacity float64) float64 { return k.share * capacity }
+
+// unused returns the part of the guarantee that is not in use, in slots.
+func (k *kind) unused(capacity float64) float64 {
+	return max(0, k.guaranteed(capacity)-float64(k.running))
+}
+
+// entitled reports whether the kind may start a unit on its guarantee. The
+// whole slots of it hold at any moment. The fraction of a slot that remains is
+// granted over time, by credit: without that, kinds with small guarantees would
+// take a slot each whenever they have none, and starve one another and the
+// kinds with large ones.
+func (k *kind) entitled(now time.Time, capacity float64) bool {
+	whole := math.Floor(k.guaranteed(capacity))
+	if float64(k.running) < whole {
+		return true
+	}
+	if float64(k.running) > whole {
+		return false
+	}
+	k.settle(now, capacity)
+	return k.credit >= 0
+}
+
+// settle brings the credit up to date; call it before running changes. The
+// credit is bounded by one run time either way, so that neither idleness nor
+// use of spare slots is remembered for long.
+func (k *kind) settle(now time.Time, capacity float64) {
+	passed := float64(now.Sub(k.credited))
+	k.credited = now
+	whole := math.Floor(k.guaranteed(capacity))
+	fraction := k.guaranteed(capacity) - whole
+	if float64(k.running) > whole {
+		fraction--
+	}
+	bound := float64(k.service.Hold())
+	k.credit = max(-bound, min(bound, k.credit+fraction*passed))
+}
+
+// noteArrivals counts n offered units.
+func (k *kind) noteArrivals(now time.Time, n int) {
+	k.arrivals = k.decayed(now) + float64(n)
+	k.arrived = now
+}
+
+func (k *kind) decayed(now time.Time) float64 {
+	if k.arrived.IsZero() {
+		return 0
+	}
+	return k.arrivals * math.Exp(-float64(now.Sub(k.arrived))/float64(arrivalMemory))
+}
+
+// enqueue appends a node to the flow of its team.
+func (k *kind) enqueue(n *node, weight float64) {
+	f := k.flows[n.unit.Team]
+	if f == nil {
+		f = &flow{team: n.unit.Team, pos: -1}
+		k.flows[n.unit.Team] = f
+	}
+	n.flow = f
+	f.pushBack(n)
+	k.queued++
+	if f.pos >= 0 {
+		return
+	}
+	// A flow that was idle starts at the present virtual time: it gains
+	// nothing from the past, and waits for nobody's backlog.
+	f.weight = weight
+	f.start = max(f.start, k.virtual)
+	f.order = n.order
+	k.active.push(f)
+	k.weights += weight
+}
+
+// dequeue removes a node from its flow without serving it.
+func (k *kind) dequeue(n *node) {
+	f := n.flow
+	f.unlink(n)
+	k.queued--
+	if f.length == 0 {
+		k.deactivate(f)
+	}
+}
+
+// serve removes the head of the first flow and charges the flow for it.
+func (k *kind) serve(n *node) {
+	f := n.flow
+	k.virtual = f.start
+	f.start += 1 / f.weight
+	k.dequeue(n)
+	if f.pos >= 0 {
+		k.active.fix(f.pos)
+	}
+	k.running++
+}
+
+func (k *kind) deactivate(f *flow) {
+	k.active.remove(f)
+	k.weights -= f.weight
+	if len(k.active) == 0 {
+		k.weights = 0 // drops what rounding left
+	}
+}
+
+// first returns the unit that is next within the kind, or nil.
+func (k *kind) first() *node {
+	if len(k.active) == 0 {
+		return nil
+	}
+	return k.active[0].head
+}
+
+// ahead returns the number of units that are served before a new one of the
+// team: at most all that are queued, and at most the team's own queue and what
+// the others may have served meanwhile.
+func (k *kind) ahead(team string, weight float64) float64 {
+	f := k.flows[team]
+	if f == nil || f.length == 0 {
+		// The whole flow of a team that starts has one unit of each
+		// other team before it at most, by weight.
+		return min(float64(k.queued), k.weights/weight)
+	}
+	own := float64(f.length) * k.weights / f.weight
+	return min(float64(k.queued), own)
+}
--- /dev/null
+++ b/internal/admission/offer.go
@@ -0,0 +1,147 @@
+package admission
+
+import (
+	"math"
+	"time"
+
+	"currantstall/internal/verdict"
+)
+
+const (
+	minRetryAfter = 20 * time.Millisecond
+	maxRetryAfter = 30 * time.Second
+	// farWait stands for a wait without an end.
+	farWait = time.Hour
+)
+
+// Offer queues the units of one job or request, all or none. They are of one
+// kind and team. The error is NotRun, with advice when to come back:
+// UnknownKind, QueueFull, DeadlinePassed, DeadlineUnmeetable or QuotaExceeded.
+func (q *Queue) Offer(now time.Time, units []Unit) *verdict.Error {
+	if len(units) == 0 {
+		return nil
+	}
+	u := &units[0]
+	k := q.byKind[u.Kind]
+	if k == nil || k.removed {
+		return refuse(verdict.UnknownKind, "the manifest has no such kind", 0)
+	}
+	k.noteArrivals(now, len(units))
+	t := q.teams[u.Team]
+	weight := 1.0
+	if t != nil {
+		weight = t.weight
+	}
+	wait := q.wait(k, u.Team, weight, len(units))
+	if err := q.check(now, k, u, wait, len(units)); err != nil {
+		return err
+	}
+	if !u.Handed {
+		if delay, ok := t.take(now, len(units)); !ok {
+			return refuse(verdict.QuotaExceeded, "the team is above its rate", delay)
+		}
+	}
+	lastStart := q.lastStart(now, k, u.Deadline)
+	for _, u := range units {
+		if u.Queued.IsZero() {
+			u.Queued = now
+		}
+		q.insert(u, k, weight, lastStart)
+	}
+	return nil
+}
+
+// check refuses what can't be queued or can't meet its deadline.
+func (q *Queue) check(now time.Time, k *kind, u *Unit, wait time.Duration, n int) *verdict.Error {
+	left := u.Deadline.Sub(now)
+	if left <= 0 {
+		return refuse(verdict.DeadlinePassed, "the deadline has passed", 0)
+	}
+	if q.queued+n > q.cfg.MaxQueued {
+		return refuse(verdict.QueueFull, "the queue is full", wait/2)
+	}
+	if q.cfg.Policy != Shares {
+		return nil
+	}
+	if q.hasPeer && !u.Handed {
+		wait = min(wait, q.peerWait)
+	}
+	need := k.service.Low()
+	if wait > 0 {
+		need = wait + k.service.High()
+	}
+	if need > left {
+		return refuse(verdict.DeadlineUnmeetable, "the answer would come after the deadline", need-left)
+	}
+	return nil
+}
+
+// lastStart returns the latest start that is still of use: one after which
+// nine of ten tasks would be in time, or, for work whose deadline is tighter
+// than that anyway, one of ten.
+func (q *Queue) lastStart(now time.Time, k *kind, deadline time.Time) time.Time {
+	if at := deadline.Add(-k.service.High()); at.After(now) {
+		return at
+	}
+	return deadline.Add(-k.service.Low())
+}
+
+// wait estimates how long the last of n new units of a kind and team would be
+// queued.
+func (q *Queue) wait(k *kind, team string, weight float64, n int) time.Duration {
+	if k.queued == 0 && float64(n) <= q.startable(k) {
+		return 0
+	}
+	slots := q.attainable(k)
+	if slots <= 0 {
+		return farWait
+	}
+	before := k.ahead(team, weight) + float64(n)
+	if k.queued == 0 {
+		before -= q.startable(k)
+	}
+	wait := float64(k.service.Hold()) * before / slots
+	return time.Duration(min(wait, float64(farWait)))
+}
+
+// startable returns the slots that the kind could take right now.
+func (q *Queue) startable(k *kind) float64 {
+	free := q.capacity - float64(q.running)
+	for _, o := range q.kinds {
+		if o != k && o.queued > 0 {
+			free -= min(float64(o.queued), o.unused(q.capacity))
+		}
+	}
+	own := max(k.unused(q.capacity), free-q.reserve(k))
+	return math.Floor(max(0, min(own, q.capacity-float64(q.running))))
+}
+
+// attainable returns the slots that the kind can expect to hold while it has a
+// backlog: its guarantee, or what the others leave. Less urgent kinds are
+// pushed back to their guarantee as their tasks end.
+func (q *Queue) attainable(k *kind) float64 {
+	left := q.capacity - q.reserve(k)
+	for _, o := range q.kinds {
+		if o == k {
+			continue
+		}
+		g := o.guaranteed(q.capacity)
+		use := float64(o.running)
+		if o.urgency < k.urgency {
+			use = min(use, g)
+		}
+		if o.queued > 0 {
+			use = max(use, min(g, float64(o.running+o.queued)))
+		}
+		left -= use
+	}
+	return max(k.guaranteed(q.capacity), left)
+}
+
+// refuse returns a NotRun error.
+func refuse(r verdict.Reason, message string, after time.Duration) *verdict.Error {
+	if after > 0 {
+		after = max(minRetryAfter, min(maxRetryAfter, after))
+	}
+	return &verdict.Error{Verdict: verdict.NotRun, Reason: r, Message: message, RetryAfter: after}
+}
--- /dev/null
+++ b/internal/admission/quota.go
@@ -0,0 +1,67 @@
+package admission
+
+import (
+	"math"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"currantstall/internal/manifest"
+)
+
+// team is the configuration and quota of one team.
+type team struct {
+	weight  float64
+	perSec  float64 // over all entries, 0 for no bound
+	burst   int     // over all entries
+	limiter *rate.Limiter
+}
+
+func (t *team) configure(now time.Time, m *manifest.Team, fraction float64) {
+	t.weight = m.Weight
+	if t.weight <= 0 {
+		t.weight = 1
+	}
+	t.perSec, t.burst = m.RatePerSecond, m.Burst
+	t.apply(now, fraction)
+}
+
+// apply sets this entry's part of the quota. A burst is at least one task and
+// the work of one second, so that a rate without a burst is usable.
+func (t *team) apply(now time.Time, fraction float64) {
+	if t.perSec <= 0 {
+		t.limiter = nil
+		return
+	}
+	limit := rate.Limit(t.perSec * fraction)
+	burst := float64(t.burst)
+	if burst <= 0 {
+		burst = t.perSec
+	}
+	part := max(1, int(math.Ceil(burst*fraction)))
+	if t.limiter == nil {
+		t.limiter = rate.NewLimiter(limit, part)
+		return
+	}
+	t.limiter.SetLimitAt(now, limit)
+	t.limiter.SetBurstAt(now, part)
+}
+
+// take charges n tasks, or none and returns the wait until they may come. A
+// job above the burst passes once the bucket is full and is paid off later, so
+// that the rate holds in the long run and no job is too large for ever.
+func (t *team) take(now time.Time, n int) (wait time.Duration, ok bool) {
+	if t == nil || t.limiter == nil || n == 0 {
+		return 0, true
+	}
+	burst := t.limiter.Burst()
+	first := t.limiter.ReserveN(now, min(n, burst))
+	if wait := first.DelayFrom(now); wait > 0 {
+		first.CancelAt(now)
+		return wait, false
+	}
+	for n -= min(n, burst); n > 0; n -= min(n, burst) {
+		t.limiter.ReserveN(now, min(n, burst))
+	}
+	return 0, true
+}
--- /dev/null
+++ b/internal/admission/stats.go
@@ -0,0 +1,60 @@
+package admission
+
+import "time"
+
+// KindStats is the state of one kind.
+type KindStats struct {
+	Kind       string
+	Running    int
+	Queued     int
+	Guaranteed float64       // slots
+	Wait       time.Duration // of one more unit of a team without a queue
+	Service    time.Duration // median run time
+}
+
+// Stats is the state of a queue.
+type Stats struct {
+	Capacity float64 // slots
+	Running  int
+	Queued   int
+	Kinds    []KindStats
+}
+
+// Stats returns the state for metrics and for the load messages to peers.
+func (q *Queue) Stats() Stats {
+	s := Stats{Capacity: q.capacity, Running: q.running, Queued: q.queued, Kinds: make([]KindStats, len(q.kinds))}
+	for i, k := range q.kinds {
+		s.Kinds[i] = KindStats{
+			Kind:       k.name,
+			Running:    k.running,
+			Queued:     k.queued,
+			Guaranteed: k.guaranteed(q.capacity),
+			Wait:       q.Wait(k.name),
+			Service:    k.service.Median(),
+		}
+	}
+	return s
+}
+
+// Wait estimates the time in the queue of one more unit of a kind, of a team
+// without a queue. It is 0 for an unknown kind.
+func (q *Queue) Wait(name string) time.Duration {
+	k := q.byKind[name]
+	if k == nil {
+		return 0
+	}
+	return q.wait(k, "", 1, 1)
+}
+
+// Len returns the numbers of queued and running units.
+func (q *Queue) Len() (queued, running int) { return q.queued, q.running }
+
+// HedgeDelay returns the time after which a unit of the kind is late, or 0
+// for an unknown kind.
+func (q *Queue) HedgeDelay(name string) time.Duration {
+	k := q.byKind[name]
+	if k == nil {
+		return 0
+	}
+	return k.service.HedgeDelay()
+}
--- /dev/null
+++ b/internal/estimate/histogram.go
@@ -0,0 +1,77 @@
+// Package estimate learns how long the tasks of a kind run and how much of a
+// worker they take. Declared values are a first guess that a few observations
+// outweigh. State has a fixed size and nothing here reads a clock.
+package estimate
+
+import "math"
+
+const (
+	bucketsPerDoubling = 4
+	doublings          = 32
+	numBuckets         = bucketsPerDoubling * doublings
+	// maxWeight is the number of observations after which all counts are
+	// halved, so that the last few hundred decide.
+	maxWeight = 512
+	// refreshEvery is the number of observations between recomputations of
+	// the cached quantiles, once there are that many.
+	refreshEvery = 16
+)
+
+// histogram counts positive values in buckets of equal ratio, 2^(1/4), so a
+// quantile is off by at most 9%. Counts fade as new ones come.
+type histogram struct {
+	counts [numBuckets]float32
+	total  float64
+	seen   int // observations since the last refresh
+	stale  bool
+}
+
+// bucketOf returns the bucket of a value of 1 or more.
+func bucketOf(v float64) int {
+	if v <= 1 {
+		return 0
+	}
+	return min(int(math.Log2(v)*bucketsPerDoubling), numBuckets-1)
+}
+
+// valueOf returns the geometric middle of a bucket.
+func valueOf(bucket int) float64 {
+	return math.Exp2((float64(bucket) + 0.5) / bucketsPerDoubling)
+}
+
+func (h *histogram) add(v float64, weight float32) {
+	h.counts[bucketOf(v)] += weight
+	h.total += float64(weight)
+	if h.total > maxWeight {
+		h.fade()
+	}
+	h.seen++
+	if h.seen >= refreshEvery || h.total < refreshEvery {
+		h.seen, h.stale = 0, true
+	}
+}
+
+func (h *histogram) fade() {
+	h.total = 0
+	for i := range h.counts {
+		h.counts[i] /= 2
+		h.total += float64(h.counts[i])
+	}
+}
+
+// quantile returns the value below which the part p of the weight lies.
+func (h *histogram) quantile(p float64) float64 {
+	rest := p * h.total
+	last := 0
+	for i, c := range h.counts {
+		if c == 0 {
+			continue
+		}
+		last = i
+		rest -= float64(c)
+		if rest <= 0 {
+			break
+		}
+	}
+	return valueOf(last)
+}
--- /dev/null
+++ b/internal/estimate/service_test.go
@@ -0,0 +1,77 @@
+package estimate
+
+import (
+	"flag"
+	"os"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	for name, value := range map[string]string{"rapid.checks": "1000", "rapid.seed": "5", "rapid.nofailfile": "true"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+// A declaration off by up to 10 times either way is outweighed by 50 run
+// times, of which up to a quarter are instant failures and a fifth come from a
+// straggling target.
+func TestServiceOutweighsWrongDeclarations(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		real := time.Duration(rapid.IntRange(1, 5000).Draw(t, "ms")) * time.Millisecond
+		factor := rapid.Float64Range(0.1, 10).Draw(t, "declared over real")
+		failing := rapid.IntRange(0, 25).Draw(t, "failing %")
+		straggling := rapid.IntRange(0, 20).Draw(t, "straggling %")
+		s := NewService(time.Duration(float64(real) * factor))
+		slow, failed := 0, 0
+		for i := range 100 {
+			took, ok := real, true
+			switch {
+			case (i+1)*failing/100 > failed:
+				took, ok, failed = time.Microsecond, false, failed+1
+			case (i+1)*straggling/100 > slow:
+				took, slow = 20*real, slow+1
+			}
+			s.Observe(took, ok)
+		}
+
+		median := float64(s.Median()) / float64(real)
+		assert.Assert(t, median > 0.8 && median < 1.25, "median %v of %v", s.Median(), real)
+		assert.Assert(t, s.Low() <= s.Median() && s.Median() <= s.High())
+		hedge := float64(s.HedgeDelay()) / float64(real)
+		assert.Assert(t, hedge > 0.8 && hedge < 5, "hedge delay %v of %v", s.HedgeDelay(), real)
+		if failing == 0 && straggling == 0 {
+			hold := float64(s.Hold()) / float64(real)
+			assert.Assert(t, hold > 0.7 && hold < 1.3, "hold %v of %v", s.Hold(), real)
+		}
+	})
+}
+
+// The estimate follows a kind that changes.
+func TestServiceFollowsAChange(t *testing.T) {
+	s := NewService(time.Second)
+	for range 5000 {
+		s.Observe(time.Second, true)
+	}
+	for range 1000 {
+		s.Observe(50*time.Millisecond, true)
+	}
+	assert.Assert(t, s.Median() < 60*time.Millisecond, "median %v", s.Median())
+	assert.Assert(t, s.Hold() < 60*time.Millisecond, "hold %v", s.Hold())
+}
+
+func BenchmarkObserve(b *testing.B) {
+	s := NewService(time.Second)
+	b.ReportAllocs()
+	for i := range b.N {
+		s.Observe(time.Duration(i%1000)*time.Millisecond, true)
+		_ = s.High()
+	}
+}
