Target protocol, connections to targets, runner and worker stand-ins

Starts go over plain HTTP/1.1 with key and task repeated in the answer, a checksum, and the lease's end told in the target's own clock. Every failure maps to a verdict: not_run only if no connection was made, no byte was handed to one (sealed first), or the target said so. Ruled out: time left as the lease check, since a start delayed in a buffer would still pass it.

The stand-ins count every start and have switches for straggling, failing, silent connections, dying, leaving, cut, crossed and late answers.

--- /dev/null
+++ b/internal/standin/runner/runner.go
@@ -0,0 +1,31 @@
+// Package runner is a stand-in for a runner: a target with a few slots, each
+// of which runs one request at a time.
+package runner
+
+import (
+	"currantstall/internal/platform"
+	"currantstall/internal/standin/taskserver"
+)
+
+// Defaults of a runner.
+const (
+	DefaultSlots   = 8
+	DefaultMaxConn = 60
+)
+
+// New starts a runner on a free port of 127.0.0.1 unless cfg says where. Zero
+// slots and connections stand for the defaults; as many tasks as there are
+// slots may wait for one.
+func New(cfg taskserver.Config) (*taskserver.Server, error) {
+	cfg.VM.Role = platform.RoleRunner
+	if cfg.VM.Slots <= 0 {
+		cfg.VM.Slots = DefaultSlots
+	}
+	if cfg.VM.MaxConn <= 0 {
+		cfg.VM.MaxConn = DefaultMaxConn
+	}
+	if cfg.Queue <= 0 {
+		cfg.Queue = cfg.VM.Slots
+	}
+	return taskserver.New(cfg)
+}
--- /dev/null
+++ b/internal/standin/taskserver/lookup.go
@@ -0,0 +1,212 @@
+package taskserver
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/labstack/echo/v4"
+
+	"currantstall/internal/key"
+	"currantstall/internal/target"
+	"currantstall/internal/verdict"
+)
+
+// taskID reads the task from the path.
+func taskID(c echo.Context) (TaskID, error) {
+	k, err := key.Parse(c.Param("dc") + "/" + c.Param("id"))
+	if err != nil {
+		return TaskID{}, err
+	}
+	task, err := strconv.Atoi(c.Param("task"))
+	if err != nil {
+		return TaskID{}, err
+	}
+	return TaskID{Key: k, Task: task}, nil
+}
+
+func (s *Server) handleLookup(c echo.Context) error {
+	return s.lookup(c, s.find)
+}
+
+// handleFence looks a task up and bars its start if it is unknown.
+func (s *Server) handleFence(c echo.Context) error {
+	return s.lookup(c, s.fence)
+}
+
+// handleStop stops a task, or bars its start.
+func (s *Server) handleStop(c echo.Context) error {
+	return s.lookup(c, s.stopTask)
+}
+
+func (s *Server) lookup(c echo.Context, find func(TaskID) *record) error {
+	id, err := taskID(c)
+	if err != nil {
+		return badRequest(c, err)
+	}
+	r := find(id)
+	h := c.Response().Header()
+	setTask(h, id)
+	if r == nil {
+		h.Set(target.HeaderState, string(target.TaskUnknown))
+		return c.NoContent(http.StatusOK)
+	}
+	if s.stateOf(r) == fenced {
+		h.Set(target.HeaderState, string(target.TaskFenced))
+		return c.NoContent(http.StatusOK)
+	}
+	if !s.awaitQuery(c, r) {
+		h.Set(target.HeaderState, string(target.TaskRunning))
+		return c.NoContent(http.StatusOK)
+	}
+	h.Set(target.HeaderState, string(target.TaskDone))
+	return s.answer(c, r)
+}
+
+// awaitQuery waits for a task's end as long as the query says, and reports
+// whether it is over.
+func (s *Server) awaitQuery(c echo.Context, r *record) bool {
+	ms, err := strconv.ParseInt(c.QueryParam(target.QueryWait), 10, 64)
+	if err != nil || ms <= 0 {
+		ms = 0
+	}
+	wait := min(time.Duration(ms)*time.Millisecond, maxWait)
+	return s.await(c.Request().Context(), r, wait+time.Nanosecond)
+}
+
+func (s *Server) stateOf(r *record) state {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return r.state
+}
+
+func (s *Server) find(id TaskID) *record {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.records[id]
+}
+
+// fence returns the record of a task; of an unknown one, a record that bars
+// its start.
+func (s *Server) fence(id TaskID) *record {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.fenceLocked(id)
+}
+
+func (s *Server) fenceLocked(id TaskID) *record {
+	if r := s.records[id]; r != nil {
+		return r
+	}
+	r := &record{id: id, state: fenced, ended: time.Now()}
+	s.records[id] = r
+	return r
+}
+
+// stopTask ends a running task and bars a waiting or unknown one.
+func (s *Server) stopTask(id TaskID) *record {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	r := s.records[id]
+	if r == nil {
+		return s.fenceLocked(id)
+	}
+	switch r.state {
+	case queued:
+		s.exec.unqueue(r)
+		r.refuse(target.RefusedFenced, now)
+		delete(s.records, id)
+		return s.fenceLocked(id)
+	case running:
+		s.exec.remove(r, now)
+		r.end(verdict.Failed, []byte("stopped"), now)
+		s.recent = append(s.recent, r)
+		s.fill(now)
+		s.schedule()
+	}
+	return r
+}
+
+// Checkpoint is the answer to a checkpoint.
+type Checkpoint struct {
+	Progress float64 `json:"progress"` // part of the work that is done, 0 to 1
+}
+
+func (s *Server) handleCheckpoint(c echo.Context) error {
+	id, err := taskID(c)
+	if err != nil {
+		return badRequest(c, err)
+	}
+	s.mu.Lock()
+	r := s.records[id]
+	if r == nil || r.state != running {
+		s.mu.Unlock()
+		return c.NoContent(http.StatusNotFound)
+	}
+	p := s.exec.progress(r, time.Now())
+	s.mu.Unlock()
+	return c.JSON(http.StatusOK, Checkpoint{Progress: p})
+}
+
+// handleThrottle slows the rest of a running task down by ?factor=.
+func (s *Server) handleThrottle(c echo.Context) error {
+	id, err := taskID(c)
+	if err != nil {
+		return badRequest(c, err)
+	}
+	factor, err := strconv.ParseFloat(c.QueryParam("factor"), 64)
+	if err != nil || factor <= 0 {
+		return c.String(http.StatusBadRequest, "factor must be above 0\n")
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r := s.records[id]
+	if r == nil || r.state != running {
+		return c.NoContent(http.StatusNotFound)
+	}
+	s.exec.throttle(r, factor, time.Now())
+	s.schedule()
+	return c.NoContent(http.StatusNoContent)
+}
+
+// handleUsage reports what ran UsageLag ago.
+func (s *Server) handleUsage(c echo.Context) error {
+	b, err := json.Marshal(s.usage(time.Now()))
+	if err != nil {
+		return err
+	}
+	h := c.Response().Header()
+	h.Set(target.HeaderChecksum, target.Checksum(b))
+	h.Set(echo.HeaderContentLength, strconv.Itoa(len(b)))
+	return c.Blob(http.StatusOK, echo.MIMEApplicationJSON, b)
+}
+
+func (s *Server) usage(now time.Time) target.Usage {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.trimRecent(now)
+	seen := now.Add(-s.cfg.UsageLag)
+	u := target.Usage{Tasks: []target.TaskUsage{}}
+	for _, list := range [][]*record{s.exec.tasks, s.recent} {
+		for _, r := range list {
+			if r.started.After(seen) || (!r.ended.IsZero() && !r.ended.After(seen)) {
+				continue
+			}
+			u.Used = u.Used.Plus(r.needs)
+			u.Tasks = append(u.Tasks, usageOf(r, seen))
+		}
+	}
+	return u
+}
+
+func usageOf(r *record, at time.Time) target.TaskUsage {
+	return target.TaskUsage{
+		Key:       r.id.Key,
+		Task:      r.id.Task,
+		Kind:      r.kind,
+		RunningMS: at.Sub(r.started).Milliseconds(),
+		Used:      r.needs,
+	}
+}
--- /dev/null
+++ b/internal/standin/taskserver/server.go
@@ -0,0 +1,370 @@
+// Package taskserver is the common part of the runner and worker stand-ins: a
+// small target that speaks the target protocol over HTTP, counts every start,
+// and has switches for the faults that the dispatcher has to bear. It is for
+// tests, the demo and measurements.
+package taskserver
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"math"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+
+	"currantstall/internal/platform"
+	"currantstall/internal/target"
+	"currantstall/internal/verdict"
+)
+
+const (
+	defaultListen   = "127.0.0.1:0"
+	defaultService  = 50 * time.Millisecond
+	announceBeat    = 5 * time.Second
+	announceRetry   = 200 * time.Millisecond
+	sweepBeat       = 10 * time.Second
+	maxBody         = 32 << 20 // bytes
+	readHeaderLimit = 10 * time.Second
+)
+
+// Config describes a target.
+type Config struct {
+	// VM is the target's line in the platform's list. Addr is filled in.
+	VM platform.VM
+	// Listen is host:port, by default a free port of 127.0.0.1.
+	Listen string
+	// Queue is the number of tasks that may wait for a slot.
+	Queue int
+	// Service holds the median run time of each kind, for bodies that don't
+	// say theirs; Spread is the standard deviation of its logarithm.
+	Service map[string]time.Duration
+	Spread  float64
+	Seed    uint64
+	// UsageLag is the age of what a usage report says.
+	UsageLag time.Duration
+	// List is told of the target, if it is set.
+	List platform.List
+	Log  *slog.Logger
+}
+
+// Server is a running target.
+type Server struct {
+	cfg      Config
+	instance string
+	born     time.Time
+	listener *faultListener
+	http     *http.Server
+	stop     context.CancelFunc
+	wg       sync.WaitGroup
+
+	mu      sync.Mutex
+	exec    executor
+	timer   *time.Timer
+	records map[TaskID]*record
+	starts  map[TaskID]int
+	recent  []*record // ended within the usage lag
+	lastEnd *record
+	faults  Faults
+	rng     *rand.Rand
+	closed  bool
+}
+
+// New starts a target. Close or Kill ends it.
+func New(cfg Config) (*Server, error) {
+	if cfg.Listen == "" {
+		cfg.Listen = defaultListen
+	}
+	if cfg.Log == nil {
+		cfg.Log = slog.New(slog.DiscardHandler)
+	}
+	l, err := net.Listen("tcp", cfg.Listen)
+	if err != nil {
+		return nil, fmt.Errorf("listen: %w", err)
+	}
+	cfg.VM.Addr = l.Addr().String()
+	s := &Server{
+		cfg:      cfg,
+		instance: uuid.NewString(),
+		born:     time.Now(),
+		listener: newFaultListener(l, cfg.VM.MaxConn),
+		exec:     executor{slots: cfg.VM.Slots, size: cfg.VM.Size, room: cfg.Queue},
+		records:  make(map[TaskID]*record),
+		starts:   make(map[TaskID]int),
+		rng:      rand.New(rand.NewPCG(cfg.Seed, cfg.Seed)),
+	}
+	s.timer = time.AfterFunc(math.MaxInt64, s.tick)
+	s.http = &http.Server{Handler: s.routes(), ReadHeaderTimeout: readHeaderLimit}
+	ctx, stop := context.WithCancel(context.Background())
+	s.stop = stop
+	s.wg.Go(func() { _ = s.http.Serve(s.listener) })
+	s.wg.Go(func() { s.maintain(ctx) })
+	return s, nil
+}
+
+// Addr returns host:port of the target.
+func (s *Server) Addr() string { return s.cfg.VM.Addr }
+
+// VM returns the target's line in the platform's list.
+func (s *Server) VM() platform.VM {
+	vm := s.cfg.VM
+	s.mu.Lock()
+	vm.Leaving = s.faults.Leaving
+	s.mu.Unlock()
+	return vm
+}
+
+// Close ends the target: running tasks are dropped, answers under way are
+// given a moment.
+func (s *Server) Close() {
+	s.shut()
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	if s.http.Shutdown(ctx) != nil {
+		_ = s.http.Close()
+	}
+	s.wg.Wait()
+}
+
+// Kill ends the target abruptly, as when its VM dies.
+func (s *Server) Kill() {
+	s.shut()
+	_ = s.listener.Listener.Close()
+	s.listener.reset()
+	_ = s.http.Close()
+	s.wg.Wait()
+}
+
+// shut stops the executor and lets waiting handlers go.
+func (s *Server) shut() {
+	s.stop()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closed = true
+	s.timer.Stop()
+}
+
+// SetFaults replaces the switches.
+func (s *Server) SetFaults(f Faults) {
+	if f.Silence > 0 {
+		s.listener.silence(f.Silence)
+	}
+	s.mu.Lock()
+	s.exec.advance(time.Now())
+	s.exec.straggle = f.Straggle
+	s.faults = f
+	s.schedule()
+	s.mu.Unlock()
+	if f.Dead {
+		go s.Kill()
+	}
+}
+
+// Faults returns the switches.
+func (s *Server) Faults() Faults {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.faults
+}
+
+// Starts returns how often each task was started here.
+func (s *Server) Starts() map[TaskID]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	m := make(map[TaskID]int, len(s.starts))
+	for id, n := range s.starts {
+		m[id] = n
+	}
+	return m
+}
+
+// Running returns the number of running tasks.
+func (s *Server) Running() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.exec.tasks)
+}
+
+// Conns returns the open, accepted and rejected connections.
+func (s *Server) Conns() (open, accepted, rejected int) { return s.listener.counts() }
+
+// clock reads the target's clock.
+func (s *Server) clock(now time.Time) target.Clock {
+	return target.Clock{Instance: s.instance, At: now.Sub(s.born)}
+}
+
+// begin takes a task in: it runs, waits or is refused.
+func (s *Server) begin(r *record) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	if why := s.barred(r, now); why != "" {
+		r.refuse(why, now)
+		return
+	}
+	r.service = s.serviceOf(r)
+	switch {
+	case s.exec.free():
+		s.startTask(r, now)
+	case len(s.exec.queue) < s.exec.room:
+		r.state = queued
+		s.records[r.id] = r
+		s.exec.queue = append(s.exec.queue, r)
+	default:
+		r.refuse(target.RefusedBusy, now)
+	}
+	s.schedule()
+}
+
+// barred returns why a task may not start now, or "".
+func (s *Server) barred(r *record, now time.Time) target.Refusal {
+	if s.faults.Leaving {
+		return target.RefusedLeaving
+	}
+	if old := s.records[r.id]; old != nil && old.state == fenced {
+		return target.RefusedFenced
+	}
+	if r.notAfter == nil {
+		return ""
+	}
+	c := s.clock(now)
+	switch {
+	case r.notAfter.Instance != c.Instance:
+		return target.RefusedClock
+	case c.At > r.notAfter.At:
+		return target.RefusedLease
+	}
+	return ""
+}
+
+func (s *Server) startTask(r *record, now time.Time) {
+	s.records[r.id] = r
+	s.starts[r.id]++
+	s.exec.start(r, now)
+}
+
+// serviceOf returns a task's run time on a free target.
+func (s *Server) serviceOf(r *record) time.Duration {
+	if r.spec.ServiceMS > 0 {
+		return time.Duration(r.spec.ServiceMS * float64(time.Millisecond))
+	}
+	median := s.cfg.Service[r.kind]
+	if median <= 0 {
+		median = defaultService
+	}
+	return time.Duration(float64(median) * math.Exp(s.rng.NormFloat64()*s.cfg.Spread))
+}
+
+// tick ends the tasks that are done and starts waiting ones.
+func (s *Server) tick() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		return
+	}
+	now := time.Now()
+	for r := s.exec.finished(now); r != nil; r = s.exec.finished(now) {
+		s.endTask(r, now)
+	}
+	s.fill(now)
+	s.schedule()
+}
+
+func (s *Server) endTask(r *record, now time.Time) {
+	if r.spec.Fail || s.faults.FailAll {
+		r.end(verdict.Failed, []byte("failed as told"), now)
+	} else {
+		r.end(verdict.Completed, r.result(s.cfg.VM.Name), now)
+	}
+	s.recent = append(s.recent, r)
+}
+
+// fill starts waiting tasks as far as there are slots.
+func (s *Server) fill(now time.Time) {
+	for len(s.exec.queue) > 0 && s.exec.free() {
+		r := s.exec.queue[0]
+		s.exec.queue = s.exec.queue[1:]
+		delete(s.records, r.id)
+		if why := s.barred(r, now); why != "" {
+			r.refuse(why, now)
+			continue
+		}
+		s.startTask(r, now)
+	}
+}
+
+// schedule sets the timer to the end of the first task.
+func (s *Server) schedule() {
+	if s.closed {
+		return
+	}
+	if d, ok := s.exec.next(); ok {
+		s.timer.Reset(d)
+	}
+}
+
+// maintain announces the target and forgets old records until ctx ends.
+func (s *Server) maintain(ctx context.Context) {
+	sweep := time.NewTicker(sweepBeat)
+	defer sweep.Stop()
+	announce := time.NewTimer(0)
+	defer announce.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-sweep.C:
+			s.sweep(time.Now())
+		case <-announce.C:
+			announce.Reset(s.announce(ctx))
+		}
+	}
+}
+
+// announce tells the list of the target and returns the wait until the next
+// time.
+func (s *Server) announce(ctx context.Context) time.Duration {
+	if s.cfg.List == nil {
+		return announceBeat
+	}
+	if err := s.cfg.List.Announce(ctx, s.VM()); err != nil {
+		s.cfg.Log.Warn("announce", "vm", s.cfg.VM.Name, "err", err)
+		return announceRetry
+	}
+	return announceBeat
+}
+
+// Leave marks the target as leaving, here and in the platform's list.
+func (s *Server) Leave(ctx context.Context) {
+	f := s.Faults()
+	f.Leaving, f.Silence = true, 0
+	s.SetFaults(f)
+	s.announce(ctx)
+}
+
+// sweep forgets what ended before the retention.
+func (s *Server) sweep(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for id, r := range s.records {
+		if !r.ended.IsZero() && now.Sub(r.ended) > target.RecordRetention {
+			delete(s.records, id)
+		}
+	}
+	s.trimRecent(now)
+}
+
+func (s *Server) trimRecent(now time.Time) {
+	kept := s.recent[:0]
+	for _, r := range s.recent {
+		if now.Sub(r.ended) <= s.cfg.UsageLag {
+			kept = append(kept, r)
+		}
+	}
+	clear(s.recent[len(kept):])
+	s.recent = kept
+}
--- /dev/null
+++ b/internal/standin/taskserver/task.go
@@ -0,0 +1,101 @@
+package taskserver
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"currantstall/internal/key"
+	"currantstall/internal/structs"
+	"currantstall/internal/target"
+	"currantstall/internal/verdict"
+)
+
+// Spec is what a task's body may say about the task, as JSON. A body that is
+// no such JSON is run with the kind's usual time.
+type Spec struct {
+	ServiceMS   float64           `json:"service_ms,omitempty"` // run time on a free target
+	Uses        structs.Resources `json:"uses,omitzero"`        // true need; else as declared
+	Fail        bool              `json:"fail,omitempty"`       // runs, then fails
+	AnswerBytes int               `json:"answer_bytes,omitempty"`
+}
+
+// Result is the body of a completed task's answer.
+type Result struct {
+	Key    key.Key `json:"key"`
+	Task   int     `json:"task"`
+	Kind   string  `json:"kind"`
+	Target string  `json:"target"`
+	Digest string  `json:"digest"` // target.Checksum of the task's body
+	Pad    string  `json:"pad,omitempty"`
+}
+
+// TaskID names a task.
+type TaskID struct {
+	Key  key.Key `json:"key"`
+	Task int     `json:"task"`
+}
+
+func (id TaskID) String() string { return fmt.Sprintf("%s/%d", id.Key, id.Task) }
+
+// state is the state of a record.
+type state uint8
+
+const (
+	queued state = iota + 1
+	running
+	done
+	refused
+	fenced
+)
+
+// record is what a target knows of one task.
+type record struct {
+	id       TaskID
+	kind     string
+	spec     Spec
+	digest   string
+	service  time.Duration
+	needs    structs.Resources
+	notAfter *target.Clock
+
+	state   state
+	refusal target.Refusal
+	started time.Time
+	ended   time.Time
+	verdict verdict.Verdict
+	body    []byte
+	over    chan struct{} // closed when done or refused
+
+	finish float64 // work of the executor at which the task is done, s
+	index  int     // in the executor's heap
+}
+
+// end sets the outcome of a task that ran.
+func (r *record) end(v verdict.Verdict, body []byte, now time.Time) {
+	r.state, r.verdict, r.body, r.ended = done, v, body, now
+	close(r.over)
+}
+
+// refuse ends a task that did not run.
+func (r *record) refuse(why target.Refusal, now time.Time) {
+	r.state, r.refusal, r.ended = refused, why, now
+	close(r.over)
+}
+
+// result returns the body of the task's answer.
+func (r *record) result(vm string) []byte {
+	res := Result{Key: r.id.Key, Task: r.id.Task, Kind: r.kind, Target: vm, Digest: r.digest}
+	if n := r.spec.AnswerBytes; n > 0 {
+		pad := make([]byte, n)
+		for i := range pad {
+			pad[i] = 'x'
+		}
+		res.Pad = string(pad)
+	}
+	b, err := json.Marshal(res)
+	if err != nil {
+		return []byte(err.Error())
+	}
+	return b
+}
--- /dev/null
+++ b/internal/target/exchange.go
@@ -0,0 +1,128 @@
+package target
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"sync"
+	"time"
+
+	"currantstall/internal/verdict"
+)
+
+// exchange is one HTTP request to a target. It tracks the connections that
+// carried it, to tell whether any byte of it was sent.
+type exchange struct {
+	mu    sync.Mutex
+	conns []carrier
+}
+
+// carrier is a connection and the count of its writes before the exchange.
+type carrier struct {
+	conn   *sealConn
+	before uint64
+}
+
+// trace returns a context that reports the connections to the exchange.
+func (x *exchange) trace(ctx context.Context) context.Context {
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) {
+			c, ok := info.Conn.(*sealConn)
+			if !ok {
+				return
+			}
+			x.mu.Lock()
+			x.conns = append(x.conns, carrier{c, c.noted()})
+			x.mu.Unlock()
+		},
+	})
+}
+
+// abandon makes sure that nothing more of the request is sent and reports
+// whether something was. After it no byte follows, so a false result holds.
+func (x *exchange) abandon() (sent bool) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	for _, c := range x.conns {
+		if c.conn.seal() != c.before {
+			sent = true
+		}
+		_ = c.conn.Close()
+	}
+	return sent
+}
+
+// roundTrip sends a request once and returns the answer's head. It uses the
+// transport, not a client, so that no redirect is followed. The error is a
+// *verdict.Error.
+func (e *endpoint) roundTrip(l *lane, req *http.Request) (*http.Response, error) {
+	var x exchange
+	ctx := req.Context()
+	resp, err := l.transport.RoundTrip(req.WithContext(x.trace(ctx)))
+	if err == nil {
+		e.noteHead(resp.Header)
+		return resp, nil
+	}
+	return nil, failure(ctx, err, x.abandon())
+}
+
+// failure maps an error of the transport to its verdict.
+func failure(ctx context.Context, err error, sent bool) *verdict.Error {
+	v := verdict.MayHaveRun
+	if !sent {
+		v = verdict.NotRun
+	}
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return verdict.New(v, verdict.Timeout, "no answer in time: %w", err)
+	case ctx.Err() != nil:
+		return verdict.New(v, verdict.Cancelled, "cancelled: %w", err)
+	case !sent && isDial(err):
+		return verdict.New(v, verdict.DialFailed, "dial: %w", err)
+	case !sent:
+		return verdict.New(v, verdict.NothingWritten, "send: %w", err)
+	}
+	return verdict.New(v, verdict.TargetLost, "connection lost: %w", err)
+}
+
+// noteHead takes in what every answer says of its target.
+func (e *endpoint) noteHead(h http.Header) {
+	if c, err := ParseClock(h.Get(HeaderClock)); err == nil {
+		e.clock.observe(c, time.Now())
+	}
+	if h.Get(HeaderLeaving) == "true" {
+		e.cfg.OnLeaving(e.addr)
+	}
+}
+
+// readBody reads a whole body and checks its length and checksum. A connection
+// whose answer was not read to its end is closed.
+func readBody(ctx context.Context, resp *http.Response, limit int64) ([]byte, error) {
+	defer resp.Body.Close()
+	body, err := readAll(resp, limit)
+	if err == nil && resp.Header.Get(HeaderChecksum) != Checksum(body) {
+		err = errors.New("the checksum differs")
+	}
+	switch {
+	case err == nil:
+		return body, nil
+	case ctx.Err() != nil:
+		return nil, failure(ctx, err, true)
+	}
+	return nil, verdict.New(verdict.MayHaveRun, verdict.TruncatedAnswer, "answer is not whole: %w", err)
+}
+
+func readAll(resp *http.Response, limit int64) ([]byte, error) {
+	n := resp.ContentLength
+	if n < 0 {
+		return nil, errors.New("no length given")
+	}
+	if n > limit {
+		return nil, errors.New("longer than the limit")
+	}
+	body := make([]byte, n)
+	_, err := io.ReadFull(resp.Body, body)
+	return body, err
+}
--- /dev/null
+++ b/internal/target/pool.go
@@ -0,0 +1,243 @@
+package target
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"currantstall/internal/metrics"
+	"currantstall/internal/verdict"
+)
+
+// Defaults of PoolConfig.
+const (
+	DefaultShare       = 30 // connections to one target
+	DefaultIdleTimeout = 3 * time.Second
+	DefaultDialTimeout = time.Second
+	DefaultMaxAnswer   = 8 << 20 // bytes
+)
+
+// controlConns is the part of a share that is kept for look-ups, stops and
+// usage reports, so that silent starts can't block them.
+const controlConns = 2
+
+// PoolConfig holds the settings of a Pool. Zero values stand for defaults.
+type PoolConfig struct {
+	// Share bounds the connections to a target until SetShare is called.
+	Share int
+	// IdleTimeout retires an idle connection. It is short, since a
+	// connection that nobody uses may go silent without a sign.
+	IdleTimeout time.Duration
+	DialTimeout time.Duration
+	// MaxAnswer bounds the body of an answer, in bytes.
+	MaxAnswer int64
+	Metrics   *metrics.Metrics
+	Log       *slog.Logger
+	// OnLeaving is called with the address of a target whose answer says
+	// that it is leaving. It may be called often, from any goroutine.
+	OnLeaving func(addr string)
+}
+
+func (c *PoolConfig) provision() {
+	if c.Share <= 0 {
+		c.Share = DefaultShare
+	}
+	if c.IdleTimeout <= 0 {
+		c.IdleTimeout = DefaultIdleTimeout
+	}
+	if c.DialTimeout <= 0 {
+		c.DialTimeout = DefaultDialTimeout
+	}
+	if c.MaxAnswer <= 0 {
+		c.MaxAnswer = DefaultMaxAnswer
+	}
+	if c.Metrics == nil {
+		c.Metrics = metrics.NewNop()
+	}
+	if c.Log == nil {
+		c.Log = slog.New(slog.DiscardHandler)
+	}
+	if c.OnLeaving == nil {
+		c.OnLeaving = func(string) {}
+	}
+}
+
+// Pool keeps the connections to all targets, each within its share. It
+// implements Runner. It is safe for concurrent use.
+type Pool struct {
+	cfg PoolConfig
+
+	mu      sync.Mutex
+	targets map[string]*endpoint
+	closed  bool
+}
+
+var _ Runner = (*Pool)(nil)
+
+// NewPool returns an empty pool.
+func NewPool(cfg PoolConfig) *Pool {
+	cfg.provision()
+	return &Pool{cfg: cfg, targets: make(map[string]*endpoint)}
+}
+
+// ShareOf returns how many of a target's connections one of n entries may
+// hold: its owner half of them, each other entry an equal part of the rest, at
+// least controlConns+1. So two owners for a moment still stay within the
+// limit.
+func ShareOf(maxConn, entries int, owner bool) int {
+	if maxConn <= 0 {
+		return DefaultShare
+	}
+	n := maxConn / 2
+	if !owner && entries > 1 {
+		n /= entries - 1
+	}
+	return max(n, controlConns+1)
+}
+
+// SetShare bounds the connections to a target. Idle ones are closed if the
+// bound falls; busy ones are not cut off.
+func (p *Pool) SetShare(addr string, conns int) {
+	e, err := p.endpoint(addr)
+	if err != nil {
+		return
+	}
+	e.setShare(conns)
+}
+
+// Conns returns the number of open connections to a target.
+func (p *Pool) Conns(addr string) int {
+	p.mu.Lock()
+	e := p.targets[addr]
+	p.mu.Unlock()
+	if e == nil {
+		return 0
+	}
+	return e.tasks.gate.count() + e.control.gate.count()
+}
+
+// CloseIdle closes the idle connections to a target, as after one of them has
+// gone silent.
+func (p *Pool) CloseIdle(addr string) {
+	p.mu.Lock()
+	e := p.targets[addr]
+	p.mu.Unlock()
+	if e != nil {
+		e.closeIdle()
+	}
+}
+
+// Forget drops what is kept of a target that is gone. Running calls finish.
+func (p *Pool) Forget(addr string) {
+	p.mu.Lock()
+	e := p.targets[addr]
+	delete(p.targets, addr)
+	p.mu.Unlock()
+	if e != nil {
+		e.closeIdle()
+	}
+}
+
+// Close closes the idle connections and refuses further calls.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closed = true
+	for _, e := range p.targets {
+		e.closeIdle()
+	}
+}
+
+// endpoint returns the state of a target, made at its first use.
+func (p *Pool) endpoint(addr string) (*endpoint, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		return nil, verdict.New(verdict.NotRun, verdict.Draining, "the target pool is closed")
+	}
+	e := p.targets[addr]
+	if e == nil {
+		e = newEndpoint(addr, &p.cfg)
+		p.targets[addr] = e
+	}
+	return e, nil
+}
+
+// endpoint is one target: its connections for tasks, those for control, and
+// what is known of its clock.
+type endpoint struct {
+	addr    string
+	cfg     *PoolConfig
+	tasks   *lane
+	control *lane
+	clock   clockEstimate
+}
+
+func newEndpoint(addr string, cfg *PoolConfig) *endpoint {
+	return &endpoint{
+		addr:    addr,
+		cfg:     cfg,
+		tasks:   newLane(cfg, max(cfg.Share-controlConns, 1)),
+		control: newLane(cfg, controlConns),
+	}
+}
+
+func (e *endpoint) setShare(conns int) {
+	if e.tasks.gate.setLimit(max(conns-controlConns, 1)) {
+		e.tasks.transport.CloseIdleConnections()
+	}
+}
+
+func (e *endpoint) closeIdle() {
+	e.tasks.transport.CloseIdleConnections()
+	e.control.transport.CloseIdleConnections()
+}
+
+// lane is a bounded set of connections to one target.
+type lane struct {
+	gate      *gate
+	transport *http.Transport
+}
+
+func newLane(cfg *PoolConfig, conns int) *lane {
+	l := &lane{gate: newGate(conns)}
+	dialer := &net.Dialer{Timeout: cfg.DialTimeout}
+	l.transport = &http.Transport{
+		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
+			return l.dial(ctx, dialer, network, addr)
+		},
+		MaxIdleConnsPerHost: 1 << 10, // the gate bounds them
+		IdleConnTimeout:     cfg.IdleTimeout,
+		DisableCompression:  true,
+	}
+	return l
+}
+
+// dialError marks an error from before a connection existed.
+type dialError struct{ err error }
+
+func (e *dialError) Error() string { return e.err.Error() }
+func (e *dialError) Unwrap() error { return e.err }
+
+func (l *lane) dial(ctx context.Context, d *net.Dialer, network, addr string) (net.Conn, error) {
+	if err := l.gate.acquire(ctx); err != nil {
+		return nil, &dialError{fmt.Errorf("no free connection within the share: %w", err)}
+	}
+	c, err := d.DialContext(ctx, network, addr)
+	if err != nil {
+		l.gate.release()
+		return nil, &dialError{err}
+	}
+	return &sealConn{Conn: c, release: l.gate.release}, nil
+}
+
+// isDial reports whether err is from before a connection existed.
+func isDial(err error) bool {
+	var d *dialError
+	return errors.As(err, &d)
+}
--- /dev/null
+++ b/internal/target/pool_test.go
@@ -0,0 +1,259 @@
+package target_test
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"currantstall/internal/key"
+	"currantstall/internal/platform"
+	"currantstall/internal/standin/runner"
+	"currantstall/internal/standin/taskserver"
+	"currantstall/internal/target"
+	"currantstall/internal/verdict"
+)
+
+func newRunner(t *testing.T, vm platform.VM) *taskserver.Server {
+	t.Helper()
+	vm.Name = "runner-1"
+	s, err := runner.New(taskserver.Config{VM: vm, Seed: 1})
+	assert.NilError(t, err)
+	t.Cleanup(s.Close)
+	return s
+}
+
+func newPool(t *testing.T, cfg target.PoolConfig) *target.Pool {
+	t.Helper()
+	p := target.NewPool(cfg)
+	t.Cleanup(p.Close)
+	return p
+}
+
+func newStart(t *testing.T, body string) target.Start {
+	t.Helper()
+	k, err := key.New("rennes")
+	assert.NilError(t, err)
+	return target.Start{Key: k, Kind: "unlock", Body: []byte(body)}
+}
+
+func leased(s target.Start) target.Start {
+	s.NotAfter = time.Now().Add(time.Minute)
+	return s
+}
+
+func TestRunReturnsTheTasksOwnAnswer(t *testing.T) {
+	r := newRunner(t, platform.VM{})
+	p := newPool(t, target.PoolConfig{})
+	s := leased(newStart(t, `{"service_ms": 1, "answer_bytes": 100000}`))
+	s.Task = 3
+
+	a, err := p.Run(t.Context(), r.Addr(), s)
+
+	assert.NilError(t, err)
+	var res taskserver.Result
+	assert.NilError(t, json.Unmarshal(a.Body, &res))
+	assert.Equal(t, res.Key, s.Key)
+	assert.Equal(t, res.Task, 3)
+	assert.Equal(t, res.Digest, target.Checksum(s.Body))
+	assert.Equal(t, len(res.Pad), 100000)
+	assert.Assert(t, a.Took >= time.Millisecond)
+	assert.DeepEqual(t, r.Starts(), map[taskserver.TaskID]int{{Key: s.Key, Task: 3}: 1})
+}
+
+func TestRunMapsEachFaultToItsVerdict(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		faults  taskserver.Faults
+		body    string
+		verdict verdict.Verdict
+		reason  verdict.Reason
+		starts  int
+	}{
+		{"fails everything", taskserver.Faults{FailAll: true}, "{}", verdict.Failed, verdict.TaskFailed, 1},
+		{"error fast", taskserver.Faults{ErrorFast: true}, "{}", verdict.MayHaveRun, verdict.TargetError, 1},
+		{"truncated", taskserver.Faults{Truncate: 1}, `{"answer_bytes": 9000}`, verdict.MayHaveRun, verdict.TruncatedAnswer, 1},
+		{"leaving", taskserver.Faults{Leaving: true}, "{}", verdict.NotRun, verdict.TargetLeaving, 0},
+		{"late", taskserver.Faults{Late: 1, LateMS: 60_000}, "{}", verdict.MayHaveRun, verdict.Timeout, 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			r := newRunner(t, platform.VM{})
+			p := newPool(t, target.PoolConfig{})
+			r.SetFaults(c.faults)
+			ctx, cancel := context.WithTimeout(t.Context(), 500*time.Millisecond)
+			defer cancel()
+
+			_, err := p.Run(ctx, r.Addr(), newStart(t, c.body))
+
+			e := verdict.Of(err)
+			assert.Equal(t, e.Verdict, c.verdict, "%v", err)
+			assert.Equal(t, e.Reason, c.reason, "%v", err)
+			assert.Equal(t, len(r.Starts()), c.starts)
+		})
+	}
+}
+
+func TestRunDropsACrossedAnswer(t *testing.T) {
+	r := newRunner(t, platform.VM{})
+	p := newPool(t, target.PoolConfig{})
+	_, err := p.Run(t.Context(), r.Addr(), newStart(t, `{"service_ms": 1}`))
+	assert.NilError(t, err)
+	r.SetFaults(taskserver.Faults{Cross: 1})
+
+	_, err = p.Run(t.Context(), r.Addr(), newStart(t, `{"service_ms": 1}`))
+
+	assert.Equal(t, verdict.Of(err).Verdict, verdict.MayHaveRun)
+	assert.Equal(t, verdict.Of(err).Reason, verdict.MismatchedAnswer)
+}
+
+func TestRunToAClosedPortIsNotRun(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	assert.NilError(t, l.Close())
+	p := newPool(t, target.PoolConfig{})
+
+	_, err = p.Run(t.Context(), l.Addr().String(), newStart(t, "{}"))
+
+	assert.Equal(t, verdict.Of(err).Verdict, verdict.NotRun)
+	assert.Equal(t, verdict.Of(err).Reason, verdict.DialFailed)
+}
+
+func TestTargetRefusesAStartAfterTheLease(t *testing.T) {
+	r := newRunner(t, platform.VM{Slots: 1})
+	p := newPool(t, target.PoolConfig{})
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		_, err := p.Run(t.Context(), r.Addr(), newStart(t, `{"service_ms": 300}`))
+		assert.Check(t, err)
+	})
+	poll(t, func() bool { return r.Running() == 1 })
+	s := newStart(t, "{}")
+	s.NotAfter = time.Now().Add(100 * time.Millisecond)
+
+	// The start waits for the slot until after its lease.
+	_, err := p.Run(t.Context(), r.Addr(), s)
+
+	wg.Wait()
+	assert.Equal(t, verdict.Of(err).Verdict, verdict.NotRun)
+	assert.Equal(t, verdict.Of(err).Reason, verdict.LeaseLapsed)
+	assert.Equal(t, r.Starts()[taskserver.TaskID{Key: s.Key}], 0)
+}
+
+func TestARestartedTargetRefusesLeasesOfItsEarlierRun(t *testing.T) {
+	first := newRunner(t, platform.VM{})
+	p := newPool(t, target.PoolConfig{})
+	_, err := p.Run(t.Context(), first.Addr(), leased(newStart(t, `{"service_ms": 1}`)))
+	assert.NilError(t, err)
+	first.Kill()
+	second, err := runner.New(taskserver.Config{Listen: first.Addr()})
+	assert.NilError(t, err)
+	t.Cleanup(second.Close)
+	p.CloseIdle(first.Addr())
+	s := leased(newStart(t, `{"service_ms": 1}`))
+
+	_, refused := p.Run(t.Context(), first.Addr(), s)
+	_, again := p.Run(t.Context(), first.Addr(), s)
+
+	assert.Equal(t, verdict.Of(refused).Verdict, verdict.NotRun, "%v", refused)
+	assert.NilError(t, again)
+}
+
+func TestConnectionsStayWithinTheShare(t *testing.T) {
+	const share, calls = 6, 40
+	r := newRunner(t, platform.VM{Slots: calls, MaxConn: share})
+	p := newPool(t, target.PoolConfig{})
+	p.SetShare(r.Addr(), share)
+	var wg sync.WaitGroup
+	for range calls {
+		s := leased(newStart(t, `{"service_ms": 5}`))
+		wg.Go(func() {
+			_, err := p.Run(t.Context(), r.Addr(), s)
+			assert.Check(t, err)
+		})
+	}
+	wg.Wait()
+	_, _, rejected := r.Conns()
+	assert.Equal(t, rejected, 0)
+	assert.Assert(t, p.Conns(r.Addr()) <= share)
+}
+
+func TestIdleConnectionsAreRetired(t *testing.T) {
+	r := newRunner(t, platform.VM{})
+	p := newPool(t, target.PoolConfig{IdleTimeout: 20 * time.Millisecond})
+	_, err := p.Run(t.Context(), r.Addr(), newStart(t, `{"service_ms": 1}`))
+	assert.NilError(t, err)
+	poll(t, func() bool { return p.Conns(r.Addr()) == 0 })
+}
+
+func TestFenceProvesThatALaterStartIsRefused(t *testing.T) {
+	r := newRunner(t, platform.VM{})
+	p := newPool(t, target.PoolConfig{})
+	s := leased(newStart(t, "{}"))
+
+	before, err := p.Lookup(t.Context(), r.Addr(), s.Key, s.Task, target.AskState, 0)
+	assert.NilError(t, err)
+	fence, err := p.Lookup(t.Context(), r.Addr(), s.Key, s.Task, target.AskFence, 0)
+	assert.NilError(t, err)
+	_, err = p.Run(t.Context(), r.Addr(), s)
+
+	assert.Equal(t, before.State, target.TaskUnknown)
+	assert.Equal(t, fence.State, target.TaskFenced)
+	assert.Equal(t, fence.Instance, p.Instance(r.Addr()))
+	assert.Equal(t, verdict.Of(err).Verdict, verdict.NotRun)
+	assert.Equal(t, len(r.Starts()), 0)
+}
+
+func TestLookupReturnsTheKeptAnswer(t *testing.T) {
+	r := newRunner(t, platform.VM{})
+	p := newPool(t, target.PoolConfig{})
+	s := leased(newStart(t, `{"service_ms": 30}`))
+	r.SetFaults(taskserver.Faults{Truncate: 1})
+	_, err := p.Run(t.Context(), r.Addr(), s)
+	assert.Equal(t, verdict.Of(err).Reason, verdict.TruncatedAnswer)
+	r.SetFaults(taskserver.Faults{})
+
+	st, err := p.Lookup(t.Context(), r.Addr(), s.Key, s.Task, target.AskFence, time.Second)
+
+	assert.NilError(t, err)
+	assert.Equal(t, st.State, target.TaskDone)
+	assert.NilError(t, st.Err)
+	var res taskserver.Result
+	assert.NilError(t, json.Unmarshal(st.Answer.Body, &res))
+	assert.Equal(t, res.Key, s.Key)
+	assert.Equal(t, r.Starts()[taskserver.TaskID{Key: s.Key}], 1)
+}
+
+func TestStopEndsARunningTask(t *testing.T) {
+	r := newRunner(t, platform.VM{})
+	p := newPool(t, target.PoolConfig{})
+	s := leased(newStart(t, `{"service_ms": 60000}`))
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		_, err := p.Run(t.Context(), r.Addr(), s)
+		assert.Check(t, verdict.Of(err).Verdict == verdict.Failed)
+	})
+	poll(t, func() bool { return r.Running() == 1 })
+
+	st, err := p.Lookup(t.Context(), r.Addr(), s.Key, s.Task, target.AskStop, 0)
+
+	wg.Wait()
+	assert.NilError(t, err)
+	assert.Equal(t, st.State, target.TaskDone)
+	assert.Equal(t, r.Running(), 0)
+}
+
+// poll waits until ok holds, for at most a generous while.
+func poll(t *testing.T, ok func() bool) {
+	t.Helper()
+	for range 2000 {
+		if ok() {
+			return
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	t.Fatal("the condition never held")
+}
