--- a/internal/target/pool.go
+++ b/internal/target/pool.go
@@ -26,6 +26,11 @@
 // usage reports, so that silent starts can't block them.
 const controlConns = 2
 
+// closeGrace is the time after which a target should have noticed that a
+// connection was closed. Only then another takes its place: a target closes
+// what is beyond its limit after it may have read a start from it.
+const closeGrace = 20 * time.Millisecond
+
 // PoolConfig holds the settings of a Pool. Zero values stand for defaults.
 type PoolConfig struct {
 	// Share bounds the connections to a target until SetShare is called.
@@ -88,12 +93,13 @@
 // ShareOf returns how many of a target's connections one of n entries may
 // hold: its owner half of them, each other entry an equal part of the rest, at
 // least controlConns+1. So two owners for a moment still stay within the
-// limit.
+// limit. A tenth is left over for connections that the target has not yet
+// noticed to be closed.
 func ShareOf(maxConn, entries int, owner bool) int {
 	if maxConn <= 0 {
 		return DefaultShare
 	}
-	n := maxConn / 2
+	n := maxConn * 9 / 20
 	if !owner && entries > 1 {
 		n /= entries - 1
 	}
@@ -176,6 +182,7 @@
 	tasks   *lane
 	control *lane
 	clock   clockEstimate
+	asking  chan struct{} // held by the one that asks for the clock
 }
 
 func newEndpoint(addr string, cfg *PoolConfig) *endpoint {
@@ -184,6 +191,7 @@
 		cfg:     cfg,
 		tasks:   newLane(cfg, max(cfg.Share-controlConns, 1)),
 		control: newLane(cfg, controlConns),
+		asking:  make(chan struct{}, 1),
 	}
 }
 
@@ -233,7 +241,8 @@
 		l.gate.release()
 		return nil, &dialError{err}
 	}
-	return &sealConn{Conn: c, release: l.gate.release}, nil
+	release := func() { time.AfterFunc(closeGrace, l.gate.release) }
+	return &sealConn{Conn: c, release: release}, nil
 }
 
 // isDial reports whether err is from before a connection existed.
--- a/internal/target/run.go
+++ b/internal/target/run.go
@@ -78,7 +78,7 @@
 }
 
 // notAfter tells the end of a lease in the target's clock, which it asks for
-// if it is not known yet. The error is NotRun.
+// if it is not known yet; one asks for all. The error is NotRun.
 func (e *endpoint) notAfter(ctx context.Context, t time.Time) (Clock, error) {
 	if !time.Now().Before(t) {
 		return Clock{}, verdict.New(verdict.NotRun, verdict.LeaseLapsed, "the lease ended before the start")
@@ -86,6 +86,15 @@
 	if c, ok := e.clock.at(t); ok {
 		return c, nil
 	}
+	select {
+	case e.asking <- struct{}{}:
+		defer func() { <-e.asking }()
+	case <-ctx.Done():
+		return Clock{}, failure(ctx, ctx.Err(), false)
+	}
+	if c, ok := e.clock.at(t); ok {
+		return c, nil
+	}
 	if err := e.askClock(ctx); err != nil {
 		return Clock{}, err
 	}
