Links between entries over WebSocket and CBOR

One link a pair, dialled by either side; a double is settled by the lower name and the last lost session, which both ends see alike. Ruled out: one link a direction (two sockets, two heartbeats and receipts that cannot ride on the answer). Mutual HMAC challenge, numbered messages whose receipts ride on other traffic, re-send after a redial with deduplication at the receiver, bounded queues, a silent link closed after 1 s by counted intervals.

--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -22,7 +22,21 @@
 	Failed  = "failed"  // attempts that failed at a target, by reason
 )
 
+// Names of the counters of the links between entries. Messages and bytes
+// carry a type tag.
 const (
+	PeerFramesIn    = "peer_frames_in"
+	PeerFramesOut   = "peer_frames_out"
+	PeerMessagesIn  = "peer_messages_in"
+	PeerMessagesOut = "peer_messages_out"
+	PeerBytesIn     = "peer_bytes_in"  // bytes of message bodies
+	PeerBytesOut    = "peer_bytes_out" // bytes of message bodies
+	PeerRedials     = "peer_redials"
+	PeerClosed      = "peer_closed" // links and handshakes closed, by reason
+)
+
+const (
+	tagType   = "type"
 	tagReason      = "reason"
 	tagVerdict     = "verdict"
 	reportInterval = time.Second
@@ -50,7 +64,12 @@
 
 // NewNop returns Metrics that go nowhere, for tests and tools.
 func NewNop() *Metrics {
-	return &Metrics{scope: tally.NoopScope, handler: http.NotFoundHandler(), closer: io.NopCloser(nil)}
+	return NewWith(tally.NoopScope)
+}
+
+// NewWith returns Metrics that count in scope and serve nothing.
+func NewWith(scope tally.Scope) *Metrics {
+	return &Metrics{scope: scope, handler: http.NotFoundHandler(), closer: io.NopCloser(nil)}
 }
 
 // Handler serves the values.
@@ -67,6 +86,11 @@
 	m.scope.Tagged(map[string]string{tagReason: string(r)}).Counter(name).Inc(1)
 }
 
+// Typed returns the counter name under a type tag, for callers that keep it.
+func (m *Metrics) Typed(name, typ string) tally.Counter {
+	return m.scope.Tagged(map[string]string{tagType: typ}).Counter(name)
+}
+
 // CountRefused adds one to the refusals with the error's reason and verdict.
 func (m *Metrics) CountRefused(e *verdict.Error) {
 	tags := map[string]string{tagReason: string(e.Reason), tagVerdict: e.Verdict.String()}
--- /dev/null
+++ b/internal/peer/fault_test.go
@@ -0,0 +1,123 @@
+package peer
+
+import (
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	toxiproxy "github.com/Shopify/toxiproxy/v2"
+	"github.com/rs/zerolog"
+	"gotest.tools/v3/assert"
+
+	"currantstall/internal/metrics"
+	"currantstall/internal/verdict"
+)
+
+// newProxy puts a fault-injecting proxy in front of an entry.
+func newProxy(t *testing.T, e *entry) *toxiproxy.Proxy {
+	t.Helper()
+	server := toxiproxy.NewServer(toxiproxy.NewMetricsContainer(nil), zerolog.Nop())
+	p := toxiproxy.NewProxy(server, e.self.Name, "127.0.0.1:0", e.self.Addr)
+	assert.NilError(t, p.Start())
+	t.Cleanup(p.Stop)
+	return p
+}
+
+func through(e *entry, p *toxiproxy.Proxy) Peer {
+	peer := e.self
+	peer.Addr = p.Listen
+	return peer
+}
+
+func addToxic(t *testing.T, p *toxiproxy.Proxy, kind, stream, attributes string) {
+	t.Helper()
+	_, err := p.Toxics.AddToxicJson(strings.NewReader(
+		fmt.Sprintf(`{"type":%q,"stream":%q,"attributes":%s}`, kind, stream, attributes)))
+	assert.NilError(t, err)
+}
+
+// TestFaultsLoseAndDoubleNothing sends both ways while the connection is cut,
+// reset and silenced, again and again.
+func TestFaultsLoseAndDoubleNothing(t *testing.T) {
+	const total = 3000
+	for name, fault := range map[string]func(*testing.T, *toxiproxy.Proxy){
+		"cut": func(t *testing.T, p *toxiproxy.Proxy) {
+			p.Stop()
+			assert.NilError(t, p.Start())
+		},
+		"reset": func(t *testing.T, p *toxiproxy.Proxy) {
+			addToxic(t, p, "reset_peer", "upstream", `{"timeout":1}`)
+			time.Sleep(20 * time.Millisecond)
+			p.Toxics.ResetToxics(t.Context())
+		},
+		"silent": func(t *testing.T, p *toxiproxy.Proxy) {
+			addToxic(t, p, "timeout", "downstream", `{"timeout":0}`)
+			time.Sleep(500 * time.Millisecond)
+			p.Toxics.ResetToxics(t.Context())
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			a, b := newEntry(t, "a", 1, nil), newEntry(t, "b", 1, nil)
+			p := newProxy(t, b)
+			a.SetPeers([]Peer{through(b, p)})
+			eventually(t, "linked", func() bool { return len(a.Linked()) == 1 && len(b.Linked()) == 1 })
+			var wg sync.WaitGroup
+			wg.Go(func() { sendAll(t, a, "b", 0, total) })
+			wg.Go(func() { sendAll(t, b, "a", 0, total) })
+			for range 4 {
+				fault(t, p)
+				eventually(t, "linked again", func() bool { return len(a.Linked()) == 1 && len(b.Linked()) == 1 })
+			}
+			wg.Wait()
+
+			checkAll(t, b, "a", total)
+			checkAll(t, a, "b", total)
+			assert.Assert(t, a.counted(metrics.PeerRedials, "") >= 1)
+		})
+	}
+}
+
+// TestSilentConnectionIsReplacedByANewOne lets the old connection stay open
+// and silent for good, while new ones work.
+func TestSilentConnectionIsReplacedByANewOne(t *testing.T) {
+	a, b := newEntry(t, "a", 1, nil), newEntry(t, "b", 1, nil)
+	old, fresh := newProxy(t, b), newProxy(t, b)
+	a.SetPeers([]Peer{through(b, old)})
+	eventually(t, "linked", func() bool { return len(a.Linked()) == 1 && len(b.Linked()) == 1 })
+	sendAll(t, a, "b", 0, 10)
+	checkAll(t, b, "a", 10)
+
+	for _, stream := range []string{"upstream", "downstream"} {
+		_, err := old.Toxics.AddToxicJson(strings.NewReader(
+			fmt.Sprintf(`{"name":%q,"type":"timeout","stream":%q,"attributes":{"timeout":0}}`, stream, stream)))
+		assert.NilError(t, err)
+	}
+	assert.NilError(t, a.Send("b", number(10)))
+	a.SetPeers([]Peer{through(b, fresh)})
+
+	eventually(t, "the silence is counted", func() bool {
+		return a.counted(metrics.PeerClosed, string(verdict.PeerSilent)) == 1
+	})
+	checkAll(t, b, "a", 11)
+}
+
+func TestSilentPeerLosesWhatIsRetainedTooLong(t *testing.T) {
+	a, b := newEntry(t, "a", 1, func(c *Config) { c.Retain = 50 * time.Millisecond }), newEntry(t, "b", 1, nil)
+	p := newProxy(t, b)
+	a.SetPeers([]Peer{through(b, p)})
+	eventually(t, "linked", func() bool { return len(a.Linked()) == 1 && len(b.Linked()) == 1 })
+	sendAll(t, a, "b", 0, 5)
+	checkAll(t, b, "a", 5)
+	addToxic(t, p, "timeout", "upstream", `{"timeout":0}`)
+	assert.NilError(t, a.Send("b", number(99)))
+
+	eventually(t, "the message is given up", func() bool {
+		return a.counted(metrics.Dropped, string(verdict.LinkDown)) == 1
+	})
+	p.Toxics.ResetToxics(t.Context())
+
+	sendAll(t, a, "b", 5, 8)
+	checkAll(t, b, "a", 8)
+}
--- /dev/null
+++ b/internal/peer/peer.go
@@ -0,0 +1,321 @@
+// Package peer links the entries with each other: one WebSocket connection a
+// pair of entries, which carries CBOR frames of internal/wire.
+//
+// Either side of a pair may dial. Both prove that they know the shared secret
+// before either counts as linked (handshake.go). Messages are numbered within
+// the sender's stream; receipts ride on other traffic or on heartbeats. What
+// was not acknowledged when a connection is lost is sent again on the next one
+// to the same run of the peer, and the receiver drops what it had already, so
+// within a stream each message is delivered at most once and in order. A link
+// on which nothing arrives is closed and dialled anew on a new connection.
+//
+// The states of a link are the chart peer_link of internal/statechart.
+package peer
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"currantstall/internal/key"
+	"currantstall/internal/metrics"
+	"currantstall/internal/structs"
+	"currantstall/internal/verdict"
+	"currantstall/internal/wire"
+)
+
+// Path is where an entry mounts its Node on the peer listener.
+const Path = "/peer"
+
+// MinSecret is the shortest secret, in bytes.
+const MinSecret = 16
+
+// Defaults of Config.
+const (
+	DefaultSilentAfter  = time.Second
+	DefaultDialTimeout  = time.Second
+	DefaultRetain       = 5 * time.Second
+	DefaultQueueBytes   = 32 << 20
+	DefaultMaxHandshake = 256
+)
+
+// Config provisions a Node. Zero durations and sizes stand for the defaults.
+type Config struct {
+	Self structs.Member // with the address that peers dial
+	DC   string
+	// Secret is shared by all entries; at least MinSecret bytes.
+	Secret []byte
+	// SilentAfter is how long nothing may arrive before a link is closed.
+	SilentAfter time.Duration
+	// DialTimeout bounds a dial with its handshake.
+	DialTimeout time.Duration
+	// Retain is how long unacknowledged messages wait for a new connection.
+	Retain time.Duration
+	// QueueBytes bounds what is queued or unacknowledged, a link.
+	QueueBytes int
+	// MaxHandshakes bounds the accepted connections that have not proved the
+	// secret yet.
+	MaxHandshakes int
+	Metrics       *metrics.Metrics // nil counts nowhere
+	Log           *slog.Logger     // nil stands for slog.Default
+}
+
+// Peer is another entry. Its incarnation is 0 until a link has told it.
+type Peer struct {
+	structs.Member
+	DC string
+}
+
+// Handler takes what arrives. Calls for one peer come one at a time: LinkUp
+// before its first message, LinkDown after its last. A call must not block, and
+// must not call Close; it may call Send. After LinkDown, messages that were
+// queued before may still reach the same run of the peer within Retain.
+type Handler interface {
+	Receive(from Peer, m wire.Message)
+	LinkUp(p Peer)
+	LinkDown(p Peer)
+}
+
+// Node holds the links of one entry. It is an http.Handler for the accepting
+// side, to be mounted at Path.
+type Node struct {
+	cfg        Config
+	handler    Handler
+	counters   *counters
+	log        *slog.Logger
+	client     *http.Client
+	ctx        context.Context
+	cancel     context.CancelFunc
+	wg         sync.WaitGroup
+	handshakes atomic.Int64
+
+	setting sync.Mutex // held by SetPeers
+
+	mu      sync.RWMutex
+	closed  bool
+	remotes map[string]*remote
+}
+
+// New returns a Node without peers. It reports an error for a wrong Config.
+func New(cfg Config, h Handler) (*Node, error) {
+	if err := cfg.provision(); err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	return &Node{
+		cfg:      cfg,
+		handler:  h,
+		counters: newCounters(cfg.Metrics),
+		log:      cfg.Log,
+		client:   &http.Client{Transport: &http.Transport{DisableKeepAlives: true}},
+		ctx:      ctx,
+		cancel:   cancel,
+		remotes:  make(map[string]*remote),
+	}, nil
+}
+
+// provision checks the values and fills in the defaults.
+func (c *Config) provision() error {
+	if !key.ValidName(c.Self.Name) {
+		return fmt.Errorf("peer: %q is no valid name", c.Self.Name)
+	}
+	if !key.ValidName(c.DC) {
+		return fmt.Errorf("peer: %q is no valid data centre", c.DC)
+	}
+	if len(c.Secret) < MinSecret {
+		return fmt.Errorf("peer: the secret has %d bytes, want %d or more", len(c.Secret), MinSecret)
+	}
+	setDefault(&c.SilentAfter, DefaultSilentAfter)
+	setDefault(&c.DialTimeout, DefaultDialTimeout)
+	setDefault(&c.Retain, DefaultRetain)
+	setDefault(&c.QueueBytes, DefaultQueueBytes)
+	setDefault(&c.MaxHandshakes, DefaultMaxHandshake)
+	if c.Metrics == nil {
+		c.Metrics = metrics.NewNop()
+	}
+	if c.Log == nil {
+		c.Log = slog.Default()
+	}
+	return nil
+}
+
+func setDefault[T int | time.Duration](v *T, d T) {
+	if *v <= 0 {
+		*v = d
+	}
+}
+
+// SetPeers replaces the set of peers to keep linked. Self is left out. A link
+// to a peer that is no longer in the set is closed.
+func (n *Node) SetPeers(peers []Peer) {
+	wanted := make(map[string]Peer, len(peers))
+	for _, p := range peers {
+		if p.Name != n.cfg.Self.Name {
+			wanted[p.Name] = p
+		}
+	}
+	n.setting.Lock()
+	defer n.setting.Unlock()
+	for _, r := range n.all() {
+		if _, ok := wanted[r.name]; !ok {
+			r.unwant()
+			n.prune(r)
+		}
+	}
+	for name, p := range wanted {
+		if r := n.remote(name); r != nil {
+			r.want(p)
+		}
+	}
+}
+
+// prune forgets a peer that can no longer send anything again.
+func (n *Node) prune(r *remote) {
+	if !r.forget(time.Now()) {
+		return
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.remotes[r.name] == r {
+		delete(n.remotes, r.name)
+	}
+}
+
+// Send queues messages to a linked peer, all or none. The error is a
+// *verdict.Error with NotRun: nothing of the call will be delivered.
+func (n *Node) Send(name string, msgs ...wire.Message) error {
+	r := n.known(name)
+	if r == nil {
+		return verdict.New(verdict.NotRun, verdict.LinkDown, "no link to %s", name)
+	}
+	return r.send(msgs)
+}
+
+// Broadcast queues messages to every linked peer and returns to how many.
+func (n *Node) Broadcast(msgs ...wire.Message) int {
+	sent := 0
+	for _, r := range n.all() {
+		if r.send(msgs) == nil {
+			sent++
+		}
+	}
+	return sent
+}
+
+// Linked returns the peers with a link, sorted by name.
+func (n *Node) Linked() []Peer {
+	var ps []Peer
+	for _, r := range n.all() {
+		if p, ok := r.linked(); ok {
+			ps = append(ps, p)
+		}
+	}
+	slices.SortFunc(ps, func(a, b Peer) int { return strings.Compare(a.Name, b.Name) })
+	return ps
+}
+
+// RTT returns the smoothed round trip to a linked peer, and false before the
+// first heartbeat was answered.
+func (n *Node) RTT(name string) (time.Duration, bool) {
+	r := n.known(name)
+	if r == nil {
+		return 0, false
+	}
+	return r.roundTrip()
+}
+
+// Flush waits until every linked peer has acknowledged what was queued to it,
+// or returns the context's error.
+func (n *Node) Flush(ctx context.Context) error {
+	tick := time.NewTicker(flushPoll)
+	defer tick.Stop()
+	for {
+		if n.flushed() {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("flush links: %w", ctx.Err())
+		case <-tick.C:
+		}
+	}
+}
+
+const flushPoll = 5 * time.Millisecond
+
+func (n *Node) flushed() bool {
+	for _, r := range n.all() {
+		if !r.requestAcks() {
+			return false
+		}
+	}
+	return true
+}
+
+// Close ends all links and waits for their goroutines. It does not flush.
+func (n *Node) Close() error {
+	n.mu.Lock()
+	if n.closed {
+		n.mu.Unlock()
+		return errors.New("peer: closed twice")
+	}
+	n.closed = true
+	n.mu.Unlock()
+	n.cancel()
+	for _, r := range n.all() {
+		r.shut()
+	}
+	n.wg.Wait()
+	return nil
+}
+
+func (n *Node) all() []*remote {
+	n.mu.RLock()
+	defer n.mu.RUnlock()
+	rs := make([]*remote, 0, len(n.remotes))
+	for _, r := range n.remotes {
+		rs = append(rs, r)
+	}
+	return rs
+}
+
+// known returns the state held for a peer, or nil.
+func (n *Node) known(name string) *remote {
+	n.mu.RLock()
+	defer n.mu.RUnlock()
+	return n.remotes[name]
+}
+
+// remote returns the state held for a peer, or nil after Close.
+func (n *Node) remote(name string) *remote {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.closed {
+		return nil
+	}
+	r := n.remotes[name]
+	if r == nil {
+		r = newRemote(n, name)
+		n.remotes[name] = r
+	}
+	return r
+}
+
+// start runs f in a goroutine that Close waits for. It does nothing after
+// Close. The caller may hold a remote's mu, but not n.mu.
+func (n *Node) start(f func()) bool {
+	n.mu.RLock()
+	defer n.mu.RUnlock()
+	if n.closed {
+		return false
+	}
+	n.wg.Go(f)
+	return true
+}
--- /dev/null
+++ b/internal/peer/queue.go
@@ -0,0 +1,109 @@
+package peer
+
+import (
+	"math/rand/v2"
+
+	"currantstall/internal/wire"
+)
+
+// messageOverhead is what a queued message takes besides its body, in bytes.
+const messageOverhead = 64
+
+// queue holds the numbered messages of one stream that the peer has not
+// acknowledged. The first sent of them are on the current connection already.
+// Numbers begin at 1.
+type queue struct {
+	stream uint64
+	base   uint64 // number of msgs[0]
+	sent   int
+	top    uint64 // one above the highest number ever put on a connection
+	msgs   []wire.Message
+	bytes  int
+}
+
+func newQueue() queue { return queue{stream: rand.Uint64(), base: 1, top: 1} }
+
+func cost(msgs []wire.Message) int {
+	n := 0
+	for _, m := range msgs {
+		n += len(m.Body) + messageOverhead
+	}
+	return n
+}
+
+func (q *queue) add(msgs []wire.Message) {
+	q.msgs = append(q.msgs, msgs...)
+	q.bytes += cost(msgs)
+}
+
+// drop gives up every held message and returns their number. The numbers stay
+// used: the peer sees the next one at the start of the next connection.
+func (q *queue) drop() int {
+	n := len(q.msgs)
+	q.base += uint64(n)
+	q.top = max(q.top, q.base)
+	q.msgs, q.bytes, q.sent = nil, 0, 0
+	return n
+}
+
+// next returns the number of the message that is to be sent next.
+func (q *queue) next() uint64 { return q.base + uint64(q.sent) }
+
+// ack drops the messages below next. It reports false if next was never sent.
+func (q *queue) ack(next uint64) bool {
+	if next > q.top {
+		return false
+	}
+	if next <= q.base {
+		return true
+	}
+	n := int(next - q.base)
+	q.bytes -= cost(q.msgs[:n])
+	clear(q.msgs[:n])
+	q.msgs = q.msgs[n:]
+	q.base = next
+	q.sent = max(0, q.sent-n)
+	return true
+}
+
+// rewind makes every held message unsent, for a new connection.
+func (q *queue) rewind() { q.sent = 0 }
+
+// take appends unsent messages to dst until limit bytes are reached, at least
+// one if there is any.
+func (q *queue) take(dst []wire.Message, limit int) []wire.Message {
+	for size := 0; q.sent < len(q.msgs); q.sent++ {
+		m := q.msgs[q.sent]
+		if size > 0 && size+len(m.Body) > limit {
+			break
+		}
+		size += len(m.Body) + messageOverhead
+		dst = append(dst, m)
+	}
+	q.top = max(q.top, q.next())
+	return dst
+}
+
+// inbound is what was received of the stream of one run of the peer.
+type inbound struct {
+	incarnation uint64
+	position
+}
+
+// begin notes that the next number on a new connection is start. Numbers below
+// it that were not received are lost: the sender gave them up.
+func (in *inbound) begin(incarnation, stream, start uint64) {
+	if in.incarnation != incarnation || in.Stream != stream {
+		*in = inbound{incarnation, position{stream, start}}
+	}
+	in.Next = max(in.Next, start)
+}
+
+// take reports whether the number was not received before, and counts it in.
+func (in *inbound) take(number uint64) bool {
+	if number < in.Next {
+		return false
+	}
+	in.Next = number + 1
+	return true
+}
--- /dev/null
+++ b/internal/peer/queue_test.go
@@ -0,0 +1,79 @@
+package peer
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"currantstall/internal/wire"
+)
+
+// TestNoMessageIsReceivedTwiceOrOutOfOrder drives a queue and its receiver
+// through lost connections, lost receipts, restarts of the numbering and
+// messages given up.
+func TestNoMessageIsReceivedTwiceOrOutOfOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		q, in := newQueue(), inbound{}
+		var sent, given int
+		var got []int
+		var pipe []wire.Message // on the connection
+		var seq uint64
+		connect := func() {
+			pipe = nil
+			if in.Stream == q.stream && !q.ack(in.Next) {
+				t.Fatalf("the receiver's position %d was refused", in.Next)
+			}
+			q.rewind()
+			seq = q.next()
+			in.begin(1, q.stream, seq)
+		}
+		connect()
+		t.Repeat(map[string]func(*rapid.T){
+			"add": func(*rapid.T) {
+				q.add([]wire.Message{{Type: wire.Run, Body: []byte{byte(sent >> 8), byte(sent)}}})
+				sent++
+			},
+			"write":   func(t *rapid.T) { pipe = q.take(pipe, rapid.IntRange(1, 300).Draw(t, "limit")) },
+			"connect": func(*rapid.T) { connect() },
+			"receipt": func(t *rapid.T) { assert.Assert(t, q.ack(in.Next)) },
+			"give up": func(*rapid.T) {
+				given += q.drop()
+				connect()
+			},
+			"arrive": func(t *rapid.T) {
+				if len(pipe) == 0 {
+					t.Skip("nothing on the way")
+				}
+				m := pipe[0]
+				pipe = pipe[1:]
+				if in.take(seq) {
+					got = append(got, int(m.Body[0])<<8|int(m.Body[1]))
+				}
+				seq++
+			},
+			"": func(t *rapid.T) {
+				for i := 1; i < len(got); i++ {
+					assert.Assert(t, got[i-1] < got[i], "%v", got)
+				}
+				assert.Equal(t, q.bytes, cost(q.msgs))
+			},
+		})
+		connect()
+		for pipe = q.take(nil, 1<<20); len(pipe) > 0; pipe = pipe[1:] {
+			assert.Assert(t, in.take(seq))
+			seq++
+			got = append(got, 0)
+		}
+		assert.Assert(t, len(got)+given >= sent, "%d received and %d given up of %d", len(got), given, sent)
+	})
+}
+
+func TestReceiptOfWhatWasNeverSentIsRefused(t *testing.T) {
+	q := newQueue()
+	q.add([]wire.Message{{Type: wire.Run}, {Type: wire.Run}})
+	q.take(nil, 1)
+
+	assert.Assert(t, q.ack(2))
+	assert.Assert(t, !q.ack(3))
+}
--- a/internal/verdict/reason.go
+++ b/internal/verdict/reason.go
@@ -82,3 +82,16 @@
 	WriteBudget         Reason = "write_budget"
 	Internal            Reason = "internal"
 )
+
+// Reasons from the links between entries.
+const (
+	LinkDown      Reason = "link_down"
+	PeerSilent    Reason = "peer_silent"
+	PeerRestarted Reason = "peer_restarted"
+	PeerRefused   Reason = "peer_refused"
+	WrongSecret   Reason = "wrong_secret"
+	WrongVersion  Reason = "wrong_version"
+	BadHello      Reason = "bad_hello"
+	BadFrame      Reason = "bad_frame"
+	Duplicate     Reason = "duplicate"
+)
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -4,6 +4,7 @@
 package wire
 
 import (
+	"bytes"
 	"fmt"
 
 	"github.com/fxamacker/cbor/v2"
@@ -43,6 +44,32 @@
 // Valid reports whether t is a known type.
 func (t Type) Valid() bool { return t >= Hello && t < maxType }
 
+// Types returns every known type.
+func Types() []Type {
+	ts := make([]Type, 0, maxType-1)
+	for t := Hello; t < maxType; t++ {
+		ts = append(ts, t)
+	}
+	return ts
+}
+
+// Numbered reports whether messages of the type are numbered, acknowledged
+// and sent again after a redial. The messages of the link itself are not.
+func (t Type) Numbered() bool { return t > Ack && t < maxType }
+
+var typeNames = [maxType]string{
+	"", "hello", "hello_ack", "ping", "pong", "ack", "membership", "ledger", "run", "run_done", "run_cancel",
+	"forward", "forward_done", "load", "manifest_new", "manifest_get", "manifest_all",
+}
+
+// String returns the name under which messages of the type are counted.
+func (t Type) String() string {
+	if !t.Valid() {
+		return "unknown"
+	}
+	return typeNames[t]
+}
+
 // Message is one typed message. Body is the CBOR of the type's struct.
 type Message struct {
 	_    struct{} `cbor:",toarray"`
@@ -51,12 +78,12 @@
 }
 
 var (
-	encMode = mustEnc()
-	decMode = mustDec()
+	encMode cbor.UserBufferEncMode = mustEnc()
+	decMode                        = mustDec()
 )
 
-func mustEnc() cbor.EncMode {
-	m, err := cbor.EncOptions{Time: cbor.TimeUnixMicro}.EncMode()
+func mustEnc() cbor.UserBufferEncMode {
+	m, err := cbor.EncOptions{Time: cbor.TimeUnixMicro}.UserBufferEncMode()
 	if err != nil {
 		panic(err)
 	}
@@ -103,6 +130,14 @@
 	return Message{Type: t, Body: b}, nil
 }
 
+// EncodeFrame appends a frame of the messages to buf.
+func EncodeFrame(buf *bytes.Buffer, ms []Message) error {
+	if err := encMode.MarshalToBuffer(ms, buf); err != nil {
+		return fmt.Errorf("encode frame: %w", err)
+	}
+	return nil
+}
+
 // DecodeFrame reads a frame. An unknown message type is an error.
 func DecodeFrame(b []byte) ([]Message, error) {
 	var ms []Message
