--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -36,7 +36,7 @@
 )
 
 const (
-	tagType   = "type"
+	tagType        = "type"
 	tagReason      = "reason"
 	tagVerdict     = "verdict"
 	reportInterval = time.Second
