Placement: owners, feasibility, choice of target, handing over

Owners are by rendezvous with a bound of the even part: a looser bound would leave an entry with more slots than the others.

What an earlier owner left running is taken from lagging usage reports, which are compared with what this entry ran at the time the report speaks of.

--- a/internal/admission/stats.go
+++ b/internal/admission/stats.go
@@ -8,6 +8,7 @@
 	Running    int
 	Queued     int
 	Guaranteed float64       // slots
+	Free       int           // slots that the kind could take at once
 	Wait       time.Duration // of one more unit of a team without a queue
 	Service    time.Duration // median run time
 }
@@ -29,6 +30,7 @@
 			Running:    k.running,
 			Queued:     k.queued,
 			Guaranteed: k.guaranteed(q.capacity),
+			Free:       int(q.startable(k)),
 			Wait:       q.Wait(k.name),
 			Service:    k.service.Median(),
 		}
--- /dev/null
+++ b/internal/placement/owner.go
@@ -0,0 +1,74 @@
+// Package placement decides where work goes: which entry owns a target, which
+// targets can take a task, which of them gets it, and what is handed to other
+// entries. It has no clock, socket or goroutine. Each step has its file: owner,
+// feasible, rank, select, handoff and reconcile.
+package placement
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"currantstall/internal/rendezvous"
+)
+
+// Owners returns for each target the index in members of the one that owns it,
+// or -1 if there are no members. Names within each list must differ. The result
+// depends on the two sets alone, so every member computes the same. No member
+// owns more than its even part, rounded up: an entry that owned more would
+// have free slots while others queue.
+//
+// Source: Mirrokni, Thorup and Zadimoghaddam, "Consistent hashing with bounded
+// loads", SODA 2018, with highest random weight in place of a ring.
+func Owners(members, targets []string) []int {
+	owners := make([]int, len(targets))
+	if len(members) == 0 {
+		for i := range owners {
+			owners[i] = -1
+		}
+		return owners
+	}
+	bound := (len(targets) + len(members) - 1) / len(members)
+	load := make([]int, len(members))
+	for _, i := range hashOrder(targets) {
+		best := bestWithRoom(xxhash.Sum64String(targets[i]), members, load, bound)
+		owners[i] = best
+		load[best]++
+	}
+	return owners
+}
+
+// hashOrder returns the indexes of the targets in an order that does not
+// depend on their order in the list.
+func hashOrder(targets []string) []int {
+	order := make([]int, len(targets))
+	for i := range order {
+		order[i] = i
+	}
+	slices.SortFunc(order, func(a, b int) int {
+		return cmp.Or(
+			cmp.Compare(xxhash.Sum64String(targets[a]), xxhash.Sum64String(targets[b])),
+			cmp.Compare(targets[a], targets[b]),
+		)
+	})
+	return order
+}
+
+// bestWithRoom returns the member of the highest weight for the item among
+// those below the bound. There always is one, as bound times members is not
+// less than the number of targets.
+func bestWithRoom(item uint64, members []string, load []int, bound int) int {
+	best := -1
+	var bestWeight uint64
+	for i, name := range members {
+		if load[i] >= bound {
+			continue
+		}
+		w := rendezvous.Weight(item, name)
+		if best < 0 || w > bestWeight || w == bestWeight && name < members[best] {
+			best, bestWeight = i, w
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/internal/placement/placement_test.go
@@ -0,0 +1,295 @@
+package placement
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"currantstall/internal/structs"
+	"currantstall/internal/verdict"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	for name, value := range map[string]string{"rapid.checks": "1000", "rapid.seed": "5", "rapid.nofailfile": "true"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+var epoch = time.UnixMilli(1_800_000_000_000)
+
+func names(prefix string, n int) []string {
+	list := make([]string, n)
+	for i := range list {
+		list[i] = fmt.Sprintf("%s%d", prefix, i)
+	}
+	return list
+}
+
+// Every member computes the same owners, none owns more than its even part,
+// and the loss of one member or target leaves most others where they were.
+func TestOwnersAreBalancedAndStable(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		members := names(rapid.StringMatching(`[a-z]{1,4}`).Draw(t, "members"), rapid.IntRange(1, 12).Draw(t, "m"))
+		targets := names(rapid.StringMatching(`[a-z]{1,4}`).Draw(t, "targets"), rapid.IntRange(1, 200).Draw(t, "n"))
+		owners := Owners(members, targets)
+		load := make([]int, len(members))
+		for _, o := range owners {
+			load[o]++
+		}
+		even := (len(targets) + len(members) - 1) / len(members)
+		assert.Assert(t, slices.Max(load) <= even, "load %v of %d targets", load, len(targets))
+
+		owned := map[string]string{}
+		for i, o := range owners {
+			owned[targets[i]] = members[o]
+		}
+		shuffledM := rapid.Permutation(members).Draw(t, "members shuffled")
+		shuffledT := rapid.Permutation(targets).Draw(t, "targets shuffled")
+		for i, o := range Owners(shuffledM, shuffledT) {
+			assert.Equal(t, shuffledM[o], owned[shuffledT[i]])
+		}
+
+		gone := shuffledT[0]
+		moved := movedTargets(members, shuffledT[1:], owned)
+		assert.Assert(t, moved <= 2*len(members), "%d of %d targets moved as %s left", moved, len(targets), gone)
+		if len(members) == 1 {
+			return
+		}
+		moved = movedTargets(shuffledM[1:], targets, owned) - load[slices.Index(members, shuffledM[0])]
+		assert.Assert(t, moved <= len(members)+len(targets)/10, "%d more than the own of %d targets moved", moved, len(targets))
+	})
+}
+
+// movedTargets counts the targets whose owner differs from the one in owned.
+func movedTargets(members, targets []string, owned map[string]string) int {
+	moved := 0
+	for i, o := range Owners(members, targets) {
+		if members[o] != owned[targets[i]] {
+			moved++
+		}
+	}
+	return moved
+}
+
+// However tasks start and end, no healthy target gets more than it has room
+// for, one that is ejected or leaving gets nothing, and one on trial one task.
+func TestNeverPastKnownCapacity(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		x := NewIndex(LeastLoaded, rapid.Uint64().Draw(t, "seed"))
+		runners := rapid.Bool().Draw(t, "runners")
+		n := rapid.IntRange(1, 8).Draw(t, "targets")
+		targets, health := map[string]Target{}, map[string]Health{}
+		for _, name := range names("t", n) {
+			tg := Target{Name: name, Rack: name[:1], Size: structs.Resources{
+				MilliCPU:     1000 * int64(rapid.IntRange(1, 8).Draw(t, "cores")),
+				MemoryMB:     1024 * int64(rapid.IntRange(1, 8).Draw(t, "GB")),
+				Accelerators: int64(rapid.IntRange(0, 1).Draw(t, "accelerators")),
+			}}
+			if runners {
+				tg = Target{Name: name, Slots: rapid.IntRange(1, 4).Draw(t, "slots")}
+			}
+			targets[name] = tg
+			x.Add(tg)
+		}
+		type task struct {
+			target string
+			needs  structs.Resources
+		}
+		var tasks []task
+		used := map[string]structs.Resources{}
+		running := map[string]int{}
+		now := epoch
+		t.Repeat(map[string]func(*rapid.T){
+			"start": func(t *rapid.T) {
+				var needs structs.Resources
+				if !runners {
+					needs = structs.Resources{
+						MilliCPU:     int64(rapid.IntRange(1, 4000).Draw(t, "milli")),
+						MemoryMB:     int64(rapid.IntRange(1, 4096).Draw(t, "MB")),
+						Accelerators: int64(rapid.IntRange(0, 1).Draw(t, "accelerators")),
+					}
+				}
+				tg, ok := x.Select(needs, nil)
+				fits := func(name string) bool {
+					switch {
+					case health[name] == Ejected || health[name] == Leaving || health[name] == OnTrial && running[name] > 0:
+						return false
+					case runners:
+						return running[name] < targets[name].Slots
+					}
+					return needs.Fits(targets[name].Size.Minus(used[name]))
+				}
+				if !ok {
+					for name := range targets {
+						assert.Assert(t, !fits(name), "%s has room", name)
+					}
+					return
+				}
+				assert.Assert(t, fits(tg.Name), "%s has no room", tg.Name)
+				x.Take(now, tg.Name, needs)
+				tasks = append(tasks, task{tg.Name, needs})
+				used[tg.Name] = used[tg.Name].Plus(needs)
+				running[tg.Name]++
+			},
+			"end": func(t *rapid.T) {
+				if len(tasks) == 0 {
+					return
+				}
+				i := rapid.IntRange(0, len(tasks)-1).Draw(t, "task")
+				x.Release(now, tasks[i].target, tasks[i].needs)
+				used[tasks[i].target] = used[tasks[i].target].Minus(tasks[i].needs)
+				running[tasks[i].target]--
+				tasks = slices.Delete(tasks, i, i+1)
+			},
+			"health": func(t *rapid.T) {
+				name := rapid.SampledFrom(names("t", n)).Draw(t, "target")
+				health[name] = rapid.SampledFrom([]Health{Healthy, OnTrial, Ejected, Leaving}).Draw(t, "health")
+				x.SetHealth(name, health[name])
+			},
+		})
+	})
+}
+
+// What an earlier owner left running is taken off the room, compared with the
+// past that the report speaks of, and given back as it ends.
+func TestUnknownWorkIsCountedFromLaggingReports(t *testing.T) {
+	x := NewIndex(LeastLoaded, 1)
+	size := structs.Resources{MilliCPU: 4000, MemoryMB: 4096}
+	one := structs.Resources{MilliCPU: 1000, MemoryMB: 1024}
+	x.Add(Target{Name: "w", Size: size})
+	x.Report("w", epoch, Usage{Running: 3, Used: structs.Resources{MilliCPU: 3000, MemoryMB: 3072}})
+	assert.Equal(t, x.Slots(one), 1)
+	now := epoch.Add(time.Second)
+	x.Take(now, "w", one)
+	_, ok := x.Select(one, nil)
+	assert.Assert(t, !ok)
+
+	// The report is of the time before the own start: two of the others ended.
+	x.Report("w", now.Add(-500*time.Millisecond), Usage{Running: 1, Used: one})
+
+	assert.Equal(t, x.Slots(one), 3)
+	_, ok = x.Select(one, nil)
+	assert.Assert(t, ok)
+}
+
+func TestNeverFitsNamesTheResource(t *testing.T) {
+	sizes := []structs.Resources{{MilliCPU: 16_000, MemoryMB: 65_536}, {MilliCPU: 8000, MemoryMB: 65_536, Accelerators: 2}}
+	assert.Assert(t, NeverFits(sizes, sizes[1]) == nil)
+	assert.Assert(t, NeverFits(nil, sizes[1]) == nil)
+	for want, needs := range map[string]structs.Resources{
+		"needs 16001 milli_cpu":    {MilliCPU: 16_001},
+		"needs 65537 memory_mb":    {MilliCPU: 1, MemoryMB: 65_537},
+		"needs 3 accelerators":     {Accelerators: 3},
+		"none has 16000 milli_cpu": {MilliCPU: 16_000, Accelerators: 1},
+	} {
+		err := NeverFits(sizes, needs)
+		assert.ErrorContains(t, err, want)
+		assert.Equal(t, err.Verdict, verdict.NotRun)
+		assert.Equal(t, err.Reason, verdict.NeverFits)
+	}
+}
+
+// A job's tasks spread over the racks as long as loads are equal.
+func TestSpreadOverRacks(t *testing.T) {
+	x := NewIndex(LeastLoaded, 1)
+	for _, name := range names("w", 16) {
+		x.Add(Target{Name: name, Rack: name[len(name)-1:], Size: structs.Resources{MilliCPU: 32_000, MemoryMB: 131_072}})
+	}
+	needs := structs.Resources{MilliCPU: 1000, MemoryMB: 1024}
+	var spread Spread
+	for range 80 {
+		tg, ok := x.Select(needs, &spread)
+		assert.Assert(t, ok)
+		x.Take(epoch, tg.Name, needs)
+		spread.Note(tg.Rack, 1)
+	}
+	for rack, n := range spread.racks {
+		assert.Assert(t, n <= 16, "rack %s has %d of 80 tasks", rack, n)
+	}
+}
+
+// No peer is sent more than it had free, what was just sent counts, stale
+// loads count for nothing, and units stay when the way is longer than the wait.
+func TestHandoffStaysWithinThePeersRoom(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		local := Local{DC: "a", Queued: rapid.IntRange(0, 100).Draw(t, "queued"), Wait: time.Duration(rapid.IntRange(0, 50).Draw(t, "wait")) * time.Millisecond}
+		peers := map[string]PeerLoad{}
+		var list []PeerLoad
+		for _, name := range names("p", rapid.IntRange(0, 6).Draw(t, "peers")) {
+			p := PeerLoad{
+				Member: name,
+				DC:     rapid.SampledFrom([]string{"a", "b"}).Draw(t, "dc"),
+				Free:   rapid.IntRange(0, 60).Draw(t, "free"),
+				Queued: max(0, rapid.IntRange(-3, 3).Draw(t, "peer queued")),
+				Trip:   time.Duration(rapid.IntRange(0, 20).Draw(t, "trip")) * time.Millisecond,
+				Age:    time.Duration(rapid.IntRange(0, 1500).Draw(t, "age")) * time.Millisecond,
+				Sent:   rapid.IntRange(0, 30).Draw(t, "sent"),
+			}
+			peers[name] = p
+			list = append(list, p)
+		}
+
+		batches := Handoff(local, list)
+
+		total := 0
+		for _, b := range batches {
+			p := peers[b.Member]
+			assert.Assert(t, b.N > 0 && b.N+p.Sent <= p.Free, "%d to %+v", b.N, p)
+			assert.Assert(t, p.Age < staleAfter && p.Queued == 0)
+			assert.Assert(t, p.DC == local.DC || local.Wait > 2*p.Trip)
+			total += b.N
+		}
+		assert.Assert(t, total <= local.Queued)
+	})
+}
+
+func BenchmarkSelectOfThousands(b *testing.B) {
+	for _, class := range []string{"runner", "worker"} {
+		for _, n := range []int{50, 2000, 19_000} {
+			b.Run(fmt.Sprintf("%s/%d", class, n), func(b *testing.B) {
+				x := NewIndex(LeastLoaded, 1)
+				needs := structs.Resources{MilliCPU: 1000, MemoryMB: 1024}
+				for _, name := range names("t", n) {
+					tg := Target{Name: name, Slots: 8}
+					if strings.HasPrefix(class, "w") {
+						tg = Target{Name: name, Size: structs.Resources{MilliCPU: 8000, MemoryMB: 65_536}}
+					}
+					x.Add(tg)
+				}
+				ring := make([]string, n*6)
+				now := epoch
+				b.ReportAllocs()
+				for i := 0; b.Loop(); i++ {
+					now = now.Add(time.Microsecond)
+					if old := ring[i%len(ring)]; old != "" {
+						x.Release(now, old, needs)
+					}
+					tg, ok := x.Select(needs, nil)
+					if !ok {
+						b.Fatal("no room")
+					}
+					x.Take(now, tg.Name, needs)
+					ring[i%len(ring)] = tg.Name
+				}
+			})
+		}
+	}
+}
+
+func BenchmarkOwners(b *testing.B) {
+	members, targets := names("entry", 10), names("worker", 800)
+	for b.Loop() {
+		Owners(members, targets)
+	}
+}
