--- a/internal/placement/index.go
+++ b/internal/placement/index.go
@@ -45,7 +45,6 @@
 	plain  pool // targets without accelerators
 	accel  pool // workers with accelerators, kept for tasks that need them
 	turn   int
-	slots  float64
 }
 
 // NewIndex returns an empty index. The seed decides among equal targets.
