Target health by outcomes, and the set of targets from the list

A tracker judges each target against its peers of a data centre and role, by kind: several broken attempts in a row, a share of failures 0.4 above the peers' mean, or thrice their time. Each target counts once among the peers, since one that fails fast gets much work. At most half of a group is ejected or on trial; counting the ejected alone let targets that fail their trial pass the cap. Re-entry is by 1, 2, 4, 8 tasks at a time.

The set joins the lagging list with the targets' own word that they leave.

--- /dev/null
+++ b/internal/target/health.go
@@ -0,0 +1,344 @@
+package target
+
+import (
+	"sync"
+	"time"
+
+	"currantstall/internal/statechart"
+	"currantstall/internal/verdict"
+)
+
+// State is what is thought of a target; see charts/target_health.yaml.
+type State = statechart.TargetHealthState
+
+// The states of a target.
+const (
+	Healthy = statechart.TargetHealthHealthy
+	Ejected = statechart.TargetHealthEjected
+	Trial   = statechart.TargetHealthTrial
+	Leaving = statechart.TargetHealthLeaving
+	Gone    = statechart.TargetHealthGone
+)
+
+// Evidence is what one attempt says about its target.
+type Evidence uint8
+
+// The kinds of evidence.
+const (
+	// Neutral says nothing: cancelled, refused for a reason of the sender.
+	Neutral Evidence = iota
+	// Succeeded is a whole answer, late or not.
+	Succeeded
+	// TaskFailed means that the task ran there and failed.
+	TaskFailed
+	// Broken means that the target gave no proper answer.
+	Broken
+	// Overdue means that the task is still running.
+	Overdue
+)
+
+// EvidenceOf tells what the error of Runner.Run says about the target.
+func EvidenceOf(err error) Evidence {
+	if err == nil {
+		return Succeeded
+	}
+	switch verdict.Of(err).Reason {
+	case verdict.TaskFailed:
+		return TaskFailed
+	case verdict.DialFailed, verdict.TargetLost, verdict.TargetError, verdict.TargetSilent,
+		verdict.TruncatedAnswer, verdict.MismatchedAnswer:
+		return Broken
+	case verdict.Timeout:
+		return Overdue
+	}
+	return Neutral
+}
+
+// Unlimited is the Allowed of a healthy target.
+const Unlimited = -1
+
+// Settings of a Tracker.
+const (
+	DefaultMaxEjected  = 0.5 // share of a group
+	DefaultCooldown    = 2 * time.Second
+	DefaultMaxCooldown = time.Minute
+
+	brokenInRow   = 3               // Broken in a row eject
+	minSeen       = 5               // attempts before a target is compared
+	failExcess    = 0.4             // share of failures above that of the peers
+	slowExcess    = 1.1             // of ln(time), above the peers: 3 times as long
+	slowStrikes   = 2               // slow tasks that end a trial
+	trialFull     = 8               // tasks at one time that end a trial well
+	forgiveAfter  = 5 * time.Minute // in good health, after which the cooldown starts anew
+	failSmoothing = 0.2
+	slowSmoothing = 0.1
+)
+
+// TrackerConfig holds the settings of a Tracker. Zero values stand for
+// defaults.
+type TrackerConfig struct {
+	// MaxEjected bounds the share of each group that is ejected or on
+	// trial, 0 to 1. Beyond it no healthy target is ejected.
+	MaxEjected float64
+	// Cooldown is how long a target is ejected for the first time; it
+	// doubles with each time up to MaxCooldown.
+	Cooldown    time.Duration
+	MaxCooldown time.Duration
+	// OnChange is called at each change of a state, one call at a time. It
+	// must not block nor call the tracker.
+	OnChange func(Change)
+}
+
+// Change is a change of a target's state.
+type Change struct {
+	Addr     string
+	From, To State
+}
+
+// Health is what a Tracker knows of one target.
+type Health struct {
+	Addr  string
+	Group string
+	State State
+	// Allowed is the number of tasks that the target may run at one time:
+	// Unlimited for a healthy one, a few on trial, else 0.
+	Allowed int
+	// Until is the end of an ejection.
+	Until time.Time
+}
+
+// Tracker judges targets by the outcomes of their attempts, each against its
+// peers: a target is ejected if it breaks several attempts in a row, fails
+// more than its peers do with the same kind of work, or takes much longer. It
+// holds no clock; each call brings the time. It is safe for concurrent use,
+// and a call costs the same however many targets there are.
+type Tracker struct {
+	cfg TrackerConfig
+
+	mu      sync.Mutex
+	targets map[string]*health
+	groups  map[string]*group
+}
+
+// NewTracker returns a tracker without targets.
+func NewTracker(cfg TrackerConfig) *Tracker {
+	if cfg.MaxEjected <= 0 {
+		cfg.MaxEjected = DefaultMaxEjected
+	}
+	if cfg.Cooldown <= 0 {
+		cfg.Cooldown = DefaultCooldown
+	}
+	if cfg.MaxCooldown <= 0 {
+		cfg.MaxCooldown = DefaultMaxCooldown
+	}
+	if cfg.OnChange == nil {
+		cfg.OnChange = func(Change) {}
+	}
+	return &Tracker{cfg: cfg, targets: make(map[string]*health), groups: make(map[string]*group)}
+}
+
+// health is one target.
+type health struct {
+	addr  string
+	group *group
+	state State
+
+	broken    int // in a row
+	kinds     map[string]*score
+	ejections int
+	until     time.Time // end of the ejection
+	changed   time.Time
+
+	allowed int // on trial
+	strikes int // slow tasks on trial
+}
+
+// group is a set of targets that are compared with each other.
+type group struct {
+	name  string
+	size  int
+	out   int // ejected or on trial
+	kinds map[string]*peers
+}
+
+// Add makes a target known, as healthy. A known one stays as it is.
+func (t *Tracker) Add(addr, groupName string, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.targets[addr] != nil {
+		return
+	}
+	g := t.groups[groupName]
+	if g == nil {
+		g = &group{name: groupName, kinds: make(map[string]*peers)}
+		t.groups[groupName] = g
+	}
+	g.size++
+	t.targets[addr] = &health{
+		addr:    addr,
+		group:   g,
+		state:   statechart.TargetHealth.Initial(),
+		kinds:   make(map[string]*score),
+		changed: now,
+	}
+}
+
+// Leave marks a target as leaving: it is allowed nothing new.
+func (t *Tracker) Leave(addr string, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if h := t.targets[addr]; h != nil {
+		t.step(h, statechart.TargetHealthOnLeave, now)
+	}
+}
+
+// Return puts a target that was leaving back on trial.
+func (t *Tracker) Return(addr string, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if h := t.targets[addr]; h != nil {
+		t.step(h, statechart.TargetHealthOnReturn, now)
+	}
+}
+
+// Remove forgets a target that is gone.
+func (t *Tracker) Remove(addr string, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if h := t.targets[addr]; h != nil {
+		t.step(h, statechart.TargetHealthOnRemove, now)
+	}
+}
+
+// Observe takes in what an attempt with a task of the kind says about its
+// target. Took is the time from the send to the answer, or so far.
+func (t *Tracker) Observe(addr string, ev Evidence, took time.Duration, kind string, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	h := t.targets[addr]
+	if h == nil || ev == Neutral {
+		return
+	}
+	t.cool(h, now)
+	switch h.state {
+	case Healthy:
+		t.observeHealthy(h, ev, took, kind, now)
+	case Trial:
+		t.observeTrial(h, ev, took, kind, now)
+	}
+}
+
+// State returns a target's state; Gone if it is not known.
+func (t *Tracker) State(addr string, now time.Time) State {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	h := t.targets[addr]
+	if h == nil {
+		return Gone
+	}
+	t.cool(h, now)
+	return h.state
+}
+
+// Allowed returns how many tasks a target may run at one time; see Health.
+func (t *Tracker) Allowed(addr string, now time.Time) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	h := t.targets[addr]
+	if h == nil {
+		return 0
+	}
+	t.cool(h, now)
+	return h.allowance()
+}
+
+// Snapshot returns all targets, in no order.
+func (t *Tracker) Snapshot(now time.Time) []Health {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := make([]Health, 0, len(t.targets))
+	for _, h := range t.targets {
+		t.cool(h, now)
+		out = append(out, Health{
+			Addr:    h.addr,
+			Group:   h.group.name,
+			State:   h.state,
+			Allowed: h.allowance(),
+			Until:   h.until,
+		})
+	}
+	return out
+}
+
+func (h *health) allowance() int {
+	switch h.state {
+	case Healthy:
+		return Unlimited
+	case Trial:
+		return h.allowed
+	}
+	return 0
+}
+
+// cool puts a target whose ejection is over on trial.
+func (t *Tracker) cool(h *health, now time.Time) {
+	if h.state == Ejected && !now.Before(h.until) {
+		t.step(h, statechart.TargetHealthOnCooled, now)
+	}
+}
+
+// step feeds an event to a target's chart and carries out the action.
+func (t *Tracker) step(h *health, event statechart.TargetHealthEvent, now time.Time) {
+	from := h.state
+	to, action, ok := statechart.TargetHealth.Step(from, event)
+	if !ok || to == from {
+		return
+	}
+	h.state, h.changed = to, now
+	h.group.out += outOf(to) - outOf(from)
+	switch action {
+	case statechart.TargetHealthDoEject:
+		t.eject(h, from, now)
+	case statechart.TargetHealthDoStartTrial:
+		h.clearScores()
+		h.allowed, h.strikes = 1, 0
+	case statechart.TargetHealthDoStopNew:
+		h.clearScores()
+	case statechart.TargetHealthDoForget:
+		t.forget(h)
+	}
+	t.cfg.OnChange(Change{Addr: h.addr, From: from, To: to})
+}
+
+func (t *Tracker) eject(h *health, from State, now time.Time) {
+	if from == Healthy && h.ejections > 0 && now.Sub(h.until) > forgiveAfter {
+		h.ejections = 0
+	}
+	cooldown := t.cfg.Cooldown << min(h.ejections, 16)
+	h.until = now.Add(min(cooldown, t.cfg.MaxCooldown))
+	h.ejections++
+	h.clearScores()
+}
+
+func (t *Tracker) forget(h *health) {
+	h.clearScores()
+	h.group.size--
+	delete(t.targets, h.addr)
+	if h.group.size == 0 {
+		delete(t.groups, h.group.name)
+	}
+}
+
+// mayEject reports whether one more healthy target of the group may be
+// ejected. Those on trial count as well: they may be ejected again at once.
+func (t *Tracker) mayEject(g *group) bool {
+	return float64(g.out+1) <= t.cfg.MaxEjected*float64(g.size)
+}
+
+// outOf returns 1 for a state that counts towards the cap, else 0.
+func outOf(s State) int {
+	if s == Ejected || s == Trial {
+		return 1
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/target/health_test.go
@@ -0,0 +1,228 @@
+package target
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"currantstall/internal/platform"
+)
+
+const testGroup = "rennes/runner"
+
+var testStart = time.Unix(1_700_000_000, 0)
+
+func trackerOf(n int) (*Tracker, []string) {
+	t := NewTracker(TrackerConfig{})
+	var addrs []string
+	for i := range n {
+		addrs = append(addrs, fmt.Sprintf("10.0.0.%d:80", i))
+		t.Add(addrs[i], testGroup, testStart)
+	}
+	return t, addrs
+}
+
+// rounds gives every allowed target some attempts; of is what the i-th does.
+func rounds(t *Tracker, addrs []string, n int, of func(i int) (Evidence, time.Duration)) {
+	for range n {
+		for i, addr := range addrs {
+			if t.Allowed(addr, testStart) == 0 {
+				continue
+			}
+			ev, took := of(i)
+			t.Observe(addr, ev, took, "unlock", testStart)
+		}
+	}
+}
+
+func ejected(t *Tracker, addrs []string) (out []int) {
+	for i, addr := range addrs {
+		if t.State(addr, testStart) == Ejected {
+			out = append(out, i)
+		}
+	}
+	return out
+}
+
+func TestTrackerEjectsTheBadAndNoOther(t *testing.T) {
+	const usual = 100 * time.Millisecond
+	for _, c := range []struct {
+		name string
+		of   func(i int) (Evidence, time.Duration)
+		want []int
+	}{
+		{"one fails every task", func(i int) (Evidence, time.Duration) {
+			if i == 3 {
+				return TaskFailed, time.Millisecond
+			}
+			return Succeeded, usual
+		}, []int{3}},
+		{"one errors fast", func(i int) (Evidence, time.Duration) {
+			if i == 3 {
+				return Broken, time.Millisecond
+			}
+			return Succeeded, usual
+		}, []int{3}},
+		{"one takes 20 times as long", func(i int) (Evidence, time.Duration) {
+			if i == 3 {
+				return Succeeded, 20 * usual
+			}
+			return Succeeded, usual
+		}, []int{3}},
+		{"half are dead", func(i int) (Evidence, time.Duration) {
+			if i >= 5 {
+				return Broken, time.Millisecond
+			}
+			return Succeeded, usual
+		}, []int{5, 6, 7, 8, 9}},
+		{"half fail every task", func(i int) (Evidence, time.Duration) {
+			if i >= 5 {
+				return TaskFailed, time.Millisecond
+			}
+			return Succeeded, usual
+		}, []int{5, 6, 7, 8, 9}},
+		{"a kind that fails everywhere", func(int) (Evidence, time.Duration) {
+			return TaskFailed, usual
+		}, nil},
+		{"times within twice the usual", func(i int) (Evidence, time.Duration) {
+			return Succeeded, usual + usual*time.Duration(i)/10
+		}, nil},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			tr, addrs := trackerOf(10)
+			rounds(tr, addrs, 40, c.of)
+			assert.DeepEqual(t, ejected(tr, addrs), c.want)
+		})
+	}
+}
+
+func TestTrackerLetsATargetBackStepByStep(t *testing.T) {
+	tr, addrs := trackerOf(4)
+	for range brokenInRow {
+		tr.Observe(addrs[0], Broken, time.Millisecond, "unlock", testStart)
+	}
+	assert.Equal(t, tr.State(addrs[0], testStart), Ejected)
+	assert.Equal(t, tr.Allowed(addrs[0], testStart), 0)
+
+	now := testStart.Add(DefaultCooldown)
+	for _, allowed := range []int{1, 2, 4, 8, Unlimited} {
+		assert.Equal(t, tr.Allowed(addrs[0], now), allowed)
+		tr.Observe(addrs[0], Succeeded, 100*time.Millisecond, "unlock", now)
+	}
+	assert.Equal(t, tr.State(addrs[0], now), Healthy)
+}
+
+func TestTrackerEjectsLongerAfterAFailedTrial(t *testing.T) {
+	tr, addrs := trackerOf(4)
+	for range brokenInRow {
+		tr.Observe(addrs[0], Broken, 0, "unlock", testStart)
+	}
+	now := testStart.Add(DefaultCooldown)
+	tr.Observe(addrs[0], Broken, 0, "unlock", now)
+
+	assert.Equal(t, tr.State(addrs[0], now.Add(2*DefaultCooldown-1)), Ejected)
+	assert.Equal(t, tr.State(addrs[0], now.Add(2*DefaultCooldown)), Trial)
+}
+
+// After any events the cap holds, nobody who is not healthy or on trial is
+// allowed anything, and the sums over the peers equal the sum of the parts.
+func TestTrackerKeepsItsCapAndSums(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		n := rapid.IntRange(1, 8).Draw(rt, "targets")
+		tr, addrs := trackerOf(n)
+		tr.cfg.OnChange = func(c Change) {
+			g := tr.groups[testGroup]
+			if c.From == Healthy && c.To == Ejected && float64(g.out) > DefaultMaxEjected*float64(g.size) {
+				rt.Fatalf("%d of %d are out", g.out, g.size)
+			}
+		}
+		now := testStart
+		for range rapid.IntRange(1, 150).Draw(rt, "events") {
+			addr := rapid.SampledFrom(addrs).Draw(rt, "addr")
+			switch rapid.IntRange(0, 19).Draw(rt, "event") {
+			case 0:
+				tr.Leave(addr, now)
+			case 1:
+				tr.Return(addr, now)
+			case 2:
+				tr.Remove(addr, now)
+			case 3:
+				tr.Add(addr, testGroup, now)
+			case 4:
+				now = now.Add(time.Duration(rapid.IntRange(0, 5000).Draw(rt, "ms")) * time.Millisecond)
+			default:
+				ev := Evidence(rapid.IntRange(int(Neutral), int(Overdue)).Draw(rt, "evidence"))
+				took := time.Duration(rapid.IntRange(1, 5000).Draw(rt, "took")) * time.Millisecond
+				kind := rapid.SampledFrom([]string{"unlock", "reconcile"}).Draw(rt, "kind")
+				tr.Observe(addr, ev, took, kind, now)
+			}
+			checkTracker(rt, tr, addrs, now)
+		}
+	})
+}
+
+func checkTracker(t *rapid.T, tr *Tracker, addrs []string, now time.Time) {
+	counts := map[State]int{}
+	for _, addr := range addrs {
+		st, allowed := tr.State(addr, now), tr.Allowed(addr, now)
+		counts[st]++
+		if (allowed != 0) != (st == Healthy || st == Trial) {
+			t.Fatalf("%v allows %d", st, allowed)
+		}
+	}
+	g := tr.groups[testGroup]
+	if g == nil {
+		return
+	}
+	if g.out != counts[Ejected]+counts[Trial] || g.size != len(tr.targets) {
+		t.Fatalf("group counts %d of %d, there are %v", g.out, g.size, counts)
+	}
+	for kind, p := range g.kinds {
+		var sum peers
+		for _, h := range tr.targets {
+			if s := h.kinds[kind]; s != nil {
+				sum.add(s, 1)
+			}
+		}
+		if sum.seen != p.seen || sum.timed != p.timed || math.Abs(sum.fails-p.fails)+math.Abs(sum.lnTook-p.lnTook) > 1e-6 {
+			t.Fatalf("%s: sums are %+v, want %+v", kind, *p, sum)
+		}
+	}
+}
+
+func TestSetFollowsTheListAndTheTargetsOwnWord(t *testing.T) {
+	tr := NewTracker(TrackerConfig{})
+	pool := NewPool(PoolConfig{})
+	defer pool.Close()
+	s := NewSet(SetConfig{DC: "rennes", Tracker: tr, Pool: pool})
+	vm := platform.VM{Name: "runner-1", Role: platform.RoleRunner, DC: "rennes", Addr: "10.0.0.1:80"}
+	other := platform.VM{Name: "runner-2", Role: platform.RoleRunner, DC: "quimper", Addr: "10.0.0.2:80"}
+	leaving := vm
+	leaving.Leaving = true
+	now := time.Now()
+
+	s.Apply([]platform.VM{vm, other}, now)
+	assert.DeepEqual(t, s.VMs(), []platform.VM{vm})
+	assert.Equal(t, tr.State(vm.Addr, now), Healthy)
+
+	s.Apply([]platform.VM{leaving}, now)
+	assert.Equal(t, tr.Allowed(vm.Addr, now), 0)
+	s.Apply([]platform.VM{leaving}, now)
+	assert.Equal(t, tr.State(vm.Addr, now), Leaving)
+	s.Apply([]platform.VM{vm}, now)
+	assert.Equal(t, tr.State(vm.Addr, now), Trial)
+
+	s.SaysLeaving(vm.Addr)
+	s.Apply([]platform.VM{vm}, now)
+	assert.Equal(t, tr.State(vm.Addr, now), Leaving, "the list lags behind the target's own word")
+
+	s.Apply(nil, now)
+	assert.Equal(t, len(s.VMs()), 1)
+	s.Apply(nil, now.Add(DefaultGoneAfter))
+	assert.Equal(t, len(s.VMs()), 0)
+	assert.Equal(t, tr.State(vm.Addr, now), Gone)
+}
--- /dev/null
+++ b/internal/target/set.go
@@ -0,0 +1,206 @@
+package target
+
+import (
+	"context"
+	"log/slog"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"currantstall/internal/platform"
+)
+
+// Defaults of SetConfig.
+const (
+	DefaultPoll      = time.Second
+	DefaultGoneAfter = 30 * time.Second
+)
+
+const (
+	// missedPolls is the number of lists in a row without a target after
+	// which it counts as leaving. One may stem from a lagging replica.
+	missedPolls = 2
+	// ownWordFor is how long a target's own word that it is leaving counts
+	// while the list does not say so.
+	ownWordFor = 30 * time.Second
+	// pollTimeout bounds one read of the list.
+	pollTimeout = time.Second
+)
+
+// SetConfig describes which targets a Set follows. Zero durations stand for
+// defaults.
+type SetConfig struct {
+	List platform.List
+	DC   string // targets of this data centre
+	// Poll is the time between two reads of the list.
+	Poll time.Duration
+	// GoneAfter is how long a target may be missing from the list until it
+	// is forgotten.
+	GoneAfter time.Duration
+	Tracker   *Tracker
+	Pool      *Pool
+	// OnList is called after each list that changed the set.
+	OnList func()
+	Log    *slog.Logger
+}
+
+// Set follows the targets of a data centre: the platform's lagging list and
+// what the targets say themselves. While the list is out of reach the set stays
+// as it is.
+type Set struct {
+	cfg SetConfig
+
+	mu   sync.Mutex
+	vms  map[string]*listed // by address
+	seen bool
+}
+
+// listed is one target.
+type listed struct {
+	vm      platform.VM
+	missed  int       // lists in a row without it
+	lastIn  time.Time // when a list last had it
+	ownWord time.Time // when it last said that it is leaving
+}
+
+// NewSet returns a set without targets. Run keeps it up to date.
+func NewSet(cfg SetConfig) *Set {
+	if cfg.Poll <= 0 {
+		cfg.Poll = DefaultPoll
+	}
+	if cfg.GoneAfter <= 0 {
+		cfg.GoneAfter = DefaultGoneAfter
+	}
+	if cfg.OnList == nil {
+		cfg.OnList = func() {}
+	}
+	if cfg.Log == nil {
+		cfg.Log = slog.New(slog.DiscardHandler)
+	}
+	return &Set{cfg: cfg, vms: make(map[string]*listed)}
+}
+
+// Run reads the list at each beat until ctx ends.
+func (s *Set) Run(ctx context.Context) {
+	beat := time.NewTicker(s.cfg.Poll)
+	defer beat.Stop()
+	for {
+		s.Poll(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-beat.C:
+		}
+	}
+}
+
+// Poll reads the list once.
+func (s *Set) Poll(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
+	defer cancel()
+	vms, err := s.cfg.List.VMs(ctx)
+	if err != nil {
+		s.cfg.Log.Debug("the list of VMs is unavailable", "err", err)
+		return
+	}
+	s.Apply(vms, time.Now())
+}
+
+// Apply takes in one list.
+func (s *Set) Apply(vms []platform.VM, now time.Time) {
+	if s.apply(vms, now) {
+		s.cfg.OnList()
+	}
+}
+
+func (s *Set) apply(vms []platform.VM, now time.Time) (changed bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.seen = true
+	for _, l := range s.vms {
+		l.missed++
+	}
+	for _, vm := range vms {
+		if s.follows(vm) {
+			changed = s.listedNow(vm, now) || changed
+		}
+	}
+	for addr, l := range s.vms {
+		changed = s.missing(addr, l, now) || changed
+	}
+	return changed
+}
+
+func (s *Set) follows(vm platform.VM) bool {
+	return vm.DC == s.cfg.DC && (vm.Role == platform.RoleRunner || vm.Role == platform.RoleWorker)
+}
+
+// listedNow takes in a target that the list has.
+func (s *Set) listedNow(vm platform.VM, now time.Time) (changed bool) {
+	l := s.vms[vm.Addr]
+	if l == nil {
+		l = &listed{}
+		s.vms[vm.Addr] = l
+	}
+	changed = l.vm != vm
+	back := l.missed > missedPolls
+	l.vm, l.missed, l.lastIn = vm, 0, now
+	s.cfg.Tracker.Add(vm.Addr, groupOf(vm), now)
+	switch {
+	case vm.Leaving:
+		s.cfg.Tracker.Leave(vm.Addr, now)
+	case now.Sub(l.ownWord) >= ownWordFor:
+		s.cfg.Tracker.Return(vm.Addr, now)
+	}
+	return changed || back
+}
+
+// missing counts a target that the list lacks as leaving and then as gone.
+func (s *Set) missing(addr string, l *listed, now time.Time) (changed bool) {
+	if l.missed < missedPolls {
+		return false
+	}
+	s.cfg.Tracker.Leave(addr, now)
+	if now.Sub(l.lastIn) < s.cfg.GoneAfter {
+		return l.missed == missedPolls
+	}
+	delete(s.vms, addr)
+	s.cfg.Tracker.Remove(addr, now)
+	s.cfg.Pool.Forget(addr)
+	return true
+}
+
+// SaysLeaving takes in that a target itself said that it is leaving. It is made
+// for PoolConfig.OnLeaving.
+func (s *Set) SaysLeaving(addr string) {
+	now := time.Now()
+	s.mu.Lock()
+	if l := s.vms[addr]; l != nil {
+		l.ownWord = now
+	}
+	s.mu.Unlock()
+	s.cfg.Tracker.Leave(addr, now)
+}
+
+// Ready reports whether a list was read yet.
+func (s *Set) Ready() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.seen
+}
+
+// VMs returns the targets that are not gone, sorted by name.
+func (s *Set) VMs() []platform.VM {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := make([]platform.VM, 0, len(s.vms))
+	for _, l := range s.vms {
+		out = append(out, l.vm)
+	}
+	slices.SortFunc(out, func(a, b platform.VM) int { return strings.Compare(a.Name, b.Name) })
+	return out
+}
+
+// groupOf returns the group within which a target is compared.
+func groupOf(vm platform.VM) string { return vm.DC + "/" + string(vm.Role) }
--- /dev/null
+++ b/internal/target/usage.go
@@ -0,0 +1,65 @@
+package target
+
+import (
+	"context"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+)
+
+// Defaults of UsagePoller.
+const (
+	DefaultUsageBeat = 5 * time.Second
+	usageTimeout     = time.Second
+	usageParallel    = 4
+)
+
+// UsagePoller asks owned targets for their usage reports at a slow beat.
+type UsagePoller struct {
+	Pool *Pool
+	Beat time.Duration // 0 stands for DefaultUsageBeat
+	// Owned returns the addresses to ask.
+	Owned func() []string
+	// OnUsage takes a report. It is called from several goroutines.
+	OnUsage func(addr string, u Usage)
+}
+
+// Run asks at each beat until ctx ends.
+func (u *UsagePoller) Run(ctx context.Context) {
+	d := u.Beat
+	if d <= 0 {
+		d = DefaultUsageBeat
+	}
+	beat := time.NewTicker(d)
+	defer beat.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-beat.C:
+			u.askAll(ctx)
+		}
+	}
+}
+
+// askAll asks all owned targets, a few at a time. A target that does not
+// answer is asked again at the next beat.
+func (u *UsagePoller) askAll(ctx context.Context) {
+	var g errgroup.Group
+	g.SetLimit(usageParallel)
+	for _, addr := range u.Owned() {
+		g.Go(func() error {
+			u.ask(ctx, addr)
+			return nil
+		})
+	}
+	_ = g.Wait()
+}
+
+func (u *UsagePoller) ask(ctx context.Context, addr string) {
+	ctx, cancel := context.WithTimeout(ctx, usageTimeout)
+	defer cancel()
+	if usage, err := u.Pool.Usage(ctx, addr); err == nil {
+		u.OnUsage(addr, usage)
+	}
+}
