Manifest: checks, store by sections, rollout

Check names every fault with field and value; Decode is strict for YAML and JSON and gives one canonical form with the defaults filled in, so that entries of different releases agree. Sections are rows; a version is accepted by the conditional write of the small head row, and a log row beside it names the sections of the last 64 versions. A change of more than 64 sections is one object that the head names. Apply settles lost answers by reading back; a lost race names both writers and versions. Rollout adopts higher versions only, pushes changes as sections, polls the head, and during an outage brings all peers to the highest version that any of them holds.

The log is a row of its own and not part of the head, since each entry polls the head every second.

--- /dev/null
+++ b/internal/manifest/decode.go
@@ -0,0 +1,75 @@
+package manifest
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"io"
+
+	"github.com/goccy/go-yaml"
+
+	"currantstall/internal/verdict"
+)
+
+// MaxBytes bounds the text of a manifest.
+const MaxBytes = 32 << 20
+
+// Decode reads a manifest from YAML, or from JSON if the text starts with a
+// brace, and returns its checked canonical form. Unknown and repeated fields
+// are errors. The error is a *verdict.Error with reason ManifestInvalid.
+func Decode(text []byte) (*Manifest, error) {
+	if len(text) > MaxBytes {
+		return nil, invalid(errors.New("text is longer than 32 MiB"))
+	}
+	var m Manifest
+	decode := decodeYAML
+	if trimmed := bytes.TrimSpace(text); len(trimmed) > 0 && trimmed[0] == '{' {
+		decode = decodeJSON
+	}
+	if err := decode(text, &m); err != nil {
+		return nil, invalid(err)
+	}
+	c := m.Canonical()
+	if err := c.Check(); err != nil {
+		return nil, err
+	}
+	return c, nil
+}
+
+// EncodeYAML returns the text that Decode reads, without the version, which
+// is given when a manifest is accepted.
+func (m *Manifest) EncodeYAML() ([]byte, error) {
+	c := *m
+	c.Version = 0
+	return yaml.Marshal(&c)
+}
+
+func invalid(err error) error {
+	return verdict.New(verdict.NotRun, verdict.ManifestInvalid, "manifest is invalid: %w", err)
+}
+
+func decodeYAML(text []byte, m *Manifest) error {
+	dec := yaml.NewDecoder(bytes.NewReader(text), yaml.DisallowUnknownField())
+	if err := dec.Decode(m); err != nil {
+		if errors.Is(err, io.EOF) {
+			return errors.New("text is empty")
+		}
+		return err
+	}
+	if err := dec.Decode(new(any)); !errors.Is(err, io.EOF) {
+		return errors.New("text holds more than one document")
+	}
+	return nil
+}
+
+func decodeJSON(text []byte, m *Manifest) error {
+	dec := json.NewDecoder(bytes.NewReader(text))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(m); err != nil {
+		return err
+	}
+	if _, err := dec.Token(); !errors.Is(err, io.EOF) {
+		return errors.New("text holds more than one JSON value")
+	}
+	return nil
+}
--- a/internal/manifest/manifest.go
+++ b/internal/manifest/manifest.go
@@ -3,6 +3,7 @@
 package manifest
 
 import (
+	"sort"
 	"time"
 
 	"currantstall/internal/structs"
@@ -78,20 +79,30 @@
 
 // KindNamed returns the kind of that name, or nil.
 func (m *Manifest) KindNamed(name string) *Kind {
-	for i := range m.Kinds {
-		if m.Kinds[i].Name == name {
-			return &m.Kinds[i]
-		}
-	}
-	return nil
+	return find(m.Kinds, name, func(k *Kind) string { return k.Name })
 }
 
 // TeamNamed returns the team of that name, or nil.
 func (m *Manifest) TeamNamed(name string) *Team {
-	for i := range m.Teams {
-		if m.Teams[i].Name == name {
-			return &m.Teams[i]
+	return find(m.Teams, name, func(t *Team) string { return t.Name })
+}
+
+// shortList is the length up to which a scan beats a binary search.
+const shortList = 16
+
+// find returns the item of that name in a list sorted by name, or nil.
+func find[T any](items []T, name string, nameOf func(*T) string) *T {
+	if len(items) <= shortList {
+		for i := range items {
+			if nameOf(&items[i]) == name {
+				return &items[i]
+			}
 		}
+		return nil
+	}
+	i := sort.Search(len(items), func(i int) bool { return nameOf(&items[i]) >= name })
+	if i == len(items) || nameOf(&items[i]) != name {
+		return nil
 	}
-	return nil
+	return &items[i]
 }
--- /dev/null
+++ b/internal/manifest/manifest_test.go
@@ -0,0 +1,173 @@
+package manifest
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"currantstall/internal/platform"
+	"currantstall/internal/standin/platformd"
+	"currantstall/internal/verdict"
+)
+
+func TestMain(m *testing.M) {
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "2000", "rapid.nofailfile": "true"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	flag.Parse() // the command line goes before these
+	os.Exit(m.Run())
+}
+
+const goodYAML = `
+kinds:
+  - {name: unlock, class: request, urgency: 9, share: 0.5, deadline_ms: 1000, service_ms: 80}
+  - {name: dusk, class: job, urgency: 1, share: 0.2}
+teams:
+  - {name: shore, rate_per_second: 100}
+`
+
+func TestDecodeGivesOneCanonicalFormForYAMLAndJSON(t *testing.T) {
+	fromYAML, err := Decode([]byte(goodYAML))
+	assert.NilError(t, err)
+	fromJSON, err := Decode([]byte(`{"teams": [{"name": "shore", "rate_per_second": 100}], "kinds": [
+		{"name": "dusk", "class": "job", "urgency": 1, "share": 0.2},
+		{"name": "unlock", "class": "request", "urgency": 9, "share": 0.5, "deadline_ms": 1000, "service_ms": 80}]}`))
+	assert.NilError(t, err)
+	assert.DeepEqual(t, fromYAML, fromJSON)
+	assert.Equal(t, fromYAML.Kinds[0].Name, "dusk")
+	assert.Equal(t, fromYAML.Teams[0].Burst, 100)
+
+	text, err := fromYAML.EncodeYAML()
+	assert.NilError(t, err)
+	again, err := Decode(text)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, again, fromYAML)
+}
+
+func TestDecodeRefusesWhatItDoesNotKnow(t *testing.T) {
+	for _, tc := range []struct{ text, want string }{
+		{"", "empty"},
+		{goodYAML + "colour: red\n", "colour"},
+		{goodYAML + "---\nkinds: []\n", "more than one document"},
+		{"kinds:\n  - {name: a, class: request, urgent: 1}\n", "urgent"},
+		{"kinds:\n  - {name: a, class: request, share: a lot}\n", "share"},
+		{"kinds:\n  - {name: a, class: request, class: job}\n", "class"},
+		{`{"kinds": [{"name": "a", "class": "request", "urgent": 1}]}`, "urgent"},
+		{`{"kinds": []} {}`, "more than one"},
+		{"kinds: [", "invalid"},
+	} {
+		_, err := Decode([]byte(tc.text))
+		assert.ErrorContains(t, err, tc.want, tc.text)
+		assert.Equal(t, verdict.Of(err).Reason, verdict.ManifestInvalid)
+	}
+}
+
+func TestCheckNamesEveryFaultAtOnce(t *testing.T) {
+	_, err := Decode([]byte(`
+kinds:
+  - {name: UP, class: request}
+  - {name: a, class: batch, share: -1}
+  - {name: b, class: request, share: 0.7, deadline_ms: 100, service_ms: 200}
+  - {name: b, class: request, share: 0.7, needs: {milli_cpu: 5}}
+teams:
+  - {name: t, burst: 5}
+limits: {retry_percent: 101}
+`))
+	var faults FieldErrors
+	assert.Assert(t, errors.As(err, &faults))
+	want := map[string]string{
+		"kinds[0].name":        `"UP"`,
+		"kinds[a].class":       `"batch"`,
+		"kinds[a].share":       "-1",
+		"kinds[b].service_ms":  "200",
+		"kinds[b].name":        `"b"`,
+		"kinds[b].needs":       "{MilliCPU:5 MemoryMB:0 Accelerators:0}",
+		"kinds[*].share":       "1.4",
+		"teams[t].burst":       "5",
+		"limits.retry_percent": "101",
+	}
+	got := map[string]string{}
+	for _, f := range faults {
+		got[f.Field] = f.Value
+	}
+	assert.DeepEqual(t, got, want)
+}
+
+func TestDiffIsTyped(t *testing.T) {
+	old, err := Decode([]byte(goodYAML))
+	assert.NilError(t, err)
+	next := old.with(0, []Section{{Name: "team/shore"}, teamSection(Team{Name: "bay", Weight: 1})})
+	next.Kinds[1].Share = 0.25
+
+	assert.DeepEqual(t, Diff(old, next), []Change{
+		{Op: Changed, Section: "kind/unlock", Fields: []FieldChange{{Field: "share", Old: "0.5", New: "0.25"}}},
+		{Op: Added, Section: "team/bay"},
+		{Op: Removed, Section: "team/shore"},
+	})
+	assert.Equal(t, len(Diff(old, old)), 0)
+}
+
+// manyTeams returns a canonical manifest with one kind and n teams.
+func manyTeams(n int, weight float64) *Manifest {
+	m := &Manifest{Kinds: []Kind{{Name: "unlock", Class: "request", Share: 0.5}}}
+	for i := range n {
+		m.Teams = append(m.Teams, Team{Name: fmt.Sprintf("team-%05d", i), Weight: weight})
+	}
+	return m.Canonical()
+}
+
+func TestAChangeWritesOnlyWhatChanged(t *testing.T) {
+	ctx := context.Background()
+	table := platformd.NewStore()
+	table.SetFaults(platformd.Faults{})
+	s := NewStore(table)
+	_, err := s.Apply(ctx, "op", 0, manyTeams(500, 1))
+	assert.NilError(t, err)
+	imported := table.Stats()
+	assert.Equal(t, imported.TotalWrites(), int64(3), "an import is one object and two rows")
+
+	next := manyTeams(499, 1)
+	next.Teams[7].Weight = 5
+	_, err = s.Apply(ctx, "op", 1, next)
+	assert.NilError(t, err)
+	assert.Equal(t, table.Stats().TotalWrites()-imported.TotalWrites(), int64(4))
+	got, err := NewStore(table).Load(ctx)
+	assert.NilError(t, err)
+	next.Version = 2
+	assert.DeepEqual(t, got, next)
+
+	_, err = s.Apply(ctx, "op", 2, next)
+	assert.NilError(t, err)
+	assert.Equal(t, table.Stats().TotalWrites()-imported.TotalWrites(), int64(4), "no change, no write")
+}
+
+func TestALostRaceNamesBothSides(t *testing.T) {
+	ctx := context.Background()
+	table := platformd.NewStore()
+	_, err := NewStore(table).Apply(ctx, "ann", 0, manyTeams(1, 1))
+	assert.NilError(t, err)
+
+	_, err = NewStore(table).Apply(ctx, "ben", 0, manyTeams(2, 1))
+
+	var conflict *ConflictError
+	assert.Assert(t, errors.As(err, &conflict))
+	assert.DeepEqual(t, *conflict, ConflictError{Base: 0, Writer: "ben", Current: 1, CurrentWriter: "ann"})
+	e := verdict.Of(err)
+	assert.Equal(t, e.Verdict, verdict.NotRun)
+	assert.Equal(t, e.Reason, verdict.ManifestConflict)
+}
+
+func TestAnOutageRefusesWithProof(t *testing.T) {
+	table := platformd.NewStore()
+	table.SetFaults(platformd.Faults{Down: true})
+	_, err := NewStore(table).Apply(context.Background(), "ann", 0, manyTeams(1, 1))
+	assert.ErrorIs(t, err, platform.ErrUnavailable)
+	assert.Equal(t, verdict.Of(err).Verdict, verdict.NotRun)
+}
--- /dev/null
+++ b/internal/manifest/rollout.go
@@ -0,0 +1,272 @@
+package manifest
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"currantstall/internal/metrics"
+	"currantstall/internal/wire"
+)
+
+const (
+	// DefaultPollInterval is the time between two looks at the head row of
+	// one entry, in a data centre of up to pollersAtOnce entries.
+	DefaultPollInterval = time.Second
+	// pollersAtOnce bounds the polls of one data centre: each entry polls the
+	// less often the more entries there are, and tells the others.
+	pollersAtOnce = 8
+	// maxPushSections is the largest change that is pushed in full.
+	maxPushSections = 64
+)
+
+// NewBody is the body of wire.ManifestNew: the sender holds Version, 0 for
+// none. If Sections is not empty, a receiver at From reaches Version by them.
+// A receiver that holds more answers with its own version, one that holds less
+// asks the sender for the whole.
+type NewBody struct {
+	Version  uint64    `cbor:"1,keyasint"`
+	From     uint64    `cbor:"2,keyasint,omitempty"`
+	Sections []Section `cbor:"3,keyasint,omitempty"`
+}
+
+// GetBody is the body of wire.ManifestGet: asks for the whole manifest if it
+// is above Have.
+type GetBody struct {
+	Have uint64 `cbor:"1,keyasint"`
+}
+
+// AllBody is the body of wire.ManifestAll.
+type AllBody struct {
+	Manifest Manifest `cbor:"1,keyasint"`
+}
+
+// Peers sends messages to other entries. Both methods are free to lose them.
+type Peers interface {
+	Broadcast(m wire.Message)
+	Send(to string, m wire.Message)
+}
+
+// RolloutConfig sets up a Rollout.
+type RolloutConfig struct {
+	Store *Store
+	Peers Peers
+	// PollInterval is the time between two polls, 0 for the default.
+	PollInterval time.Duration
+	// Members returns the number of entries of this data centre; nil stands
+	// for a small one.
+	Members func() int
+	// Metrics counts; nil counts nowhere.
+	Metrics *metrics.Metrics
+}
+
+// Rollout holds the manifest that is in force in this process. It only moves
+// to higher versions, learned from the table, from peers or from Apply. All
+// manifests it hands out are read-only.
+type Rollout struct {
+	cfg     RolloutConfig
+	current atomic.Pointer[Manifest]
+	mu      sync.Mutex // orders adoptions and guards what follows
+	subs    []func(*Manifest)
+	asked   uint64 // highest version asked for since the last poll
+	version tally.Gauge
+	scope   tally.Scope
+}
+
+// NewRollout returns a Rollout without a manifest. Run starts the polling.
+func NewRollout(cfg RolloutConfig) *Rollout {
+	if cfg.PollInterval <= 0 {
+		cfg.PollInterval = DefaultPollInterval
+	}
+	if cfg.Members == nil {
+		cfg.Members = func() int { return 1 }
+	}
+	if cfg.Metrics == nil {
+		cfg.Metrics = metrics.NewNop()
+	}
+	scope := cfg.Metrics.Scope().SubScope("manifest")
+	return &Rollout{cfg: cfg, scope: scope, version: scope.Gauge("version")}
+}
+
+// Current returns the manifest in force, or nil while there is none: then
+// nothing may be served.
+func (r *Rollout) Current() *Manifest { return r.current.Load() }
+
+// Subscribe calls f with each manifest adopted from now on, in order, and at
+// once with the current one if there is one. f must not block.
+func (r *Rollout) Subscribe(f func(*Manifest)) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.subs = append(r.subs, f)
+	if m := r.current.Load(); m != nil {
+		f(m)
+	}
+}
+
+// Adopt puts an accepted manifest in force if it is above the current one, and
+// reports whether it did.
+func (r *Rollout) Adopt(m *Manifest) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if m.version() <= r.current.Load().version() {
+		return false
+	}
+	r.current.Store(m)
+	r.version.Update(float64(m.Version))
+	r.scope.Counter("adopted").Inc(1)
+	for _, f := range r.subs {
+		f(m)
+	}
+	return true
+}
+
+// Apply has a manifest accepted as the version after base, puts it in force
+// here and pushes it to the peers. Its errors are those of Store.Apply.
+func (r *Rollout) Apply(ctx context.Context, writer string, base uint64, next *Manifest) (*Manifest, error) {
+	u, err := r.cfg.Store.Apply(ctx, writer, base, next)
+	if err != nil {
+		return nil, err
+	}
+	r.adoptAndPush(u)
+	return u.Manifest, nil
+}
+
+// Poll looks at the table once. While the table is out of reach it tells the
+// peers its version, so that all come to the highest that any of them holds.
+func (r *Rollout) Poll(ctx context.Context) error {
+	r.setAsked(0)
+	u, err := r.cfg.Store.LoadSince(ctx, r.Current())
+	if err != nil {
+		r.scope.Counter("poll_failed").Inc(1)
+		r.broadcast(wire.ManifestNew, NewBody{Version: r.Current().version()})
+		return fmt.Errorf("poll manifest: %w", err)
+	}
+	if u.Manifest != nil {
+		r.adoptAndPush(u)
+	}
+	return nil
+}
+
+func (r *Rollout) adoptAndPush(u Update) {
+	if !r.Adopt(u.Manifest) {
+		return
+	}
+	body := NewBody{Version: u.Manifest.Version}
+	if len(u.Sections) <= maxPushSections {
+		body.From, body.Sections = u.From, u.Sections
+	}
+	r.broadcast(wire.ManifestNew, body)
+}
+
+// Run polls until ctx ends, starting at once.
+func (r *Rollout) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		_ = r.Poll(ctx) // counted; the next poll repeats it
+		t := time.NewTimer(r.pollDelay())
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			t.Stop()
+		}
+	}
+}
+
+// pollDelay varies by half to keep the entries out of step.
+func (r *Rollout) pollDelay() time.Duration {
+	d := r.cfg.PollInterval
+	if n := r.cfg.Members(); n > pollersAtOnce {
+		d = d * time.Duration(n) / pollersAtOnce
+	}
+	return d*3/4 + rand.N(d/2+1)
+}
+
+// Handle takes a message from a peer. An error means that the message is
+// malformed.
+func (r *Rollout) Handle(from string, m wire.Message) error {
+	switch m.Type {
+	case wire.ManifestNew:
+		return r.handleNew(from, m)
+	case wire.ManifestGet:
+		return r.handleGet(from, m)
+	case wire.ManifestAll:
+		var body AllBody
+		if err := wire.Decode(m.Body, &body); err != nil {
+			return err
+		}
+		r.Adopt(&body.Manifest)
+		return nil
+	}
+	return fmt.Errorf("manifest: message type %d is none of its own", m.Type)
+}
+
+func (r *Rollout) handleNew(from string, m wire.Message) error {
+	var body NewBody
+	if err := wire.Decode(m.Body, &body); err != nil {
+		return err
+	}
+	cur := r.Current()
+	if body.Version < cur.version() {
+		r.send(from, wire.ManifestNew, NewBody{Version: cur.version()})
+		return nil
+	}
+	if body.Version == cur.version() {
+		return nil
+	}
+	if cur != nil && body.From == cur.Version && len(body.Sections) > 0 {
+		r.Adopt(cur.with(body.Version, body.Sections))
+		return nil
+	}
+	if r.setAsked(body.Version) {
+		r.send(from, wire.ManifestGet, GetBody{Have: cur.version()})
+	}
+	return nil
+}
+
+// setAsked notes the version that is asked for, and reports whether it is
+// above what was asked for before: one peer's whole manifest is enough. 0
+// forgets what was asked, since messages get lost.
+func (r *Rollout) setAsked(version uint64) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	above := version > r.asked
+	if above || version == 0 {
+		r.asked = version
+	}
+	return above
+}
+
+func (r *Rollout) handleGet(from string, m wire.Message) error {
+	var body GetBody
+	if err := wire.Decode(m.Body, &body); err != nil {
+		return err
+	}
+	if cur := r.Current(); cur.version() > body.Have {
+		r.send(from, wire.ManifestAll, AllBody{Manifest: *cur})
+	}
+	return nil
+}
+
+func (r *Rollout) broadcast(t wire.Type, body any) {
+	if m, ok := r.message(t, body); ok {
+		r.cfg.Peers.Broadcast(m)
+	}
+}
+
+func (r *Rollout) send(to string, t wire.Type, body any) {
+	if m, ok := r.message(t, body); ok {
+		r.cfg.Peers.Send(to, m)
+	}
+}
+
+func (r *Rollout) message(t wire.Type, body any) (wire.Message, bool) {
+	m, err := wire.NewMessage(t, body)
+	if err != nil {
+		r.scope.Counter("encode_failed").Inc(1)
+	}
+	return m, err == nil
+}
--- /dev/null
+++ b/internal/manifest/store.go
@@ -0,0 +1,235 @@
+package manifest
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"sync/atomic"
+
+	"github.com/google/uuid"
+
+	"currantstall/internal/platform"
+	"currantstall/internal/verdict"
+)
+
+// maxTxnSections is the largest number of changed sections that are written as
+// a row each; a larger change is one object. That keeps the transaction within
+// the platform's limits and the change within the write budget.
+const maxTxnSections = 64
+
+const maxObjectAttempts = 5
+
+// Store keeps the accepted manifest in the platform. Each section is a row,
+// so that a change costs what it changes; the head row's conditional write
+// accepts a version.
+type Store struct {
+	platform platform.Platform
+	// last is the manifest that was read or written last. An accepted version
+	// never changes, so it spares Apply a read of all rows.
+	last atomic.Pointer[Manifest]
+	// maxRows is the largest number of sections written as rows.
+	maxRows int
+}
+
+// NewStore returns a store on the given platform.
+func NewStore(p platform.Platform) *Store { return &Store{platform: p, maxRows: maxTxnSections} }
+
+// ConflictError reports a lost race between operators.
+type ConflictError struct {
+	Base          uint64 // version that the change was made against
+	Writer        string // of the refused change
+	Current       uint64 // version that is accepted now
+	CurrentWriter string // of the current version
+}
+
+// Error returns the conflict in one line.
+func (e *ConflictError) Error() string {
+	return fmt.Sprintf("change by %s is against version %d, but %s has had version %d accepted",
+		e.Writer, e.Base, e.CurrentWriter, e.Current)
+}
+
+// Apply accepts next, a checked canonical manifest, as the version after base.
+// It returns the accepted manifest; one that changes nothing is base itself.
+//
+// The error is a *verdict.Error: NotRun with ManifestConflict (its cause is a
+// *ConflictError) or PlatformUnavailable when the version was not accepted,
+// MayHaveRun with PlatformUnknown when that could not be settled before ctx
+// ended.
+func (s *Store) Apply(ctx context.Context, writer string, base uint64, next *Manifest) (Update, error) {
+	h, row, err := s.readHead(ctx)
+	if err != nil {
+		return Update{}, unavailable(err)
+	}
+	if h.Version != base {
+		return Update{}, conflict(writer, base, h)
+	}
+	current := s.last.Load()
+	if current.version() != base || current == nil {
+		if current, err = s.Load(ctx); err != nil {
+			return Update{}, unavailable(err)
+		}
+	}
+	if current.Version != base {
+		return Update{}, s.lostRace(ctx, writer, base)
+	}
+	sections := changedSections(current, next)
+	if len(sections) == 0 {
+		return Update{Manifest: current, From: base}, nil
+	}
+	w := &write{
+		guard:    row,
+		base:     base,
+		sections: sections,
+		next:     current.with(base+1, sections),
+		head:     head{Version: base + 1, WriteID: uuid.NewString(), Writer: writer, Base: h.Base, BaseVersion: h.BaseVersion},
+	}
+	if err := s.commit(ctx, w); err != nil {
+		return Update{}, err
+	}
+	s.last.Store(w.next)
+	return Update{Manifest: w.next, From: base, Sections: sections}, nil
+}
+
+// write is one attempt to have a version accepted.
+type write struct {
+	guard    platform.Row // the head row as read
+	base     uint64
+	head     head
+	sections []Section
+	next     *Manifest
+}
+
+func (s *Store) commit(ctx context.Context, w *write) error {
+	entry := logEntry{Version: w.head.Version, WriteID: w.head.WriteID, Writer: w.head.Writer}
+	var puts []platform.Put
+	var err error
+	if len(w.sections) > s.maxRows {
+		entry.Whole = true
+		err = s.putBase(ctx, w)
+	} else {
+		puts, err = sectionPuts(w, &entry)
+	}
+	if err != nil {
+		return unavailable(err)
+	}
+	log, _, err := readRow[changeLog](ctx, s.platform, logRow)
+	if err != nil {
+		return unavailable(err)
+	}
+	txn, err := guardedTxn(w, log.add(entry), puts)
+	if err != nil {
+		return unavailable(err)
+	}
+	err = platform.CommitReadBack(ctx, s.platform, txn, w.settle)
+	return s.settled(ctx, w, err)
+}
+
+// putBase writes the next manifest as an object that the new head names. The
+// name is unique to this write, so a repetition overwrites equal bytes.
+func (s *Store) putBase(ctx context.Context, w *write) error {
+	data, err := json.Marshal(w.next)
+	if err != nil {
+		return fmt.Errorf("encode manifest: %w", err)
+	}
+	w.head.Base = objectPrefix + w.head.WriteID
+	w.head.BaseVersion = w.head.Version
+	for range maxObjectAttempts {
+		err = s.platform.PutObject(ctx, w.head.Base, data)
+		if err == nil || !errors.Is(err, platform.ErrUnknown) {
+			return err
+		}
+	}
+	return err
+}
+
+func sectionPuts(w *write, entry *logEntry) ([]platform.Put, error) {
+	var puts []platform.Put
+	for _, section := range w.sections {
+		entry.Sections = append(entry.Sections, section.Name)
+		put := platform.Put{Key: rowPrefix + section.Name}
+		if !section.removal() || w.head.Base != "" {
+			var err error
+			put, err = putRow(put.Key, sectionValue{Version: w.head.Version, Section: section})
+			if err != nil {
+				return nil, err
+			}
+		}
+		puts = append(puts, put)
+	}
+	return puts, nil
+}
+
+// guardedTxn writes the head under the condition that nobody else has.
+func guardedTxn(w *write, log changeLog, puts []platform.Put) (platform.Txn, error) {
+	headPut, err := putRow(headRow, w.head)
+	if err != nil {
+		return platform.Txn{}, err
+	}
+	logPut, err := putRow(logRow, log)
+	if err != nil {
+		return platform.Txn{}, err
+	}
+	return platform.Txn{
+		Conditions: []platform.Condition{{Key: headRow, Version: w.guard.Version}},
+		Puts:       append([]platform.Put{headPut, logPut}, puts...),
+	}, nil
+}
+
+// settle reads from the head row whether this write took effect.
+func (w *write) settle(row platform.Row) platform.Effect {
+	var now head
+	if decodeRow(row, &now) != nil {
+		return platform.EffectUnclear
+	}
+	switch {
+	case now.WriteID == w.head.WriteID:
+		return platform.EffectTook
+	case now.Version == w.head.Version:
+		return platform.EffectNot
+	}
+	return platform.EffectUnclear
+}
+
+// settled turns the end of a commit into the error of Apply. A head that has
+// moved on more than once is settled from the log.
+func (s *Store) settled(ctx context.Context, w *write, err error) error {
+	if err == nil {
+		return nil
+	}
+	if errors.Is(err, platform.ErrUnavailable) || errors.Is(err, platform.ErrRejected) {
+		return unavailable(err)
+	}
+	if !errors.Is(err, platform.ErrUnknown) {
+		return s.lostRace(ctx, w.head.Writer, w.base)
+	}
+	log, _, logErr := readRow[changeLog](ctx, s.platform, logRow)
+	entry, ok := log.at(w.head.Version)
+	switch {
+	case logErr != nil || !ok:
+		return verdict.New(verdict.MayHaveRun, verdict.PlatformUnknown,
+			"version %d may have been accepted (write %s): %w", w.head.Version, w.head.WriteID, err)
+	case entry.WriteID != w.head.WriteID:
+		return s.lostRace(ctx, w.head.Writer, w.base)
+	}
+	return nil
+}
+
+// lostRace returns the error of a change that was not accepted because another
+// was.
+func (s *Store) lostRace(ctx context.Context, writer string, base uint64) error {
+	now, _, err := s.readHead(ctx)
+	if err != nil {
+		now = head{Version: base + 1, Writer: "another operator"}
+	}
+	return conflict(writer, base, now)
+}
+
+func conflict(writer string, base uint64, now head) error {
+	cause := &ConflictError{Base: base, Writer: writer, Current: now.Version, CurrentWriter: now.Writer}
+	return verdict.New(verdict.NotRun, verdict.ManifestConflict, "%w", cause)
+}
+
+func unavailable(err error) error {
+	return verdict.New(verdict.NotRun, verdict.PlatformUnavailable, "manifest was not accepted: %w", err)
+}
--- a/internal/platform/client_test.go
+++ b/internal/platform/client_test.go
@@ -21,12 +21,12 @@
 )
 
 func TestMain(m *testing.M) {
-	flag.Parse()
 	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "2000", "rapid.nofailfile": "true"} {
 		if err := flag.Set(name, value); err != nil {
 			panic(err)
 		}
 	}
+	flag.Parse() // the command line goes before these
 	os.Exit(m.Run())
 }
 
