Tests that catch a link without deduplication or a one-sided choice

The property now reconnects with stale positions, and a table checks that both ends choose the same connection.

--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -189,6 +189,32 @@
 	}
 }
 
+func TestBothEndsDecideAlikeWhichConnectionStays(t *testing.T) {
+	first, second := session{1}, session{2}
+	for _, tc := range []struct {
+		name     string
+		old, new string // the end that dialled
+		lost     session
+		want     bool
+	}{
+		{"the dialer dials anew", "b", "b", session{}, true},
+		{"the lower name dials across", "b", "a", session{}, true},
+		{"the higher name dials across", "a", "b", session{}, false},
+		{"the higher name lost another session", "a", "b", second, false},
+		{"the higher name lost the present session", "a", "b", first, true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			for self, other := range map[string]string{"a": "b", "b": "a"} {
+				r := newEntry(t, self, 1, nil).remote(other)
+				r.link = &link{dialer: tc.old, session: first}
+				got := r.admits(&link{dialer: tc.new, session: second, lost: tc.lost})
+				r.link = nil
+				assert.Equal(t, got, tc.want, "at %s", self)
+			}
+		})
+	}
+}
+
 func TestRestartedPeerGetsNothingMeantForItsFormerRun(t *testing.T) {
 	a, b := newEntry(t, "a", 1, nil), newEntry(t, "b", 1, nil)
 	a.SetPeers([]Peer{b.self})
--- a/internal/peer/queue_test.go
+++ b/internal/peer/queue_test.go
@@ -19,10 +19,11 @@
 		var got []int
 		var pipe []wire.Message // on the connection
 		var seq uint64
+		var told position // what the receiver said in the last handshake
 		connect := func() {
 			pipe = nil
-			if in.Stream == q.stream && !q.ack(in.Next) {
-				t.Fatalf("the receiver's position %d was refused", in.Next)
+			if told.Stream == q.stream && !q.ack(told.Next) {
+				t.Fatalf("the receiver's position %d was refused", told.Next)
 			}
 			q.rewind()
 			seq = q.next()
@@ -34,9 +35,10 @@
 				q.add([]wire.Message{{Type: wire.Run, Body: []byte{byte(sent >> 8), byte(sent)}}})
 				sent++
 			},
-			"write":   func(t *rapid.T) { pipe = q.take(pipe, rapid.IntRange(1, 300).Draw(t, "limit")) },
-			"connect": func(*rapid.T) { connect() },
-			"receipt": func(t *rapid.T) { assert.Assert(t, q.ack(in.Next)) },
+			"write":     func(t *rapid.T) { pipe = q.take(pipe, rapid.IntRange(1, 300).Draw(t, "limit")) },
+			"handshake": func(*rapid.T) { told = in.position },
+			"connect":   func(*rapid.T) { connect() },
+			"receipt":   func(t *rapid.T) { assert.Assert(t, q.ack(in.Next)) },
 			"give up": func(*rapid.T) {
 				given += q.drop()
 				connect()
@@ -59,6 +61,7 @@
 				assert.Equal(t, q.bytes, cost(q.msgs))
 			},
 		})
+		told = in.position
 		connect()
 		for pipe = q.take(nil, 1<<20); len(pipe) > 0; pipe = pipe[1:] {
 			assert.Assert(t, in.take(seq))
