Dispatch of one task: attempts, look-ups, retries, hedges, and job answers

Work that may not be repeated is sent again only after a proof that the attempt before did not start it: the task's chart leads back to 'queued' only for NotRun or for repeatable work. A silent attempt is looked up over a fresh connection with a fence, which turns 'unknown' into such a proof if the same run of the target says so; broken and cut answers are fetched from the kept ones. Repeatable work is retried and hedged within budgets that count tokens, and the loser is stopped. The chart got the event 'repeated'.

A look-up does not wait at the target: it would hold one of the two control connections, and look-ups queued behind it would count as failed.

--- /dev/null
+++ b/internal/dispatch/backoff.go
@@ -0,0 +1,46 @@
+package dispatch
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+)
+
+// backoff draws waits between attempts: a random part of a bound that doubles
+// with each try ("full jitter"), so that retries don't come in waves.
+type backoff struct {
+	base, limit time.Duration
+
+	mu  sync.Mutex
+	rng *rand.Rand
+}
+
+func newBackoff(base, limit time.Duration, seed uint64) *backoff {
+	return &backoff{base: base, limit: limit, rng: rand.New(rand.NewPCG(seed, seed))}
+}
+
+// draw returns the wait before try n, counted from 0.
+func (b *backoff) draw(n int) time.Duration {
+	bound := min(b.base<<min(n, 20), b.limit)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return time.Duration(b.rng.Int64N(int64(bound))) + 1
+}
+
+// wait waits before try n. It reports false if ctx ended first.
+func (b *backoff) wait(ctx context.Context, n int) bool {
+	return pause(ctx, b.draw(n))
+}
+
+// pause waits for d. It reports false if ctx ended first.
+func pause(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/internal/dispatch/dispatch.go
@@ -0,0 +1,276 @@
+// Package dispatch carries out one task: the attempt at a target, the look-up
+// of a silent one, and, as far as the work allows it, retries and hedges.
+//
+// A task that may not be repeated is sent again only after a proof that the
+// attempt before it did not start it; it is never hedged. Whoever reads the
+// code can check that in one place: Do sends again only for an event that leads
+// back to "queued" in charts/task.yaml, and eventOf makes such an event only of
+// a NotRun error or for repeatable work.
+package dispatch
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"currantstall/internal/key"
+	"currantstall/internal/metrics"
+	"currantstall/internal/statechart"
+	"currantstall/internal/target"
+	"currantstall/internal/verdict"
+)
+
+// Defaults of Config.
+const (
+	DefaultRetryPercent = 10
+	DefaultHedgePercent = 5
+	DefaultMaxAttempts  = 4
+	DefaultSilentAfter  = time.Second
+)
+
+const (
+	retryBase  = 2 * time.Millisecond
+	retryLimit = 500 * time.Millisecond
+	// budgetTries is how often a task that provably did not run waits for
+	// the retry budget before it is given up.
+	budgetTries = 8
+)
+
+// Targets is what a dispatcher asks of the connections to targets. *target.Pool
+// implements it.
+type Targets interface {
+	target.Runner
+	// Instance returns the run of the target that leased starts are meant
+	// for from now on. The error is NotRun.
+	Instance(ctx context.Context, addr string) (string, error)
+	// Lookup asks what the target knows of a task.
+	Lookup(ctx context.Context, addr string, k key.Key, task int, ask target.Ask, wait time.Duration) (target.Status, error)
+	// CloseIdle closes connections that may have gone silent.
+	CloseIdle(addr string)
+}
+
+// Place is room for one task at a target.
+type Place struct {
+	Addr string
+	// Release gives the room back. It is called once, when the task is over
+	// at the target or was given up.
+	Release func()
+}
+
+// Task is one task to carry out.
+type Task struct {
+	Start      target.Start
+	Repeatable bool
+	// First is where the task is tried first.
+	First Place
+	// Pick returns room at a target that is not among exclude, and false if
+	// there is none now. Nil allows no second attempt.
+	Pick func(exclude []string) (Place, bool)
+	// MayStart is called right before each send of work that may not be
+	// repeated: it returns the end of the lease, or a NotRun error. Nil
+	// leaves Start.NotAfter as it is.
+	MayStart func() (notAfter time.Time, err error)
+	// SilentAfter is how long the kind usually takes; an attempt without an
+	// answer by then is looked up. 0 stands for DefaultSilentAfter.
+	SilentAfter time.Duration
+	// HedgeAfter is the time after which a second attempt at repeatable work
+	// pays; 0 for never.
+	HedgeAfter time.Duration
+}
+
+// Config holds the settings of a Dispatcher. Zero values stand for defaults.
+type Config struct {
+	Targets Targets
+	Retries *Budget
+	Hedges  *Budget
+	// MaxAttempts bounds the sends of one task, hedges not counted.
+	MaxAttempts int
+	Metrics     *metrics.Metrics
+	// Observe takes what each attempt says about its target.
+	Observe func(addr string, ev target.Evidence, took time.Duration, kind string)
+	// Seed is of the jitter.
+	Seed uint64
+}
+
+// Dispatcher carries out tasks. It is safe for concurrent use.
+type Dispatcher struct {
+	cfg    Config
+	pause  *backoff
+	settle *backoff
+	wg     sync.WaitGroup // stops and look-ups that outlive their task
+}
+
+// New returns a dispatcher.
+func New(cfg Config) *Dispatcher {
+	if cfg.Retries == nil {
+		cfg.Retries = NewBudget(DefaultRetryPercent)
+	}
+	if cfg.Hedges == nil {
+		cfg.Hedges = NewBudget(DefaultHedgePercent)
+	}
+	if cfg.MaxAttempts <= 0 {
+		cfg.MaxAttempts = DefaultMaxAttempts
+	}
+	if cfg.Metrics == nil {
+		cfg.Metrics = metrics.NewNop()
+	}
+	if cfg.Observe == nil {
+		cfg.Observe = func(string, target.Evidence, time.Duration, string) {}
+	}
+	return &Dispatcher{
+		cfg:    cfg,
+		pause:  newBackoff(retryBase, retryLimit, cfg.Seed),
+		settle: newBackoff(settleBase, settleLimit, cfg.Seed+1),
+	}
+}
+
+// Close waits for what still runs on behalf of ended tasks, which is bounded in
+// time.
+func (d *Dispatcher) Close() { d.wg.Wait() }
+
+// Do carries a task out and returns its whole answer. The error is a
+// *verdict.Error about the task as a whole, all attempts counted. When ctx ends
+// by its deadline, work that may not be repeated is left to run; when it is
+// cancelled, the task is stopped at its target.
+func (d *Dispatcher) Do(ctx context.Context, t Task) (target.Answer, error) {
+	if t.SilentAfter <= 0 {
+		t.SilentAfter = DefaultSilentAfter
+	}
+	d.cfg.Retries.Earn()
+	d.cfg.Hedges.Earn()
+	r := run{d: d, task: &t, state: statechart.Task.Initial()}
+	return r.do(ctx)
+}
+
+// run is the progress of one task.
+type run struct {
+	d        *Dispatcher
+	task     *Task
+	state    statechart.TaskState
+	tried    []string
+	attempts int
+	worst    *verdict.Error // the error with the least certain verdict so far
+}
+
+func (r *run) do(ctx context.Context) (target.Answer, error) {
+	place := r.task.First
+	for {
+		r.step(statechart.TaskOnPlaced)
+		r.tried = append(r.tried, place.Addr)
+		r.attempts++
+		a, err := r.attempt(ctx, place)
+		if r.step(r.eventOf(ctx, err)) != statechart.TaskDoRequeue {
+			return a, r.finalError(err)
+		}
+		var ok bool
+		if place, ok = r.again(ctx, err); !ok {
+			return target.Answer{}, r.finalError(err)
+		}
+	}
+}
+
+// attempt makes one attempt, hedged if the work allows it.
+func (r *run) attempt(ctx context.Context, p Place) (target.Answer, *verdict.Error) {
+	if r.task.Repeatable && r.task.HedgeAfter > 0 && r.task.Pick != nil {
+		return r.hedged(ctx, p)
+	}
+	at := r.d.newAttempt(r.task, p)
+	return at.carryOut(ctx)
+}
+
+// step feeds an event to the task's chart.
+func (r *run) step(e statechart.TaskEvent) statechart.TaskAction {
+	next, action, _ := statechart.Task.Step(r.state, e)
+	r.state = next
+	return action
+}
+
+// eventOf tells what an attempt's end means for the task. Only a NotRun error
+// or repeatable work leads back to the queue.
+func (r *run) eventOf(ctx context.Context, err *verdict.Error) statechart.TaskEvent {
+	switch {
+	case err == nil:
+		return statechart.TaskOnAnswered
+	case err.Verdict == verdict.NotRun:
+		return statechart.TaskOnProvedNotRun
+	case r.task.Repeatable && ctx.Err() == nil:
+		return statechart.TaskOnRepeated
+	case err.Verdict == verdict.Failed:
+		return statechart.TaskOnFailed
+	}
+	return statechart.TaskOnLost
+}
+
+// again waits for the retry budget and picks another target.
+func (r *run) again(ctx context.Context, err *verdict.Error) (Place, bool) {
+	r.note(err)
+	if r.attempts >= r.d.cfg.MaxAttempts || r.task.Pick == nil || !worthRetry(err) {
+		return Place{}, false
+	}
+	if !r.budget(ctx, err) {
+		return Place{}, false
+	}
+	if !r.d.pause.wait(ctx, r.attempts-1) {
+		return Place{}, false
+	}
+	p, ok := r.task.Pick(r.tried)
+	if ok {
+		r.d.cfg.Metrics.Count(metrics.Retried, err.Reason)
+	}
+	return p, ok
+}
+
+// budget takes a token for a retry. A task that provably did not run may wait
+// for one; repeatable work that did run somewhere may not, as its repetition
+// adds load.
+func (r *run) budget(ctx context.Context, err *verdict.Error) bool {
+	for n := range budgetTries {
+		if r.d.cfg.Retries.Take() {
+			return true
+		}
+		if n == 0 {
+			r.d.cfg.Metrics.Count(metrics.Withheld, verdict.RetryBudget)
+		}
+		if err.Verdict != verdict.NotRun || !r.d.pause.wait(ctx, n) {
+			return false
+		}
+	}
+	return false
+}
+
+// worthRetry reports whether another target could do better.
+func worthRetry(err *verdict.Error) bool {
+	switch err.Reason {
+	case verdict.LeaseLapsed, verdict.Cancelled, verdict.Timeout, verdict.Draining, verdict.BadRequest:
+		return false
+	}
+	return true
+}
+
+// note keeps the error that says most about the whole task: after an attempt
+// that may have run, a later NotRun is no proof for the task.
+func (r *run) note(err *verdict.Error) {
+	if r.worst == nil || certainty(err.Verdict) <= certainty(r.worst.Verdict) {
+		r.worst = err
+	}
+}
+
+// certainty orders verdicts: a task is NotRun only if all attempts were.
+func certainty(v verdict.Verdict) int {
+	switch v {
+	case verdict.MayHaveRun:
+		return 0
+	case verdict.Failed:
+		return 1
+	}
+	return 2
+}
+
+// finalError returns the error of the whole task, nil for a nil err.
+func (r *run) finalError(err *verdict.Error) error {
+	if err == nil {
+		return nil
+	}
+	r.note(err)
+	return r.worst
+}
--- /dev/null
+++ b/internal/dispatch/dispatch_test.go
@@ -0,0 +1,336 @@
+package dispatch
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"currantstall/internal/key"
+	"currantstall/internal/structs"
+	"currantstall/internal/target"
+	"currantstall/internal/verdict"
+)
+
+// fate is what happens to one start on its way.
+type fate int
+
+const (
+	fateAnswered     fate = iota // runs, the answer arrives
+	fateDialFailed               // not sent
+	fateRefused                  // the target says not run
+	fateTaskFailed               // runs and fails
+	fateLostBefore               // the connection breaks, the start is lost
+	fateLostAfter                // runs, the connection breaks before the answer
+	fateDelayed                  // the connection breaks, the start arrives later
+	fateSilentBefore             // silence, the start is lost
+	fateSilentAfter              // silence, the task runs and ends
+	fateSilentLate               // silence, the start arrives later
+	fates
+)
+
+// model is a set of targets that suffer a drawn list of fates. It knows the
+// truth: how often each task was really started.
+type model struct {
+	mu       sync.Mutex
+	t        *rapid.T
+	fates    []fate
+	lookups  []bool // whether a look-up gets through
+	restarts []bool // whether the target restarts before a look-up
+	targets  map[string]*modelTarget
+	starts   map[int]int // by task
+	sends    int
+}
+
+// modelTarget is one target in the model.
+type modelTarget struct {
+	instance int
+	ended    map[int]error // nil error: completed
+	fenced   map[int]bool
+	delayed  []delayedStart
+}
+
+type delayedStart struct {
+	task, instance int
+	leased         bool
+}
+
+func (m *model) target(addr string) *modelTarget {
+	if m.targets[addr] == nil {
+		m.targets[addr] = &modelTarget{ended: map[int]error{}, fenced: map[int]bool{}}
+	}
+	return m.targets[addr]
+}
+
+// start lets a start reach a target, which runs it unless it is barred.
+func (m *model) start(g *modelTarget, s delayedStart, end error) bool {
+	if s.leased && (g.fenced[s.task] || s.instance != g.instance) {
+		return false
+	}
+	m.starts[s.task]++
+	g.ended[s.task] = end
+	return true
+}
+
+// deliver lets the delayed starts arrive.
+func (m *model) deliver(g *modelTarget) {
+	for _, s := range g.delayed {
+		m.start(g, s, nil)
+	}
+	g.delayed = nil
+}
+
+var errTask = verdict.New(verdict.Failed, verdict.TaskFailed, "failed")
+
+func answerOf(k key.Key, task int) target.Answer {
+	return target.Answer{Body: fmt.Appendf(nil, "%v/%d", k, task)}
+}
+
+// Run implements target.Runner.
+func (m *model) Run(ctx context.Context, addr string, s target.Start) (target.Answer, error) {
+	if ctx.Err() != nil {
+		return target.Answer{}, verdict.New(verdict.NotRun, verdict.Cancelled, "not sent")
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	g := m.target(addr)
+	f := fateAnswered
+	if m.sends < len(m.fates) {
+		f = m.fates[m.sends]
+	}
+	m.sends++
+	sent := delayedStart{task: s.Task, instance: g.instance, leased: !s.NotAfter.IsZero()}
+	refused := verdict.New(verdict.NotRun, verdict.TargetRefused, "refused")
+	silent := false
+	switch f {
+	case fateAnswered:
+		if !m.start(g, sent, nil) {
+			return target.Answer{}, refused
+		}
+		return answerOf(s.Key, s.Task), nil
+	case fateDialFailed:
+		return target.Answer{}, verdict.New(verdict.NotRun, verdict.DialFailed, "dial")
+	case fateRefused:
+		return target.Answer{}, refused
+	case fateTaskFailed:
+		if !m.start(g, sent, errTask) {
+			return target.Answer{}, refused
+		}
+		return target.Answer{}, errTask
+	case fateLostAfter:
+		m.start(g, sent, nil)
+	case fateDelayed:
+		g.delayed = append(g.delayed, sent)
+	case fateSilentAfter:
+		m.start(g, sent, nil)
+		silent = true
+	case fateSilentLate:
+		g.delayed = append(g.delayed, sent)
+		silent = true
+	case fateSilentBefore:
+		silent = true
+	}
+	if !silent {
+		return target.Answer{}, verdict.New(verdict.MayHaveRun, verdict.TargetLost, "lost")
+	}
+	m.mu.Unlock()
+	<-ctx.Done()
+	m.mu.Lock()
+	return target.Answer{}, verdict.New(verdict.MayHaveRun, verdict.Cancelled, "silent")
+}
+
+// Instance implements Targets.
+func (m *model) Instance(_ context.Context, addr string) (string, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return fmt.Sprint(m.target(addr).instance), nil
+}
+
+// Lookup implements Targets.
+func (m *model) Lookup(_ context.Context, addr string, k key.Key, task int, ask target.Ask, _ time.Duration) (target.Status, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	g := m.target(addr)
+	if next(&m.restarts) {
+		m.targets[addr] = &modelTarget{instance: g.instance + 1, ended: map[int]error{}, fenced: map[int]bool{}, delayed: g.delayed}
+		g = m.targets[addr]
+	}
+	if !next(&m.lookups) {
+		return target.Status{}, verdict.New(verdict.MayHaveRun, verdict.TargetLost, "look-up lost")
+	}
+	st := target.Status{State: target.TaskUnknown, Instance: fmt.Sprint(g.instance)}
+	if end, ok := g.ended[task]; ok {
+		st.State, st.Err = target.TaskDone, end
+		if end == nil {
+			st.Answer = answerOf(k, task)
+		}
+		return st, nil
+	}
+	if ask != target.AskState {
+		g.fenced[task] = true
+		st.State = target.TaskFenced
+	}
+	return st, nil
+}
+
+// CloseIdle implements Targets.
+func (m *model) CloseIdle(string) {}
+
+// next takes the first of the drawn booleans, false when they are used up.
+func next(list *[]bool) bool {
+	if len(*list) == 0 {
+		return false
+	}
+	v := (*list)[0]
+	*list = (*list)[1:]
+	return v
+}
+
+func drawModel(t *rapid.T) *model {
+	m := &model{
+		t:       t,
+		targets: map[string]*modelTarget{},
+		starts:  map[int]int{},
+	}
+	m.fates = rapid.SliceOfN(rapid.Map(rapid.IntRange(0, int(fates)-1), func(n int) fate { return fate(n) }), 1, 12).Draw(t, "fates")
+	m.lookups = rapid.SliceOfN(rapid.Bool(), 0, 12).Draw(t, "lookups")
+	m.restarts = rapid.SliceOfN(rapid.Map(rapid.IntRange(0, 4), func(n int) bool { return n == 0 }), 0, 12).Draw(t, "restarts")
+	return m
+}
+
+// quick makes a dispatcher whose waits are short enough for many checks.
+func quick(m *model, retries, hedges *Budget) *Dispatcher {
+	d := New(Config{Targets: m, Retries: retries, Hedges: hedges, Seed: 7})
+	d.pause = newBackoff(time.Microsecond, 10*time.Microsecond, 1)
+	d.settle = newBackoff(time.Microsecond, 10*time.Microsecond, 2)
+	return d
+}
+
+func (m *model) pick(exclude []string) (Place, bool) {
+	return Place{Addr: fmt.Sprintf("target-%d", len(exclude)), Release: func() {}}, true
+}
+
+// Whatever happens on the way, a task that may not be repeated is started at
+// most once, a NotRun means that it never is, an answer is the task's own, and
+// retries and hedges stay within their budgets.
+func TestNoFaultBreaksThePromises(t *testing.T) {
+	k, err := key.New("rennes")
+	assert.NilError(t, err)
+	rapid.Check(t, func(t *rapid.T) {
+		m := drawModel(t)
+		repeatable := rapid.Bool().Draw(t, "repeatable")
+		tasks := rapid.IntRange(1, 4).Draw(t, "tasks")
+		retries, hedges := NewBudget(10), NewBudget(5)
+		retries.tokens = float64(rapid.IntRange(0, 3).Draw(t, "retries"))
+		hedges.tokens = float64(rapid.IntRange(0, 3).Draw(t, "hedges"))
+		allowed := int(retries.tokens + hedges.tokens + 0.15*float64(tasks))
+		d := quick(m, retries, hedges)
+		lapses := rapid.SliceOfN(rapid.Bool(), 0, 3).Draw(t, "lapses")
+		for task := range tasks {
+			released := 0
+			var mu sync.Mutex
+			release := func() { mu.Lock(); released++; mu.Unlock() }
+			picked := 1
+			dt := Task{
+				Start:       target.Start{Key: k, Task: task},
+				Repeatable:  repeatable,
+				First:       Place{Addr: "target-0", Release: release},
+				SilentAfter: 50 * time.Microsecond,
+				HedgeAfter:  20 * time.Microsecond,
+				Pick: func(exclude []string) (Place, bool) {
+					mu.Lock()
+					picked++
+					mu.Unlock()
+					p, ok := m.pick(exclude)
+					p.Release = release
+					return p, ok
+				},
+			}
+			dt.MayStart = func() (time.Time, error) {
+				if next(&lapses) {
+					return time.Time{}, verdict.New(verdict.NotRun, verdict.LeaseLapsed, "lapsed")
+				}
+				return time.Now().Add(time.Minute), nil
+			}
+			a, err := d.Do(context.Background(), dt)
+			d.Close()
+			m.check(t, dt, a, err)
+			if released != picked {
+				t.Fatalf("%d places released, %d taken", released, picked)
+			}
+		}
+		if m.sends > tasks+allowed {
+			t.Fatalf("%d sends for %d tasks and a budget of %d", m.sends, tasks, allowed)
+		}
+	})
+}
+
+// check compares an outcome with the truth, after all delayed starts arrived.
+func (m *model) check(t *rapid.T, dt Task, a target.Answer, err error) {
+	for _, g := range m.targets {
+		m.deliver(g)
+	}
+	n := m.starts[dt.Start.Task]
+	if !dt.Repeatable && n > 1 {
+		t.Fatalf("task %d was started %d times", dt.Start.Task, n)
+	}
+	if err == nil {
+		if want := answerOf(dt.Start.Key, dt.Start.Task); string(a.Body) != string(want.Body) {
+			t.Fatalf("answer %s, want %s", a.Body, want.Body)
+		}
+		return
+	}
+	if verdict.Of(err).Verdict == verdict.NotRun && n > 0 {
+		t.Fatalf("%v, but it was started %d times", err, n)
+	}
+}
+
+func TestJobIsCompleteOrFailed(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, structs.MaxTasks).Draw(t, "tasks")
+		limit := rapid.Int64Range(0, int64(10*n)).Draw(t, "limit")
+		memory := NewMemory(limit)
+		stops, lasts := 0, 0
+		j := NewJob(n, memory, func() { stops++ })
+		bad := rapid.Map(rapid.IntRange(0, 3*n), func(i int) int { return i }).Draw(t, "bad")
+		v := rapid.SampledFrom([]verdict.Verdict{verdict.NotRun, verdict.MayHaveRun, verdict.Failed}).Draw(t, "verdict")
+		for task := range n {
+			var err error
+			if task == bad {
+				err = verdict.New(v, verdict.TargetLost, "bad")
+			}
+			if j.Settle(task, []byte(fmt.Sprintf("%09d", task)), err) {
+				lasts++
+			}
+			j.Settle(task, []byte("again"), nil)
+			if memory.Used() > limit {
+				t.Fatalf("%d bytes held, limit %d", memory.Used(), limit)
+			}
+		}
+		o := j.Outcome()
+		fits := int64(9*n) <= limit
+		failed := bad < n || !fits
+		if lasts != 1 || (stops == 1) != failed || (o.Verdict == verdict.Completed) == failed {
+			t.Fatalf("last %d times, %d stops, failed %v, verdict %v", lasts, stops, failed, o.Verdict)
+		}
+		if bad < n && n > 1 && v == verdict.NotRun && o.Verdict == verdict.NotRun {
+			t.Fatalf("the job ran in part, its verdict is %v", o.Verdict)
+		}
+		for task, a := range o.Answers {
+			if string(a) != fmt.Sprintf("%09d", task) {
+				t.Fatalf("answer %d is %q", task, a)
+			}
+		}
+		if failed && (len(o.Answers) > 0 || memory.Used() > 0) {
+			t.Fatalf("a failed job holds %d answers, %d bytes", len(o.Answers), memory.Used())
+		}
+		j.Free()
+		if memory.Used() != 0 {
+			t.Fatalf("%d bytes left", memory.Used())
+		}
+	})
+}
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -20,6 +20,9 @@
 	Hedged  = "hedged"  // second attempts started, by reason
 	Dropped = "dropped" // answers and messages dropped, by reason
 	Failed  = "failed"  // attempts that failed at a target, by reason
+
+	Withheld = "withheld"  // retries and hedges that the budget did not allow, by reason
+	LookedUp = "looked_up" // look-ups at targets, by reason
 )
 
 // Names of the counters of the links between entries. Messages and bytes
--- a/internal/standin/taskserver/handlers.go
+++ b/internal/standin/taskserver/handlers.go
@@ -66,7 +66,7 @@
 		return badRequest(c, err)
 	}
 	if s.Faults().ErrorFast {
-		s.countStart(r.id)
+		s.startAndFail(r)
 		return c.NoContent(http.StatusInternalServerError)
 	}
 	s.begin(r)
@@ -76,11 +76,15 @@
 	return s.answer(c, r)
 }
 
-// countStart counts a start that gets no proper answer.
-func (s *Server) countStart(id TaskID) {
+// startAndFail notes a task that started and failed at once.
+func (s *Server) startAndFail(r *record) {
 	s.mu.Lock()
-	s.starts[id]++
-	s.mu.Unlock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	s.records[r.id] = r
+	s.starts[r.id]++
+	r.started = now
+	r.end(verdict.Failed, []byte("failed at once"), now)
 }
 
 // await waits for the end of a task, up to limit if that is above 0. It
--- a/internal/statechart/task.go
+++ b/internal/statechart/task.go
@@ -18,6 +18,7 @@
 		TaskOnFailed:       "failed",
 		TaskOnLost:         "lost",
 		TaskOnProvedNotRun: "proved_not_run",
+		TaskOnRepeated:     "repeated",
 		TaskOnCancelled:    "cancelled",
 		TaskOnExpired:      "expired",
 	},
@@ -59,6 +60,7 @@
 	TaskOnFailed
 	TaskOnLost
 	TaskOnProvedNotRun
+	TaskOnRepeated
 	TaskOnCancelled
 	TaskOnExpired
 )
--- a/internal/target/control.go
+++ b/internal/target/control.go
@@ -47,15 +47,15 @@
 	return e.lookup(ctx, k, task, ask, wait)
 }
 
-// Instance returns the run of the target that starts are meant for now, or ""
-// before its first answer.
-func (p *Pool) Instance(addr string) string {
+// Instance returns the run of the target that leased starts are meant for from
+// now on. It asks the target at the first contact; the error is NotRun.
+func (p *Pool) Instance(ctx context.Context, addr string) (string, error) {
 	e, err := p.endpoint(addr)
 	if err != nil {
-		return ""
+		return "", err
 	}
-	c, _ := e.clock.at(time.Now())
-	return c.Instance
+	c, err := e.clockAt(ctx, time.Now())
+	return c.Instance, err
 }
 
 func (e *endpoint) lookup(ctx context.Context, k key.Key, task int, ask Ask, wait time.Duration) (Status, error) {
--- a/internal/target/health.go
+++ b/internal/target/health.go
@@ -37,7 +37,8 @@
 	Overdue
 )
 
-// EvidenceOf tells what the error of Runner.Run says about the target.
+// EvidenceOf tells what the error of Runner.Run says about the target. A silent
+// connection says nothing about it, if it answers over another one.
 func EvidenceOf(err error) Evidence {
 	if err == nil {
 		return Succeeded
@@ -45,7 +46,7 @@
 	switch verdict.Of(err).Reason {
 	case verdict.TaskFailed:
 		return TaskFailed
-	case verdict.DialFailed, verdict.TargetLost, verdict.TargetError, verdict.TargetSilent,
+	case verdict.DialFailed, verdict.TargetLost, verdict.TargetError,
 		verdict.TruncatedAnswer, verdict.MismatchedAnswer:
 		return Broken
 	case verdict.Timeout:
--- a/internal/target/pool_test.go
+++ b/internal/target/pool_test.go
@@ -198,12 +198,14 @@
 	assert.NilError(t, err)
 	fence, err := p.Lookup(t.Context(), r.Addr(), s.Key, s.Task, target.AskFence, 0)
 	assert.NilError(t, err)
-	_, err = p.Run(t.Context(), r.Addr(), s)
+	_, refused := p.Run(t.Context(), r.Addr(), s)
 
 	assert.Equal(t, before.State, target.TaskUnknown)
 	assert.Equal(t, fence.State, target.TaskFenced)
-	assert.Equal(t, fence.Instance, p.Instance(r.Addr()))
-	assert.Equal(t, verdict.Of(err).Verdict, verdict.NotRun)
+	instance, err := p.Instance(t.Context(), r.Addr())
+	assert.NilError(t, err)
+	assert.Equal(t, fence.Instance, instance)
+	assert.Equal(t, verdict.Of(refused).Verdict, verdict.NotRun)
 	assert.Equal(t, len(r.Starts()), 0)
 }
 
--- a/internal/target/run.go
+++ b/internal/target/run.go
@@ -77,12 +77,17 @@
 	return req, nil
 }
 
-// notAfter tells the end of a lease in the target's clock, which it asks for
-// if it is not known yet; one asks for all. The error is NotRun.
+// notAfter tells the end of a lease in the target's clock. The error is NotRun.
 func (e *endpoint) notAfter(ctx context.Context, t time.Time) (Clock, error) {
 	if !time.Now().Before(t) {
 		return Clock{}, verdict.New(verdict.NotRun, verdict.LeaseLapsed, "the lease ended before the start")
 	}
+	return e.clockAt(ctx, t)
+}
+
+// clockAt tells a time in the target's clock, which it asks for if it is not
+// known yet; one asks for all. The error is NotRun.
+func (e *endpoint) clockAt(ctx context.Context, t time.Time) (Clock, error) {
 	if c, ok := e.clock.at(t); ok {
 		return c, nil
 	}
