--- /dev/null
+++ b/internal/target/bench_test.go
@@ -0,0 +1,23 @@
+package target
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// BenchmarkObserve shows that an observation costs the same for few targets and
+// for as many workers as a large site has.
+func BenchmarkObserve(b *testing.B) {
+	for _, n := range []int{50, 19_000} {
+		b.Run(fmt.Sprintf("targets=%d", n), func(b *testing.B) {
+			tr, addrs := trackerOf(n)
+			i := 0
+			b.ReportAllocs()
+			for b.Loop() {
+				i++
+				tr.Observe(addrs[i%n], Succeeded, 50*time.Millisecond, "unlock", testStart)
+			}
+		})
+	}
+}
