Settings of an entry as a kong struct with checks

The advertised address is demanded where the listening one names no host to dial; hosts are IP numbers, as the processes are told.

--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,208 @@
+// Package settings declares the settings of the processes as kong structs:
+// flags with environment variables, units and defaults in the help text, and
+// checks that name each fault in one line. It provisions nothing.
+package settings
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/url"
+	"os"
+	"strings"
+	"time"
+
+	"currantstall/internal/admission"
+	"currantstall/internal/key"
+	"currantstall/internal/peer"
+)
+
+// Bounds of the settings.
+const (
+	minLease = 500 * time.Millisecond
+	maxLease = time.Minute
+	mib      = 1 << 20 // bytes
+)
+
+// Entry holds the settings of an entry. Parse it with kong, which calls
+// Validate.
+type Entry struct {
+	VM            string `name:"vm" required:"" placeholder:"NAME" help:"Name of this VM, unique among all entries: 1 to 32 of a-z, 0-9, '-', '_' and '.'."`
+	DC            string `name:"data-centre" required:"" placeholder:"NAME" help:"Data centre of this VM."`
+	Listen        string `default:"127.0.0.1:7400" placeholder:"HOST:PORT" help:"Address to listen on for callers and operators; port 0 takes a free one."`
+	PeerListen    string `default:"127.0.0.1:7401" placeholder:"HOST:PORT" help:"Address to listen on for other entries; port 0 takes a free one."`
+	PeerAdvertise string `placeholder:"HOST:PORT" help:"Address that other entries dial. Default: the address listened on."`
+	Platform      string `required:"" placeholder:"URL" help:"Base URL of the platform's service, http://HOST:PORT."`
+
+	PeerSecret     string `placeholder:"TEXT" help:"Secret shared by all entries, 16 bytes or more. Prefer the variable or the file to the flag, which shows in process lists."`
+	PeerSecretFile string `placeholder:"PATH" help:"File that holds the secret; white space at its ends does not count."`
+
+	WritesPerSecond float64       `default:"21" help:"Budget of this entry for writes to the platform, in writes a second: the deployment's budget (150 by default) divided by its entries."`
+	Lease           time.Duration `default:"3s" help:"How long a member may start work without renewal, 500ms to 1m. A dead entry's share of the keys is refused for about that long."`
+	DrainTimeout    time.Duration `default:"30s" help:"How long a planned stop waits for running work."`
+
+	BodyMiB        int64  `name:"body-mib" default:"256" help:"Memory for request bodies in flight, in MiB."`
+	AnswerMiB      int64  `name:"answer-mib" default:"64" help:"Memory for the answers of one job, in MiB."`
+	KeptAnswersMiB int64  `name:"kept-answers-mib" default:"128" help:"Memory for answers kept for resubmissions, in MiB."`
+	PeerQueueMiB   int64  `name:"peer-queue-mib" default:"32" help:"Memory for messages that wait for one peer, in MiB."`
+	Policy         string `default:"shares" enum:"shares,fifo,take_turns" help:"Order of the queue: shares (guaranteed shares, urgency, quotas); fifo and take_turns are baselines for measurements."`
+
+	Logging
+}
+
+// Logging holds the settings of the log, which goes to the standard error.
+type Logging struct {
+	LogLevel  string `default:"info" enum:"debug,info,warn,error" help:"Least level to log: debug, info, warn or error."`
+	LogFormat string `default:"text" enum:"text,json" help:"Form of the log: text or json."`
+}
+
+// Validate reports every wrong value, one line each.
+func (e *Entry) Validate() error {
+	return errors.Join(
+		checkName("vm", e.VM),
+		checkName("data-centre", e.DC),
+		checkAddr("listen", e.Listen, true),
+		checkAddr("peer-listen", e.PeerListen, true),
+		e.checkAdvertise(),
+		checkURL("platform", e.Platform),
+		e.checkSecret(),
+		checkPositive("writes-per-second", e.WritesPerSecond),
+		checkRange("lease", e.Lease, minLease, maxLease),
+		checkPositive("drain-timeout", e.DrainTimeout),
+		checkPositive("body-mib", e.BodyMiB),
+		checkPositive("answer-mib", e.AnswerMiB),
+		checkPositive("kept-answers-mib", e.KeptAnswersMiB),
+		checkPositive("peer-queue-mib", e.PeerQueueMiB),
+	)
+}
+
+// Secret returns the shared secret, from the flag, the variable or the file.
+func (e *Entry) Secret() ([]byte, error) {
+	if (e.PeerSecret == "") == (e.PeerSecretFile == "") {
+		return nil, errors.New("--peer-secret or --peer-secret-file: give exactly one of them")
+	}
+	secret := []byte(e.PeerSecret)
+	if e.PeerSecretFile != "" {
+		b, err := os.ReadFile(e.PeerSecretFile)
+		if err != nil {
+			return nil, fmt.Errorf("--peer-secret-file: %w", err)
+		}
+		secret = []byte(strings.TrimSpace(string(b)))
+	}
+	if len(secret) < peer.MinSecret {
+		return nil, fmt.Errorf("--peer-secret: has %d bytes, want %d or more", len(secret), peer.MinSecret)
+	}
+	return secret, nil
+}
+
+// AdmissionPolicy returns the order of the queue.
+func (e *Entry) AdmissionPolicy() admission.Policy {
+	switch e.Policy {
+	case "fifo":
+		return admission.FIFO
+	case "take_turns":
+		return admission.TakeTurns
+	}
+	return admission.Shares
+}
+
+// BodyBytes returns BodyMiB in bytes.
+func (e *Entry) BodyBytes() int64 { return e.BodyMiB * mib }
+
+// AnswerBytes returns AnswerMiB in bytes.
+func (e *Entry) AnswerBytes() int64 { return e.AnswerMiB * mib }
+
+// KeptBytes returns KeptAnswersMiB in bytes.
+func (e *Entry) KeptBytes() int { return int(e.KeptAnswersMiB * mib) }
+
+// PeerQueueBytes returns PeerQueueMiB in bytes.
+func (e *Entry) PeerQueueBytes() int { return int(e.PeerQueueMiB * mib) }
+
+// Logger returns a logger of the set level and form that writes to w.
+func (l *Logging) Logger(w io.Writer) *slog.Logger {
+	var level slog.Level
+	if err := level.UnmarshalText([]byte(l.LogLevel)); err != nil {
+		level = slog.LevelInfo
+	}
+	opts := &slog.HandlerOptions{Level: level}
+	if l.LogFormat == "json" {
+		return slog.New(slog.NewJSONHandler(w, opts))
+	}
+	return slog.New(slog.NewTextHandler(w, opts))
+}
+
+// checkAdvertise demands an address that peers can dial: the advertised one,
+// or a listening address with a host.
+func (e *Entry) checkAdvertise() error {
+	if e.PeerAdvertise != "" {
+		return checkAddr("peer-advertise", e.PeerAdvertise, false)
+	}
+	host, _, err := net.SplitHostPort(e.PeerListen)
+	if err != nil {
+		return nil // reported for peer-listen
+	}
+	if ip := net.ParseIP(host); host == "" || (ip != nil && ip.IsUnspecified()) {
+		return fmt.Errorf("--peer-advertise: is needed, since --peer-listen %q names no host that peers can dial", e.PeerListen)
+	}
+	return nil
+}
+
+func (e *Entry) checkSecret() error {
+	_, err := e.Secret()
+	return err
+}
+
+func checkName(flag, v string) error {
+	if !key.ValidName(v) {
+		return fmt.Errorf("--%s: %.40q is no name: 1 to 32 of a-z, 0-9, '-', '_' and '.'", flag, v)
+	}
+	return nil
+}
+
+// checkAddr demands host:port with a number for the port, and for the host an
+// IP address, or nothing where one listens.
+func checkAddr(flag, v string, listens bool) error {
+	host, port, err := net.SplitHostPort(v)
+	if err != nil {
+		return fmt.Errorf("--%s: %.80q is not HOST:PORT", flag, v)
+	}
+	n, err := net.LookupPort("tcp", port)
+	if err != nil || port == "" || (n == 0 && !listens) {
+		return fmt.Errorf("--%s: %.80q has no valid port", flag, v)
+	}
+	if host == "" && listens {
+		return nil
+	}
+	ip := net.ParseIP(host)
+	if ip == nil && host != "localhost" {
+		return fmt.Errorf("--%s: %.80q names its host by no IP number", flag, v)
+	}
+	if !listens && ip != nil && ip.IsUnspecified() {
+		return fmt.Errorf("--%s: %.80q can't be dialled", flag, v)
+	}
+	return nil
+}
+
+func checkURL(flag, v string) error {
+	u, err := url.Parse(v)
+	if err != nil || (u.Scheme != "http" && u.Scheme != "https") || u.Host == "" {
+		return fmt.Errorf("--%s: %.80q is not http://HOST:PORT", flag, v)
+	}
+	return nil
+}
+
+func checkPositive[T int64 | float64 | time.Duration](flag string, v T) error {
+	if v <= 0 {
+		return fmt.Errorf("--%s: is %v, want more than 0", flag, v)
+	}
+	return nil
+}
+
+func checkRange(flag string, v, low, high time.Duration) error {
+	if v < low || v > high {
+		return fmt.Errorf("--%s: is %v, want %v to %v", flag, v, low, high)
+	}
+	return nil
+}
