--- a/internal/admission/flow.go
+++ b/internal/admission/flow.go
@@ -2,7 +2,6 @@
 
 // flow is the queue of one team within one kind, first in first out.
 type flow struct {
-	team   string
 	weight float64
 	// start is the virtual start time of the head: each unit of the flow
 	// takes 1/weight of virtual time.
--- a/internal/admission/kind.go
+++ b/internal/admission/kind.go
@@ -12,25 +12,30 @@
 // remembered.
 const arrivalMemory = 30 * time.Second
 
+// usualInterval is how often the usual use of a kind is computed.
+const usualInterval = 100 * time.Millisecond
+
 // kind is the queue and the accounts of one kind.
 type kind struct {
-	name     string
-	urgency  int
-	share    float64 // guaranteed part of the capacity, at least minShare
-	removed  bool    // no longer in the manifest
-	service  *estimate.Service
-	flows    map[string]*flow
-	active   flowHeap
-	weights  float64 // sum of the weights of the active flows
-	virtual  float64 // virtual time: start of the last unit served
-	running  int
-	queued   int
-	refused  uint64  // the round of Next in which there was no room
-	arrivals float64 // decayed number of arrivals
-	arrived  time.Time
-	turn     uint64  // of the last start, in starts of the queue
-	credit   float64 // slot time not used of the guarantee's fraction, ns
-	credited time.Time
+	name       string
+	urgency    int
+	share      float64 // guaranteed part of the capacity, at least minShare
+	removed    bool    // no longer in the manifest
+	service    *estimate.Service
+	flows      map[string]*flow
+	active     flowHeap
+	weights    float64 // sum of the weights of the active flows
+	virtual    float64 // virtual time: start of the last unit served
+	running    int
+	queued     int
+	refused    uint64  // the round of Next in which there was no room
+	arrivals   float64 // decayed number of arrivals
+	arrived    time.Time
+	turn       uint64 // of the last start, in starts of the queue
+	usualAt    time.Time
+	usualSlots float64
+	credit     float64 // slot time not used of the guarantee's fraction, ns
+	credited   time.Time
 }
 
 func newKind(m *manifest.Kind) *kind {
@@ -90,12 +95,23 @@
 	return k.arrivals * math.Exp(-float64(now.Sub(k.arrived))/float64(arrivalMemory))
 }
 
-// enqueue appends a node to the flow of its team.
-func (k *kind) enqueue(n *node, weight float64) {
-	f := k.flows[n.unit.Team]
+// usual returns the slots that the kind's usual arrivals keep busy, as of the
+// last usualInterval.
+func (k *kind) usual(now time.Time) float64 {
+	if now.Sub(k.usualAt) >= usualInterval {
+		perNanosecond := k.decayed(now) / float64(arrivalMemory)
+		k.usualSlots = perNanosecond * float64(k.service.Hold())
+		k.usualAt = now
+	}
+	return k.usualSlots
+}
+
+// enqueue appends a node to the flow of that name, its team's.
+func (k *kind) enqueue(n *node, name string, weight float64) {
+	f := k.flows[name]
 	if f == nil {
-		f = &flow{team: n.unit.Team, pos: -1}
-		k.flows[n.unit.Team] = f
+		f = &flow{pos: -1}
+		k.flows[name] = f
 	}
 	n.flow = f
 	f.pushBack(n)
--- a/internal/admission/offer.go
+++ b/internal/admission/offer.go
@@ -12,6 +12,10 @@
 	maxRetryAfter = 30 * time.Second
 	// farWait stands for a wait without an end.
 	farWait = time.Hour
+	// waitMargin is what a wait is taken to be longer than estimated: a
+	// unit that is refused at once can go elsewhere, one that expires in
+	// the queue has lost its time.
+	waitMargin = 1.25
 )
 
 // Offer queues the units of one job or request, all or none. They are of one
@@ -26,6 +30,7 @@
 	if k == nil || k.removed {
 		return refuse(verdict.UnknownKind, "the manifest has no such kind", 0)
 	}
+	q.now = now
 	k.noteArrivals(now, len(units))
 	t := q.teams[u.Team]
 	weight := 1.0
@@ -41,7 +46,10 @@
 			return refuse(verdict.QuotaExceeded, "the team is above its rate", delay)
 		}
 	}
-	lastStart := q.lastStart(now, k, u.Deadline)
+	lastStart := u.Deadline
+	if q.cfg.Policy == Shares {
+		lastStart = q.lastStart(now, k, u.Deadline)
+	}
 	for _, u := range units {
 		if u.Queued.IsZero() {
 			u.Queued = now
@@ -68,7 +76,7 @@
 	}
 	need := k.service.Low()
 	if wait > 0 {
-		need = wait + k.service.High()
+		need = time.Duration(waitMargin*float64(wait)) + k.service.High()
 	}
 	if need > left {
 		return refuse(verdict.DeadlineUnmeetable, "the answer would come after the deadline", need-left)
@@ -77,7 +85,7 @@
 }
 
 // lastStart returns the latest start that is still of use: one after which
-// nine of ten tasks would be in time, or, for work whose deadline is tighter
+// hardly any task would be late, or, for work whose deadline is tighter
 // than that anyway, one of ten.
 func (q *Queue) lastStart(now time.Time, k *kind, deadline time.Time) time.Time {
 	if at := deadline.Add(-k.service.High()); at.After(now) {
@@ -118,7 +126,8 @@
 
 // attainable returns the slots that the kind can expect to hold while it has a
 // backlog: its guarantee, or what the others leave. Less urgent kinds are
-// pushed back to their guarantee as their tasks end.
+// pushed back to their guarantee as their tasks end. What the others usually
+// use of their guarantees counts as used: a moment without them is not a trend.
 func (q *Queue) attainable(k *kind) float64 {
 	left := q.capacity - q.reserve(k)
 	for _, o := range q.kinds {
@@ -130,9 +139,8 @@
 		if o.urgency < k.urgency {
 			use = min(use, g)
 		}
-		if o.queued > 0 {
-			use = max(use, min(g, float64(o.running+o.queued)))
-		}
+		demand := max(float64(o.running+o.queued), o.usual(q.now))
+		use = max(use, min(g, demand))
 		left -= use
 	}
 	return max(k.guaranteed(q.capacity), left)
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -24,6 +24,7 @@
 	wheel  wheel
 	gone   []Unit // expired in Next, for the next Expire
 
+	now     time.Time // of the last call that told it
 	running int
 	queued  int
 	round   uint64
@@ -132,6 +133,7 @@
 // whether a target has a place for the unit; a kind for whose first unit there
 // is none is passed over. It returns false if nothing may start now.
 func (q *Queue) Next(now time.Time, room func(Unit) bool) (Unit, bool) {
+	q.now = now
 	q.round++
 	for q.queued > 0 && float64(q.running)+1 <= q.capacity {
 		k := q.choose(now)
@@ -139,7 +141,7 @@
 			break
 		}
 		n := k.first()
-		if q.cfg.Policy == Shares && n.lastStart < now.UnixNano() {
+		if n.lastStart < now.UnixNano() {
 			q.expire(n)
 			continue
 		}
@@ -222,6 +224,7 @@
 // Expire removes and returns the queued units that can no longer meet their
 // deadline. The rest of their groups stays; see CancelGroup.
 func (q *Queue) Expire(now time.Time) []Unit {
+	q.now = now
 	q.wheel.due(now.UnixNano(), q.expire)
 	gone := q.gone
 	q.gone = nil
@@ -258,7 +261,11 @@
 	}
 	q.groups[u.Group] = n
 	q.wheel.add(n)
-	k.enqueue(n, weight)
+	name := u.Team
+	if q.cfg.Policy != Shares {
+		name, weight = "", 1 // the baselines know no teams
+	}
+	k.enqueue(n, name, weight)
 	q.queued++
 }
 
--- a/internal/admission/queue_test.go
+++ b/internal/admission/queue_test.go
@@ -245,9 +245,7 @@
 		for _, k := range kinds {
 			offer(k.Name)
 		}
-		for k := range started {
-			started[k] = 0
-		}
+		clear(started)
 		// Slots end in a drawn order, but none is held for ever.
 		ends := rapid.SliceOfN(rapid.IntRange(0, slots-1), 4, 4).Draw(t, "ends")
 		step := run / time.Duration(slots)
--- a/internal/admission/share.go
+++ b/internal/admission/share.go
@@ -63,7 +63,7 @@
 	return best
 }
 
-// reserve returns the slots that spare work of kind k must leave free. Tasks
+// reserve returns the whole slots that spare work of kind k must leave free. Tasks
 // are not preempted, so without it a kind that is idle now would have to wait
 // for a completion first. A kind with queued work needs no reserve: it is
 // served before any spare work. One that found no room keeps its reserve.
@@ -75,7 +75,7 @@
 		}
 		sum += min(o.unused(q.capacity), q.headroom*o.guaranteed(q.capacity))
 	}
-	return sum
+	return math.Round(sum)
 }
 
 // chooseOldest returns the kind of the unit that came first.
--- /dev/null
+++ b/internal/admission/team_test.go
@@ -0,0 +1,197 @@
+package admission
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"currantstall/internal/manifest"
+	"currantstall/internal/verdict"
+)
+
+// While two teams of a kind have work, their starts differ from their weights
+// by one unit each at most, whatever other teams come and go.
+func TestTeamsShareByWeight(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		wa := rapid.Float64Range(0.1, 10).Draw(t, "weight a")
+		wb := rapid.Float64Range(0.1, 10).Draw(t, "weight b")
+		q := New(Config{})
+		q.Configure(epoch, []manifest.Kind{{Name: "k", Share: 1}}, []manifest.Team{{Name: "a", Weight: wa}, {Name: "b", Weight: wb}, {Name: "c"}}, manifest.Limits{})
+		q.SetCapacity(1)
+		id := uint64(0)
+		offer := func(team string, n int) {
+			for range n {
+				id++
+				assert.Assert(t, q.Offer(epoch, []Unit{{ID: id, Group: id, Kind: "k", Team: team, Deadline: epoch.Add(time.Hour)}}) == nil)
+			}
+		}
+		if rapid.Bool().Draw(t, "c before") {
+			offer("c", 5)
+		}
+		offer("a", 60)
+		offer("b", 60)
+		starts := map[string]float64{}
+		for range 50 {
+			if rapid.IntRange(0, 9).Draw(t, "c") == 0 {
+				offer("c", 1)
+			}
+			u, ok := q.Next(epoch, anyRoom)
+			assert.Assert(t, ok)
+			q.Finished(epoch, u.ID, time.Millisecond, true)
+			starts[u.Team]++
+			unfair := math.Abs(starts["a"]/wa - starts["b"]/wb)
+			assert.Assert(t, unfair <= 1/wa+1/wb+1e-9, "%v", starts)
+		}
+	})
+}
+
+// A team's admitted tasks stay within this entry's part of its rate and burst,
+// up to one job, and a job above the burst is not refused for ever.
+func TestQuotaBoundsARateOverTime(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		perSecond := rapid.Float64Range(1, 200).Draw(t, "rate")
+		burst := rapid.IntRange(1, 100).Draw(t, "burst")
+		fraction := rapid.SampledFrom([]float64{1, 0.5, 1.0 / 7}).Draw(t, "fraction")
+		q := New(Config{})
+		q.SetQuotaFraction(epoch, fraction)
+		q.Configure(epoch, []manifest.Kind{{Name: "k", Share: 1}}, []manifest.Team{{Name: "a", RatePerSecond: perSecond, Burst: burst}}, manifest.Limits{})
+		q.SetCapacity(1e6)
+		now, id, admitted, largest := epoch, uint64(0), 0, 0
+		for range 60 {
+			now = now.Add(time.Duration(rapid.IntRange(0, 300).Draw(t, "ms")) * time.Millisecond)
+			units := make([]Unit, rapid.IntRange(1, 50).Draw(t, "tasks"))
+			largest = max(largest, len(units))
+			for i := range units {
+				id++
+				units[i] = Unit{ID: id, Group: 1, Kind: "k", Team: "a", Deadline: now.Add(time.Hour)}
+			}
+			err := q.Offer(now, units)
+			if err == nil {
+				admitted += len(units)
+			} else {
+				assert.Equal(t, err.Reason, verdict.QuotaExceeded)
+				assert.Assert(t, err.RetryAfter > 0)
+			}
+			bound := perSecond*fraction*now.Sub(epoch).Seconds() + float64(burst)*fraction + 1 + float64(largest)
+			assert.Assert(t, float64(admitted) <= bound, "%d admitted, bound %.1f", admitted, bound)
+		}
+		now = now.Add(time.Hour)
+		assert.Assert(t, q.Offer(now, []Unit{{ID: id + 1, Group: 2, Kind: "k", Team: "a", Deadline: now.Add(time.Hour)}}) == nil)
+	})
+}
+
+func TestOfferRefusesEarlyWithAReason(t *testing.T) {
+	newQueue := func(slots float64) *Queue {
+		q := New(Config{MaxQueued: 200})
+		q.Configure(epoch, []manifest.Kind{{Name: "k", Share: 1, ServiceMS: 100}}, nil, manifest.Limits{})
+		q.SetCapacity(slots)
+		return q
+	}
+	job := func(kind string, n int, left time.Duration) []Unit {
+		units := make([]Unit, n)
+		for i := range units {
+			units[i] = Unit{ID: uint64(i + 1), Group: 1, Kind: kind, Team: "a", Deadline: epoch.Add(left)}
+		}
+		return units
+	}
+	for _, c := range []struct {
+		name  string
+		q     *Queue
+		units []Unit
+		want  verdict.Reason
+	}{
+		{"unknown kind", newQueue(1), job("x", 1, time.Minute), verdict.UnknownKind},
+		{"deadline passed", newQueue(1), job("k", 1, -1), verdict.DeadlinePassed},
+		{"shorter than the task", newQueue(1), job("k", 1, 50*time.Millisecond), verdict.DeadlineUnmeetable},
+		{"longer queue than the deadline", newQueue(1), job("k", 20, time.Second), verdict.DeadlineUnmeetable},
+		{"no capacity", newQueue(0), job("k", 1, time.Second), verdict.DeadlineUnmeetable},
+		{"full", newQueue(1), job("k", 201, time.Hour), verdict.QueueFull},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			err := c.q.Offer(epoch, c.units)
+			assert.Assert(t, err != nil)
+			assert.Equal(t, err.Reason, c.want)
+			assert.Equal(t, err.Verdict, verdict.NotRun)
+			queued, _ := c.q.Len()
+			assert.Equal(t, queued, 0)
+		})
+	}
+	assert.Assert(t, newQueue(20).Offer(epoch, job("k", 20, time.Second)) == nil)
+	peer := newQueue(0)
+	peer.SetPeerWait(time.Millisecond, true)
+	assert.Assert(t, peer.Offer(epoch, job("k", 1, time.Second)) == nil)
+}
+
+// loadedQueue has 30 kinds and 770 teams, each team with work in each kind.
+func loadedQueue(b *testing.B, units int) *Queue {
+	var kinds []manifest.Kind
+	for i := range 30 {
+		kinds = append(kinds, manifest.Kind{Name: fmt.Sprintf("kind%d", i), Share: 1.0 / 30, Urgency: i % 5, ServiceMS: 100})
+	}
+	var teams []manifest.Team
+	for i := range 770 {
+		teams = append(teams, manifest.Team{Name: fmt.Sprintf("team%d", i), Weight: float64(1 + i%3)})
+	}
+	q := New(Config{MaxQueued: 10_000_000})
+	q.Configure(epoch, kinds, teams, manifest.Limits{})
+	q.SetCapacity(1000)
+	for i := range units {
+		u := Unit{ID: uint64(i + 1), Group: uint64(i / 10), Kind: kinds[i%30].Name, Team: teams[i%770].Name, Deadline: epoch.Add(1000 * time.Hour)}
+		if err := q.Offer(epoch, []Unit{u}); err != nil {
+			b.Fatal(err)
+		}
+	}
+	return q
+}
+
+// BenchmarkStart is one offer, start and end with 100,000 queued.
+func BenchmarkStart(b *testing.B) {
+	q := loadedQueue(b, 100_000)
+	id := uint64(1_000_000)
+	units := make([]Unit, 1)
+	b.ReportAllocs()
+	for b.Loop() {
+		u, ok := q.Next(epoch, anyRoom)
+		if !ok {
+			b.Fatal("nothing to start")
+		}
+		q.Finished(epoch, u.ID, 100*time.Millisecond, true)
+		id++
+		units[0] = Unit{ID: id, Group: id, Kind: u.Kind, Team: u.Team, Deadline: u.Deadline}
+		if err := q.Offer(epoch, units); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+// BenchmarkRefuse is one offer refused for its deadline.
+func BenchmarkRefuse(b *testing.B) {
+	q := loadedQueue(b, 100_000)
+	units := []Unit{{ID: 1 << 40, Kind: "kind1", Team: "team1", Deadline: epoch.Add(time.Second)}}
+	b.ReportAllocs()
+	for b.Loop() {
+		if q.Offer(epoch, units) == nil {
+			b.Fatal("admitted")
+		}
+	}
+}
+
+// BenchmarkCancelWave cancels 100,000 queued units; the figure is the time of
+// the whole wave.
+func BenchmarkCancelWave(b *testing.B) {
+	for range b.N {
+		b.StopTimer()
+		q := loadedQueue(b, 100_000)
+		b.StartTimer()
+		for group := range 10_000 {
+			q.CancelGroup(uint64(group))
+		}
+		if queued, _ := q.Len(); queued != 0 {
+			b.Fatal("units are left")
+		}
+	}
+}
--- a/internal/admission/unit.go
+++ b/internal/admission/unit.go
@@ -33,7 +33,8 @@
 // Policy selects how the queue orders work.
 type Policy uint8
 
-// The policies. FIFO and TakeTurns are baselines for measurements only.
+// The policies. FIFO and TakeTurns are baselines for measurements only: they
+// drop a unit only once its deadline has passed.
 const (
 	// Shares is the policy of the product.
 	Shares Policy = iota
@@ -56,7 +57,7 @@
 const (
 	defaultMaxQueued = 100_000
 	// defaultHeadroomPercent of each kind's unused guarantee stays free.
-	defaultHeadroomPercent = 5
+	defaultHeadroomPercent = 2
 	// minShare is the part of the capacity that a kind is guaranteed though
 	// the manifest gives it less, so that none starves.
 	minShare = 0.005
--- a/internal/estimate/service.go
+++ b/internal/estimate/service.go
@@ -9,9 +9,11 @@
 	meanWeight = 1.0 / 64
 	// hedgeQuantile is where a second attempt starts to pay.
 	hedgeQuantile = 0.95
-	// hedgeMedians bounds the hedge delay in medians, so that a share of
-	// stragglers above 1-hedgeQuantile does not hide itself.
-	hedgeMedians = 4
+	// longQuantile is what hardly any task exceeds.
+	longQuantile = 0.98
+	// maxMedians bounds both in medians, so that a share of stragglers does
+	// not hide itself.
+	maxMedians = 4
 	// defaultService stands for a run time that was not declared.
 	defaultService = 100 * time.Millisecond
 )
@@ -24,8 +26,8 @@
 	hold     float64 // mean time that a task holds its slot, ns
 	p10      time.Duration
 	p50      time.Duration
-	p90      time.Duration
 	p95      time.Duration
+	p98      time.Duration
 }
 
 // NewService returns a Service that knows the declared run time; 0 stands for
@@ -61,14 +63,18 @@
 // Median returns the 50% quantile.
 func (s *Service) Median() time.Duration { s.refresh(); return s.p50 }
 
-// High returns the 90% quantile.
-func (s *Service) High() time.Duration { s.refresh(); return s.p90 }
+// High returns the 98% quantile, but not above four medians: hardly any task
+// on a sound target is slower.
+func (s *Service) High() time.Duration {
+	s.refresh()
+	return min(s.p98, maxMedians*s.p50)
+}
 
 // HedgeDelay returns the time after which a task is late for its kind: the
 // 95% quantile, but not above four medians.
 func (s *Service) HedgeDelay() time.Duration {
 	s.refresh()
-	return min(s.p95, hedgeMedians*s.p50)
+	return min(s.p95, maxMedians*s.p50)
 }
 
 // Quantile returns the run time that the part p (0 to 1) of the tasks does not
@@ -87,8 +93,8 @@
 	s.hist.stale = false
 	s.p10 = s.Quantile(0.10)
 	s.p50 = s.Quantile(0.50)
-	s.p90 = s.Quantile(0.90)
 	s.p95 = s.Quantile(hedgeQuantile)
+	s.p98 = s.Quantile(longQuantile)
 }
 
 func micros(d time.Duration) float64 { return float64(d) / float64(time.Microsecond) }
