Targets: a turn for each exchange, shares kept by the set, leaving announced at once

An exchange that waited for a connection within the share kept a dial waiting after it had got an idle connection, and that dial made a connection that nobody used. Now an exchange takes a turn first. A target without a limit of connections (a worker) has a share of 1024 in place of 30, which had bounded its tasks. The set applies the shares at each list.

--- a/internal/standin/taskserver/server.go
+++ b/internal/standin/taskserver/server.go
@@ -61,6 +61,7 @@
 	http     *http.Server
 	stop     context.CancelFunc
 	wg       sync.WaitGroup
+	news     chan struct{} // the target's line has changed
 
 	mu      sync.Mutex
 	exec    executor
@@ -95,6 +96,7 @@
 		exec:     executor{slots: cfg.VM.Slots, size: cfg.VM.Size, room: cfg.Queue},
 		records:  make(map[TaskID]*record),
 		starts:   make(map[TaskID]int),
+		news:     make(chan struct{}, 1),
 		rng:      rand.New(rand.NewPCG(cfg.Seed, cfg.Seed)),
 	}
 	s.timer = time.AfterFunc(math.MaxInt64, s.tick)
@@ -156,9 +158,13 @@
 	s.mu.Lock()
 	s.exec.advance(time.Now())
 	s.exec.straggle = f.Straggle
+	leaves := f.Leaving != s.faults.Leaving
 	s.faults = f
 	s.schedule()
 	s.mu.Unlock()
+	if leaves {
+		s.tell()
+	}
 	if f.Dead {
 		go s.Kill()
 	}
@@ -319,6 +325,8 @@
 			return
 		case <-sweep.C:
 			s.sweep(time.Now())
+		case <-s.news:
+			announce.Reset(s.announce(ctx))
 		case <-announce.C:
 			announce.Reset(s.announce(ctx))
 		}
@@ -338,12 +346,19 @@
 	return announceBeat
 }
 
+// tell has the platform's list told at once.
+func (s *Server) tell() {
+	select {
+	case s.news <- struct{}{}:
+	default:
+	}
+}
+
 // Leave marks the target as leaving, here and in the platform's list.
-func (s *Server) Leave(ctx context.Context) {
+func (s *Server) Leave() {
 	f := s.Faults()
 	f.Leaving, f.Silence = true, 0
 	s.SetFaults(f)
-	s.announce(ctx)
 }
 
 // sweep forgets what ended before the retention.
--- a/internal/target/control.go
+++ b/internal/target/control.go
@@ -59,6 +59,11 @@
 }
 
 func (e *endpoint) lookup(ctx context.Context, k key.Key, task int, ask Ask, wait time.Duration) (Status, error) {
+	done, err := e.control.turn(ctx)
+	if err != nil {
+		return Status{}, err
+	}
+	defer done()
 	method, path := http.MethodGet, TaskPath(k, task)
 	switch ask {
 	case AskFence:
@@ -99,6 +104,11 @@
 	if err != nil {
 		return Usage{}, err
 	}
+	done, err := e.control.turn(ctx)
+	if err != nil {
+		return Usage{}, err
+	}
+	defer done()
 	resp, err := e.call(ctx, http.MethodGet, PathUsage)
 	if err != nil {
 		return Usage{}, err
@@ -117,6 +127,11 @@
 // askClock reads the target's clock. The error is NotRun, as it is from before
 // the start.
 func (e *endpoint) askClock(ctx context.Context) error {
+	done, err := e.control.turn(ctx)
+	if err != nil {
+		return err
+	}
+	defer done()
 	resp, err := e.call(ctx, http.MethodGet, PathClock)
 	if err != nil {
 		r := verdict.Of(err).Reason
--- a/internal/target/exchange.go
+++ b/internal/target/exchange.go
@@ -54,6 +54,15 @@
 	return sent
 }
 
+// turn waits until the lane has room for an exchange. The returned function
+// gives the turn back once the answer is read. The error is NotRun.
+func (l *lane) turn(ctx context.Context) (func(), error) {
+	if err := l.turns.acquire(ctx); err != nil {
+		return nil, failure(ctx, err, false)
+	}
+	return l.turns.release, nil
+}
+
 // roundTrip sends a request once and returns the answer's head. It uses the
 // transport, not a client, so that no redirect is followed. The error is a
 // *verdict.Error.
--- /dev/null
+++ b/internal/target/list_test.go
@@ -0,0 +1,96 @@
+package target_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"currantstall/internal/platform"
+	"currantstall/internal/standin/platformd"
+	"currantstall/internal/standin/runner"
+	"currantstall/internal/standin/taskserver"
+	"currantstall/internal/target"
+)
+
+// A runner announces itself, is found through the list, and gets nothing new
+// once the list shows that it leaves. While the list is down the set stays.
+func TestTargetsAreFoundThroughThePlatform(t *testing.T) {
+	store := platformd.NewStore()
+	faults := platformd.DefaultFaults()
+	faults.ListLagMS = 50
+	store.SetFaults(faults)
+	r, err := runner.New(taskserver.Config{
+		VM:   platform.VM{Name: "runner-1", DC: "rennes"},
+		List: store,
+	})
+	assert.NilError(t, err)
+	t.Cleanup(r.Close)
+	tracker := target.NewTracker(target.TrackerConfig{})
+	set := target.NewSet(target.SetConfig{
+		List:    store,
+		DC:      "rennes",
+		Poll:    10 * time.Millisecond,
+		Tracker: tracker,
+		Pool:    newPool(t, target.PoolConfig{}),
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	var wg sync.WaitGroup
+	wg.Go(func() { set.Run(ctx) })
+	defer wg.Wait()
+	defer cancel()
+
+	poll(t, func() bool { return len(set.VMs()) == 1 })
+	assert.DeepEqual(t, set.VMs(), []platform.VM{r.VM()})
+	assert.Equal(t, tracker.Allowed(r.Addr(), time.Now()), target.Unlimited)
+
+	faults.Down = true
+	store.SetFaults(faults)
+	set.Poll(ctx)
+	set.Poll(ctx)
+	set.Poll(ctx)
+	assert.Equal(t, tracker.State(r.Addr(), time.Now()), target.Healthy)
+	faults.Down = false
+	store.SetFaults(faults)
+
+	r.Leave()
+	poll(t, func() bool { return tracker.State(r.Addr(), time.Now()) == target.Leaving })
+	assert.Equal(t, tracker.Allowed(r.Addr(), time.Now()), 0)
+}
+
+func TestUsageReportsOfOwnedTargetsArrive(t *testing.T) {
+	r := newRunner(t, platform.VM{})
+	other := newRunner(t, platform.VM{})
+	p := newPool(t, target.PoolConfig{})
+	var runs sync.WaitGroup
+	ctx, cancel := context.WithCancel(t.Context())
+	s := leased(newStart(t, `{"service_ms": 60000, "uses": {"milli_cpu": 2000}}`))
+	runs.Go(func() { _, _ = p.Run(ctx, r.Addr(), s) })
+	got := make(chan target.Usage, 1)
+	poller := target.UsagePoller{
+		Pool:  p,
+		Beat:  10 * time.Millisecond,
+		Owned: func() []string { return []string{r.Addr()} },
+		OnUsage: func(addr string, u target.Usage) {
+			assert.Check(t, addr == r.Addr())
+			if len(u.Tasks) > 0 {
+				select {
+				case got <- u:
+				default:
+				}
+			}
+		},
+	}
+	runs.Go(func() { poller.Run(ctx) })
+
+	u := <-got
+	cancel()
+	runs.Wait()
+
+	assert.Equal(t, u.Tasks[0].Key, s.Key)
+	assert.Equal(t, u.Used.MilliCPU, int64(2000))
+	_, accepted, _ := other.Conns()
+	assert.Equal(t, accepted, 0)
+}
--- a/internal/target/pool.go
+++ b/internal/target/pool.go
@@ -16,7 +16,8 @@
 
 // Defaults of PoolConfig.
 const (
-	DefaultShare       = 30 // connections to one target
+	DefaultShare       = 30   // connections to one target
+	UnlimitedShare     = 1024 // connections to one without a limit
 	DefaultIdleTimeout = 3 * time.Second
 	DefaultDialTimeout = time.Second
 	DefaultMaxAnswer   = 8 << 20 // bytes
@@ -94,10 +95,10 @@
 // hold: its owner half of them, each other entry an equal part of the rest, at
 // least controlConns+1. So two owners for a moment still stay within the
 // limit. A tenth is left over for connections that the target has not yet
-// noticed to be closed.
+// noticed to be closed. A maxConn of 0 stands for no limit.
 func ShareOf(maxConn, entries int, owner bool) int {
 	if maxConn <= 0 {
-		return DefaultShare
+		return UnlimitedShare
 	}
 	n := maxConn * 9 / 20
 	if !owner && entries > 1 {
@@ -196,7 +197,9 @@
 }
 
 func (e *endpoint) setShare(conns int) {
-	if e.tasks.gate.setLimit(max(conns-controlConns, 1)) {
+	n := max(conns-controlConns, 1)
+	e.tasks.turns.setLimit(n)
+	if e.tasks.gate.setLimit(n) {
 		e.tasks.transport.CloseIdleConnections()
 	}
 }
@@ -206,14 +209,17 @@
 	e.control.transport.CloseIdleConnections()
 }
 
-// lane is a bounded set of connections to one target.
+// lane is a bounded set of connections to one target. An exchange takes a turn
+// first: with fewer exchanges than connections none waits for a dial, which
+// net/http would carry on with after the exchange found another connection.
 type lane struct {
-	gate      *gate
+	turns     *gate // exchanges under way
+	gate      *gate // open connections
 	transport *http.Transport
 }
 
 func newLane(cfg *PoolConfig, conns int) *lane {
-	l := &lane{gate: newGate(conns)}
+	l := &lane{turns: newGate(conns), gate: newGate(conns)}
 	dialer := &net.Dialer{Timeout: cfg.DialTimeout}
 	l.transport = &http.Transport{
 		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
--- a/internal/target/pool_test.go
+++ b/internal/target/pool_test.go
@@ -176,8 +176,9 @@
 		})
 	}
 	wg.Wait()
-	_, _, rejected := r.Conns()
+	_, accepted, rejected := r.Conns()
 	assert.Equal(t, rejected, 0)
+	assert.Assert(t, accepted <= share, "%d connections were made", accepted)
 	assert.Assert(t, p.Conns(r.Addr()) <= share)
 }
 
--- a/internal/target/run.go
+++ b/internal/target/run.go
@@ -38,6 +38,11 @@
 }
 
 func (e *endpoint) run(ctx context.Context, s Start) (Answer, error) {
+	done, err := e.tasks.turn(ctx)
+	if err != nil {
+		return Answer{}, err
+	}
+	defer done()
 	req, err := e.startRequest(ctx, s)
 	if err != nil {
 		return Answer{}, err
--- a/internal/target/set.go
+++ b/internal/target/set.go
@@ -40,6 +40,10 @@
 	GoneAfter time.Duration
 	Tracker   *Tracker
 	Pool      *Pool
+	// Share returns how many connections to a target this entry may hold.
+	// It is asked for each target at each list. Nil stands for the share of
+	// an owner.
+	Share func(vm platform.VM) int
 	// OnList is called after each list that changed the set.
 	OnList func()
 	Log    *slog.Logger
@@ -72,6 +76,9 @@
 	if cfg.GoneAfter <= 0 {
 		cfg.GoneAfter = DefaultGoneAfter
 	}
+	if cfg.Share == nil {
+		cfg.Share = func(vm platform.VM) int { return ShareOf(vm.MaxConn, 1, true) }
+	}
 	if cfg.OnList == nil {
 		cfg.OnList = func() {}
 	}
@@ -147,6 +154,7 @@
 	back := l.missed > missedPolls
 	l.vm, l.missed, l.lastIn = vm, 0, now
 	s.cfg.Tracker.Add(vm.Addr, groupOf(vm), now)
+	s.cfg.Pool.SetShare(vm.Addr, s.cfg.Share(vm))
 	switch {
 	case vm.Leaving:
 		s.cfg.Tracker.Leave(vm.Addr, now)
