--- a/internal/manifest/manifest_test.go
+++ b/internal/manifest/manifest_test.go
@@ -171,3 +171,12 @@
 	assert.ErrorIs(t, err, platform.ErrUnavailable)
 	assert.Equal(t, verdict.Of(err).Verdict, verdict.NotRun)
 }
+
+func TestExamplesAreValid(t *testing.T) {
+	for _, name := range []string{"kelpfire", "office"} {
+		text, err := os.ReadFile("../../examples/" + name + ".yaml")
+		assert.NilError(t, err)
+		_, err = Decode(text)
+		assert.NilError(t, err, name)
+	}
+}
