--- /dev/null
+++ b/internal/journal/commit.go
@@ -0,0 +1,235 @@
+package journal
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/google/uuid"
+
+	"currantstall/internal/platform"
+	"currantstall/internal/wire"
+)
+
+// commitTimeout bounds one attempt to write a batch.
+const commitTimeout = 10 * time.Second
+
+// flight is the batch that is being written. Its entries and its identifier
+// stay the same until it is known to have taken effect, since a lost copy of
+// it may.
+type flight struct {
+	entries int    // at the front of pending
+	body    []byte // of the object, nil for an inline batch
+	row     batchRow
+}
+
+// Run commits batches until ctx ends.
+func (j *Journal) Run(ctx context.Context) {
+	for {
+		t := time.NewTimer(j.interval())
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			t.Stop()
+			return
+		}
+		if err := j.commitNext(ctx); err != nil {
+			j.scope.Counter("commit_failed").Inc(1)
+		}
+		j.reportLag()
+	}
+}
+
+// interval is the time between two batches. Each costs one or two writes.
+func (j *Journal) interval() time.Duration {
+	share := time.Duration(float64(j.cfg.Entries()) / j.cfg.WritesPerSecond * float64(time.Second))
+	return max(j.cfg.Interval, share)
+}
+
+// Flush returns nil once everything recorded before the call is in the
+// account, or an error if ctx ended first.
+func (j *Journal) Flush(ctx context.Context) error {
+	j.mu.Lock()
+	left := len(j.pending)
+	j.mu.Unlock()
+	for left > 0 {
+		n, err := j.commit(ctx)
+		if err != nil && ctx.Err() != nil {
+			return fmt.Errorf("flush journal, %d entries left: %w", left, err)
+		}
+		if err != nil {
+			sleep(ctx, j.cfg.Interval)
+		}
+		left -= n
+		if n == 0 && err == nil {
+			return nil // another commit has written them
+		}
+	}
+	return nil
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
+
+func (j *Journal) commitNext(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(platform.WithBackground(ctx), commitTimeout)
+	defer cancel()
+	_, err := j.commit(ctx)
+	return err
+}
+
+// commit writes the batch in flight, or cuts one, and returns the number of
+// entries that are now in the account.
+func (j *Journal) commit(ctx context.Context) (int, error) {
+	j.commitMu.Lock()
+	defer j.commitMu.Unlock()
+	if err := j.cut(); err != nil || j.flight == nil {
+		return 0, err
+	}
+	f := j.flight
+	if f.body != nil {
+		if err := j.cfg.Platform.PutObject(ctx, f.row.Object, f.body); err != nil {
+			return 0, fmt.Errorf("write journal object: %w", err)
+		}
+		f.body = nil
+	}
+	if err := j.append(ctx, f); err != nil {
+		return 0, err
+	}
+	j.flight = nil
+	j.retire(f)
+	return f.entries, nil
+}
+
+// cut makes a batch of what waits, unless one is in flight.
+func (j *Journal) cut() error {
+	if j.flight != nil {
+		return nil
+	}
+	j.mu.Lock()
+	entries := slices.Clone(j.pending[:min(len(j.pending), maxBatch)])
+	dropped := j.dropped
+	if len(entries) > 0 {
+		j.dropped = 0
+	}
+	j.mu.Unlock()
+	if len(entries) == 0 {
+		return nil
+	}
+	f, err := j.newFlight(entries, dropped)
+	if err != nil {
+		return err
+	}
+	j.flight = f
+	return nil
+}
+
+func (j *Journal) newFlight(entries []Entry, dropped int) (*flight, error) {
+	id := uuid.NewString()
+	f := &flight{entries: len(entries), row: batchRow{WriteID: id, Writer: j.cfg.Writer, Dropped: dropped}}
+	body, err := wire.Encode(entries)
+	if err != nil {
+		return nil, fmt.Errorf("encode journal batch: %w", err)
+	}
+	if len(body) > j.cfg.InlineBytes {
+		f.body = body
+		f.row.Object = objectPrefix + id
+		return f, nil
+	}
+	f.row.Entries = entries
+	return f, nil
+}
+
+// append writes the batch's row as the next of the log. A row that exists is
+// never replaced, so the row at a number settles whose batch it holds.
+func (j *Journal) append(ctx context.Context, f *flight) error {
+	for {
+		if j.next == 0 {
+			end, err := j.findEnd(ctx, j.cfg.DC, 0)
+			if err != nil {
+				return err
+			}
+			j.next = end + 1
+		}
+		err := j.putRow(ctx, f)
+		if err == nil {
+			j.next++
+			return nil
+		}
+		if !errors.Is(err, platform.ErrConflict) {
+			return err
+		}
+		mine, err := j.isMine(ctx, f)
+		if err != nil {
+			return err
+		}
+		if mine {
+			j.next++
+			return nil
+		}
+		end, err := j.findEnd(ctx, j.cfg.DC, j.next)
+		if err != nil {
+			return err
+		}
+		j.scope.Counter("append_conflict").Inc(1)
+		j.next = end + 1
+	}
+}
+
+func (j *Journal) putRow(ctx context.Context, f *flight) error {
+	k := rowKey(j.cfg.DC, j.next)
+	// The time is that of this attempt, so that the rows are nearly in order
+	// of time even if a batch waited through an outage.
+	f.row.WrittenMS = j.cfg.Now().UnixMilli()
+	value, err := wire.Encode(f.row)
+	if err != nil {
+		return fmt.Errorf("encode journal row: %w", err)
+	}
+	txn := platform.Txn{
+		Conditions: []platform.Condition{{Key: k}},
+		Puts:       []platform.Put{{Key: k, Value: value}},
+	}
+	err = platform.CommitReadBack(ctx, j.cfg.Platform, txn, func(row platform.Row) platform.Effect {
+		if b, err := decodeBatchRow(row); err == nil && b.WriteID == f.row.WriteID {
+			return platform.EffectTook
+		}
+		return platform.EffectNot
+	})
+	if err != nil {
+		return fmt.Errorf("append to journal: %w", err)
+	}
+	return nil
+}
+
+// isMine reports whether the row at the number tried holds this batch, by a
+// copy from an earlier commit.
+func (j *Journal) isMine(ctx context.Context, f *flight) (bool, error) {
+	row, err := j.cfg.Platform.Get(ctx, rowKey(j.cfg.DC, j.next))
+	if err != nil {
+		return false, fmt.Errorf("read journal row: %w", err)
+	}
+	b, err := decodeBatchRow(row)
+	return b.WriteID == f.row.WriteID, err
+}
+
+// retire takes the entries of a written batch off the front.
+func (j *Journal) retire(f *flight) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	for _, e := range j.pending[:f.entries] {
+		if j.waiting[e.Key]--; j.waiting[e.Key] == 0 {
+			delete(j.waiting, e.Key)
+		}
+	}
+	j.pending = slices.Delete(j.pending, 0, f.entries)
+	j.scope.Counter("batches").Inc(1)
+	j.scope.Counter("written").Inc(int64(f.entries))
+}
--- /dev/null
+++ b/internal/journal/journal.go
@@ -0,0 +1,198 @@
+// Package journal keeps the account: which key ran, with what outcome. Each
+// data centre has one log of batches in the platform's table; the entries of
+// the data centre append to it by group commit, in the background and within
+// the write budget. The log's order never changes.
+package journal
+
+import (
+	"sync"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"currantstall/internal/key"
+	"currantstall/internal/metrics"
+	"currantstall/internal/platform"
+	"currantstall/internal/structs"
+	"currantstall/internal/verdict"
+)
+
+// System names who ran a key.
+type System string
+
+// The two systems that share the account.
+const (
+	SystemNew System = "currantstall"
+	SystemOld System = "old"
+)
+
+// Entry is what the account holds of one key. Answers are not kept.
+type Entry struct {
+	Key     key.Key         `cbor:"1,keyasint"`
+	Verdict verdict.Verdict `cbor:"2,keyasint"`
+	Reason  verdict.Reason  `cbor:"3,keyasint,omitempty"`
+	System  System          `cbor:"4,keyasint,omitempty"` // empty stands for SystemNew
+	Digest  uint64          `cbor:"5,keyasint,omitempty"` // of the work, 0 if not known
+	Kind    string          `cbor:"6,keyasint,omitempty"`
+	Team    string          `cbor:"7,keyasint,omitempty"`
+	// AtMS is the time of the outcome, Unix time in ms; 0 stands for the
+	// time of Record.
+	AtMS int64 `cbor:"8,keyasint"`
+}
+
+// EntryOf returns the entry of a key's outcome.
+func EntryOf(k key.Key, o structs.Outcome) Entry {
+	e := Entry{Key: k, Verdict: o.Verdict, Reason: o.Reason, System: SystemNew}
+	if o.Reason == verdict.RanElsewhere {
+		e.System = SystemOld
+	}
+	return e
+}
+
+// At returns the time of the outcome.
+func (e Entry) At() time.Time { return time.UnixMilli(e.AtMS) }
+
+// settled reports whether the entry is the last word on its key. An outcome
+// may_have_run may still be replaced by a settled one; a key that the old
+// system claimed stays its own.
+func (e Entry) settled() bool {
+	return e.Verdict != verdict.MayHaveRun || e.System == SystemOld
+}
+
+// Defaults of Config.
+const (
+	DefaultInterval        = 200 * time.Millisecond
+	DefaultWritesPerSecond = 100
+	DefaultMaxPending      = 100_000
+	DefaultInlineBytes     = 64 << 10
+	DefaultSettleWindow    = time.Hour
+)
+
+// Config sets up a Journal. Zero values stand for the defaults.
+type Config struct {
+	Platform platform.Platform
+	DC       string
+	Writer   string // name of this VM
+	// Interval is the shortest time between two batches of this entry.
+	Interval time.Duration
+	// Entries returns the number of entries that write to the platform; nil
+	// stands for a few. The interval grows with it, so that all of them stay
+	// within WritesPerSecond.
+	Entries         func() int
+	WritesPerSecond float64
+	// MaxPending bounds the entries that wait for the platform. When it is
+	// reached, those that wait stay and new ones are dropped: they are counted
+	// and the next batch says how many are missing.
+	MaxPending int
+	// InlineBytes is the largest batch that is kept in its row. A larger one
+	// is an object that the row names.
+	InlineBytes int
+	// SettleWindow is the time after an outcome may_have_run within which a
+	// settled one is looked for.
+	SettleWindow time.Duration
+	// Now returns the time; nil stands for time.Now.
+	Now     func() time.Time
+	Metrics *metrics.Metrics // nil counts nowhere
+}
+
+func (cfg Config) withDefaults() Config {
+	if cfg.Interval <= 0 {
+		cfg.Interval = DefaultInterval
+	}
+	if cfg.Entries == nil {
+		cfg.Entries = func() int { return 1 }
+	}
+	if cfg.WritesPerSecond <= 0 {
+		cfg.WritesPerSecond = DefaultWritesPerSecond
+	}
+	if cfg.MaxPending <= 0 {
+		cfg.MaxPending = DefaultMaxPending
+	}
+	if cfg.InlineBytes <= 0 {
+		cfg.InlineBytes = DefaultInlineBytes
+	}
+	if cfg.SettleWindow <= 0 {
+		cfg.SettleWindow = DefaultSettleWindow
+	}
+	if cfg.Now == nil {
+		cfg.Now = time.Now
+	}
+	if cfg.Metrics == nil {
+		cfg.Metrics = metrics.NewNop()
+	}
+	return cfg
+}
+
+// Journal appends entries for one process and reads the account. It is safe
+// for concurrent use.
+type Journal struct {
+	cfg   Config
+	scope tally.Scope
+
+	mu      sync.Mutex
+	pending []Entry // oldest first; the batch in flight is its front
+	waiting map[key.Key]int
+	recent  recentKeys
+	dropped int // since the last batch was cut
+
+	commitMu sync.Mutex // held by the one commit in flight
+	flight   *flight
+	next     uint64 // sequence number to try next, 0 if not known
+
+	lookups lookupQueue
+}
+
+// New returns a Journal. Run starts the group commit.
+func New(cfg Config) *Journal {
+	cfg = cfg.withDefaults()
+	return &Journal{cfg: cfg, scope: cfg.Metrics.Scope().SubScope("journal"), waiting: map[key.Key]int{}}
+}
+
+// Record puts an entry into the account, in the background. It reports false
+// if the entry was dropped because too many wait for the platform. Of several
+// entries of a key the settled one counts; a repetition is ignored.
+func (j *Journal) Record(e Entry) bool {
+	if e.AtMS == 0 {
+		e.AtMS = j.cfg.Now().UnixMilli()
+	}
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if !j.recent.add(e) {
+		return true
+	}
+	if len(j.pending) >= j.cfg.MaxPending {
+		j.recent.forget(e)
+		j.dropped++
+		j.scope.Counter("dropped").Inc(1)
+		return false
+	}
+	j.pending = append(j.pending, e)
+	j.waiting[e.Key]++
+	j.scope.Counter("recorded").Inc(1)
+	return true
+}
+
+// Full reports whether the next Record would drop its entry. Work that must
+// stand in the account should then not be started.
+func (j *Journal) Full() bool {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return len(j.pending) >= j.cfg.MaxPending
+}
+
+// Lag returns the number of entries that wait for the platform and the age of
+// the oldest.
+func (j *Journal) Lag() (entries int, age time.Duration) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if len(j.pending) == 0 {
+		return 0, 0
+	}
+	return len(j.pending), j.cfg.Now().Sub(j.pending[0].At())
+}
+
+func (j *Journal) reportLag() {
+	n, age := j.Lag()
+	j.scope.Gauge("pending").Update(float64(n))
+	j.scope.Gauge("lag_seconds").Update(age.Seconds())
+}
--- /dev/null
+++ b/internal/journal/journal_test.go
@@ -0,0 +1,155 @@
+package journal
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"currantstall/internal/key"
+	"currantstall/internal/platform"
+	"currantstall/internal/standin/platformd"
+	"currantstall/internal/structs"
+	"currantstall/internal/verdict"
+)
+
+func TestMain(m *testing.M) {
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "2000", "rapid.nofailfile": "true"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	flag.Parse() // the command line goes before these
+	os.Exit(m.Run())
+}
+
+func newStore() *platformd.Store {
+	s := platformd.NewStore()
+	s.SetFaults(platformd.Faults{})
+	return s
+}
+
+func newKey(t assert.TestingT, dc string) key.Key {
+	k, err := key.New(dc)
+	assert.NilError(t, err)
+	return k
+}
+
+func completed(k key.Key) Entry { return EntryOf(k, structs.Outcome{Verdict: verdict.Completed}) }
+
+func holderLost(k key.Key) Entry {
+	return EntryOf(k, structs.Outcome{Verdict: verdict.MayHaveRun, Reason: verdict.HolderLost})
+}
+
+func TestALongLogIsReadAndSearchedInPages(t *testing.T) {
+	ctx := context.Background()
+	store := newStore()
+	j := New(Config{Platform: store, DC: "rennes", Writer: "vm-1"})
+	other := New(Config{Platform: store, DC: "vannes", Writer: "vm-2"})
+	var want []key.Key
+	for range 3*pageRows + 5 {
+		k := newKey(t, "rennes")
+		want = append(want, k)
+		assert.Assert(t, j.Record(completed(k)))
+		assert.NilError(t, j.Flush(ctx))
+	}
+	last := newKey(t, "vannes")
+	other.Record(completed(last))
+	assert.NilError(t, other.Flush(ctx))
+
+	page, err := New(Config{Platform: store, DC: "quimper"}).Read(ctx, "", 10_000)
+	assert.NilError(t, err)
+	var got []key.Key
+	for _, l := range page.Lines {
+		got = append(got, l.Entry.Key)
+	}
+	assert.DeepEqual(t, got, append(want, last))
+
+	reader := New(Config{Platform: store, DC: "rennes"})
+	before := store.Stats().TotalReads()
+	e, found, err := reader.Lookup(ctx, want[150])
+	assert.NilError(t, err)
+	assert.Assert(t, found && e.Verdict == verdict.Completed)
+	t.Logf("reads of one lookup in %d batches: %d", len(want), store.Stats().TotalReads()-before)
+	_, found, err = reader.Lookup(ctx, newKey(t, "rennes"))
+	assert.NilError(t, err)
+	assert.Assert(t, !found)
+
+	// A writer that was idle finds the end again.
+	late := newKey(t, "rennes")
+	reader.Record(completed(late))
+	assert.NilError(t, reader.Flush(ctx))
+	page, err = reader.Read(ctx, page.Next, 10)
+	assert.NilError(t, err)
+	assert.Equal(t, len(page.Lines), 1)
+	assert.Equal(t, page.Lines[0].Entry.Key, late)
+}
+
+func TestASearchByTimeSkipsOldBatches(t *testing.T) {
+	ctx := context.Background()
+	store := newStore()
+	now := time.Now().Add(-1000 * time.Hour)
+	j := New(Config{Platform: store, DC: "rennes", Now: func() time.Time { return now }})
+	for range 1000 {
+		k := newKey(t, "rennes")
+		j.Record(Entry{Key: k, Verdict: verdict.Failed})
+		assert.NilError(t, j.Flush(ctx))
+		now = now.Add(time.Hour)
+	}
+	before := store.Stats().TotalReads()
+	first, err := j.firstSince(ctx, "rennes", now.Add(-10*time.Hour-time.Minute).UnixMilli())
+	assert.NilError(t, err)
+	assert.Equal(t, first, uint64(991))
+	assert.Assert(t, store.Stats().TotalReads()-before < 40)
+}
+
+func TestAnOutageKeepsTheOldestAndCountsTheRest(t *testing.T) {
+	ctx := context.Background()
+	store := newStore()
+	store.SetFaults(platformd.Faults{Down: true})
+	j := New(Config{Platform: store, DC: "rennes", MaxPending: 3, Interval: time.Millisecond})
+	var keys []key.Key
+	for i := range 5 {
+		k := newKey(t, "rennes")
+		keys = append(keys, k)
+		assert.Equal(t, j.Record(completed(k)), i < 3)
+	}
+	assert.Assert(t, j.Full())
+	short, cancel := context.WithTimeout(ctx, 20*time.Millisecond)
+	defer cancel()
+	assert.ErrorIs(t, j.Flush(short), platform.ErrUnavailable)
+	n, _ := j.Lag()
+	assert.Equal(t, n, 3)
+
+	store.SetFaults(platformd.Faults{})
+	assert.NilError(t, j.Flush(ctx))
+	page, err := j.Read(ctx, "", 10)
+	assert.NilError(t, err)
+	assert.Equal(t, page.Missing, 2)
+	assert.Equal(t, len(page.Lines), 3)
+	assert.Equal(t, page.Lines[0].Entry.Key, keys[0])
+	assert.Assert(t, j.Record(completed(keys[4])), "a dropped key may be recorded again")
+}
+
+func TestTheOldSystemsClaimStandsAsItsOwn(t *testing.T) {
+	k := newKey(t, "rennes")
+	e := EntryOf(k, structs.Outcome{Verdict: verdict.MayHaveRun, Reason: verdict.RanElsewhere})
+	assert.Equal(t, e.System, SystemOld)
+	assert.Assert(t, e.settled())
+}
+
+func TestPositionsAreChecked(t *testing.T) {
+	j := New(Config{Platform: newStore(), DC: "rennes"})
+	for _, text := range []string{"x", "rennes:1", "rennes:a.b", "Rennes:1.0", "rennes:1.0,", "rennes:1.-1"} {
+		_, err := j.Read(context.Background(), text, 1)
+		assert.Equal(t, verdict.Of(err).Reason, verdict.BadRequest, text)
+	}
+	p := position{"a": {1, 2}, "b": {30, 0}}
+	back, err := parsePosition(p.String())
+	assert.NilError(t, err)
+	assert.Equal(t, fmt.Sprint(back), fmt.Sprint(p))
+}
