--- a/internal/journal/property_test.go
+++ b/internal/journal/property_test.go
@@ -93,8 +93,7 @@
 // writer is one run of an entry that writes to the account.
 type writer struct {
 	*Journal
-	own      []key.Key // that it may settle
-	recorded []Entry   // not yet known to be durable
+	recorded []Entry // not yet known to be durable
 }
 
 // account is the world of the property.
