Test that a cancelled start is not run only if nothing was sent

A connection that can't tell what it carried now counts as having carried the start; before, an unknown type of connection would have passed for a proof.

--- a/internal/target/exchange.go
+++ b/internal/target/exchange.go
@@ -15,8 +15,9 @@
 // exchange is one HTTP request to a target. It tracks the connections that
 // carried it, to tell whether any byte of it was sent.
 type exchange struct {
-	mu    sync.Mutex
-	conns []carrier
+	mu        sync.Mutex
+	conns     []carrier
+	untracked bool // a connection can't tell what it carried
 }
 
 // carrier is a connection and the count of its writes before the exchange.
@@ -29,13 +30,14 @@
 func (x *exchange) trace(ctx context.Context) context.Context {
 	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
+			x.mu.Lock()
+			defer x.mu.Unlock()
 			c, ok := info.Conn.(*sealConn)
 			if !ok {
+				x.untracked = true
 				return
 			}
-			x.mu.Lock()
 			x.conns = append(x.conns, carrier{c, c.noted()})
-			x.mu.Unlock()
 		},
 	})
 }
@@ -45,6 +47,7 @@
 func (x *exchange) abandon() (sent bool) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
+	sent = x.untracked
 	for _, c := range x.conns {
 		if c.conn.seal() != c.before {
 			sent = true
--- a/internal/target/pool_test.go
+++ b/internal/target/pool_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"net"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -260,3 +262,41 @@
 	}
 	t.Fatal("the condition never held")
 }
+
+// Starts are cut off at all moments between the dial and the answer. Whatever
+// is reported as not run was not started, also not later.
+func TestACancelledStartIsNotRunOnlyIfNothingWasSent(t *testing.T) {
+	const calls = 600
+	r := newRunner(t, platform.VM{Slots: calls, MaxConn: 100})
+	p := newPool(t, target.PoolConfig{Share: 20})
+	rng := rand.New(rand.NewPCG(5, 5))
+	body := `{"service_ms": 0.3, "pad": "` + strings.Repeat("x", 100_000) + `"}`
+	starts := make([]target.Start, calls)
+	errs := make([]error, calls)
+	var wg sync.WaitGroup
+	for i := range calls {
+		starts[i] = leased(newStart(t, body))
+		ctx, cancel := context.WithTimeout(t.Context(), time.Duration(rng.Int64N(int64(3*time.Millisecond))))
+		wg.Go(func() {
+			defer cancel()
+			_, errs[i] = p.Run(ctx, r.Addr(), starts[i])
+		})
+		if i%20 == 19 {
+			wg.Wait()
+		}
+	}
+	wg.Wait()
+	p.CloseIdle(r.Addr())
+	poll(t, func() bool {
+		open, _, _ := r.Conns()
+		return open == 0 && r.Running() == 0
+	})
+	notRun := 0
+	for i, err := range errs {
+		if err != nil && verdict.Of(err).Verdict == verdict.NotRun {
+			notRun++
+			assert.Check(t, r.Starts()[taskserver.TaskID{Key: starts[i].Key}] == 0, "%v", err)
+		}
+	}
+	t.Logf("%d of %d not run, %d started", notRun, calls, len(r.Starts()))
+}
