Engine and HTTP service: claim, queue, place, start, hand over, forward

Cause: the parts for queues, placement, targets and links had no owner that carries a request from its arrival to its outcome. Ruled out: answering the caller before the outcome is recorded. In the first run of the tests a resubmission right after the answer found no kept one and was answered may_have_run; the outcome is now recorded first.

--- /dev/null
+++ b/internal/api/requests.go
@@ -0,0 +1,173 @@
+package api
+
+import (
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/labstack/echo/v4"
+
+	"currantstall/internal/key"
+	"currantstall/internal/manifest"
+	"currantstall/internal/structs"
+	"currantstall/internal/verdict"
+)
+
+// Advice on when to submit again.
+const (
+	retryMemory   = 200 * time.Millisecond
+	retryNotReady = 500 * time.Millisecond
+)
+
+// RequestBody is the body of POST /v1/requests.
+type RequestBody struct {
+	Key  string          `json:"key,omitempty"` // minted by the entry if absent
+	Kind string          `json:"kind"`
+	Team string          `json:"team"`
+	Body json.RawMessage `json:"body"`
+	// DeadlineMS counts from the arrival of the request, in ms. Without it
+	// the kind's deadline applies.
+	DeadlineMS *int64 `json:"deadline_ms,omitempty"`
+}
+
+// AnswerBody is the answer to a completed request.
+type AnswerBody struct {
+	Key     string          `json:"key"`
+	Verdict verdict.Verdict `json:"verdict"`
+	Answer  json.RawMessage `json:"answer"`
+}
+
+func (s *server) postRequest(c echo.Context) error {
+	arrived := time.Now()
+	m := s.Manifests.Current()
+	limit := maxBody(m) + envelopeBytes
+	body, release, err := s.readBody(c, limit)
+	if err != nil {
+		return s.refuseUndecoded(c, body, err)
+	}
+	defer release()
+	var rb RequestBody
+	if err := decodeStrict(body, &rb); err != nil {
+		return s.refuseUndecoded(c, body, err)
+	}
+	w := &structs.Work{
+		Class: structs.Request,
+		Kind:  rb.Kind,
+		Team:  rb.Team,
+		Tasks: [][]byte{rb.Body},
+	}
+	if err := s.setKey(w, rb.Key); err != nil {
+		return s.writeError(c, key.Key{}, err)
+	}
+	if err := s.complete(m, w, arrived, rb.DeadlineMS); err != nil {
+		return s.refuseWork(c, w, err)
+	}
+	o := s.Engine.Do(c.Request().Context(), w)
+	if err := o.Err(); err != nil {
+		return s.writeError(c, w.Key, err)
+	}
+	c.Response().Header().Set(VerdictHeader, o.Verdict.String())
+	return c.JSON(http.StatusOK, AnswerBody{Key: w.Key.String(), Verdict: o.Verdict, Answer: rawJSON(o.Answers[0])})
+}
+
+// refuseWork answers a refusal of work that has its key.
+func (s *server) refuseWork(c echo.Context, w *structs.Work, err error) error {
+	if w.Fresh {
+		return s.writeError(c, w.Key, err)
+	}
+	return s.refuse(c, w.Key, err)
+}
+
+// setKey parses the caller's key, or mints one.
+func (s *server) setKey(w *structs.Work, text string) error {
+	if text == "" {
+		k, err := s.Engine.Mint()
+		if err != nil {
+			return verdict.New(verdict.NotRun, verdict.Internal, "mint key: %w", err)
+		}
+		w.Key = k
+		w.Fresh = true
+		return nil
+	}
+	k, err := key.Parse(text)
+	if err != nil {
+		return verdict.New(verdict.NotRun, verdict.BadKey, "%w", err)
+	}
+	w.Key = k
+	return nil
+}
+
+// complete checks the work against the manifest and fills in what the kind
+// sets. The errors are NotRun, true of this copy of the request.
+func (s *server) complete(m *manifest.Manifest, w *structs.Work, arrived time.Time, deadlineMS *int64) error {
+	if m == nil {
+		return verdict.New(verdict.NotRun, verdict.NotReady, "no manifest is in force here yet").After(retryNotReady)
+	}
+	kind := m.KindNamed(w.Kind)
+	if kind == nil {
+		return verdict.New(verdict.NotRun, verdict.UnknownKind, "kind %.40q is not in manifest version %d", w.Kind, m.Version)
+	}
+	if kind.WorkClass() != w.Class {
+		return verdict.New(verdict.NotRun, verdict.UnknownKind, "kind %q is of class %s", kind.Name, kind.Class)
+	}
+	if m.TeamNamed(w.Team) == nil {
+		return verdict.New(verdict.NotRun, verdict.UnknownTeam, "team %.40q is not in manifest version %d", w.Team, m.Version)
+	}
+	if err := checkTasks(m, w); err != nil {
+		return err
+	}
+	w.Repeatable = kind.Repeatable && w.Class == structs.Request
+	if w.Needs == (structs.Resources{}) {
+		w.Needs = kind.Needs
+	}
+	wait := kind.Deadline()
+	if deadlineMS != nil {
+		wait = time.Duration(*deadlineMS) * time.Millisecond
+	}
+	if wait <= 0 {
+		return verdict.New(verdict.NotRun, verdict.DeadlinePassed, "the deadline passed %v before the request arrived", -wait)
+	}
+	w.Deadline = arrived.Add(wait)
+	return nil
+}
+
+// checkTasks checks the number and the size of the tasks' bodies.
+func checkTasks(m *manifest.Manifest, w *structs.Work) error {
+	if len(w.Tasks) == 0 {
+		return verdict.New(verdict.NotRun, verdict.BadRequest, "a submission needs at least one task")
+	}
+	if len(w.Tasks) > structs.MaxTasks {
+		return verdict.New(verdict.NotRun, verdict.TooManyTasks, "%d tasks are over the limit of %d", len(w.Tasks), structs.MaxTasks)
+	}
+	limit := maxBody(m)
+	for i, t := range w.Tasks {
+		if len(t) == 0 {
+			return verdict.New(verdict.NotRun, verdict.BadRequest, "task %d has no body", i)
+		}
+		if int64(len(t)) > limit {
+			return verdict.New(verdict.NotRun, verdict.TooLarge, "task %d has %d bytes, over the limit of %d", i, len(t), limit)
+		}
+	}
+	return nil
+}
+
+// maxBody returns the bound of a task's body in bytes.
+func maxBody(m *manifest.Manifest) int64 {
+	if m == nil || m.Limits.MaxBodyBytes == 0 {
+		return defaultMaxBody
+	}
+	return m.Limits.MaxBodyBytes
+}
+
+// rawJSON returns the answer of a target as JSON: as it is if it is JSON, else
+// as a string.
+func rawJSON(b []byte) json.RawMessage {
+	if json.Valid(b) {
+		return b
+	}
+	s, err := json.Marshal(string(b))
+	if err != nil {
+		return json.RawMessage("null")
+	}
+	return s
+}
--- /dev/null
+++ b/internal/engine/engine.go
@@ -0,0 +1,291 @@
+// Package engine carries work from its arrival to its outcome: it claims,
+// queues, places, starts and answers requests and jobs, hands tasks to peers
+// with room, and forwards work to the data centre of its key.
+package engine
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"currantstall/internal/admission"
+	"currantstall/internal/claims"
+	"currantstall/internal/dispatch"
+	"currantstall/internal/key"
+	"currantstall/internal/manifest"
+	"currantstall/internal/metrics"
+	"currantstall/internal/structs"
+	"currantstall/internal/verdict"
+	"currantstall/internal/wire"
+)
+
+// Links sends messages to other entries.
+type Links interface {
+	// Send queues messages for the entry of that name. An error means that
+	// nothing was sent.
+	Send(name string, msgs ...wire.Message) error
+	// Broadcast queues messages for every linked entry.
+	Broadcast(msgs ...wire.Message) int
+	// Linked returns the names of the linked entries of a data centre.
+	Linked(dc string) []string
+	// DCOf returns the data centre of a linked entry.
+	DCOf(name string) (string, bool)
+	// RTT returns the round trip to a linked entry, if it is known yet.
+	RTT(name string) (time.Duration, bool)
+}
+
+// External claims keys of this data centre for the old system.
+type External interface {
+	// ClaimExternal returns nil if the old system may run the key, else what
+	// is known of the key.
+	ClaimExternal(ctx context.Context, k key.Key) error
+}
+
+// Config holds what an engine is built from.
+type Config struct {
+	Self   structs.Member
+	DC     string
+	Claims claims.Claims
+	// External claims keys for the old system.
+	External External
+	Links    Links
+	// Manifest returns the manifest in force, or nil.
+	Manifest func() *manifest.Manifest
+	// KnownDC reports whether a data centre is or was lately listed.
+	KnownDC func(dc string) bool
+	Policy  admission.Policy
+	Metrics *metrics.Metrics
+	Log     *slog.Logger
+	// Dispatch carries out tasks at targets.
+	Dispatch *dispatch.Dispatcher
+	// AnswerBytes bounds the answers of all unfinished jobs, in bytes.
+	AnswerBytes int64
+}
+
+// Engine carries work at one entry.
+type Engine struct {
+	Config
+	started  time.Time
+	draining atomic.Bool
+	base     context.Context // ends when the process gives up what runs
+	stop     context.CancelFunc
+	inFlight sync.WaitGroup
+
+	requests *scheduler
+	jobs     *scheduler
+	forwards *forwards
+	remotes  *remotes
+	outbox   *outbox
+	answers  *dispatch.Memory
+
+	mu     sync.Mutex
+	groups map[key.Key]*group
+}
+
+// New returns an engine without targets.
+func New(c Config) *Engine {
+	e := &Engine{
+		Config:  c,
+		started: time.Now(),
+		remotes: newRemotes(),
+		outbox:  newOutbox(),
+		answers: dispatch.NewMemory(c.AnswerBytes),
+		groups:  make(map[key.Key]*group),
+	}
+	e.base, e.stop = context.WithCancel(context.Background())
+	e.requests = newScheduler(e, structs.Request)
+	e.jobs = newScheduler(e, structs.Job)
+	e.forwards = newForwards(e)
+	return e
+}
+
+// Mint implements api.Engine.
+func (e *Engine) Mint() (key.Key, error) { return key.New(e.DC) }
+
+// Do implements api.Engine.
+func (e *Engine) Do(ctx context.Context, w *structs.Work) structs.Outcome {
+	if w.Key.DC != e.DC {
+		return e.forwards.do(ctx, w)
+	}
+	if e.draining.Load() {
+		return e.refusal(ctx, w, verdict.New(verdict.NotRun, verdict.Draining, "this entry is stopping").After(retrySoon))
+	}
+	claimed := !w.Repeatable && !w.Fresh
+	if claimed {
+		c, err := e.Claims.Acquire(ctx, w.Key, w.Digest())
+		if err != nil {
+			return structs.OutcomeOf(err)
+		}
+		if !c.Granted {
+			return *c.Kept
+		}
+	}
+	g := e.begin(w, claimed)
+	late := time.NewTimer(time.Until(w.Deadline))
+	defer late.Stop()
+	select {
+	case <-g.done:
+		return ofRequest(w, g.outcome)
+	case <-late.C:
+		return structs.OutcomeOf(verdict.New(verdict.MayHaveRun, verdict.Timeout, "the deadline passed while the work ran"))
+	case <-ctx.Done():
+		return e.abandoned(g)
+	}
+}
+
+// ofRequest turns the outcome of this copy of the work into one of the
+// request: nobody records the copies of repeatable work, so an earlier one may
+// have run under a key that the caller brought.
+func ofRequest(w *structs.Work, o structs.Outcome) structs.Outcome {
+	if o.Verdict == verdict.NotRun && w.Repeatable && !w.Fresh {
+		o.Verdict = verdict.MayHaveRun
+	}
+	return o
+}
+
+// abandoned handles a caller that went away. Repeatable work stops, the rest
+// goes on and its answer is kept for the resubmission.
+func (e *Engine) abandoned(g *group) structs.Outcome {
+	err := verdict.New(verdict.MayHaveRun, verdict.Cancelled, "the caller went away")
+	if g.work.Repeatable {
+		g.cancelWith(err)
+	}
+	return structs.OutcomeOf(err)
+}
+
+// begin queues the tasks of work that this entry alone may start.
+func (e *Engine) begin(w *structs.Work, claimed bool) *group {
+	g := newGroup(e.base, w, e.answers, func(o structs.Outcome) { e.finish(w, claimed, o) })
+	e.inFlight.Add(1)
+	e.track(g)
+	if err := e.scheduler(w.Class).submit(g, claimed); err != nil {
+		e.rejectAll(g, err)
+	}
+	return g
+}
+
+// rejectAll ends a group of which nothing was queued.
+func (e *Engine) rejectAll(g *group, err *verdict.Error) {
+	for i := range g.work.Tasks {
+		g.add(i, result{err: err})
+	}
+}
+
+// finish records the outcome before any caller sees it, so that a resubmission
+// that follows an answer finds it kept.
+func (e *Engine) finish(w *structs.Work, claimed bool, o structs.Outcome) {
+	defer e.inFlight.Done()
+	if claimed {
+		e.Claims.Finish(w.Key, o)
+	}
+	e.untrack(w.Key)
+}
+
+func (e *Engine) track(g *group) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.groups[g.work.Key] = g
+}
+
+func (e *Engine) untrack(k key.Key) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	delete(e.groups, k)
+}
+
+func (e *Engine) tracked(k key.Key) *group {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.groups[k]
+}
+
+func (e *Engine) scheduler(c structs.Class) *scheduler {
+	if c == structs.Job {
+		return e.jobs
+	}
+	return e.requests
+}
+
+// Lookup implements api.Engine.
+func (e *Engine) Lookup(ctx context.Context, k key.Key) (*structs.Outcome, error) {
+	if k.DC != e.DC {
+		return e.forwards.lookup(ctx, k)
+	}
+	g := e.tracked(k)
+	if g == nil {
+		return e.Claims.Outcome(ctx, k)
+	}
+	select {
+	case <-g.done:
+		return &g.outcome, nil
+	case <-ctx.Done():
+		return nil, nil
+	}
+}
+
+// Cancel implements api.Engine. The answer waits until every task of the work
+// is known to be over or to have never started.
+func (e *Engine) Cancel(ctx context.Context, k key.Key) (structs.Outcome, error) {
+	if k.DC != e.DC {
+		return e.forwards.cancel(ctx, k)
+	}
+	if e.tracked(k) == nil {
+		return e.cancelElsewhere(ctx, k)
+	}
+	return e.cancelHere(ctx, k)
+}
+
+// Refuse implements api.Engine. The verdict NotRun stands only if the home of
+// the key has no record of it.
+func (e *Engine) Refuse(ctx context.Context, k key.Key, err error) error {
+	refusal := verdict.Of(err)
+	if refusal.Verdict != verdict.NotRun {
+		return refusal
+	}
+	known := e.refuseAtHome(ctx, k)
+	if known == nil {
+		return refusal
+	}
+	return known
+}
+
+func (e *Engine) refuseAtHome(ctx context.Context, k key.Key) error {
+	ctx, cancel := context.WithTimeout(ctx, refuseTimeout)
+	defer cancel()
+	if k.DC != e.DC {
+		return e.forwards.refuse(ctx, k)
+	}
+	if e.tracked(k) != nil {
+		return verdict.New(verdict.MayHaveRun, verdict.KeyConflict, "a request with key %s runs at this entry", k)
+	}
+	return e.Claims.Refuse(ctx, k)
+}
+
+// refusal is the outcome of work that was refused before it was claimed.
+func (e *Engine) refusal(ctx context.Context, w *structs.Work, err *verdict.Error) structs.Outcome {
+	if w.Fresh {
+		return structs.OutcomeOf(err)
+	}
+	return structs.OutcomeOf(e.Refuse(ctx, w.Key, err))
+}
+
+// Drain refuses new work and waits until what runs is over, or ctx ends.
+func (e *Engine) Drain(ctx context.Context) error {
+	e.draining.Store(true)
+	done := make(chan struct{})
+	go func() {
+		e.inFlight.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// Close gives up what still runs.
+func (e *Engine) Close() { e.stop() }
--- /dev/null
+++ b/internal/engine/engine_test.go
@@ -0,0 +1,448 @@
+package engine
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"currantstall/internal/claims"
+	"currantstall/internal/dispatch"
+	"currantstall/internal/key"
+	"currantstall/internal/manifest"
+	"currantstall/internal/metrics"
+	"currantstall/internal/platform"
+	"currantstall/internal/standin/runner"
+	"currantstall/internal/standin/taskserver"
+	"currantstall/internal/standin/worker"
+	"currantstall/internal/structs"
+	"currantstall/internal/target"
+	"currantstall/internal/verdict"
+	"currantstall/internal/wire"
+)
+
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m)
+}
+
+// fakeClaims grants each key once.
+type fakeClaims struct {
+	mu    sync.Mutex
+	held  map[key.Key]bool
+	ended map[key.Key]structs.Outcome
+	lease error
+}
+
+func newFakeClaims() *fakeClaims {
+	return &fakeClaims{held: make(map[key.Key]bool), ended: make(map[key.Key]structs.Outcome)}
+}
+
+func (f *fakeClaims) Acquire(_ context.Context, k key.Key, _ uint64) (claims.Claim, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if o, ok := f.ended[k]; ok {
+		return claims.Claim{Kept: &o}, nil
+	}
+	if f.held[k] {
+		return claims.Claim{}, verdict.New(verdict.MayHaveRun, verdict.KeyConflict, "held")
+	}
+	f.held[k] = true
+	return claims.Claim{Granted: true}, nil
+}
+
+func (f *fakeClaims) MayStart(key.Key) (time.Time, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return time.Now().Add(time.Minute), f.lease
+}
+
+func (f *fakeClaims) Finish(k key.Key, o structs.Outcome) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.held, k)
+	if o.Verdict != verdict.NotRun {
+		f.ended[k] = o
+	}
+}
+
+func (f *fakeClaims) Refuse(_ context.Context, k key.Key) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if o, ok := f.ended[k]; ok {
+		return verdict.New(verdict.MayHaveRun, verdict.KeyConflict, "ended with %s", o.Verdict)
+	}
+	return nil
+}
+
+func (f *fakeClaims) Outcome(_ context.Context, k key.Key) (*structs.Outcome, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if o, ok := f.ended[k]; ok {
+		return &o, nil
+	}
+	return nil, verdict.New(verdict.MayHaveRun, verdict.NotFound, "no record")
+}
+
+func (f *fakeClaims) ClaimExternal(context.Context, key.Key) error { return nil }
+
+// fakeNet connects engines in memory.
+type fakeNet struct {
+	mu      sync.Mutex
+	engines map[string]*Engine
+	cut     map[string]bool
+}
+
+// fakeLinks is one engine's end of the net.
+type fakeLinks struct {
+	net  *fakeNet
+	self string
+}
+
+func (l *fakeLinks) Send(name string, msgs ...wire.Message) error {
+	l.net.mu.Lock()
+	e := l.net.engines[name]
+	cut := l.net.cut[name] || l.net.cut[l.self]
+	l.net.mu.Unlock()
+	if e == nil || cut {
+		return verdict.New(verdict.NotRun, verdict.LinkDown, "no link to %s", name)
+	}
+	for _, m := range msgs {
+		if err := e.Receive(l.self, m); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (l *fakeLinks) Broadcast(msgs ...wire.Message) int {
+	n := 0
+	for _, name := range l.others("") {
+		if l.Send(name, msgs...) == nil {
+			n++
+		}
+	}
+	return n
+}
+
+func (l *fakeLinks) others(dc string) []string {
+	l.net.mu.Lock()
+	defer l.net.mu.Unlock()
+	var names []string
+	for name, e := range l.net.engines {
+		if name != l.self && (dc == "" || e.DC == dc) && !l.net.cut[name] {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+func (l *fakeLinks) Linked(dc string) []string { return l.others(dc) }
+
+func (l *fakeLinks) DCOf(name string) (string, bool) {
+	l.net.mu.Lock()
+	defer l.net.mu.Unlock()
+	e := l.net.engines[name]
+	if e == nil {
+		return "", false
+	}
+	return e.DC, true
+}
+
+func (l *fakeLinks) RTT(string) (time.Duration, bool) { return 100 * time.Microsecond, true }
+
+var testManifest = &manifest.Manifest{
+	Version: 1,
+	Kinds: []manifest.Kind{
+		{Name: "unlock", Class: "request", Urgency: 10, Share: 0.5, DeadlineMS: 5000, ServiceMS: 20},
+		{Name: "balance", Class: "request", Urgency: 1, Share: 0.2, DeadlineMS: 5000, Repeatable: true, ServiceMS: 20},
+		{Name: "dusk", Class: "job", Urgency: 5, Share: 0.5, DeadlineMS: 20000, ServiceMS: 5, Needs: structs.Resources{MilliCPU: 1000, MemoryMB: 64}},
+	},
+	Teams: []manifest.Team{{Name: "north"}},
+}
+
+// start adds an engine to the net.
+func (n *fakeNet) start(t *testing.T, name, dc string, c claims.Claims) *Engine {
+	t.Helper()
+	pool := target.NewPool(target.PoolConfig{})
+	e := New(Config{
+		Self:        structs.Member{Name: name, Incarnation: 1},
+		DC:          dc,
+		Claims:      c,
+		External:    c.(*fakeClaims),
+		Links:       &fakeLinks{net: n, self: name},
+		Manifest:    func() *manifest.Manifest { return testManifest },
+		KnownDC:     func(dc string) bool { return dc == "a" || dc == "b" },
+		Dispatch:    dispatch.New(dispatch.Config{Targets: pool}),
+		Metrics:     metrics.NewNop(),
+		Log:         slog.New(slog.DiscardHandler),
+		AnswerBytes: 1 << 20,
+	})
+	e.Configure(testManifest, 1)
+	n.mu.Lock()
+	n.engines[name] = e
+	n.mu.Unlock()
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		e.Run(ctx)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+		e.Close()
+		pool.Close()
+	})
+	return e
+}
+
+func newNet() *fakeNet {
+	return &fakeNet{engines: make(map[string]*Engine), cut: make(map[string]bool)}
+}
+
+func startTarget(t *testing.T, role platform.Role, name string) *taskserver.Server {
+	t.Helper()
+	cfg := taskserver.Config{VM: platform.VM{Name: name, DC: "a"}, Seed: 1}
+	start := runner.New
+	if role == platform.RoleWorker {
+		start = worker.New
+	}
+	s, err := start(cfg)
+	assert.NilError(t, err)
+	t.Cleanup(s.Close)
+	return s
+}
+
+func newWork(t *testing.T, kind string, class structs.Class, tasks int) *structs.Work {
+	t.Helper()
+	k, err := key.New("a")
+	assert.NilError(t, err)
+	w := &structs.Work{Key: k, Class: class, Kind: kind, Team: "north", Deadline: time.Now().Add(20 * time.Second)}
+	w.Repeatable = kind == "balance"
+	for i := range tasks {
+		w.Tasks = append(w.Tasks, fmt.Appendf(nil, `{"service_ms":5,"echo":%d}`, i))
+	}
+	if class == structs.Job {
+		w.Needs = structs.Resources{MilliCPU: 1000, MemoryMB: 64}
+	}
+	return w
+}
+
+func TestRequestIsAnsweredOnceAndKept(t *testing.T) {
+	n := newNet()
+	c := newFakeClaims()
+	r := startTarget(t, platform.RoleRunner, "r1")
+	e := n.start(t, "e1", "a", c)
+	e.SetTargets([]platform.VM{r.VM()}, nil)
+	w := newWork(t, "unlock", structs.Request, 1)
+
+	first := e.Do(context.Background(), w)
+	second := e.Do(context.Background(), w)
+
+	assert.Equal(t, first.Verdict, verdict.Completed, first.Message)
+	assert.DeepEqual(t, second.Answers, first.Answers)
+	assert.Equal(t, len(r.Starts()), 1)
+	assert.NilError(t, e.Drain(context.Background()))
+}
+
+func TestJobIsWholeOrFailed(t *testing.T) {
+	n := newNet()
+	c := newFakeClaims()
+	a, b := startTarget(t, platform.RoleWorker, "w1"), startTarget(t, platform.RoleWorker, "w2")
+	e := n.start(t, "e1", "a", c)
+	e.SetTargets([]platform.VM{a.VM(), b.VM()}, []structs.Resources{a.VM().Size, b.VM().Size})
+
+	whole := e.Do(context.Background(), newWork(t, "dusk", structs.Job, structs.MaxTasks))
+	b.SetFaults(taskserver.Faults{FailAll: true})
+	broken := e.Do(context.Background(), newWork(t, "dusk", structs.Job, 100))
+
+	assert.Equal(t, whole.Verdict, verdict.Completed, whole.Message)
+	assert.Equal(t, len(whole.Answers), structs.MaxTasks)
+	for i, answer := range whole.Answers {
+		assert.Assert(t, len(answer) > 0, "task %d has no answer", i)
+	}
+	assert.Equal(t, broken.Verdict, verdict.Failed, broken.Message)
+	assert.Equal(t, len(broken.Answers), 0)
+	for id, starts := range a.Starts() {
+		assert.Equal(t, starts+b.Starts()[id], 1)
+	}
+}
+
+func TestJobThatNeverFitsIsRefused(t *testing.T) {
+	n := newNet()
+	e := n.start(t, "e1", "a", newFakeClaims())
+	w1 := startTarget(t, platform.RoleWorker, "w1")
+	e.SetTargets([]platform.VM{w1.VM()}, []structs.Resources{w1.VM().Size})
+	w := newWork(t, "dusk", structs.Job, 3)
+	w.Needs.Accelerators = 1
+
+	o := e.Do(context.Background(), w)
+
+	assert.Equal(t, o.Verdict, verdict.NotRun)
+	assert.Equal(t, o.Reason, verdict.NeverFits)
+	assert.Equal(t, len(w1.Starts()), 0)
+}
+
+func TestAFullEntryHandsWorkToAPeer(t *testing.T) {
+	n := newNet()
+	c := newFakeClaims()
+	r := startTarget(t, platform.RoleRunner, "r1")
+	idle := n.start(t, "e1", "a", c)
+	idle.SetTargets([]platform.VM{r.VM()}, nil)
+	full := n.start(t, "e2", "a", c)
+	waitForLoad(t, full, "e1")
+
+	for _, kind := range []string{"unlock", "balance"} {
+		o := full.Do(context.Background(), newWork(t, kind, structs.Request, 1))
+		assert.Equal(t, o.Verdict, verdict.Completed, o.Message)
+	}
+	assert.Equal(t, len(r.Starts()), 2)
+}
+
+// waitForLoad waits until an engine knows a peer's room.
+func waitForLoad(t *testing.T, e *Engine, peer string) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		e.requests.mu.Lock()
+		defer e.requests.mu.Unlock()
+		if p := e.requests.peers[peer]; p != nil && p.kinds["unlock"] != nil && p.kinds["unlock"].Free > 0 {
+			return poll.Success()
+		}
+		return poll.Continue("no room known at %s", peer)
+	}, poll.WithTimeout(10*time.Second), poll.WithDelay(5*time.Millisecond))
+}
+
+func waitForStarts(t *testing.T, s *taskserver.Server, n int) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if got := len(s.Starts()); got != n {
+			return poll.Continue("%d starts", got)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(10*time.Second), poll.WithDelay(5*time.Millisecond))
+}
+
+// waitForQueue waits until requests are queued.
+func waitForQueue(t *testing.T, e *Engine) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		e.requests.mu.Lock()
+		defer e.requests.mu.Unlock()
+		if queued, _ := e.requests.queue.Len(); queued == 0 {
+			return poll.Continue("nothing is queued")
+		}
+		return poll.Success()
+	}, poll.WithTimeout(10*time.Second), poll.WithDelay(5*time.Millisecond))
+}
+
+func TestALostPeerMayHaveRunWhatItWasGiven(t *testing.T) {
+	n := newNet()
+	c := newFakeClaims()
+	r := startTarget(t, platform.RoleRunner, "r1")
+	other := n.start(t, "e1", "a", c)
+	other.SetTargets([]platform.VM{r.VM()}, nil)
+	e := n.start(t, "e2", "a", c)
+	waitForLoad(t, e, "e1")
+	e.LinkUp("e1", 1)
+	w := newWork(t, "unlock", structs.Request, 1)
+	w.Tasks[0] = []byte(`{"service_ms":60000}`)
+	done := make(chan structs.Outcome, 1)
+	go func() { done <- e.Do(context.Background(), w) }()
+	waitForStarts(t, r, 1)
+
+	e.LinkUp("e1", 2) // another run of the process: the first one is gone
+
+	o := <-done
+	assert.Equal(t, o.Verdict, verdict.MayHaveRun)
+	assert.Equal(t, o.Reason, verdict.HolderLost)
+}
+
+func TestForeignKeysGoToTheirDataCentre(t *testing.T) {
+	n := newNet()
+	home := newFakeClaims()
+	r := startTarget(t, platform.RoleRunner, "r1")
+	a := n.start(t, "e1", "a", home)
+	a.SetTargets([]platform.VM{r.VM()}, nil)
+	b := n.start(t, "e2", "b", newFakeClaims())
+	w := newWork(t, "unlock", structs.Request, 1)
+
+	o := b.Do(context.Background(), w)
+	again := b.Do(context.Background(), w)
+	refused := b.Refuse(context.Background(), w.Key, verdict.New(verdict.NotRun, verdict.Draining, "x"))
+
+	assert.Equal(t, o.Verdict, verdict.Completed, o.Message)
+	assert.DeepEqual(t, again.Answers, o.Answers)
+	assert.Equal(t, len(r.Starts()), 1)
+	assert.Equal(t, verdict.Of(refused).Verdict, verdict.MayHaveRun)
+}
+
+func TestAnUnreachableHomeLeavesTheRequestUnknown(t *testing.T) {
+	n := newNet()
+	n.start(t, "e1", "a", newFakeClaims())
+	b := n.start(t, "e2", "b", newFakeClaims())
+	n.mu.Lock()
+	n.cut["e1"] = true
+	n.mu.Unlock()
+	w := newWork(t, "unlock", structs.Request, 1)
+	w.Deadline = time.Now().Add(150 * time.Millisecond)
+
+	o := b.Do(context.Background(), w)
+
+	assert.Equal(t, o.Verdict, verdict.MayHaveRun)
+	assert.Equal(t, o.Reason, verdict.HomeUnreachable)
+}
+
+func TestCancelStopsWhatHasNotStarted(t *testing.T) {
+	n := newNet()
+	c := newFakeClaims()
+	e := n.start(t, "e1", "a", c)
+	other := n.start(t, "e2", "a", c)
+	r := startTarget(t, platform.RoleRunner, "r1")
+	e.SetTargets([]platform.VM{r.VM()}, nil)
+	for range 2 * r.VM().Slots {
+		busy := newWork(t, "unlock", structs.Request, 1)
+		busy.Tasks[0] = []byte(`{"service_ms":1500}`)
+		go e.Do(context.Background(), busy)
+	}
+	waitForQueue(t, e)
+	w := newWork(t, "unlock", structs.Request, 1)
+	done := make(chan structs.Outcome, 1)
+	go func() { done <- e.Do(context.Background(), w) }()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if e.tracked(w.Key) != nil {
+			return poll.Success()
+		}
+		return poll.Continue("not queued")
+	})
+
+	o, err := other.Cancel(context.Background(), w.Key)
+
+	assert.NilError(t, err)
+	assert.Equal(t, o.Verdict, verdict.NotRun)
+	assert.Equal(t, o.Reason, verdict.Cancelled)
+	assert.Equal(t, (<-done).Verdict, verdict.NotRun)
+	for id := range r.Starts() {
+		assert.Assert(t, id.Key != w.Key, "cancelled work was started")
+	}
+}
+
+func TestALapsedLeaseStartsNothing(t *testing.T) {
+	n := newNet()
+	c := newFakeClaims()
+	c.lease = verdict.New(verdict.NotRun, verdict.LeaseLapsed, "lapsed")
+	r := startTarget(t, platform.RoleRunner, "r1")
+	e := n.start(t, "e1", "a", c)
+	e.SetTargets([]platform.VM{r.VM()}, nil)
+
+	o := e.Do(context.Background(), newWork(t, "unlock", structs.Request, 1))
+
+	assert.Equal(t, o.Verdict, verdict.NotRun)
+	assert.Equal(t, o.Reason, verdict.LeaseLapsed)
+	assert.Equal(t, len(r.Starts()), 0)
+}
--- /dev/null
+++ b/internal/engine/forward.go
@@ -0,0 +1,302 @@
+package engine
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"currantstall/internal/key"
+	"currantstall/internal/manifest"
+	"currantstall/internal/metrics"
+	"currantstall/internal/structs"
+	"currantstall/internal/verdict"
+	"currantstall/internal/wire"
+)
+
+const (
+	// refuseTimeout bounds the question to a key's home before a refusal.
+	refuseTimeout = 300 * time.Millisecond
+	// forwardRetry is the wait before another member is tried.
+	forwardRetry = 50 * time.Millisecond
+	// retrySoon is the advice of refusals that another entry may not give.
+	retrySoon = 100 * time.Millisecond
+	// maxRemaining bounds questions without a deadline.
+	maxRemaining = time.Minute
+	// defaultKeyTTL is the life of a key where the manifest sets none.
+	defaultKeyTTL = 10 * time.Minute
+)
+
+// forwards hands requests for keys of another data centre to its members.
+type forwards struct {
+	e *Engine
+
+	mu   sync.Mutex
+	next uint64
+	wait map[uint64]*forwardCall
+}
+
+// forwardCall is one question that awaits its answer.
+type forwardCall struct {
+	to   string
+	done chan *structs.Outcome // nil if the work still runs
+	lost chan struct{}         // closed when the member cannot answer any more
+}
+
+func newForwards(e *Engine) *forwards {
+	return &forwards{e: e, wait: make(map[uint64]*forwardCall)}
+}
+
+// do hands work to a member of its key's data centre. A member that is lost
+// is replaced by another: the claim of the key keeps the work from running
+// twice. Repeatable work may run twice.
+func (f *forwards) do(ctx context.Context, w *structs.Work) structs.Outcome {
+	ctx, cancel := context.WithDeadline(ctx, w.Deadline)
+	defer cancel()
+	if err := f.checkDC(w.Key); err != nil {
+		return structs.OutcomeOf(err)
+	}
+	o, err := f.ask(ctx, &forward{Op: opDo, Key: w.Key, Work: w, Remaining: time.Until(w.Deadline)})
+	if err != nil {
+		return structs.OutcomeOf(err)
+	}
+	if o == nil {
+		return structs.OutcomeOf(unreachable(w.Key))
+	}
+	return *o
+}
+
+// lookup asks for the outcome of a key; nil means that it still runs.
+func (f *forwards) lookup(ctx context.Context, k key.Key) (*structs.Outcome, error) {
+	if err := f.checkDC(k); err != nil {
+		return nil, err
+	}
+	o, err := f.ask(ctx, &forward{Op: opLookup, Key: k, Remaining: remaining(ctx)})
+	if err != nil {
+		return nil, err
+	}
+	if o != nil && o.Verdict != verdict.Completed {
+		return nil, o.Err()
+	}
+	return o, nil
+}
+
+// cancel asks for the cancellation of a key.
+func (f *forwards) cancel(ctx context.Context, k key.Key) (structs.Outcome, error) {
+	if err := f.checkDC(k); err != nil {
+		return structs.Outcome{}, err
+	}
+	o, err := f.ask(ctx, &forward{Op: opCancel, Key: k, Remaining: remaining(ctx)})
+	if err != nil {
+		return structs.Outcome{}, err
+	}
+	if o == nil {
+		return structs.Outcome{}, unreachable(k)
+	}
+	return *o, nil
+}
+
+// refuse asks whether a refusal of a key may say not_run.
+func (f *forwards) refuse(ctx context.Context, k key.Key) error {
+	return f.yesOrNo(ctx, k, opRefuse)
+}
+
+// claimExternal asks whether the old system may run a key.
+func (f *forwards) claimExternal(ctx context.Context, k key.Key) error {
+	return f.yesOrNo(ctx, k, opClaimExternal)
+}
+
+// yesOrNo asks a question that is answered by an outcome without answers:
+// Completed stands for yes.
+func (f *forwards) yesOrNo(ctx context.Context, k key.Key, what op) error {
+	if err := f.checkDC(k); err != nil {
+		return err
+	}
+	o, err := f.ask(ctx, &forward{Op: what, Key: k, Remaining: remaining(ctx)})
+	if err != nil {
+		return err
+	}
+	if o == nil {
+		return unreachable(k)
+	}
+	return o.Err()
+}
+
+// checkDC refuses keys of data centres that are not listed. Only members of a
+// key's data centre can grant it, so once this entry has watched the list for
+// a key's whole life, a key of an unlisted data centre has not run.
+func (f *forwards) checkDC(k key.Key) error {
+	if f.e.KnownDC(k.DC) {
+		return nil
+	}
+	v := verdict.MayHaveRun
+	if time.Since(f.e.started) > keyTTL(f.e.Manifest()) {
+		v = verdict.NotRun
+	}
+	return verdict.New(v, verdict.UnknownDC, "data centre %q of the key is not listed", k.DC)
+}
+
+// ask sends the question to one linked member after the other until one
+// answers or ctx ends.
+func (f *forwards) ask(ctx context.Context, q *forward) (*structs.Outcome, error) {
+	for try := 0; ; try++ {
+		names := f.e.Links.Linked(q.Key.DC)
+		if len(names) > 0 {
+			to := names[(int(q.Key.Hash()%uint64(len(names)))+try)%len(names)]
+			o, answered := f.askOne(ctx, to, q)
+			if answered {
+				return o, nil
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return nil, unreachable(q.Key)
+		case <-time.After(forwardRetry):
+		}
+	}
+}
+
+// askOne sends the question to one member. answered is false if the member
+// was lost or did not answer in time.
+func (f *forwards) askOne(ctx context.Context, to string, q *forward) (o *structs.Outcome, answered bool) {
+	c := f.register(to, q)
+	defer f.forget(q.ID)
+	m, err := wire.NewMessage(wire.Forward, q)
+	if err != nil {
+		f.e.Log.Error("forward not encoded", "error", err)
+		return nil, false
+	}
+	if err := f.e.Links.Send(to, m); err != nil {
+		return nil, false
+	}
+	select {
+	case o = <-c.done:
+		return o, true
+	case <-c.lost:
+		return nil, false
+	case <-ctx.Done():
+		return nil, false
+	}
+}
+
+func (f *forwards) register(to string, q *forward) *forwardCall {
+	c := &forwardCall{to: to, done: make(chan *structs.Outcome, 1), lost: make(chan struct{})}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.next++
+	q.ID = f.next
+	f.wait[q.ID] = c
+	return c
+}
+
+func (f *forwards) forget(id uint64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.wait, id)
+}
+
+// answered delivers an answer. A late one, or one from another member than
+// was asked, is dropped.
+func (f *forwards) answered(from string, d *forwardDone) {
+	f.mu.Lock()
+	c := f.wait[d.ID]
+	if c != nil && c.to == from {
+		delete(f.wait, d.ID)
+	}
+	f.mu.Unlock()
+	if c == nil || c.to != from {
+		f.e.Metrics.Count(metrics.Dropped, verdict.LateAnswer)
+		return
+	}
+	c.done <- d.Outcome
+}
+
+// lose ends the calls to a member that is gone.
+func (f *forwards) lose(name string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for id, c := range f.wait {
+		if c.to == name {
+			close(c.lost)
+			delete(f.wait, id)
+		}
+	}
+}
+
+// serve answers a question from another data centre.
+func (f *forwards) serve(from string, q *forward) {
+	ctx, cancel := context.WithTimeout(f.e.base, q.Remaining)
+	defer cancel()
+	f.e.respond(from, wire.ForwardDone, forwardDone{ID: q.ID, Outcome: f.answer(ctx, q)})
+}
+
+func (f *forwards) answer(ctx context.Context, q *forward) *structs.Outcome {
+	if q.Key.DC != f.e.DC {
+		return outcomePtr(verdict.New(verdict.MayHaveRun, verdict.UnknownDC, "forwarded to the wrong data centre"))
+	}
+	switch q.Op {
+	case opDo:
+		return f.answerDo(ctx, q)
+	case opRefuse:
+		return outcomePtr(f.e.refuseAtHome(ctx, q.Key))
+	case opClaimExternal:
+		return outcomePtr(f.e.ClaimExternal(ctx, q.Key))
+	case opLookup:
+		o, err := f.e.Lookup(ctx, q.Key)
+		if err != nil {
+			return outcomePtr(err)
+		}
+		return o
+	case opCancel:
+		o, err := f.e.Cancel(ctx, q.Key)
+		if err != nil {
+			return outcomePtr(err)
+		}
+		return &o
+	case opCancelHere:
+		o, err := f.e.cancelHere(ctx, q.Key)
+		if err != nil {
+			return outcomePtr(err)
+		}
+		return &o
+	}
+	return outcomePtr(verdict.New(verdict.MayHaveRun, verdict.BadRequest, "unknown operation %d", q.Op))
+}
+
+func (f *forwards) answerDo(ctx context.Context, q *forward) *structs.Outcome {
+	if q.Work == nil {
+		return outcomePtr(verdict.New(verdict.MayHaveRun, verdict.BadRequest, "forwarded request holds no work"))
+	}
+	q.Work.Deadline = time.Now().Add(q.Remaining)
+	q.Work.Fresh = false
+	o := f.e.Do(ctx, q.Work)
+	return &o
+}
+
+// outcomePtr returns the outcome of an error, or Completed without answers.
+func outcomePtr(err error) *structs.Outcome {
+	if err == nil {
+		return &structs.Outcome{Verdict: verdict.Completed}
+	}
+	o := structs.OutcomeOf(err)
+	return &o
+}
+
+func unreachable(k key.Key) *verdict.Error {
+	return verdict.New(verdict.MayHaveRun, verdict.HomeUnreachable, "no entry of data centre %q answers", k.DC).After(retrySoon)
+}
+
+// keyTTL returns the life of a key.
+func keyTTL(m *manifest.Manifest) time.Duration {
+	if m == nil || m.Limits.KeyTTLMS == 0 {
+		return defaultKeyTTL
+	}
+	return time.Duration(m.Limits.KeyTTLMS) * time.Millisecond
+}
+
+// remaining returns the time up to ctx's deadline, or a long one.
+func remaining(ctx context.Context) time.Duration {
+	if d, ok := ctx.Deadline(); ok {
+		return time.Until(d)
+	}
+	return maxRemaining
+}
--- /dev/null
+++ b/internal/engine/inbox.go
@@ -0,0 +1,87 @@
+package engine
+
+import (
+	"fmt"
+
+	"currantstall/internal/wire"
+)
+
+// Receive takes a message of the engine's types from another entry. It does
+// not block. An error means that the message is malformed.
+func (e *Engine) Receive(from string, m wire.Message) error {
+	switch m.Type {
+	case wire.Run:
+		return receive(m, func(b *runBatch) { e.receiveRun(from, b) })
+	case wire.RunDone:
+		return receive(m, func(d *runDone) { e.receiveDone(from, d) })
+	case wire.RunCancel:
+		return receive(m, func(c *runCancel) { e.remotes.stop(from, c.IDs) })
+	case wire.Forward:
+		return receive(m, func(q *forward) { go e.forwards.serve(from, q) })
+	case wire.ForwardDone:
+		return receive(m, func(d *forwardDone) { e.forwards.answered(from, d) })
+	case wire.Load:
+		return receive(m, func(l *load) { e.scheduler(l.Class).receiveLoad(from, l) })
+	}
+	return fmt.Errorf("engine: message type %d is not mine", m.Type)
+}
+
+func receive[T any](m wire.Message, handle func(*T)) error {
+	var body T
+	if err := wire.Decode(m.Body, &body); err != nil {
+		return err
+	}
+	handle(&body)
+	return nil
+}
+
+// receiveRun queues handed-over units by class.
+func (e *Engine) receiveRun(from string, b *runBatch) {
+	for _, s := range []*scheduler{e.requests, e.jobs} {
+		var mine runBatch
+		for _, u := range b.Units {
+			if u.Class == s.class {
+				mine.Units = append(mine.Units, u)
+			}
+		}
+		if len(mine.Units) > 0 {
+			s.receiveBatch(from, &mine)
+		}
+	}
+}
+
+// receiveDone hands results to the scheduler that knows their units. Unit
+// identifiers are unique within the entry.
+func (e *Engine) receiveDone(from string, d *runDone) {
+	e.requests.receiveDone(from, d.Results)
+	e.jobs.receiveDone(from, d.Results)
+}
+
+// LinkUp tells that an entry can be reached. A new incarnation has lost what
+// the earlier one was given.
+func (e *Engine) LinkUp(name string, incarnation uint64) {
+	if e.outbox.up(name, incarnation) {
+		e.losePeer(name)
+	}
+	for _, m := range e.outbox.take(name) {
+		if err := e.Links.Send(name, m); err != nil {
+			e.outbox.put(name, m)
+		}
+	}
+}
+
+// LinkDown tells that an entry cannot be reached for now. What it runs may
+// still be answered after the link is back.
+func (e *Engine) LinkDown(name string) {
+	e.requests.suspectPeer(name)
+	e.jobs.suspectPeer(name)
+	e.forwards.lose(name)
+}
+
+// losePeer settles what a lost entry was given.
+func (e *Engine) losePeer(name string) {
+	e.requests.losePeer(name)
+	e.jobs.losePeer(name)
+	e.forwards.lose(name)
+	e.outbox.forget(name)
+}
--- /dev/null
+++ b/internal/engine/load.go
@@ -0,0 +1,194 @@
+package engine
+
+import (
+	"time"
+
+	"currantstall/internal/admission"
+	"currantstall/internal/placement"
+	"currantstall/internal/wire"
+)
+
+const (
+	// tellEvery is the beat of load messages while nothing changes.
+	tellEvery = 250 * time.Millisecond
+	// maxTrip stands for the way to a peer whose round trip is not known.
+	maxTrip = 10 * time.Millisecond
+)
+
+// peerState is what is known of another entry's load.
+type peerState struct {
+	dc    string
+	at    time.Time
+	kinds map[string]*peerKind
+}
+
+// peerKind is the load of one kind at a peer.
+type peerKind struct {
+	kindLoad
+	sent int // units sent there since
+}
+
+// toldLoad is what the peers were told last.
+type toldLoad struct {
+	at    time.Time
+	kinds []kindLoad
+}
+
+// receiveLoad notes a peer's load and hands over what it has room for.
+func (s *scheduler) receiveLoad(from string, l *load) {
+	dc, ok := s.e.Links.DCOf(from)
+	if !ok {
+		return
+	}
+	p := &peerState{dc: dc, at: time.Now(), kinds: make(map[string]*peerKind, len(l.Kinds))}
+	for _, k := range l.Kinds {
+		p.kinds[k.Kind] = &peerKind{kindLoad: k}
+	}
+	s.mu.Lock()
+	s.peers[from] = p
+	s.mu.Unlock()
+	s.kick()
+}
+
+// takeHandoffs takes queued units that peers can start sooner. The caller
+// holds the lock.
+func (s *scheduler) takeHandoffs(now time.Time) []batch {
+	queued, _ := s.queue.Len()
+	if len(s.peers) == 0 {
+		return nil
+	}
+	stats := s.queue.Stats()
+	s.setPeerWait(now, &stats)
+	if queued == 0 || s.e.Policy != admission.Shares {
+		return nil
+	}
+	byPeer := make(map[string]*batch)
+	for i := range stats.Kinds {
+		s.handKind(now, &stats.Kinds[i], byPeer)
+	}
+	batches := make([]batch, 0, len(byPeer))
+	for _, b := range byPeer {
+		batches = append(batches, *b)
+	}
+	return batches
+}
+
+// handKind takes units of one kind for peers.
+func (s *scheduler) handKind(now time.Time, k *admission.KindStats, byPeer map[string]*batch) {
+	if k.Queued == 0 {
+		return
+	}
+	local := placement.Local{DC: s.e.DC, Queued: k.Queued, Wait: k.Wait}
+	for _, b := range placement.Handoff(local, s.peerLoads(now, k.Kind)) {
+		shed := s.queue.Shed(b.N, func(a admission.Unit) bool { return a.Kind == k.Kind })
+		if len(shed) == 0 {
+			return
+		}
+		s.peers[b.Member].kinds[k.Kind].sent += len(shed)
+		to := byPeer[b.Member]
+		if to == nil {
+			to = &batch{to: b.Member}
+			byPeer[b.Member] = to
+		}
+		for _, a := range shed {
+			to.units = append(to.units, s.handOver(a.ID, b.Member))
+		}
+	}
+}
+
+// handOver moves a unit to those at peers.
+func (s *scheduler) handOver(id uint64, to string) *unit {
+	u := s.units[id]
+	delete(s.units, id)
+	u.to = to
+	s.handed[id] = u
+	return u
+}
+
+// peerLoads returns the peers' loads for one kind.
+func (s *scheduler) peerLoads(now time.Time, kind string) []placement.PeerLoad {
+	loads := make([]placement.PeerLoad, 0, len(s.peers))
+	for name, p := range s.peers {
+		k := p.kinds[kind]
+		if k == nil {
+			continue
+		}
+		loads = append(loads, placement.PeerLoad{
+			Member: name,
+			DC:     p.dc,
+			Free:   k.Free,
+			Queued: k.Queued,
+			Wait:   k.Wait,
+			Trip:   s.trip(name),
+			Age:    now.Sub(p.at),
+			Sent:   k.sent,
+		})
+	}
+	return loads
+}
+
+// trip returns half the round trip to a peer.
+func (s *scheduler) trip(name string) time.Duration {
+	rtt, ok := s.e.Links.RTT(name)
+	if !ok {
+		return maxTrip
+	}
+	return rtt / 2
+}
+
+// setPeerWait tells the queue how soon a peer could start work.
+func (s *scheduler) setPeerWait(now time.Time, stats *admission.Stats) {
+	best, found := time.Duration(0), false
+	for i := range stats.Kinds {
+		k := &stats.Kinds[i]
+		local := placement.Local{DC: s.e.DC, Queued: k.Queued, Wait: k.Wait}
+		wait, ok := placement.PeerWait(local, s.peerLoads(now, k.Kind))
+		if ok && (!found || wait < best) {
+			best, found = wait, true
+		}
+	}
+	s.queue.SetPeerWait(best, found)
+}
+
+// tell sends this entry's load to the others, if it changed or is old.
+func (s *scheduler) tell(now time.Time) {
+	s.mu.Lock()
+	stats := s.queue.Stats()
+	kinds := make([]kindLoad, len(stats.Kinds))
+	for i := range stats.Kinds {
+		k := &stats.Kinds[i]
+		kinds[i] = kindLoad{Kind: k.Kind, Free: k.Free, Queued: k.Queued, Wait: k.Wait}
+	}
+	due := now.Sub(s.told.at) >= tellEvery || matters(s.told.kinds, kinds)
+	if due {
+		s.told = toldLoad{at: now, kinds: kinds}
+	}
+	s.mu.Unlock()
+	if !due || len(kinds) == 0 {
+		return
+	}
+	m, err := wire.NewMessage(wire.Load, load{Class: s.class, Kinds: kinds})
+	if err != nil {
+		s.e.Log.Error("load not encoded", "error", err)
+		return
+	}
+	s.e.Links.Broadcast(m)
+}
+
+// matters reports whether a change of load could change what a peer does: a
+// kind ran out of room, got some, or its room changed by a quarter.
+func matters(old, now []kindLoad) bool {
+	if len(old) != len(now) {
+		return true
+	}
+	for i := range now {
+		a, b := &old[i], &now[i]
+		if a.Kind != b.Kind || (a.Free == 0) != (b.Free == 0) || (a.Queued == 0) != (b.Queued == 0) {
+			return true
+		}
+		if diff := a.Free - b.Free; diff*4 > a.Free || -diff*4 > a.Free {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/engine/messages.go
@@ -0,0 +1,90 @@
+package engine
+
+import (
+	"time"
+
+	"currantstall/internal/key"
+	"currantstall/internal/structs"
+)
+
+// op says what a forwarded request asks of a member of its key's data centre.
+type op uint8
+
+const (
+	opDo op = iota + 1
+	opRefuse
+	opLookup
+	opCancel
+	opClaimExternal
+	opCancelHere
+)
+
+// forward is the body of wire.Forward. Times travel as remaining durations,
+// since clocks differ.
+type forward struct {
+	ID        uint64        `cbor:"1,keyasint"`
+	Op        op            `cbor:"2,keyasint"`
+	Key       key.Key       `cbor:"3,keyasint"`
+	Work      *structs.Work `cbor:"4,keyasint,omitempty"`
+	Remaining time.Duration `cbor:"5,keyasint"`
+}
+
+// forwardDone is the body of wire.ForwardDone. Outcome is nil if the work
+// still runs.
+type forwardDone struct {
+	ID      uint64           `cbor:"1,keyasint"`
+	Outcome *structs.Outcome `cbor:"2,keyasint,omitempty"`
+}
+
+// runUnit is one task handed over for execution.
+type runUnit struct {
+	ID         uint64            `cbor:"1,keyasint"`
+	Class      structs.Class     `cbor:"2,keyasint"`
+	Key        key.Key           `cbor:"3,keyasint"`
+	Task       int               `cbor:"4,keyasint"`
+	Kind       string            `cbor:"5,keyasint"`
+	Team       string            `cbor:"6,keyasint"`
+	Body       []byte            `cbor:"7,keyasint"`
+	Needs      structs.Resources `cbor:"8,keyasint"`
+	Repeatable bool              `cbor:"9,keyasint"`
+	// Remaining is the time up to the deadline.
+	Remaining time.Duration `cbor:"10,keyasint"`
+	// Lease is the time for which the sender may start the task; 0 for no
+	// bound.
+	Lease time.Duration `cbor:"11,keyasint,omitempty"`
+}
+
+// runBatch is the body of wire.Run.
+type runBatch struct {
+	Units []runUnit `cbor:"1,keyasint"`
+}
+
+// runResult is the result of one handed-over task.
+type runResult struct {
+	ID      uint64          `cbor:"1,keyasint"`
+	Outcome structs.Outcome `cbor:"2,keyasint"`
+}
+
+// runDone is the body of wire.RunDone.
+type runDone struct {
+	Results []runResult `cbor:"1,keyasint"`
+}
+
+// runCancel is the body of wire.RunCancel.
+type runCancel struct {
+	IDs []uint64 `cbor:"1,keyasint"`
+}
+
+// load is the body of wire.Load: the sender's room for the kinds of a class.
+type load struct {
+	Class structs.Class `cbor:"1,keyasint"`
+	Kinds []kindLoad    `cbor:"2,keyasint"`
+}
+
+// kindLoad is the sender's load of one kind.
+type kindLoad struct {
+	Kind   string        `cbor:"1,keyasint"`
+	Free   int           `cbor:"2,keyasint"` // tasks that could start now
+	Queued int           `cbor:"3,keyasint"`
+	Wait   time.Duration `cbor:"4,keyasint"` // estimated for one more task
+}
