currantstall load: an open-loop generator

Latency counts from the intended send time, so that a stalled sender or entry does not hide its own delay; calls beyond the bound in flight are counted as unsent. Each task carries its run time, so the ratio to the ideal is known for each call. Arrivals, run times and entries depend on the seed alone.

--- /dev/null
+++ b/cmd/currantstall/load.go
@@ -0,0 +1,63 @@
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"currantstall/internal/load"
+	"currantstall/internal/structs"
+)
+
+// loadCmd sends a stream of work in an open loop and prints what became of it.
+type loadCmd struct {
+	Addr     []string      `default:"127.0.0.1:7400" placeholder:"HOST:PORT" help:"Entries to send to, separated by commas; one is drawn for each request."`
+	Kind     string        `required:"" placeholder:"NAME" help:"Kind of work."`
+	Team     string        `default:"load" placeholder:"NAME" help:"Team that sends it."`
+	Tasks    int           `default:"0" help:"Tasks of a job, 1 to 670; 0 sends requests."`
+	Rate     float64       `default:"10" help:"Requests or jobs a second."`
+	Arrivals string        `default:"poisson" enum:"poisson,constant" help:"Distribution of the arrivals: poisson or constant."`
+	Service  time.Duration `default:"100ms" help:"Mean run time of a task at a stand-in."`
+	Spread   float64       `default:"0.5" help:"Standard deviation of the run time's logarithm; 0 for a fixed time."`
+	Deadline time.Duration `default:"2s" help:"Time from the intended send time to the deadline."`
+	WarmUp   time.Duration `default:"1s" help:"Time before counting begins."`
+	Duration time.Duration `default:"10s" help:"Time that is counted."`
+	Seed     uint64        `default:"1" help:"Seed of arrivals, run times and entries."`
+}
+
+// Run implements the command.
+func (c *loadCmd) Run() error {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	results, err := load.Run(ctx, load.Config{
+		Addrs:    c.Addr,
+		Streams:  []load.Stream{c.stream()},
+		WarmUp:   c.WarmUp,
+		Duration: c.Duration,
+		Seed:     c.Seed,
+	})
+	if err != nil {
+		return err
+	}
+	return load.Write(os.Stdout, results)
+}
+
+func (c *loadCmd) stream() load.Stream {
+	s := load.Stream{
+		Class:    structs.Request,
+		Kind:     c.Kind,
+		Team:     c.Team,
+		Rate:     c.Rate,
+		Arrivals: load.Arrivals(c.Arrivals),
+		Tasks:    1,
+		Service:  c.Service,
+		Spread:   c.Spread,
+		Deadline: c.Deadline,
+	}
+	if c.Tasks > 0 {
+		s.Class, s.Tasks = structs.Job, c.Tasks
+	}
+	return s
+}
--- a/cmd/currantstall/main.go
+++ b/cmd/currantstall/main.go
@@ -15,6 +15,7 @@
 // cli holds one field for each command; the command's own file declares it.
 type cli struct {
 	Entry   entryCmd   `cmd:"" help:"Run an entry: serve callers, peers and operators."`
+	Load    loadCmd    `cmd:"" help:"Send work at a steady rate and print what became of it."`
 	Version versionCmd `cmd:"" help:"Print the version."`
 }
 
--- /dev/null
+++ b/internal/load/client.go
@@ -0,0 +1,138 @@
+package load
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"time"
+
+	"currantstall/internal/structs"
+	"currantstall/internal/verdict"
+)
+
+const (
+	// answerGrace is how long past its deadline an answer is waited for.
+	answerGrace = 2 * time.Second
+	dialTimeout = 2 * time.Second
+	idlePerHost = 4096
+	idleTimeout = 30 * time.Second
+)
+
+// taskBody is what the stand-ins of targets read from a task's body.
+type taskBody struct {
+	ServiceMS float64 `json:"service_ms"`
+}
+
+// requestBody is the body of POST /v1/requests.
+type requestBody struct {
+	Kind       string   `json:"kind"`
+	Team       string   `json:"team"`
+	Body       taskBody `json:"body"`
+	DeadlineMS int64    `json:"deadline_ms"`
+}
+
+// submissionBody is the body of POST /v1/submissions.
+type submissionBody struct {
+	Kind       string             `json:"kind"`
+	Team       string             `json:"team"`
+	Tasks      []taskBody         `json:"tasks"`
+	Needs      *structs.Resources `json:"needs,omitempty"`
+	DeadlineMS int64              `json:"deadline_ms"`
+}
+
+// answerBody is the part of an answer or refusal that is looked at.
+type answerBody struct {
+	Verdict verdict.Verdict `json:"verdict"`
+	Reason  verdict.Reason  `json:"reason"`
+	Answers []struct{}      `json:"answers"`
+}
+
+// call is one request or job to be sent.
+type call struct {
+	stream *Stream
+	at     time.Time // intended
+	tasks  []time.Duration
+	addr   string
+}
+
+// ideal is the time of the longest task.
+func (c *call) ideal() time.Duration { return slices.Max(c.tasks) }
+
+// work is the run time of all tasks together.
+func (c *call) work() time.Duration {
+	sum := time.Duration(0)
+	for _, t := range c.tasks {
+		sum += t
+	}
+	return sum
+}
+
+func newClient() *http.Client {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	return &http.Client{Transport: &http.Transport{
+		DialContext:         dialer.DialContext,
+		MaxIdleConns:        0,
+		MaxIdleConnsPerHost: idlePerHost,
+		IdleConnTimeout:     idleTimeout,
+		DisableCompression:  true,
+	}}
+}
+
+// encode returns the path and the body of a call sent now.
+func (c *call) encode(now time.Time) (path string, body []byte, err error) {
+	left := c.stream.Deadline - now.Sub(c.at)
+	ms := max(1, left.Milliseconds())
+	tasks := make([]taskBody, len(c.tasks))
+	for i, t := range c.tasks {
+		tasks[i].ServiceMS = float64(t) / float64(time.Millisecond)
+	}
+	if c.stream.Class == structs.Request {
+		body, err = json.Marshal(requestBody{c.stream.Kind, c.stream.Team, tasks[0], ms})
+		return "/v1/requests", body, err
+	}
+	body, err = json.Marshal(submissionBody{c.stream.Kind, c.stream.Team, tasks, c.stream.Needs, ms})
+	return "/v1/submissions", body, err
+}
+
+// send carries out a call. The error is that of the transport: what became of
+// the request is then not known.
+func (c *call) send(ctx context.Context, client *http.Client) (answerBody, error) {
+	ctx, cancel := context.WithDeadline(ctx, c.at.Add(c.stream.Deadline+answerGrace))
+	defer cancel()
+	path, body, err := c.encode(time.Now())
+	if err != nil {
+		return answerBody{}, fmt.Errorf("encode request: %w", err)
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+c.addr+path, bytes.NewReader(body))
+	if err != nil {
+		return answerBody{}, fmt.Errorf("build request: %w", err)
+	}
+	req.Header.Set("Content-Type", "application/json")
+	resp, err := client.Do(req)
+	if err != nil {
+		return answerBody{}, fmt.Errorf("send request: %w", err)
+	}
+	defer resp.Body.Close()
+	raw, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return answerBody{}, fmt.Errorf("read answer: %w", err)
+	}
+	var a answerBody
+	if err := json.Unmarshal(raw, &a); err != nil {
+		return answerBody{}, fmt.Errorf("decode answer with status %d: %w", resp.StatusCode, err)
+	}
+	return a, c.whole(&a)
+}
+
+// whole checks that a completed job has an answer for each task.
+func (c *call) whole(a *answerBody) error {
+	if a.Verdict == verdict.Completed && c.stream.Class == structs.Job && len(a.Answers) != len(c.tasks) {
+		return fmt.Errorf("answer has %d of %d tasks", len(a.Answers), len(c.tasks))
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/load/report.go
@@ -0,0 +1,153 @@
+package load
+
+import (
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"currantstall/internal/verdict"
+)
+
+const (
+	maxLatency = int64(10 * time.Minute / time.Microsecond) // µs
+	maxRatio   = int64(10_000_000)                          // thousandths
+	digits     = 3
+)
+
+// Refusal is what an answer other than a completed one said. A call without
+// an answer has the zero verdict and reason "no_answer".
+type Refusal struct {
+	Verdict verdict.Verdict
+	Reason  verdict.Reason
+}
+
+// NoAnswer is the reason of a call that got no answer.
+const NoAnswer verdict.Reason = "no_answer"
+
+// Result holds the figures of one stream, of calls whose intended time lies
+// after the warm-up.
+type Result struct {
+	Stream    Stream
+	Sent      int
+	Unsent    int // not sent, as too many were in flight
+	Completed int
+	OnTime    int
+	// Useful is the run time of all tasks of the calls that were on time.
+	Useful  time.Duration
+	Refused map[Refusal]int
+	// Latency of completed calls from the intended time, µs.
+	Latency *hdrhistogram.Histogram
+	// Ratio of that latency to the run time of the longest task, in
+	// thousandths.
+	Ratio *hdrhistogram.Histogram
+	// RefusalLatency is the time to a refusal, µs.
+	RefusalLatency *hdrhistogram.Histogram
+	// Lag is how long after its intended time a call was sent, µs.
+	Lag *hdrhistogram.Histogram
+}
+
+// recorder collects a Result from many goroutines.
+type recorder struct {
+	mu sync.Mutex
+	Result
+}
+
+func newRecorder(s Stream) *recorder {
+	return &recorder{Result: Result{
+		Stream:         s,
+		Refused:        map[Refusal]int{},
+		Latency:        hdrhistogram.New(1, maxLatency, digits),
+		Ratio:          hdrhistogram.New(1, maxRatio, digits),
+		RefusalLatency: hdrhistogram.New(1, maxLatency, digits),
+		Lag:            hdrhistogram.New(1, maxLatency, digits),
+	}}
+}
+
+// record adds a value, at most the histogram's highest.
+func record(h *hdrhistogram.Histogram, v int64) {
+	_ = h.RecordValue(max(1, min(v, h.HighestTrackableValue())))
+}
+
+func (r *recorder) note(c *call, sent, end time.Time, a answerBody, err error) {
+	took := end.Sub(c.at)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.Sent++
+	record(r.Lag, sent.Sub(c.at).Microseconds())
+	switch {
+	case err != nil:
+		r.Refused[Refusal{Reason: NoAnswer}]++
+		return
+	case a.Verdict != verdict.Completed:
+		r.Refused[Refusal{a.Verdict, a.Reason}]++
+		record(r.RefusalLatency, end.Sub(sent).Microseconds())
+		return
+	}
+	r.Completed++
+	record(r.Latency, took.Microseconds())
+	record(r.Ratio, int64(1000*float64(took)/float64(c.ideal())))
+	if took <= c.stream.Deadline {
+		r.OnTime++
+		r.Useful += c.work()
+	}
+}
+
+func (r *recorder) skip() {
+	r.mu.Lock()
+	r.Unsent++
+	r.mu.Unlock()
+}
+
+// Write prints the results for a person, one block a stream.
+func Write(w io.Writer, results []Result) error {
+	var b strings.Builder
+	for i := range results {
+		results[i].write(&b)
+	}
+	_, err := io.WriteString(w, b.String())
+	return err
+}
+
+func (r *Result) write(b *strings.Builder) {
+	fmt.Fprintf(b, "%s %s team %s: sent %d, unsent %d, completed %d, on time %d\n",
+		r.Stream.Class, r.Stream.Kind, r.Stream.Team, r.Sent, r.Unsent, r.Completed, r.OnTime)
+	for _, k := range r.refusals() {
+		fmt.Fprintf(b, "  refused %s %s: %d\n", k.Verdict, k.Reason, r.Refused[k])
+	}
+	if r.Completed == 0 {
+		return
+	}
+	fmt.Fprintf(b, "  latency ms: p50 %.1f, p90 %.1f, p99 %.1f, max %.1f\n",
+		ms(r.Latency, 50), ms(r.Latency, 90), ms(r.Latency, 99), ms(r.Latency, 100))
+	fmt.Fprintf(b, "  over the longest task: p50 %.3f, p99 %.3f\n", r.RatioAt(50), r.RatioAt(99))
+}
+
+// refusals returns the keys of Refused in a fixed order.
+func (r *Result) refusals() []Refusal {
+	keys := make([]Refusal, 0, len(r.Refused))
+	for k := range r.Refused {
+		keys = append(keys, k)
+	}
+	slices.SortFunc(keys, func(a, b Refusal) int {
+		if a.Verdict != b.Verdict {
+			return int(a.Verdict) - int(b.Verdict)
+		}
+		return strings.Compare(string(a.Reason), string(b.Reason))
+	})
+	return keys
+}
+
+// RatioAt returns a percentile (0 to 100) of the latency over the run time of
+// the longest task.
+func (r *Result) RatioAt(percentile float64) float64 {
+	return float64(r.Ratio.ValueAtQuantile(percentile)) / 1000
+}
+
+func ms(h *hdrhistogram.Histogram, percentile float64) float64 {
+	return float64(h.ValueAtQuantile(percentile)) / 1000
+}
