--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -13,6 +13,7 @@
 	"currantstall/internal/admission"
 	"currantstall/internal/claims"
 	"currantstall/internal/dispatch"
+	"currantstall/internal/journal"
 	"currantstall/internal/key"
 	"currantstall/internal/manifest"
 	"currantstall/internal/metrics"
@@ -43,11 +44,19 @@
 	ClaimExternal(ctx context.Context, k key.Key) error
 }
 
+// Journal takes outcomes into the account.
+type Journal interface {
+	// Record adds an outcome. It reports false if the journal is full.
+	Record(e journal.Entry) bool
+}
+
 // Config holds what an engine is built from.
 type Config struct {
 	Self   structs.Member
 	DC     string
 	Claims claims.Claims
+	// Journal takes the outcomes of work that needed no claim.
+	Journal Journal
 	// External claims keys for the old system.
 	External External
 	Links    Links
@@ -179,10 +188,21 @@
 	defer e.inFlight.Done()
 	if claimed {
 		e.Claims.Finish(w.Key, o)
+	} else if !w.Repeatable && o.Verdict != verdict.NotRun {
+		e.account(w, o)
 	}
 	e.untrack(w.Key)
 }
 
+// account records work under a key that no claim records.
+func (e *Engine) account(w *structs.Work, o structs.Outcome) {
+	entry := journal.EntryOf(w.Key, o)
+	entry.Digest = w.Digest()
+	entry.Kind = w.Kind
+	entry.Team = w.Team
+	e.Journal.Record(entry)
+}
+
 func (e *Engine) track(g *group) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -14,6 +14,7 @@
 
 	"currantstall/internal/claims"
 	"currantstall/internal/dispatch"
+	"currantstall/internal/journal"
 	"currantstall/internal/key"
 	"currantstall/internal/manifest"
 	"currantstall/internal/metrics"
@@ -37,6 +38,8 @@
 	held  map[key.Key]bool
 	ended map[key.Key]structs.Outcome
 	lease error
+
+	recorded []journal.Entry
 }
 
 func newFakeClaims() *fakeClaims {
@@ -89,6 +92,13 @@
 	return nil, verdict.New(verdict.MayHaveRun, verdict.NotFound, "no record")
 }
 
+func (f *fakeClaims) Record(e journal.Entry) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.recorded = append(f.recorded, e)
+	return true
+}
+
 func (f *fakeClaims) ClaimExternal(context.Context, key.Key) error { return nil }
 
 // fakeNet connects engines in memory.
@@ -175,6 +185,7 @@
 		DC:          dc,
 		Claims:      c,
 		External:    c.(*fakeClaims),
+		Journal:     c.(*fakeClaims),
 		Links:       &fakeLinks{net: n, self: name},
 		Manifest:    func() *manifest.Manifest { return testManifest },
 		KnownDC:     func(dc string) bool { return dc == "a" || dc == "b" },
@@ -251,6 +262,23 @@
 	assert.NilError(t, e.Drain(context.Background()))
 }
 
+func TestAFreshKeyNeedsNoClaimButIsInTheAccount(t *testing.T) {
+	n := newNet()
+	c := newFakeClaims()
+	r := startTarget(t, platform.RoleRunner, "r1")
+	e := n.start(t, "e1", "a", c)
+	e.SetTargets([]platform.VM{r.VM()}, nil)
+	w := newWork(t, "unlock", structs.Request, 1)
+	w.Fresh = true
+
+	o := e.Do(context.Background(), w)
+
+	assert.Equal(t, o.Verdict, verdict.Completed, o.Message)
+	assert.Equal(t, len(c.ended), 0)
+	assert.Equal(t, len(c.recorded), 1)
+	assert.Equal(t, c.recorded[0].Key, w.Key)
+}
+
 func TestJobIsWholeOrFailed(t *testing.T) {
 	n := newNet()
 	c := newFakeClaims()
@@ -328,14 +356,14 @@
 	}, poll.WithTimeout(10*time.Second), poll.WithDelay(5*time.Millisecond))
 }
 
-// waitForQueue waits until requests are queued.
-func waitForQueue(t *testing.T, e *Engine) {
+// waitForQueue waits until n requests are queued.
+func waitForQueue(t *testing.T, e *Engine, n int) {
 	t.Helper()
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
 		e.requests.mu.Lock()
 		defer e.requests.mu.Unlock()
-		if queued, _ := e.requests.queue.Len(); queued == 0 {
-			return poll.Continue("nothing is queued")
+		if queued, _ := e.requests.queue.Len(); queued < n {
+			return poll.Continue("%d are queued", queued)
 		}
 		return poll.Success()
 	}, poll.WithTimeout(10*time.Second), poll.WithDelay(5*time.Millisecond))
@@ -410,7 +438,7 @@
 		busy.Tasks[0] = []byte(`{"service_ms":1500}`)
 		go e.Do(context.Background(), busy)
 	}
-	waitForQueue(t, e)
+	waitForQueue(t, e, r.VM().Slots)
 	w := newWork(t, "unlock", structs.Request, 1)
 	done := make(chan structs.Outcome, 1)
 	go func() { done <- e.Do(context.Background(), w) }()
--- a/internal/engine/targets.go
+++ b/internal/engine/targets.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"currantstall/internal/admission"
 	"currantstall/internal/manifest"
 	"currantstall/internal/placement"
 	"currantstall/internal/platform"
@@ -74,6 +75,17 @@
 	}
 }
 
+// KindStatus returns the load of each kind here.
+func (e *Engine) KindStatus() []admission.KindStats {
+	var kinds []admission.KindStats
+	for _, s := range []*scheduler{e.requests, e.jobs} {
+		s.mu.Lock()
+		kinds = append(kinds, s.queue.Stats().Kinds...)
+		s.mu.Unlock()
+	}
+	return kinds
+}
+
 // Run keeps deadlines and tells the peers this entry's load, until ctx ends.
 func (e *Engine) Run(ctx context.Context) {
 	t := time.NewTicker(tick)
