--- a/cmd/currantstall/main.go
+++ b/cmd/currantstall/main.go
@@ -3,20 +3,36 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"os"
 
 	"github.com/alecthomas/kong"
+
+	"currantstall/internal/verdict"
 )
 
-// exitUsage is the status for a wrong setting.
-const exitUsage = 2
+// The exit statuses. A refused or failed request has its verdict's own.
+const (
+	exitOther      = 1
+	exitUsage      = 2 // a wrong setting
+	exitNotRun     = 3
+	exitMayHaveRun = 4
+	exitFailed     = 5
+)
 
 // cli holds one field for each command; the command's own file declares it.
 type cli struct {
-	Entry   entryCmd   `cmd:"" help:"Run an entry: serve callers, peers and operators."`
-	Load    loadCmd    `cmd:"" help:"Send work at a steady rate and print what became of it."`
-	Version versionCmd `cmd:"" help:"Print the version."`
+	Entry    entryCmd    `cmd:"" help:"Run an entry: serve callers, peers and operators."`
+	Load     loadCmd     `cmd:"" help:"Send work at a steady rate and print what became of it."`
+	Manifest manifestCmd `cmd:"" help:"Check, apply, show or compare the operators' manifest."`
+	Request  requestCmd  `cmd:"" help:"Send one request and print its answer."`
+	Submit   submitCmd   `cmd:"" help:"Send one job and print its answers."`
+	Key      keyCmd      `cmd:"" help:"Mint keys, which make a resubmission safe."`
+	Status   statusCmd   `cmd:"" help:"Print an entry's view of itself."`
+	Account  accountCmd  `cmd:"" help:"Read the account of what has run, or claim keys in it."`
+	Standin  standinCmd  `cmd:"" help:"Run a small stand-in of the platform or of a target."`
+	Version  versionCmd  `cmd:"" help:"Print the version."`
 }
 
 func main() {
@@ -33,7 +49,7 @@
 	)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "currantstall:", err)
-		return 1
+		return exitOther
 	}
 	ctx, err := parser.Parse(args)
 	if err != nil {
@@ -42,7 +58,22 @@
 	}
 	if err := ctx.Run(); err != nil {
 		fmt.Fprintln(os.Stderr, "currantstall:", err)
-		return 1
+		return statusOf(err)
 	}
 	return 0
 }
+
+// statusOf returns the exit status for the error of a command.
+func statusOf(err error) int {
+	var e *verdict.Error
+	if !errors.As(err, &e) {
+		return exitOther
+	}
+	switch e.Verdict {
+	case verdict.NotRun:
+		return exitNotRun
+	case verdict.Failed:
+		return exitFailed
+	}
+	return exitMayHaveRun
+}
--- /dev/null
+++ b/cmd/currantstall/standin.go
@@ -0,0 +1,131 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"currantstall/internal/platform"
+	"currantstall/internal/standin/platformd"
+	"currantstall/internal/standin/runner"
+	"currantstall/internal/standin/taskserver"
+	"currantstall/internal/standin/worker"
+	"currantstall/internal/structs"
+)
+
+// standinCmd holds small stand-ins for what surrounds the entries.
+type standinCmd struct {
+	Platform standinPlatformCmd `cmd:"" help:"Run a platform that keeps everything in memory."`
+	Runner   standinRunnerCmd   `cmd:"" help:"Run a runner."`
+	Worker   standinWorkerCmd   `cmd:"" help:"Run a worker."`
+}
+
+// standinPlatformCmd runs the platform.
+type standinPlatformCmd struct {
+	Listen          string  `default:"127.0.0.1:7500" help:"Address to listen on; port 0 takes a free one."`
+	WritesPerSecond float64 `default:"400" help:"Rows and objects that may be written, a second; 0 for no bound."`
+	ReadsPerSecond  float64 `default:"2000" help:"Requests to read, a second; 0 for no bound."`
+	ListLag         int64   `default:"1000" help:"Age of the VM list, in ms."`
+}
+
+// Run implements the command.
+func (c *standinPlatformCmd) Run() error {
+	s, err := platformd.Start(c.Listen)
+	if err != nil {
+		return err
+	}
+	f := platformd.DefaultFaults()
+	f.WritesPerSecond, f.ReadsPerSecond, f.ListLagMS = c.WritesPerSecond, c.ReadsPerSecond, c.ListLag
+	s.Store.SetFaults(f)
+	fmt.Println("platform listens on", s.Addr())
+	waitForStop()
+	return s.Close()
+}
+
+// targetFlags are the flags of the runner and the worker.
+type targetFlags struct {
+	VM       string                   `name:"vm" required:"" placeholder:"NAME" help:"Name of the VM, unique."`
+	DC       string                   `name:"data-centre" required:"" placeholder:"NAME" help:"Data centre of the VM."`
+	Rack     string                   `placeholder:"NAME" help:"Rack of the VM."`
+	Listen   string                   `default:"127.0.0.1:0" help:"Address to listen on; port 0 takes a free one."`
+	Platform string                   `required:"" placeholder:"URL" help:"Base URL of the platform, whose list the target joins."`
+	Service  map[string]time.Duration `mapsep:"," placeholder:"KIND=DURATION" help:"Median run time of a kind's tasks that do not say their own, several separated by commas. Default: 50ms each."`
+	Spread   float64                  `default:"0.5" help:"Standard deviation of the run time's logarithm, without unit."`
+}
+
+// leaveGrace is how long a stopped target finishes what runs.
+const leaveGrace = 10 * time.Second
+
+func (f *targetFlags) config(list platform.List) taskserver.Config {
+	return taskserver.Config{
+		VM:      platform.VM{Name: f.VM, DC: f.DC, Rack: f.Rack},
+		Listen:  f.Listen,
+		Service: f.Service,
+		Spread:  f.Spread,
+		List:    list,
+	}
+}
+
+// serve starts a target, and on a signal lets it leave and finish.
+func (f *targetFlags) serve(role platform.Role, start func(taskserver.Config) (*taskserver.Server, error), change func(*taskserver.Config)) error {
+	list, err := platform.NewClient(platform.Config{URL: f.Platform})
+	if err != nil {
+		return err
+	}
+	defer list.Close()
+	cfg := f.config(list)
+	change(&cfg)
+	s, err := start(cfg)
+	if err != nil {
+		return err
+	}
+	defer s.Close()
+	fmt.Println(role, f.VM, "listens on", s.Addr())
+	waitForStop()
+	s.Leave()
+	for end := time.Now().Add(leaveGrace); s.Running() > 0 && time.Now().Before(end); {
+		time.Sleep(10 * time.Millisecond)
+	}
+	return nil
+}
+
+// standinRunnerCmd runs a runner.
+type standinRunnerCmd struct {
+	Slots   int `default:"8" help:"Requests that run at one time."`
+	MaxConn int `default:"60" help:"Connections that are accepted."`
+	targetFlags
+}
+
+// Run implements the command.
+func (c *standinRunnerCmd) Run() error {
+	return c.serve(platform.RoleRunner, runner.New, func(cfg *taskserver.Config) {
+		cfg.VM.Slots, cfg.VM.MaxConn = c.Slots, c.MaxConn
+	})
+}
+
+// standinWorkerCmd runs a worker.
+type standinWorkerCmd struct {
+	Cores        int64         `default:"32" help:"Processor cores."`
+	MemoryMiB    int64         `name:"memory-mib" default:"131072" help:"Memory, in MiB."`
+	Accelerators int64         `default:"0" help:"Accelerators, whole devices."`
+	UsageLag     time.Duration `default:"2s" help:"Age of what a usage report says."`
+	targetFlags
+}
+
+// Run implements the command.
+func (c *standinWorkerCmd) Run() error {
+	return c.serve(platform.RoleWorker, worker.New, func(cfg *taskserver.Config) {
+		cfg.VM.Size = structs.Resources{MilliCPU: 1000 * c.Cores, MemoryMB: c.MemoryMiB, Accelerators: c.Accelerators}
+		cfg.UsageLag = c.UsageLag
+	})
+}
+
+// waitForStop blocks until the process is told to stop.
+func waitForStop() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	<-ctx.Done()
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -31,8 +31,8 @@
 type Entry struct {
 	VM            string `name:"vm" required:"" placeholder:"NAME" help:"Name of this VM, unique among all entries: 1 to 32 of a-z, 0-9, '-', '_' and '.'."`
 	DC            string `name:"data-centre" required:"" placeholder:"NAME" help:"Data centre of this VM."`
-	Listen        string `default:"127.0.0.1:7400" placeholder:"HOST:PORT" help:"Address to listen on for callers and operators; port 0 takes a free one."`
-	PeerListen    string `default:"127.0.0.1:7401" placeholder:"HOST:PORT" help:"Address to listen on for other entries; port 0 takes a free one."`
+	Listen        string `default:"127.0.0.1:7400" help:"Address to listen on for callers and operators; port 0 takes a free one."`
+	PeerListen    string `default:"127.0.0.1:7401" help:"Address to listen on for other entries; port 0 takes a free one."`
 	PeerAdvertise string `placeholder:"HOST:PORT" help:"Address that other entries dial. Default: the address listened on."`
 	Platform      string `required:"" placeholder:"URL" help:"Base URL of the platform's service, http://HOST:PORT."`
 
