--- a/internal/journal/batch.go
+++ b/internal/journal/batch.go
@@ -24,9 +24,9 @@
 	// WrittenMS is the writer's time at the write, Unix time in ms.
 	WrittenMS int64 `cbor:"3,keyasint"`
 	// Dropped is the number of outcomes that the writer had no room for.
-	Dropped int     `cbor:"4,keyasint,omitempty"`
-	Entries []Entry `cbor:"5,keyasint,omitempty"`
-	Object  string  `cbor:"6,keyasint,omitempty"` // holds the entries in place of Entries
+	Dropped int        `cbor:"4,keyasint,omitempty"`
+	Body    *batchBody `cbor:"5,keyasint,omitempty"`
+	Object  string     `cbor:"6,keyasint,omitempty"` // holds the body in place of Body
 }
 
 // logPrefix is the prefix of a data centre's rows.
--- a/internal/journal/bench_test.go
+++ b/internal/journal/bench_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"runtime"
 	"sync"
 	"testing"
 	"time"
@@ -127,3 +128,26 @@
 	}
 	b.ReportMetric(float64(store.Stats().TotalReads()-before)/float64(b.N), "reads/op")
 }
+
+// BenchmarkPendingMemory is the heap that 100,000 outcomes take while the
+// platform is down. Run it with -benchtime 1x.
+func BenchmarkPendingMemory(b *testing.B) {
+	for range b.N {
+		before := heap()
+		j := New(Config{Platform: newStore(), DC: "rennes"})
+		for range DefaultMaxPending {
+			e := completed(newKey(b, "rennes"))
+			e.Kind, e.Team = "lot-reservation", "upholsterers"
+			assert.Assert(b, j.Record(e))
+		}
+		b.ReportMetric(float64(heap()-before)/DefaultMaxPending, "B/pending")
+		runtime.KeepAlive(j)
+	}
+}
+
+func heap() int64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc)
+}
--- a/internal/journal/commit.go
+++ b/internal/journal/commit.go
@@ -135,7 +135,8 @@
 func (j *Journal) newFlight(entries []Entry, dropped int) (*flight, error) {
 	id := uuid.NewString()
 	f := &flight{entries: len(entries), row: batchRow{WriteID: id, Writer: j.cfg.Writer, Dropped: dropped}}
-	body, err := wire.Encode(entries)
+	packed := packEntries(entries)
+	body, err := wire.Encode(packed)
 	if err != nil {
 		return nil, fmt.Errorf("encode journal batch: %w", err)
 	}
@@ -144,7 +145,7 @@
 		f.row.Object = objectPrefix + id
 		return f, nil
 	}
-	f.row.Entries = entries
+	f.row.Body = &packed
 	return f, nil
 }
 
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -28,16 +28,16 @@
 
 // Entry is what the account holds of one key. Answers are not kept.
 type Entry struct {
-	Key     key.Key         `cbor:"1,keyasint"`
-	Verdict verdict.Verdict `cbor:"2,keyasint"`
-	Reason  verdict.Reason  `cbor:"3,keyasint,omitempty"`
-	System  System          `cbor:"4,keyasint,omitempty"` // empty stands for SystemNew
-	Digest  uint64          `cbor:"5,keyasint,omitempty"` // of the work, 0 if not known
-	Kind    string          `cbor:"6,keyasint,omitempty"`
-	Team    string          `cbor:"7,keyasint,omitempty"`
+	Key     key.Key
+	Verdict verdict.Verdict
+	Reason  verdict.Reason
+	System  System // who ran the key
+	Digest  uint64 // of the work, 0 if not known
+	Kind    string
+	Team    string
 	// AtMS is the time of the outcome, Unix time in ms; 0 stands for the
 	// time of Record.
-	AtMS int64 `cbor:"8,keyasint"`
+	AtMS int64
 }
 
 // EntryOf returns the entry of a key's outcome.
--- a/internal/journal/read.go
+++ b/internal/journal/read.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 
 	"currantstall/internal/key"
@@ -129,7 +128,8 @@
 // logRow is a batch with its number and its entries.
 type logRow struct {
 	batchRow
-	seq uint64
+	Entries []Entry
+	seq     uint64
 }
 
 // scanLog reads a page of batches from a number on, and reports whether there
@@ -159,17 +159,29 @@
 		return logRow{}, err
 	}
 	b, err := decodeBatchRow(row)
-	if err != nil || b.Object == "" {
-		return logRow{b, seq}, err
+	if err != nil {
+		return logRow{}, err
 	}
-	body, err := j.cfg.Platform.GetObject(ctx, b.Object)
-	if errors.Is(err, platform.ErrNotFound) {
-		return logRow{}, fmt.Errorf("journal row %s names a missing object: %w", row.Key, err)
+	if b.Body == nil {
+		if b.Body, err = j.loadBody(ctx, b.Object); err != nil {
+			return logRow{}, fmt.Errorf("journal row %s: %w", row.Key, err)
+		}
 	}
+	entries, err := b.Body.entries()
+	if err != nil {
+		return logRow{}, fmt.Errorf("journal row %s: %w", row.Key, err)
+	}
+	b.Body = nil
+	return logRow{batchRow: b, Entries: entries, seq: seq}, nil
+}
+
+func (j *Journal) loadBody(ctx context.Context, object string) (*batchBody, error) {
+	data, err := j.cfg.Platform.GetObject(ctx, object)
 	if err != nil {
-		return logRow{}, fmt.Errorf("read journal object: %w", err)
+		return nil, fmt.Errorf("read object %s: %w", object, err)
 	}
-	return logRow{b, seq}, wire.Decode(body, &b.Entries)
+	body := new(batchBody)
+	return body, wire.Decode(data, body)
 }
 
 // shown returns the rule by which Read passes over entries that another entry
