A lost hedge counts for the verdict of its task

When the first attempt proved that it did not run after the hedge had been lost, the task was reported as not run. The hedge's error is now taken in before the verdict; a scripted test brings the order about and fails without the change.

--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -334,3 +334,38 @@
 		}
 	})
 }
+
+// scripted is a model whose attempts follow a script.
+type scripted struct {
+	*model
+	run func(ctx context.Context, addr string) error
+}
+
+func (s scripted) Run(ctx context.Context, addr string, _ target.Start) (target.Answer, error) {
+	return target.Answer{}, s.run(ctx, addr)
+}
+
+// The first attempt proves that it did not run, after the hedge was lost: the
+// task as a whole may have run.
+func TestALostHedgeCountsForTheVerdict(t *testing.T) {
+	hedgeSent := make(chan struct{})
+	d := New(Config{Targets: scripted{&model{targets: map[string]*modelTarget{}}, func(_ context.Context, addr string) error {
+		if addr == "first" {
+			<-hedgeSent
+			return verdict.New(verdict.NotRun, verdict.TargetRefused, "refused")
+		}
+		close(hedgeSent)
+		return verdict.New(verdict.MayHaveRun, verdict.TargetLost, "lost")
+	}}})
+	_, err := d.Do(t.Context(), Task{
+		Repeatable: true,
+		First:      Place{Addr: "first", Release: func() {}},
+		HedgeAfter: time.Millisecond,
+		Pick: func(exclude []string) (Place, bool) {
+			return Place{Addr: "hedge", Release: func() {}}, len(exclude) == 1
+		},
+	})
+	d.Close()
+	assert.Equal(t, verdict.Of(err).Verdict, verdict.MayHaveRun, "%v", err)
+	assert.Equal(t, verdict.Of(err).Reason, verdict.TargetLost)
+}
--- a/internal/dispatch/hedge.go
+++ b/internal/dispatch/hedge.go
@@ -15,7 +15,9 @@
 	run  *run
 	stop context.CancelCauseFunc // ends the first attempt
 	done chan struct{}           // closed when no hedge runs any more
-	addr string                  // of the hedge, if there is one; read after done
+	// Of the hedge, if there was one; read after done.
+	addr string
+	err  *verdict.Error
 
 	mu     sync.Mutex
 	over   bool    // the first attempt has ended; no hedge starts any more
@@ -53,6 +55,10 @@
 	if c.addr != "" {
 		r.tried = append(r.tried, c.addr)
 	}
+	if c.err != nil {
+		// Of the first alone, a NotRun would not hold for the task.
+		r.note(c.err)
+	}
 	if w := c.won(); w != nil {
 		first.abandon(firstCtx, end)
 		return w.answer, nil
@@ -89,6 +95,7 @@
 	at := r.d.newAttempt(r.task, p)
 	end := at.send(ctx)
 	if end.err != nil {
+		c.err = end.err
 		at.abandon(ctx, end)
 		return
 	}
