Admission: count on peers by kind and only for as many units as they have room

Cause: the engine told the queue the least wait at any peer for any kind. In a flood peers keep a little room for kinds that are idle, so the flooded kind would have been admitted without bound on the strength of it, only to expire. Found by reading; the test is that of TestOfferRefusesEarlyWithAReason. Also the statistics of all kinds are no longer taken at each start while nothing waits.

--- a/internal/admission/kind.go
+++ b/internal/admission/kind.go
@@ -32,6 +32,8 @@
 	arrivals   float64 // decayed number of arrivals
 	arrived    time.Time
 	turn       uint64 // of the last start, in starts of the queue
+	peerRoom   int    // units that peers could start
+	peerWait   time.Duration
 	usualAt    time.Time
 	usualSlots float64
 	credit     float64 // slot time not used of the guarantee's fraction, ns
--- a/internal/admission/offer.go
+++ b/internal/admission/offer.go
@@ -71,8 +71,8 @@
 	if q.cfg.Policy != Shares {
 		return nil
 	}
-	if q.hasPeer && !u.Handed {
-		wait = min(wait, q.peerWait)
+	if !u.Handed && k.queued+n <= k.peerRoom {
+		wait = min(wait, k.peerWait)
 	}
 	need := k.service.Low()
 	if wait > 0 {
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -13,8 +13,6 @@
 	capacity float64 // units that own targets run at one time
 	headroom float64 // part of a kind's unused guarantee that stays free
 	fraction float64 // this entry's part of the teams' quotas
-	peerWait time.Duration
-	hasPeer  bool
 
 	kinds  []*kind
 	byKind map[string]*kind
@@ -124,10 +122,14 @@
 	}
 }
 
-// SetPeerWait tells that a peer can start work after wait, the trip included.
-// Units that would miss their deadline here are admitted if they would meet it
-// there. With ok false no peer has room.
-func (q *Queue) SetPeerWait(wait time.Duration, ok bool) { q.peerWait, q.hasPeer = wait, ok }
+// SetPeers tells how many units of a kind peers could start now, and after what
+// wait, the trip included. Up to that many units that would miss their deadline
+// here are admitted if they would meet it there. An unknown kind is ignored.
+func (q *Queue) SetPeers(kind string, room int, wait time.Duration) {
+	if k := q.byKind[kind]; k != nil {
+		k.peerRoom, k.peerWait = room, wait
+	}
+}
 
 // Next takes the next unit to start and counts it as running. room reports
 // whether a target has a place for the unit; a kind for whose first unit there
--- a/internal/admission/stats.go
+++ b/internal/admission/stats.go
@@ -48,6 +48,15 @@
 	return q.wait(k, "", 1, 1)
 }
 
+// Kinds returns the names of the kinds.
+func (q *Queue) Kinds() []string {
+	names := make([]string, len(q.kinds))
+	for i, k := range q.kinds {
+		names[i] = k.name
+	}
+	return names
+}
+
 // Len returns the numbers of queued and running units.
 func (q *Queue) Len() (queued, running int) { return q.queued, q.running }
 
--- a/internal/admission/team_test.go
+++ b/internal/admission/team_test.go
@@ -122,8 +122,12 @@
 	}
 	assert.Assert(t, newQueue(20).Offer(epoch, job("k", 20, time.Second)) == nil)
 	peer := newQueue(0)
-	peer.SetPeerWait(time.Millisecond, true)
-	assert.Assert(t, peer.Offer(epoch, job("k", 1, time.Second)) == nil)
+	peer.SetPeers("k", 3, time.Millisecond)
+	assert.Equal(t, peer.Offer(epoch, job("k", 4, time.Second)).Reason, verdict.DeadlineUnmeetable)
+	assert.Assert(t, peer.Offer(epoch, job("k", 3, time.Second)) == nil)
+	more := job("k", 1, time.Second)
+	more[0].ID = 9
+	assert.Equal(t, peer.Offer(epoch, more).Reason, verdict.DeadlineUnmeetable)
 }
 
 // loadedQueue has 30 kinds and 770 teams, each team with work in each kind.
--- a/internal/engine/load.go
+++ b/internal/engine/load.go
@@ -46,6 +46,7 @@
 	}
 	s.mu.Lock()
 	s.peers[from] = p
+	s.setPeerRoom(p.at)
 	s.mu.Unlock()
 	s.kick()
 }
@@ -54,14 +55,10 @@
 // holds the lock.
 func (s *scheduler) takeHandoffs(now time.Time) []batch {
 	queued, _ := s.queue.Len()
-	if len(s.peers) == 0 {
+	if queued == 0 || len(s.peers) == 0 || s.e.Policy != admission.Shares {
 		return nil
 	}
 	stats := s.queue.Stats()
-	s.setPeerWait(now, &stats)
-	if queued == 0 || s.e.Policy != admission.Shares {
-		return nil
-	}
 	byPeer := make(map[string]*batch)
 	for i := range stats.Kinds {
 		s.handKind(now, &stats.Kinds[i], byPeer)
@@ -136,18 +133,13 @@
 	return rtt / 2
 }
 
-// setPeerWait tells the queue how soon a peer could start work.
-func (s *scheduler) setPeerWait(now time.Time, stats *admission.Stats) {
-	best, found := time.Duration(0), false
-	for i := range stats.Kinds {
-		k := &stats.Kinds[i]
-		local := placement.Local{DC: s.e.DC, Queued: k.Queued, Wait: k.Wait}
-		wait, ok := placement.PeerWait(local, s.peerLoads(now, k.Kind))
-		if ok && (!found || wait < best) {
-			best, found = wait, true
-		}
+// setPeerRoom tells the queue what peers could start. The caller holds the
+// lock.
+func (s *scheduler) setPeerRoom(now time.Time) {
+	for _, name := range s.queue.Kinds() {
+		room, wait := placement.PeerRoom(s.peerLoads(now, name))
+		s.queue.SetPeers(name, room, wait)
 	}
-	s.queue.SetPeerWait(best, found)
 }
 
 // tell sends this entry's load to the others, if it changed or is old.
--- a/internal/engine/targets.go
+++ b/internal/engine/targets.go
@@ -106,6 +106,7 @@
 func (s *scheduler) beat(now time.Time) {
 	s.mu.Lock()
 	s.queue.SetCapacity(s.pool.capacity())
+	s.setPeerRoom(now)
 	s.mu.Unlock()
 	s.kick()
 	s.expireHanded(now)
--- a/internal/placement/handoff.go
+++ b/internal/placement/handoff.go
@@ -109,18 +109,19 @@
 	return local.Wait > 2*p.Trip+minGain
 }
 
-// PeerWait returns the least time until a peer could start one more unit, or
-// false if none has room. See admission.Queue.SetPeerWait.
-func PeerWait(local Local, peers []PeerLoad) (time.Duration, bool) {
-	best, found := time.Duration(0), false
+// PeerRoom returns how many units peers could start now, and the least time
+// until one of them could. See admission.Queue.SetPeers.
+func PeerRoom(peers []PeerLoad) (room int, wait time.Duration) {
 	for i := range peers {
 		p := &peers[i]
-		if usable(p, 1) <= 0 {
+		n := usable(p, 1)
+		if n <= 0 {
 			continue
 		}
-		if wait := 2*p.Trip + p.Wait; !found || wait < best {
-			best, found = wait, true
+		if w := 2*p.Trip + p.Wait; room == 0 || w < wait {
+			wait = w
 		}
+		room += n
 	}
-	return best, found
+	return room, wait
 }
