--- a/internal/journal/body.go
+++ b/internal/journal/body.go
@@ -30,6 +30,7 @@
 	Kind    int
 	Team    int
 	AfterMS int64 // since BaseMS
+	Again   bool
 }
 
 // wordTable gives each text its index.
@@ -62,6 +63,7 @@
 			Kind:    words.add(e.Kind),
 			Team:    words.add(e.Team),
 			AfterMS: e.AtMS - body.BaseMS,
+			Again:   e.Again,
 		})
 	}
 	body.Words = words.words
@@ -86,6 +88,7 @@
 			Kind:    b.Words[l.Kind],
 			Team:    b.Words[l.Team],
 			AtMS:    b.BaseMS + l.AfterMS,
+			Again:   l.Again,
 		})
 	}
 	return out, nil
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -35,6 +35,10 @@
 	Digest  uint64 // of the work, 0 if not known
 	Kind    string
 	Team    string
+	// Again means that the process that held the claim may have recorded the
+	// outcome too: this one knows it as a peer. It must be set then, since
+	// Read takes two outcomes without it for those of two keys.
+	Again bool
 	// AtMS is the time of the outcome, Unix time in ms; 0 stands for the
 	// time of Record.
 	AtMS int64
@@ -52,6 +56,23 @@
 // At returns the time of the outcome.
 func (e Entry) At() time.Time { return time.UnixMilli(e.AtMS) }
 
+// rank orders the entries of one key: the highest counts, of equals the first.
+func (e Entry) rank() int {
+	switch {
+	case !e.settled():
+		return 0
+	case e.Again:
+		return 1
+	}
+	return 2
+}
+
+// replaces reports whether an entry counts in place of an earlier one.
+func (e Entry) replaces(earlier Entry) bool { return e.rank() > earlier.rank() }
+
+// replaceable reports whether another entry of the key may count instead.
+func (e Entry) replaceable() bool { return e.rank() < 2 }
+
 // settled reports whether the entry is the last word on its key. An outcome
 // may_have_run may still be replaced by a settled one; a key that the old
 // system claimed stays its own.
--- a/internal/journal/lookup.go
+++ b/internal/journal/lookup.go
@@ -35,9 +35,6 @@
 	entry Entry
 }
 
-// replaces reports whether an entry counts in place of an earlier one.
-func (e Entry) replaces(earlier Entry) bool { return e.settled() && !earlier.settled() }
-
 // best returns, of each key that stands in the log, the entry that counts. It
 // reads the part of the log that was written in the span.
 func (j *Journal) best(ctx context.Context, dc string, keys map[key.Key]bool, span timeSpan) (map[key.Key]place, error) {
--- a/internal/journal/property_test.go
+++ b/internal/journal/property_test.go
@@ -99,9 +99,10 @@
 // account is the world of the property.
 type account struct {
 	*faulty
-	writers []*writer
-	durable map[key.Key]Entry
-	keys    []key.Key
+	writers  []*writer
+	durable  map[key.Key]Entry
+	finished []key.Key // settled by their holder
+	keys     []key.Key
 }
 
 func (a *account) start(name string) *writer {
@@ -114,10 +115,11 @@
 func (a *account) act() {
 	i := rapid.IntRange(0, len(a.writers)-1).Draw(a.t, "writer")
 	w := a.writers[i]
-	switch rapid.SampledFrom([]string{"finish", "finish", "finish", "lose", "flush", "flush", "crash", "up", "late"}).Draw(a.t, "action") {
+	switch rapid.SampledFrom([]string{"finish", "finish", "finish", "lose", "repeat", "flush", "flush", "crash", "up", "late"}).Draw(a.t, "action") {
 	case "finish":
 		k := newKey(a.t, "rennes")
 		a.keys = append(a.keys, k)
+		a.finished = append(a.finished, k)
 		w.record(completed(k))
 		if rapid.Bool().Draw(a.t, "twice") {
 			w.record(completed(k))
@@ -130,6 +132,12 @@
 			a.keys = append(a.keys, k)
 			w.record(holderLost(k))
 		}
+	case "repeat":
+		if len(a.finished) > 0 {
+			e := completed(rapid.SampledFrom(a.finished).Draw(a.t, "key"))
+			e.Again = true
+			w.record(e)
+		}
 	case "flush":
 		a.flush(w)
 	case "crash":
--- a/internal/journal/read.go
+++ b/internal/journal/read.go
@@ -36,10 +36,10 @@
 // start if that is empty. Each data centre's lines are in the order of its
 // log, which never changes; data centres follow in order of name.
 //
-// Each key stands once. If a key was recorded several times, its first settled
-// outcome counts, wherever in the log that is, or else its first. A reader
-// that has passed a line may_have_run meets the settled one, should it come,
-// at its own place later in the log.
+// Each key stands once. Of several entries of a key the one that its holder
+// settled counts, wherever in the log that is, else the first that a peer
+// settled, else the first. A reader that has passed a line may_have_run meets
+// the settled one, should it come, at its own place later in the log.
 //
 // The error is a *verdict.Error.
 func (j *Journal) Read(ctx context.Context, after string, limit int) (Page, error) {
@@ -185,13 +185,14 @@
 }
 
 // shown returns the rule by which Read passes over entries that another entry
-// of the same key replaces. Only entries that are not settled can be replaced.
+// of the same key replaces. Those that can be replaced are rare: they come from
+// the loss of a VM or of a target.
 func (j *Journal) shown(ctx context.Context, dc string, rows []logRow, from cursor) (func(cursor, Entry) bool, error) {
 	open := map[key.Key]bool{}
 	var span timeSpan
 	for _, row := range rows {
 		for i, e := range row.Entries {
-			if !e.settled() && !(cursor{row.seq, i}).before(from) {
+			if e.replaceable() && !(cursor{row.seq, i}).before(from) {
 				open[e.Key] = true
 				span.add(e.Key.MintedAt().UnixMilli())
 				span.add(row.WrittenMS)
@@ -206,5 +207,5 @@
 	if err != nil {
 		return nil, err
 	}
-	return func(at cursor, e Entry) bool { return e.settled() || best[e.Key].at == at }, nil
+	return func(at cursor, e Entry) bool { return !e.replaceable() || best[e.Key].at == at }, nil
 }
