--- a/internal/peer/bench_test.go
+++ b/internal/peer/bench_test.go
@@ -12,6 +12,7 @@
 	"testing"
 	"time"
 
+	"github.com/uber-go/tally/v4"
 	"gotest.tools/v3/assert"
 
 	"currantstall/internal/key"
@@ -114,11 +115,16 @@
 	b.ReportMetric(float64(len(m.Body)), "body-bytes")
 }
 
-// BenchmarkLinkMemory measures what an idle link takes at both ends together.
-func BenchmarkLinkMemory(b *testing.B) {
-	const peers = 50
+// BenchmarkIdleLink measures what an idle link takes in memory, and in frames
+// and body bytes a second both ways, at both ends together.
+func BenchmarkIdleLink(b *testing.B) {
+	const (
+		peers   = 50
+		watched = 5 * time.Second
+	)
 	for b.Loop() {
-		hub := newEchoer(b, "hub", false, nil)
+		scope := tally.NewTestScope("", nil)
+		hub := newEchoer(b, "hub", false, metrics.NewWith(scope))
 		var set []Peer
 		for i := range peers {
 			set = append(set, newEchoer(b, "p"+strconv.Itoa(i), false, nil).self)
@@ -127,10 +133,28 @@
 		hub.SetPeers(set)
 		eventually(b, "all are linked", func() bool { return len(hub.Linked()) == peers })
 		time.Sleep(2 * DefaultSilentAfter)
-		b.ReportMetric(float64(inUse()-before)/peers, "bytes/link-both-ends")
+		b.ReportMetric(float64(inUse()-before)/peers, "bytes/link")
+		frames, bytes := traffic(scope)
+		time.Sleep(watched)
+		framesLater, bytesLater := traffic(scope)
+		b.ReportMetric(float64(framesLater-frames)/peers/watched.Seconds(), "frames/s/link")
+		b.ReportMetric(float64(bytesLater-bytes)/peers/watched.Seconds(), "body-bytes/s/link")
 	}
 }
 
+// traffic sums the frames and the bodies' bytes of a scope, both ways.
+func traffic(scope tally.TestScope) (frames, bytes int64) {
+	for _, c := range scope.Snapshot().Counters() {
+		switch c.Name() {
+		case metrics.PeerFramesIn, metrics.PeerFramesOut:
+			frames += c.Value()
+		case metrics.PeerBytesIn, metrics.PeerBytesOut:
+			bytes += c.Value()
+		}
+	}
+	return frames, bytes
+}
+
 func inUse() uint64 {
 	runtime.GC()
 	runtime.GC()
--- /dev/null
+++ b/internal/settings/page_test.go
@@ -0,0 +1,59 @@
+package settings
+
+import (
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/alecthomas/kong"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/golden"
+)
+
+const (
+	page       = "../../docs/operations/settings.md"
+	tableBegin = "<!-- table: generated, see internal/settings/page_test.go -->\n"
+	tableEnd   = "<!-- end of table -->\n"
+)
+
+// table returns the settings of an entry as a Markdown table.
+func table(t *testing.T) string {
+	t.Helper()
+	var e Entry
+	p, err := kong.New(&e, kong.DefaultEnvars("CURRANTSTALL"))
+	assert.NilError(t, err)
+	var b strings.Builder
+	b.WriteString("| flag | variable | default | meaning |\n|---|---|---|---|\n")
+	for _, f := range p.Model.Flags {
+		if f.Name == "help" {
+			continue
+		}
+		def := "none"
+		if f.HasDefault {
+			def = "`" + f.Default + "`"
+		}
+		if f.Required {
+			def = "required"
+		}
+		fmt.Fprintf(&b, "| `--%s` | `%s` | %s | %s |\n", f.Name, strings.Join(f.Envs, " "), def, f.Help)
+	}
+	return b.String()
+}
+
+// TestSettingsPageIsInStep fails when the page lags behind the code. The
+// command that mends it: go test ./internal/settings -run Page -update
+func TestSettingsPageIsInStep(t *testing.T) {
+	b, err := os.ReadFile(page)
+	assert.NilError(t, err)
+	before, rest, ok := strings.Cut(string(b), tableBegin)
+	assert.Assert(t, ok, "the page has no mark for the table")
+	old, after, ok := strings.Cut(rest, tableEnd)
+	assert.Assert(t, ok, "the page has no mark for the table's end")
+	want := table(t)
+	if golden.FlagUpdate() {
+		assert.NilError(t, os.WriteFile(page, []byte(before+tableBegin+want+tableEnd+after), 0o644))
+		return
+	}
+	assert.Equal(t, old, want, "mend it by: go test ./internal/settings -run Page -update")
+}
