--- a/internal/dispatch/fault_test.go
+++ b/internal/dispatch/fault_test.go
@@ -17,6 +17,7 @@
 	"currantstall/internal/platform"
 	"currantstall/internal/standin/runner"
 	"currantstall/internal/standin/taskserver"
+	"currantstall/internal/standin/worker"
 	"currantstall/internal/target"
 	"currantstall/internal/verdict"
 )
@@ -371,3 +372,38 @@
 	assert.Equal(t, f.runners[0].Running(), 0)
 	assert.Equal(t, f.used[f.addrs[0]], 0)
 }
+
+// A wave of cancels stops all that runs on a large worker.
+func TestAWaveOfCancelsStopsAllTasks(t *testing.T) {
+	const tasks = 200
+	w, err := worker.New(taskserver.Config{})
+	assert.NilError(t, err)
+	t.Cleanup(w.Close)
+	pool := target.NewPool(target.PoolConfig{})
+	t.Cleanup(pool.Close)
+	pool.SetShare(w.Addr(), target.ShareOf(0, 1, true))
+	d := New(Config{Targets: pool})
+	k, err := key.New("rennes")
+	assert.NilError(t, err)
+	ctx, cancel := context.WithCancel(t.Context())
+	errs := make([]error, tasks)
+	var wg sync.WaitGroup
+	for i := range tasks {
+		wg.Go(func() {
+			_, errs[i] = d.Do(ctx, Task{
+				Start:       target.Start{Key: k, Task: i, Kind: "reconcile", Body: []byte(`{"service_ms": 600000}`)},
+				First:       Place{Addr: w.Addr(), Release: func() {}},
+				SilentAfter: time.Minute,
+				MayStart:    func() (time.Time, error) { return time.Now().Add(time.Minute), nil },
+			})
+		})
+	}
+	waitStarts([]*taskserver.Server{w}, tasks)
+	cancel()
+	wg.Wait()
+
+	assert.Equal(t, w.Running(), 0)
+	for _, err := range errs {
+		assert.Check(t, verdict.Of(err).Verdict == verdict.Failed, "%v", err)
+	}
+}
--- a/internal/target/pool.go
+++ b/internal/target/pool.go
@@ -23,9 +23,19 @@
 	DefaultMaxAnswer   = 8 << 20 // bytes
 )
 
-// controlConns is the part of a share that is kept for look-ups, stops and
-// usage reports, so that silent starts can't block them.
-const controlConns = 2
+// A sixteenth of a share, controlConns at least, is kept for look-ups, stops and
+// usage reports, so that silent starts can't block them, and that a wave of
+// cancels stops the tasks of a large worker within a second.
+const (
+	controlConns = 2
+	controlPart  = 16
+)
+
+// split divides a share into the connections for tasks and for control.
+func split(conns int) (tasks, control int) {
+	control = max(controlConns, conns/controlPart)
+	return max(conns-control, 1), control
+}
 
 // closeGrace is the time after which a target should have noticed that a
 // connection was closed. Only then another takes its place: a target closes
@@ -187,20 +197,27 @@
 }
 
 func newEndpoint(addr string, cfg *PoolConfig) *endpoint {
+	tasks, control := split(cfg.Share)
 	return &endpoint{
 		addr:    addr,
 		cfg:     cfg,
-		tasks:   newLane(cfg, max(cfg.Share-controlConns, 1)),
-		control: newLane(cfg, controlConns),
+		tasks:   newLane(cfg, tasks),
+		control: newLane(cfg, control),
 		asking:  make(chan struct{}, 1),
 	}
 }
 
 func (e *endpoint) setShare(conns int) {
-	n := max(conns-controlConns, 1)
-	e.tasks.turns.setLimit(n)
-	if e.tasks.gate.setLimit(n) {
-		e.tasks.transport.CloseIdleConnections()
+	tasks, control := split(conns)
+	e.control.setLimit(control)
+	e.tasks.setLimit(tasks)
+}
+
+// setLimit bounds the connections. Idle ones are closed if the bound falls.
+func (l *lane) setLimit(conns int) {
+	l.turns.setLimit(conns)
+	if l.gate.setLimit(conns) {
+		l.transport.CloseIdleConnections()
 	}
 }
 
