Admission: short jobs pass the long ones of their team

Cause: within a team the queue was first in, first out by task, so a job of one task behind one of 670 waited for all of those. Now a team's jobs are in four classes by number of tasks, which take turns while they have work: a job of 1 starts second behind 600 tasks (TestShortJobsPassLongOnes), and the 600 are delayed by one start for each short task. Tasks handed to a peer carry the size of their job. Weighed: least remaining work first, which starves long jobs.

--- a/internal/admission/kind.go
+++ b/internal/admission/kind.go
@@ -143,6 +143,7 @@
 // serve removes the head of the first flow and charges the flow for it.
 func (k *kind) serve(n *node) {
 	f := n.flow
+	f.served = n.class
 	k.virtual = f.start
 	f.start += 1 / f.weight
 	k.dequeue(n)
@@ -165,19 +166,19 @@
 	if len(k.active) == 0 {
 		return nil
 	}
-	return k.active[0].head
+	return k.active[0].first()
 }
 
-// ahead returns the number of units that are served before a new one of the
-// team: at most all that are queued, and at most the team's own queue and what
-// the others may have served meanwhile.
-func (k *kind) ahead(team string, weight float64) float64 {
+// ahead returns the number of units that are served before the last of n new
+// ones of the team: at most all that are queued, and at most the team's own
+// that go first and what the others may have served meanwhile.
+func (k *kind) ahead(team string, weight float64, class, n int) float64 {
 	f := k.flows[team]
 	if f == nil || f.length == 0 {
-		// The whole flow of a team that starts has one unit of each
-		// other team before it at most, by weight.
-		return min(float64(k.queued), k.weights/weight)
+		// Each other team, by weight, has its turns meanwhile.
+		return min(float64(k.queued), float64(n)*k.weights/weight)
 	}
-	own := float64(f.length) * k.weights / f.weight
-	return min(float64(k.queued), own)
+	own := f.before(class, n)
+	others := (own + float64(n)) * (k.weights - f.weight) / f.weight
+	return min(float64(k.queued), own+others)
 }
--- a/internal/admission/node.go
+++ b/internal/admission/node.go
@@ -18,6 +18,7 @@
 	state state
 	kind  *kind
 	flow  *flow
+	class int // of job size, see sizeClass
 	// lastStart is the latest useful start, in ns since the epoch.
 	lastStart int64
 	order     uint64 // of arrival
@@ -28,34 +29,6 @@
 	spoke                int
 }
 
-// pushBack appends n to the flow's queue.
-func (f *flow) pushBack(n *node) {
-	n.flowPrev, n.flowNext = f.tail, nil
-	if f.tail != nil {
-		f.tail.flowNext = n
-	} else {
-		f.head = n
-	}
-	f.tail = n
-	f.length++
-}
-
-// unlink removes n from the flow's queue.
-func (f *flow) unlink(n *node) {
-	if n.flowPrev != nil {
-		n.flowPrev.flowNext = n.flowNext
-	} else {
-		f.head = n.flowNext
-	}
-	if n.flowNext != nil {
-		n.flowNext.flowPrev = n.flowPrev
-	} else {
-		f.tail = n.flowPrev
-	}
-	n.flowPrev, n.flowNext = nil, nil
-	f.length--
-}
-
 const (
 	wheelSpokes   = 2048
 	wheelInterval = int64(8 * time.Millisecond)
--- a/internal/admission/offer.go
+++ b/internal/admission/offer.go
@@ -37,7 +37,8 @@
 	if t != nil {
 		weight = t.weight
 	}
-	wait := q.wait(k, u.Team, weight, len(units))
+	class := sizeClass(max(len(units), u.JobSize))
+	wait := q.wait(k, u.Team, weight, class, len(units))
 	if err := q.check(now, k, u, wait, len(units)); err != nil {
 		return err
 	}
@@ -54,7 +55,7 @@
 		if u.Queued.IsZero() {
 			u.Queued = now
 		}
-		q.insert(u, k, weight, lastStart)
+		q.insert(u, k, weight, class, lastStart)
 	}
 	return nil
 }
@@ -96,7 +97,7 @@
 
 // wait estimates how long the last of n new units of a kind and team would be
 // queued.
-func (q *Queue) wait(k *kind, team string, weight float64, n int) time.Duration {
+func (q *Queue) wait(k *kind, team string, weight float64, class, n int) time.Duration {
 	if k.queued == 0 && float64(n) <= q.startable(k) {
 		return 0
 	}
@@ -104,7 +105,7 @@
 	if slots <= 0 {
 		return farWait
 	}
-	before := k.ahead(team, weight) + float64(n)
+	before := k.ahead(team, weight, class, n) + float64(n)
 	if k.queued == 0 {
 		before -= q.startable(k)
 	}
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -247,7 +247,7 @@
 }
 
 // insert queues an admitted unit.
-func (q *Queue) insert(u Unit, k *kind, weight float64, lastStart time.Time) {
+func (q *Queue) insert(u Unit, k *kind, weight float64, class int, lastStart time.Time) {
 	n := q.free
 	if n == nil {
 		n = &node{}
@@ -255,7 +255,7 @@
 		q.free = n.flowNext
 	}
 	q.order++
-	*n = node{unit: u, state: queued, kind: k, order: q.order, lastStart: lastStart.UnixNano()}
+	*n = node{unit: u, state: queued, kind: k, class: class, order: q.order, lastStart: lastStart.UnixNano()}
 	q.units[u.ID] = n
 	if head := q.groups[u.Group]; head != nil {
 		n.groupNext = head
@@ -265,7 +265,7 @@
 	q.wheel.add(n)
 	name := u.Team
 	if q.cfg.Policy != Shares {
-		name, weight = "", 1 // the baselines know no teams
+		name, weight, n.class = "", 1, 0 // the baselines know no teams
 	}
 	k.enqueue(n, name, weight)
 	q.queued++
--- a/internal/admission/queue_test.go
+++ b/internal/admission/queue_test.go
@@ -64,9 +64,10 @@
 	deadline := m.now.Add(time.Duration(rapid.IntRange(-10, 30_000).Draw(t, "deadline")) * time.Millisecond)
 	handed := rapid.Bool().Draw(t, "handed")
 	units := make([]Unit, rapid.IntRange(1, 8).Draw(t, "tasks"))
+	size := rapid.SampledFrom([]int{0, 1, 20, 200}).Draw(t, "job size")
 	for i := range units {
 		m.next++
-		units[i] = Unit{ID: m.next, Group: group, Kind: kind, Team: team, Deadline: deadline, Handed: handed}
+		units[i] = Unit{ID: m.next, Group: group, Kind: kind, Team: team, Deadline: deadline, Handed: handed, JobSize: size}
 	}
 	if err := m.q.Offer(m.now, units); err != nil {
 		assert.Equal(t, err.Verdict, verdict.NotRun)
@@ -136,7 +137,10 @@
 		assert.Equal(t, len(k.active), 0)
 		assert.Equal(t, k.weights, 0.0)
 		for _, f := range k.flows {
-			assert.Assert(t, f.length == 0 && f.head == nil && f.tail == nil && f.pos == -1)
+			assert.Assert(t, f.length == 0 && f.pos == -1)
+			for _, l := range f.lists {
+				assert.Equal(t, l, list{})
+			}
 		}
 	}
 }
--- a/internal/admission/shed.go
+++ b/internal/admission/shed.go
@@ -43,16 +43,27 @@
 	return best
 }
 
-// last returns a unit near the end of a late flow that may be handed on.
+// last returns a unit near the end of a late flow, of the largest jobs first,
+// that may be handed on.
 func (k *kind) last(pick func(Unit) bool) *node {
 	for i := len(k.active) - 1; i >= max(0, len(k.active)-shedLook); i-- {
-		n := k.active[i].tail
-		for look := 0; n != nil && look < shedLook; look++ {
-			if !n.unit.Handed && (pick == nil || pick(n.unit)) {
+		for c := sizeClasses - 1; c >= 0; c-- {
+			if n := k.active[i].lists[c].last(pick); n != nil {
 				return n
 			}
-			n = n.flowPrev
 		}
 	}
 	return nil
 }
+
+// last returns a unit near the end of the list that may be handed on.
+func (l *list) last(pick func(Unit) bool) *node {
+	n := l.tail
+	for look := 0; n != nil && look < shedLook; look++ {
+		if !n.unit.Handed && (pick == nil || pick(n.unit)) {
+			return n
+		}
+		n = n.flowPrev
+	}
+	return nil
+}
--- a/internal/admission/stats.go
+++ b/internal/admission/stats.go
@@ -45,7 +45,7 @@
 	if k == nil {
 		return 0
 	}
-	return q.wait(k, "", 1, 1)
+	return q.wait(k, "", 1, 0, 1)
 }
 
 // Kinds returns the names of the kinds.
--- a/internal/admission/team_test.go
+++ b/internal/admission/team_test.go
@@ -199,3 +199,41 @@
 		}
 	}
 }
+
+func TestSizeClasses(t *testing.T) {
+	for tasks, want := range map[int]int{1: 0, 2: 1, 7: 1, 15: 1, 16: 2, 50: 2, 127: 2, 128: 3, 670: 3} {
+		assert.Equal(t, sizeClass(tasks), want, "%d tasks", tasks)
+	}
+}
+
+// A short job of a team does not wait for the long ones, nor do the long ones
+// wait for ever.
+func TestShortJobsPassLongOnes(t *testing.T) {
+	q := New(Config{})
+	q.Configure(epoch, []manifest.Kind{{Name: "k", Share: 1, ServiceMS: 100}}, nil, manifest.Limits{})
+	q.SetCapacity(1)
+	offer := func(group uint64, tasks int) {
+		units := make([]Unit, tasks)
+		for i := range units {
+			units[i] = Unit{ID: group*1000 + uint64(i), Group: group, Kind: "k", Team: "a", Deadline: epoch.Add(time.Hour)}
+		}
+		assert.Assert(t, q.Offer(epoch, units) == nil)
+	}
+	offer(1, 600)
+	offer(2, 1)
+	for group := uint64(3); group < 103; group++ {
+		offer(group, 1)
+	}
+	position := map[uint64]int{}
+	for i := 1; ; i++ {
+		u, ok := q.Next(epoch, anyRoom)
+		if !ok {
+			break
+		}
+		q.Finished(epoch, u.ID, 100*time.Millisecond, true)
+		position[u.Group] = i
+	}
+	assert.Assert(t, position[2] <= 2, "started as number %d", position[2])
+	assert.Equal(t, position[102], 202)
+	assert.Equal(t, position[1], 701)
+}
--- a/internal/admission/unit.go
+++ b/internal/admission/unit.go
@@ -21,6 +21,9 @@
 	Kind  string
 	Team  string
 	Needs structs.Resources
+	// JobSize is the number of tasks of the whole job; 0 stands for the
+	// number of units offered together.
+	JobSize int
 	// Deadline is the time by which the answer has to be there.
 	Deadline time.Time
 	// Handed means that the unit came from a peer: it is not handed on
--- a/internal/engine/messages.go
+++ b/internal/engine/messages.go
@@ -52,6 +52,8 @@
 	// Lease is the time for which the sender may start the task; 0 for no
 	// bound.
 	Lease time.Duration `cbor:"11,keyasint,omitempty"`
+	// JobSize is the number of tasks of the whole job.
+	JobSize int `cbor:"12,keyasint,omitempty"`
 }
 
 // runBatch is the body of wire.Run.
--- a/internal/engine/unit.go
+++ b/internal/engine/unit.go
@@ -36,6 +36,7 @@
 		Kind:     u.Kind,
 		Team:     u.Team,
 		Needs:    u.Needs,
+		JobSize:  u.JobSize,
 		Deadline: u.deadline,
 		Handed:   u.from != "",
 	}
@@ -55,6 +56,7 @@
 				Class:      w.Class,
 				Key:        w.Key,
 				Task:       i,
+				JobSize:    len(w.Tasks),
 				Kind:       w.Kind,
 				Team:       w.Team,
 				Body:       body,
