--- /dev/null
+++ b/cmd/currantstall/remote_test.go
@@ -0,0 +1,137 @@
+package main
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"currantstall/internal/api"
+	"currantstall/internal/client"
+	"currantstall/internal/key"
+	"currantstall/internal/manifest"
+	"currantstall/internal/metrics"
+	"currantstall/internal/structs"
+	"currantstall/internal/verdict"
+)
+
+// fakeEntry is what the HTTP service stands on: an engine that completes each
+// job on the second look-up, the manifests and the account.
+type fakeEntry struct {
+	current *manifest.Manifest
+	work    []*structs.Work
+	looked  int
+}
+
+func (f *fakeEntry) Mint() (key.Key, error) { return key.New("rennes") }
+
+func (f *fakeEntry) Do(ctx context.Context, w *structs.Work) structs.Outcome {
+	f.work = append(f.work, w)
+	if w.Kind == "reconcile" {
+		return structs.OutcomeOf(verdict.New(verdict.Failed, verdict.TaskFailed, "no"))
+	}
+	return structs.Outcome{Verdict: verdict.Completed, Answers: w.Tasks}
+}
+
+func (f *fakeEntry) Lookup(context.Context, key.Key) (*structs.Outcome, error) {
+	f.looked++
+	if f.looked == 1 {
+		return nil, nil
+	}
+	return &structs.Outcome{Verdict: verdict.Completed, Answers: [][]byte{[]byte("1")}}, nil
+}
+
+func (f *fakeEntry) Cancel(context.Context, key.Key) (structs.Outcome, error) {
+	return structs.Outcome{}, verdict.New(verdict.NotRun, verdict.Cancelled, "cancelled")
+}
+
+func (f *fakeEntry) Refuse(_ context.Context, _ key.Key, err error) error { return err }
+
+func (f *fakeEntry) Current() *manifest.Manifest { return f.current }
+
+func (f *fakeEntry) Apply(_ context.Context, base uint64, m *manifest.Manifest) (*manifest.Manifest, error) {
+	var version uint64
+	if f.current != nil {
+		version = f.current.Version
+	}
+	if base != version {
+		return nil, verdict.New(verdict.NotRun, verdict.ManifestConflict, "version %d is in force", version)
+	}
+	m.Version = version + 1
+	f.current = m
+	return m, nil
+}
+
+func (f *fakeEntry) Read(context.Context, string, int) ([]api.AccountLine, error) {
+	return []api.AccountLine{{Position: "1", Verdict: verdict.Completed}}, nil
+}
+
+func (f *fakeEntry) ClaimExternal(context.Context, key.Key) error { return nil }
+
+func TestCommandsOnAnEntry(t *testing.T) {
+	f := &fakeEntry{}
+	srv := httptest.NewServer(api.New(api.Config{
+		Engine: f, Manifests: f, Account: f, Status: func() api.Status { return api.Status{Name: "e1"} },
+		Ready: func() error { return nil }, Metrics: metrics.NewNop(),
+		Log: slog.New(slog.NewTextHandler(io.Discard, nil)), BodyBytes: 1 << 20,
+	}))
+	defer srv.Close()
+	path := "../../examples/kelpfire.yaml"
+	bad := filepath.Join(t.TempDir(), "bad.yaml")
+	assert.NilError(t, os.WriteFile(bad, []byte("kinds: 7"), 0o600))
+	k, err := key.New("rennes")
+	assert.NilError(t, err)
+	for _, tc := range []struct {
+		args string
+		want int
+	}{
+		{"manifest show", exitNotRun},
+		{"manifest check " + path, 0},
+		{"manifest check " + bad, exitNotRun},
+		{"manifest diff " + path, 0},
+		{"manifest apply " + path, 0},
+		{"manifest apply --base=0 " + path, exitNotRun},
+		{"manifest apply --base=1 " + path, 0},
+		{"manifest show", 0},
+		{"manifest show --json", 0},
+		{"request unlock {\"a\":1} --team=households --deadline=2s --key=" + k.String(), 0},
+		{"request reconcile 1 --team=households", exitFailed},
+		{"request unlock nonsense --team=households", exitOther},
+		{"request unlock 1 --team=nobody", exitNotRun},
+		{"submit dusk-unlocks [1,2] --team=households", 0},
+		{"submit dusk-unlocks 7 --team=households", exitOther},
+		{"key --count=3", 0},
+		{"key --count=0", exitNotRun},
+		{"status", 0},
+		{"status --json", 0},
+		{"account", 0},
+		{"account --after=1 --limit=10", 0},
+		{"account claim " + k.String(), 0},
+	} {
+		args := strings.Fields(tc.args)
+		if !strings.HasPrefix(tc.args, "manifest check") {
+			args = append(args, "--entry="+srv.URL)
+		}
+		assert.Equal(t, run(args), tc.want, tc.args)
+	}
+
+	assert.Equal(t, f.current.Version, uint64(2))
+	assert.Equal(t, f.work[0].Key, k)
+	assert.Equal(t, string(f.work[0].Tasks[0]), `{"a":1}`)
+	assert.Assert(t, time.Until(f.work[0].Deadline) < 2*time.Second)
+	assert.Equal(t, len(f.work[2].Tasks), 2)
+
+	cl, err := client.New(srv.URL)
+	assert.NilError(t, err)
+	job, err := await(t.Context(), cl, api.JobBody{Key: k.String(), State: "running"})
+	assert.NilError(t, err)
+	assert.Equal(t, string(job.Answers[0]), "1")
+	assert.Equal(t, f.looked, 2)
+}
--- a/internal/peer/bench_test.go
+++ b/internal/peer/bench_test.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -135,13 +136,23 @@
 		time.Sleep(2 * DefaultSilentAfter)
 		b.ReportMetric(float64(inUse()-before)/peers, "bytes/link")
 		frames, bytes := traffic(scope)
+		cpu := cpuTime(b)
 		time.Sleep(watched)
+		b.ReportMetric(float64((cpuTime(b)-cpu).Microseconds())/peers/watched.Seconds(), "cpu-us/s/link")
 		framesLater, bytesLater := traffic(scope)
 		b.ReportMetric(float64(framesLater-frames)/peers/watched.Seconds(), "frames/s/link")
 		b.ReportMetric(float64(bytesLater-bytes)/peers/watched.Seconds(), "body-bytes/s/link")
 	}
 }
 
+// cpuTime returns the processor time of this process.
+func cpuTime(b *testing.B) time.Duration {
+	b.Helper()
+	var u syscall.Rusage
+	assert.NilError(b, syscall.Getrusage(syscall.RUSAGE_SELF, &u))
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
 // traffic sums the frames and the bodies' bytes of a scope, both ways.
 func traffic(scope tally.TestScope) (frames, bytes int64) {
 	for _, c := range scope.Snapshot().Counters() {
