Membership: views by conditional put, leases by reads or promises

A read of the row that shows a member gives it a lease, and so do the promises of all others. A removal counts only after each remaining member waited for the lease. The row carries what is needed to judge a removal later: the newest view known in force (base), who was removed since, and a horizon before which both records of a claim may be gone.

Ruled out: letting an entry that shared no view with the members remove them after one lease. Two members cut off with each other promise each other for ever; such an entry now challenges the row for a term instead, and a member that reads the challenge objects. Ruled out: letting a run enter again when its first put had no clear answer. It may have been a member and removed since; it takes a new incarnation.

--- /dev/null
+++ b/internal/ledger/sim_test.go
@@ -0,0 +1,259 @@
+package ledger
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/google/uuid"
+
+	"currantstall/internal/key"
+	"currantstall/internal/membership"
+	"currantstall/internal/structs"
+	"currantstall/internal/verdict"
+)
+
+// world runs a few members' pure cores over a network, a table and clocks
+// that fail. Time and chance come from the world alone.
+type world struct {
+	rng    *rand.Rand
+	now    time.Duration
+	events eventHeap
+	seq    int
+	nodes  []*node
+	cut    map[[2]int]bool
+	loss   float64 // of messages; as many again are doubled or late
+	table  table
+	keys   []key.Key
+	hist   history
+	hooks  without
+	// noReadBack takes a put without an answer for done.
+	noReadBack bool
+	failure    string
+}
+
+const (
+	simDC     = "rennes"
+	tickEvery = 25 * time.Millisecond
+)
+
+var simEpoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+type event struct {
+	at  time.Duration
+	seq int
+	run func()
+}
+
+type eventHeap []event
+
+func (h eventHeap) Len() int { return len(h) }
+func (h eventHeap) Less(i, j int) bool {
+	return h[i].at < h[j].at || h[i].at == h[j].at && h[i].seq < h[j].seq
+}
+func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+func (h *eventHeap) Push(x any)   { *h = append(*h, x.(event)) }
+func (h *eventHeap) Pop() any {
+	last := (*h)[len(*h)-1]
+	*h = (*h)[:len(*h)-1]
+	return last
+}
+
+func newWorld(seed uint64, members int) *world {
+	w := &world{rng: rand.New(rand.NewPCG(seed, 1)), cut: make(map[[2]int]bool)}
+	w.hist.init()
+	for i := range members {
+		n := &node{w: w, index: i, name: fmt.Sprintf("vm%d", i)}
+		n.offset = time.Duration(w.rng.IntN(1000)-500) * time.Millisecond
+		n.rate = 0.98 + 0.04*w.rng.Float64()
+		w.nodes = append(w.nodes, n)
+	}
+	return w
+}
+
+func (w *world) after(d time.Duration, run func()) {
+	w.seq++
+	heap.Push(&w.events, event{w.now + d, w.seq, run})
+}
+
+// advance runs the world for a while, or until a property fails.
+func (w *world) advance(d time.Duration) {
+	end := w.now + d
+	for len(w.events) > 0 && w.events[0].at <= end && w.failure == "" {
+		e := heap.Pop(&w.events).(event)
+		w.now = e.at
+		e.run()
+	}
+	w.now = end
+}
+
+func (w *world) fail(format string, args ...any) {
+	if w.failure == "" {
+		w.failure = fmt.Sprintf("at %v: ", w.now) + fmt.Sprintf(format, args...)
+	}
+}
+
+func (w *world) upTo(d time.Duration) time.Duration { return time.Duration(w.rng.Int64N(int64(d) + 1)) }
+
+func (w *world) newKey() key.Key {
+	var id uuid.UUID
+	ms := simEpoch.Add(w.now).UnixMilli()
+	for i := range 6 {
+		id[i] = byte(ms >> (8 * (5 - i)))
+	}
+	for i := 6; i < 16; i++ {
+		id[i] = byte(w.rng.Uint32())
+	}
+	id[6] = id[6]&0x0f | 0x70
+	id[8] = id[8]&0x3f | 0x80
+	return key.Key{DC: simDC, ID: id}
+}
+
+// deliver carries a message to a run of an entry, or loses, doubles or delays
+// it.
+func (w *world) deliver(from *node, to structs.Member, receive func(*node)) {
+	target := w.nodes[int(to.Name[2]-'0')]
+	copies := 1
+	if w.rng.Float64() < w.loss {
+		copies = w.rng.IntN(3)
+	}
+	for range copies {
+		delay := 200*time.Microsecond + w.upTo(time.Millisecond)
+		if w.rng.Float64() < w.loss {
+			delay += w.upTo(2 * time.Second)
+		}
+		w.after(delay, func() {
+			if w.cut[[2]int{from.index, target.index}] {
+				return
+			}
+			target.locally(to.Incarnation, func() { receive(target) })
+		})
+	}
+}
+
+// table is the row of the view, in a service that fails.
+type table struct {
+	mode    tableMode
+	version uint64
+	view    structs.View
+}
+
+type tableMode uint8
+
+const (
+	tableUp tableMode = iota
+	tableDown
+	tableSlow
+	tableSilent // answers are lost, writes take effect or not, now or later
+	tableModes
+)
+
+func (w *world) tableDelay() time.Duration {
+	if w.table.mode == tableSlow {
+		return w.upTo(1500 * time.Millisecond)
+	}
+	return time.Millisecond + w.upTo(3*time.Millisecond)
+}
+
+func (w *world) read(answer func(ok bool, version uint64, v structs.View)) {
+	w.after(w.tableDelay(), func() {
+		ok := w.table.mode != tableDown && (w.table.mode != tableSilent || w.rng.IntN(2) == 0)
+		version, v := w.table.version, w.table.view
+		w.after(w.tableDelay(), func() { answer(ok, version, v) })
+	})
+}
+
+func (w *world) put(p membership.PutRow, answer func(membership.PutResult)) {
+	apply := func() bool {
+		if w.table.version != p.RowVersion {
+			return false
+		}
+		w.table.version++
+		w.table.view = p.View
+		return true
+	}
+	w.after(w.tableDelay(), func() {
+		result := membership.PutRefused
+		switch w.table.mode {
+		case tableDown:
+		case tableSilent:
+			result = membership.PutUnknown
+			if w.rng.IntN(3) > 0 {
+				w.after(w.upTo(time.Second), func() { apply() })
+			}
+		default:
+			if apply() {
+				result = membership.PutDone
+			}
+		}
+		if result == membership.PutUnknown && w.noReadBack {
+			result = membership.PutDone
+		}
+		w.after(w.tableDelay(), func() { answer(result) })
+	})
+}
+
+// history is what callers and targets saw.
+type history struct {
+	started  map[uuid.UUID]bool
+	refused  map[uuid.UUID]time.Duration // last not_run
+	grantors map[grantID]structs.Member
+	served   map[uuid.UUID]bool
+	starts   int
+	refusals int
+}
+
+type grantID struct {
+	id   uuid.UUID
+	view uint64
+}
+
+func (h *history) init() {
+	h.started = make(map[uuid.UUID]bool)
+	h.refused = make(map[uuid.UUID]time.Duration)
+	h.grantors = make(map[grantID]structs.Member)
+	h.served = make(map[uuid.UUID]bool)
+}
+
+// start notes a start of work whose request arrived at a time.
+func (w *world) start(c *request) {
+	id := c.key.ID
+	if w.hist.started[id] {
+		w.fail("started twice: key %s at %s", id, c.led.self.Name)
+	}
+	if t, ok := w.hist.refused[id]; ok && c.received < t {
+		w.fail("not_run at %v, then started: key %s received at %s at %v", t, id, c.led.self.Name, c.received)
+	}
+	w.hist.started[id] = true
+	w.hist.starts++
+}
+
+func (w *world) notRun(k key.Key, who, why string) {
+	if w.hist.started[k.ID] {
+		w.fail("not_run after a start: key %s at %s (%s)", k.ID, who, why)
+	}
+	w.hist.refused[k.ID] = w.now
+	w.hist.refusals++
+}
+
+func (w *world) grant(id uuid.UUID, view uint64, by structs.Member) {
+	g := grantID{id, view}
+	if other, ok := w.hist.grantors[g]; ok && !other.Same(by) {
+		w.fail("view %d grants key %s at %s and %s", view, id, other.Name, by.Name)
+	}
+	w.hist.grantors[g] = by
+}
+
+// request is one copy of a request at one entry.
+type request struct {
+	key      key.Key
+	received time.Duration
+	led      *Ledger
+	refuse   bool
+	digest   uint64
+}
+
+func completed() structs.Outcome {
+	return structs.Outcome{Verdict: verdict.Completed, Answers: [][]byte{[]byte("answer")}}
+}
--- /dev/null
+++ b/internal/membership/propose.go
@@ -0,0 +1,257 @@
+package membership
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"currantstall/internal/structs"
+)
+
+// change is what a member wants to alter in the view.
+type change struct {
+	add    *structs.Member
+	remove []structs.Removal // without versions
+	object bool              // to a challenge
+}
+
+func (c *change) empty() bool { return c.add == nil && len(c.remove) == 0 && !c.object }
+
+// next returns the view that follows prev by the change, or nil to wait. The
+// base moves only to a view in force that the proposer is in: then the
+// proposer, which stays, is in every view between, and whoever lacks its
+// promise has no lease.
+func (s *State) next(now time.Time, prev structs.View, c change) *structs.View {
+	v := s.changed(prev, c)
+	if uncertain(v) && !covered(v) {
+		if !s.challengeWon(now, &prev) {
+			return s.challenge(now, prev)
+		}
+		for i := range v.Removed {
+			v.Removed[i].Dead = true
+		}
+	}
+	if len(c.remove) > 0 && mayLoseClaims(v) {
+		end := now.Add(s.removalWait(v) + s.cfg.Skew)
+		v.HorizonMS = max(v.HorizonMS, end.UnixMilli())
+	}
+	return v
+}
+
+func (s *State) changed(prev structs.View, c change) *structs.View {
+	if c.add == nil && len(c.remove) == 0 {
+		prev.Challenge = nil
+		return &prev
+	}
+	v := &structs.View{
+		DC:          s.cfg.DC,
+		Version:     prev.Version + 1,
+		BaseVersion: prev.BaseVersion,
+		Base:        prev.Base,
+		HorizonMS:   max(prev.HorizonMS, s.horizon),
+	}
+	if prev.Version == 0 {
+		v.BaseVersion = v.Version
+		v.Base = []structs.Member{s.self}
+	}
+	if s.inForce.Version > prev.BaseVersion && s.inForce.Has(s.self) {
+		v.BaseVersion = s.inForce.Version
+		v.Base = s.inForce.Members
+	}
+	for _, r := range prev.Removed {
+		if r.Version > v.BaseVersion {
+			v.Removed = append(v.Removed, r)
+		}
+	}
+	for _, r := range c.remove {
+		r.Version = v.Version
+		v.Removed = append(v.Removed, r)
+	}
+	for i, r := range v.Removed {
+		v.Removed[i].Dead = r.Dead || s.dead[runOf(r.Member)]
+	}
+	for _, m := range prev.Members {
+		if !removes(c.remove, m) {
+			v.Members = append(v.Members, m)
+		}
+	}
+	if c.add != nil {
+		v.Members = append(v.Members, *c.add)
+	}
+	slices.SortFunc(v.Members, func(a, b structs.Member) int { return strings.Compare(a.Name, b.Name) })
+	return v
+}
+
+// challengeWon reports whether this entry's challenge stood for a term: a
+// member that read the row since has not counted the read, so none holds a
+// lease any more.
+func (s *State) challengeWon(now time.Time, prev *structs.View) bool {
+	if prev.Challenge == nil || !prev.Challenge.Same(s.self) {
+		return false
+	}
+	return !now.Before(s.rowSince.Add(s.cfg.widen(s.cfg.Term)))
+}
+
+// challenge returns prev with this entry's challenge, or nil while one stands
+// that may still be won. It is no new view: nothing moves with it.
+func (s *State) challenge(now time.Time, prev structs.View) *structs.View {
+	if prev.Challenge != nil {
+		mine := prev.Challenge.Same(s.self)
+		if mine || now.Before(s.rowSince.Add(2*s.cfg.widen(s.cfg.Term))) {
+			return nil
+		}
+	}
+	if now.Before(s.challenged.Add(s.cfg.ChallengeEvery)) {
+		return nil
+	}
+	s.challenged = now
+	prev.Challenge = &s.self
+	return &prev
+}
+
+func removes(rs []structs.Removal, m structs.Member) bool {
+	return slices.ContainsFunc(rs, func(r structs.Removal) bool { return r.Member.Same(m) })
+}
+
+// mayLoseClaims reports whether both records of a claim may have vanished
+// since the base: two members did, or the only one.
+func mayLoseClaims(v *structs.View) bool {
+	vanished, left := 0, 0
+	for _, r := range v.Removed {
+		if r.Left {
+			left++
+		} else {
+			vanished++
+		}
+	}
+	return vanished >= 2 || vanished >= 1 && (len(v.Base)-left <= 1 || len(v.Members) == 0)
+}
+
+// covered reports whether some member of v was in the base, so that nobody
+// who is removed holds a lease by promises without its promise.
+func covered(v *structs.View) bool {
+	return slices.ContainsFunc(v.Base, v.Has)
+}
+
+// uncertain reports whether a removed member may still hold a lease.
+func uncertain(v *structs.View) bool {
+	return slices.ContainsFunc(v.Removed, func(r structs.Removal) bool { return !r.Left && !r.Dead })
+}
+
+// removalWait returns the longest time for which a member removed with v may
+// still start work, counted from the proposal.
+func (s *State) removalWait(v *structs.View) time.Duration {
+	if uncertain(v) {
+		return s.cfg.widen(s.cfg.Lease)
+	}
+	return 0
+}
+
+// waitOver reports whether this member may act on every removal of its view.
+// A member that is not in the base leaves the wait to those who are.
+func (s *State) waitOver(now time.Time) bool {
+	inBase := slices.ContainsFunc(s.view.Base, s.self.Same)
+	for _, r := range s.view.Removed {
+		if r.Left || r.Version <= s.inForce.Version {
+			continue
+		}
+		id := runOf(r.Member)
+		var wait time.Duration
+		switch {
+		case r.Dead || s.dead[id]:
+			wait = s.cfg.widen(s.cfg.DeadWait)
+		case inBase:
+			wait = s.cfg.widen(s.cfg.Lease)
+		}
+		if now.Before(s.removed[id].Add(wait)) {
+			return false
+		}
+	}
+	return true
+}
+
+// wanted returns the change that this entry wants in the view.
+func (s *State) wanted(now time.Time, v *structs.View) change {
+	switch {
+	case s.out:
+		return change{}
+	case v.Has(s.self) && s.leaving:
+		if s.vacated != v.Version {
+			return change{}
+		}
+		// The last one has nobody to hand its claims to.
+		last := len(v.Members) == 1
+		return change{remove: []structs.Removal{{Member: s.self, Left: !last, Dead: last}}}
+	case s.leaving:
+		return change{}
+	case v.Has(s.self):
+		c := change{remove: s.failed(now, v)}
+		c.object = v.Challenge != nil && !v.Challenge.Same(s.self)
+		return c
+	}
+	return s.join(v, now)
+}
+
+// failed returns the members to be removed. A member that misses many others
+// waits longer: it is rather its own links that are cut.
+func (s *State) failed(now time.Time, v *structs.View) []structs.Removal {
+	var sure, silent []structs.Removal
+	var last time.Time
+	for _, m := range v.Members {
+		if m.Same(s.self) {
+			continue
+		}
+		p := s.peers[m.Name]
+		switch {
+		case s.dead[runOf(m)]:
+			sure = append(sure, structs.Removal{Member: m, Dead: true})
+		case p != nil && p.member.Same(m) && p.left:
+			sure = append(sure, structs.Removal{Member: m, Left: true})
+		default:
+			heard := s.learned
+			if p != nil && p.member.Same(m) {
+				heard = p.heard
+			}
+			if now.Sub(heard) > s.cfg.FailAfter {
+				silent = append(silent, structs.Removal{Member: m})
+				if heard.After(last) {
+					last = heard
+				}
+			}
+		}
+	}
+	if len(silent) > 0 && now.Sub(last) > s.cfg.FailAfter*time.Duration(len(silent)) {
+		return append(sure, silent...)
+	}
+	return sure
+}
+
+// join returns the change by which this entry enters the view: it needs live
+// links to all members. If it reaches none, it may take the view over.
+func (s *State) join(v *structs.View, now time.Time) change {
+	c := change{add: &s.self}
+	missing, live := 0, 0
+	for _, m := range v.Members {
+		p := s.peers[m.Name]
+		known := p != nil && p.member.Same(m)
+		switch {
+		case m.Name == s.self.Name && m.Incarnation > s.self.Incarnation:
+			return change{}
+		case m.Name == s.self.Name:
+			c.remove = append(c.remove, structs.Removal{Member: m, Dead: m.Addr == s.self.Addr})
+		case s.dead[runOf(m)]:
+			c.remove = append(c.remove, structs.Removal{Member: m, Dead: true})
+		case known && p.left:
+			c.remove = append(c.remove, structs.Removal{Member: m, Left: true})
+		case known && p.beaten && now.Sub(p.heard) <= s.cfg.FailAfter:
+			live++
+		default:
+			missing++
+			c.remove = append(c.remove, structs.Removal{Member: m})
+		}
+	}
+	if missing > 0 && (live > 0 || now.Sub(s.start) <= s.cfg.FailAfter) {
+		return change{}
+	}
+	return c
+}
--- a/internal/structs/structs.go
+++ b/internal/structs/structs.go
@@ -142,6 +142,35 @@
 	DC      string   `cbor:"1,keyasint" json:"data_centre"`
 	Version uint64   `cbor:"2,keyasint" json:"version"`
 	Members []Member `cbor:"3,keyasint" json:"members"`
+	// Base is the newest view that a proposer knew to be in force, at
+	// BaseVersion: each of its members knows it or a newer one.
+	BaseVersion uint64   `cbor:"4,keyasint" json:"base_version"`
+	Base        []Member `cbor:"5,keyasint" json:"base,omitempty"`
+	// Removed holds the members removed since BaseVersion.
+	Removed []Removal `cbor:"6,keyasint" json:"removed,omitempty"`
+	// HorizonMS is a Unix time in ms, 0 for none. Both records of a claim
+	// on a key minted before it may be gone.
+	HorizonMS int64 `cbor:"7,keyasint" json:"horizon_ms,omitempty"`
+	// Challenge is an entry that reaches none of the members and takes the
+	// view over unless one of them objects by another put.
+	Challenge *Member `cbor:"8,keyasint,omitempty" json:"challenge,omitempty"`
+}
+
+// Removal is the removal of a member from a view.
+type Removal struct {
+	Member Member `cbor:"1,keyasint" json:"member"`
+	// Version is the first view without the member.
+	Version uint64 `cbor:"2,keyasint" json:"version"`
+	// Left means that the member left by itself, its claims handed over.
+	Left bool `cbor:"3,keyasint" json:"left,omitempty"`
+	// Dead means that the member's run is certainly over, or that it can
+	// hold no lease any more.
+	Dead bool `cbor:"4,keyasint" json:"dead,omitempty"`
+}
+
+// Same reports whether m and o are the same run of an entry.
+func (m Member) Same(o Member) bool {
+	return m.Name == o.Name && m.Incarnation == o.Incarnation
 }
 
 // Find returns the member of that name.
--- a/internal/verdict/reason.go
+++ b/internal/verdict/reason.go
@@ -54,6 +54,11 @@
 	HolderLost Reason = "holder_lost"
 	// RanElsewhere means that the old system has claimed the key.
 	RanElsewhere Reason = "ran_elsewhere"
+	// AlreadyClaimed means that another copy of the request runs or ran.
+	AlreadyClaimed Reason = "already_claimed"
+	// AnswerDropped means that the work ran to its end and that its answer
+	// is no longer kept.
+	AnswerDropped Reason = "answer_dropped"
 )
 
 // Reasons of a failed attempt at a target.
