Remove the charts that no code interprets

job, member and rollout were written ahead of the packages they were meant for. Those landed as step functions and version checks; nothing steps the charts, so they would only be a second account that nothing keeps true. Task, target health, peer link and process stay: dispatch, target, peer and entry step them.

--- a/internal/statechart/statechart.go
+++ b/internal/statechart/statechart.go
@@ -5,12 +5,9 @@
 //
 // The charts and their interpreters:
 //
-//	peer_link      internal/peer, one a peer
-//	target_health  internal/target, one a target
-//	member         internal/membership, one a member of a view
-//	rollout        internal/manifest, one an apply of a version
 //	task           internal/dispatch, one a task
-//	job            internal/engine, one a piece of work
+//	target_health  internal/target, one a target
+//	peer_link      internal/peer, one a peer
 //	process        internal/entry, one a process
 package statechart
 
