A stopped runner or worker stand-in tells the list before it ends

Seen by hand: after SIGTERM the list still showed the target as staying, since the stand-in announces in the background and was closed before. Now the list shows it as leaving.

--- a/cmd/currantstall/standin.go
+++ b/cmd/currantstall/standin.go
@@ -86,10 +86,13 @@
 	fmt.Println(role, f.VM, "listens on", s.Addr())
 	waitForStop()
 	s.Leave()
-	for end := time.Now().Add(leaveGrace); s.Running() > 0 && time.Now().Before(end); {
+	ctx, cancel := context.WithTimeout(context.Background(), leaveGrace)
+	defer cancel()
+	err = list.Announce(ctx, s.VM())
+	for s.Running() > 0 && ctx.Err() == nil {
 		time.Sleep(10 * time.Millisecond)
 	}
-	return nil
+	return err
 }
 
 // standinRunnerCmd runs a runner.
