--- a/internal/journal/bench_test.go
+++ b/internal/journal/bench_test.go
@@ -11,7 +11,6 @@
 	"gotest.tools/v3/assert"
 
 	"currantstall/internal/key"
-	"currantstall/internal/metrics"
 	"currantstall/internal/platform"
 	"currantstall/internal/standin/platformd"
 )
@@ -22,16 +21,18 @@
 // data centres for 5 s, against the stand-in over HTTP with the platform's
 // rate limits. Run it with -benchtime 1x.
 func BenchmarkTableWrites(b *testing.B) {
-	for _, rate := range []int{100, 1000, 5000} {
-		b.Run(fmt.Sprintf("outcomes_per_s=%d", rate), func(b *testing.B) {
-			for range b.N {
-				benchTableWrites(b, rate)
-			}
-		})
+	for _, interval := range []time.Duration{200 * time.Millisecond, 500 * time.Millisecond, time.Second} {
+		for _, rate := range []int{100, 1000, 5000} {
+			b.Run(fmt.Sprintf("interval=%v/outcomes_per_s=%d", interval, rate), func(b *testing.B) {
+				for range b.N {
+					benchTableWrites(b, rate, interval)
+				}
+			})
+		}
 	}
 }
 
-func benchTableWrites(b *testing.B, rate int) {
+func benchTableWrites(b *testing.B, rate int, interval time.Duration) {
 	server, err := platformd.Start("")
 	assert.NilError(b, err)
 	defer server.Close()
@@ -43,7 +44,10 @@
 		client, err := platform.NewClient(platform.Config{URL: server.URL()})
 		assert.NilError(b, err)
 		defer client.Close()
-		j := New(Config{Platform: client, DC: dc, Writer: fmt.Sprint("vm-", i), Entries: func() int { return len(dcs) }, Metrics: metrics.NewNop()})
+		j := New(Config{
+			Platform: client, DC: dc, Writer: fmt.Sprint("vm-", i), Interval: interval,
+			Entries: func() int { return len(dcs) },
+		})
 		journals = append(journals, j)
 		wg.Go(func() { j.Run(ctx) })
 	}
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -82,7 +82,7 @@
 
 // Defaults of Config.
 const (
-	DefaultInterval        = 200 * time.Millisecond
+	DefaultInterval        = 500 * time.Millisecond
 	DefaultWritesPerSecond = 100
 	DefaultMaxPending      = 100_000
 	DefaultInlineBytes     = 64 << 10
--- a/internal/journal/journal_test.go
+++ b/internal/journal/journal_test.go
@@ -5,6 +5,7 @@
 	"flag"
 	"fmt"
 	"os"
+	"sync"
 	"testing"
 	"time"
 
@@ -153,3 +154,50 @@
 	assert.NilError(t, err)
 	assert.Equal(t, fmt.Sprint(back), fmt.Sprint(p))
 }
+
+// TestConcurrentUse has writers, readers and lookups at once, over HTTP with
+// lost answers.
+func TestConcurrentUse(t *testing.T) {
+	server, err := platformd.Start("")
+	assert.NilError(t, err)
+	defer server.Close()
+	server.Store.SetFaults(platformd.Faults{LoseProbability: 0.2, Seed: 1})
+	ctx, cancel := context.WithCancel(context.Background())
+	var run, record sync.WaitGroup
+	var journals []*Journal
+	for i := range 3 {
+		client, err := platform.NewClient(platform.Config{URL: server.URL(), OutageAfter: 1000})
+		assert.NilError(t, err)
+		defer client.Close()
+		j := New(Config{Platform: client, DC: "rennes", Writer: fmt.Sprint("vm-", i), Interval: time.Millisecond})
+		journals = append(journals, j)
+		run.Go(func() { j.Run(ctx) })
+		record.Go(func() {
+			for n := range 200 {
+				k := newKey(t, "rennes")
+				j.Record(completed(k))
+				if n%50 != 0 {
+					continue
+				}
+				_, _, err := j.Lookup(ctx, k)
+				assert.Check(t, err)
+				_, err = j.Read(ctx, "", 10)
+				assert.Check(t, err)
+			}
+		})
+	}
+	record.Wait()
+	for _, j := range journals {
+		assert.NilError(t, j.Flush(ctx))
+	}
+	cancel()
+	run.Wait()
+	page, err := journals[0].Read(context.Background(), "", 10_000)
+	assert.NilError(t, err)
+	seen := map[key.Key]bool{}
+	for _, l := range page.Lines {
+		seen[l.Entry.Key] = true
+	}
+	assert.Equal(t, len(page.Lines), 600)
+	assert.Equal(t, len(seen), 600)
+}
--- a/internal/platform/client_test.go
+++ b/internal/platform/client_test.go
@@ -10,11 +10,13 @@
 	"net/http"
 	"net/http/httptest"
 	"os"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 
 	"currantstall/internal/platform"
 	"currantstall/internal/standin/platformd"
@@ -115,6 +117,25 @@
 	assert.ErrorIs(t, c.Commit(ctx, big), platform.ErrRejected)
 }
 
+func TestASlowWriteTakesEffectAfterItsSenderGaveUp(t *testing.T) {
+	ctx := context.Background()
+	s := startStandIn(t)
+	resp, err := http.Post(s.URL()+platformd.PathFaults, "application/json", strings.NewReader(`{"slow_ms": 300}`))
+	assert.NilError(t, err)
+	assert.NilError(t, resp.Body.Close())
+	assert.Equal(t, s.Store.Faults().ReadsPerSecond, float64(platformd.DefaultReadsPerSecond), "the others stay")
+	c := newClient(t, platform.Config{URL: s.URL(), Timeout: 50 * time.Millisecond})
+
+	assert.ErrorIs(t, c.Commit(ctx, put("a", "slow")), platform.ErrUnknown)
+
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if _, err := s.Store.Get(ctx, "a"); err != nil {
+			return poll.Continue("not written yet")
+		}
+		return poll.Success()
+	}, poll.WithTimeout(time.Minute))
+}
+
 func TestAnAnswerThatIsNotThePlatformsLeavesTheWriteUnknown(t *testing.T) {
 	proxy := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		w.WriteHeader(http.StatusNotFound)
