Claims runtime: one loop for both cores, batched sends, planned leave

A removed entry enters again as a new run and still delivers the outcomes of the old one.

Found by its test: each refused copy renewed the refusal mark, so a caller that repeated every 5 ms was refused for ever. Refusals in a row now put off the next grant by at most four marks; past that a copy gets may_have_run, which promises nothing.

--- /dev/null
+++ b/internal/claims/loop.go
@@ -0,0 +1,281 @@
+package claims
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"currantstall/internal/journal"
+	"currantstall/internal/ledger"
+	"currantstall/internal/membership"
+	"currantstall/internal/platform"
+	"currantstall/internal/structs"
+	"currantstall/internal/verdict"
+)
+
+// inbox is an unbounded queue of work for the loop.
+type inbox struct {
+	mu     sync.Mutex
+	work   []func()
+	signal chan struct{}
+}
+
+func newInbox() inbox { return inbox{signal: make(chan struct{}, 1)} }
+
+func (b *inbox) put(f func()) {
+	b.mu.Lock()
+	b.work = append(b.work, f)
+	b.mu.Unlock()
+	select {
+	case b.signal <- struct{}{}:
+	default:
+	}
+}
+
+func (b *inbox) take() []func() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	w := b.work
+	b.work = nil
+	return w
+}
+
+// post runs f in the loop, with the cores locked.
+func (r *Runtime) post(f func()) { r.inbox.put(f) }
+
+func (r *Runtime) loop() {
+	defer close(r.done)
+	tick := time.NewTicker(tickInterval)
+	defer tick.Stop()
+	for {
+		ticked := false
+		select {
+		case <-r.ctx.Done():
+			r.failAll()
+			return
+		case <-tick.C:
+			ticked = true
+		case <-r.inbox.signal:
+		}
+		r.turn(ticked)
+	}
+}
+
+// turn handles all that is waiting, and then sends what became ready.
+func (r *Runtime) turn(ticked bool) {
+	for _, f := range r.inbox.take() {
+		r.locked(f)
+	}
+	if ticked {
+		r.locked(func() {
+			r.stepMember(membership.Tick{})
+			r.stepLedger(ledger.Tick{})
+		})
+	}
+	r.flush(time.Now())
+	r.tellView()
+}
+
+func (r *Runtime) locked(f func()) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	f()
+}
+
+// tellView reports a change of the views.
+func (r *Runtime) tellView() {
+	r.mu.Lock()
+	s := r.snapshot()
+	r.mu.Unlock()
+	t := &r.told
+	if s.Self == t.Self && s.Ready == t.Ready && s.InForce.Version == t.InForce.Version && s.Newest.Version == t.Newest.Version {
+		return
+	}
+	r.told = s
+	if s.InForce.Version > 0 || s.Newest.Version > 0 {
+		r.cfg.Log.Info("view", "self", s.Self.Incarnation, "in_force", s.InForce.Version, "newest", s.Newest.Version, "ready", s.Ready)
+	}
+	if r.cfg.OnView != nil {
+		r.cfg.OnView(s)
+	}
+}
+
+func (r *Runtime) stepMember(e membership.Event) {
+	for _, a := range r.mem.Step(time.Now(), e) {
+		r.memberAction(a)
+	}
+}
+
+func (r *Runtime) memberAction(a membership.Action) {
+	switch a := a.(type) {
+	case membership.Send:
+		r.outbox(a.To).beat(a.Beat)
+	case membership.ReadRow:
+		r.readRow()
+	case membership.PutRow:
+		r.putRow(a)
+	case membership.Learned:
+		r.stepLedger(ledger.ViewLearned(a))
+	case membership.InForce:
+		r.stepLedger(ledger.ViewInForce(a))
+	case membership.Out:
+		r.out(a)
+	}
+}
+
+// out ends this run's membership. Unless it left, the entry enters again as a
+// new run.
+func (r *Runtime) out(o membership.Out) {
+	r.stepLedger(ledger.Out{})
+	if r.leaving {
+		if o.Left {
+			r.flushAll(time.Now())
+		}
+		close(r.left)
+		return
+	}
+	r.cfg.Log.Warn("removed from the view; entering again", "incarnation", r.self.Incarnation)
+	self := r.self
+	self.Incarnation++
+	r.post(func() {
+		r.enter(self)
+		for _, name := range slices.Sorted(maps.Keys(r.links)) {
+			r.stepMember(membership.PeerSeen{Member: r.links[name]})
+		}
+	})
+}
+
+func (r *Runtime) stepLedger(e ledger.Event) { r.stepOf(r.led, e) }
+
+func (r *Runtime) stepOf(l *ledger.Ledger, e ledger.Event) {
+	var lease time.Time
+	if l == r.led {
+		lease = r.mem.LeaseEnd()
+	}
+	for _, a := range l.Step(time.Now(), lease, e) {
+		r.ledgerAction(l, a)
+	}
+}
+
+func (r *Runtime) ledgerAction(l *ledger.Ledger, a ledger.Action) {
+	switch a := a.(type) {
+	case ledger.Send:
+		r.outbox(a.To).add(time.Now(), a)
+	case ledger.Reply:
+		r.reply(l, a)
+	case ledger.Record:
+		r.record(a)
+	case ledger.HandedOver:
+		r.stepMember(membership.HandedOver(a))
+	case ledger.LeaveReady:
+		r.stepMember(membership.Leave(a))
+	}
+}
+
+func (r *Runtime) record(a ledger.Record) {
+	if r.cfg.Journal == nil {
+		return
+	}
+	e := journal.EntryOf(a.Key, a.Outcome)
+	e.Digest = a.Digest
+	e.Again = a.Again
+	if !r.cfg.Journal.Record(e) {
+		r.cfg.Log.Warn("the journal had no room for an outcome", "key", a.Key)
+	}
+}
+
+func (r *Runtime) rowKey() string { return rowPrefix + r.cfg.Membership.DC }
+
+// readRow reads the view's row in the background.
+func (r *Runtime) readRow() {
+	asked := time.Now()
+	mem := r.mem
+	r.background(func(ctx context.Context) {
+		e, err := r.getRow(ctx)
+		if err != nil {
+			r.cfg.Log.Debug("read the view", "error", err)
+		}
+		e.AskedAt = asked
+		r.post(func() {
+			if r.mem == mem {
+				r.stepMember(e)
+			}
+		})
+	})
+}
+
+func (r *Runtime) getRow(ctx context.Context) (membership.RowRead, error) {
+	row, err := r.cfg.Table.Get(ctx, r.rowKey())
+	if errors.Is(err, platform.ErrNotFound) {
+		return membership.RowRead{OK: true}, nil
+	}
+	if err != nil {
+		return membership.RowRead{}, err
+	}
+	e := membership.RowRead{OK: true, RowVersion: row.Version}
+	if err := json.Unmarshal(row.Value, &e.View); err != nil {
+		return membership.RowRead{}, fmt.Errorf("row %s: %w", row.Key, err)
+	}
+	return e, nil
+}
+
+// putRow puts the view's row in the background.
+func (r *Runtime) putRow(p membership.PutRow) {
+	asked := time.Now()
+	mem := r.mem
+	r.background(func(ctx context.Context) {
+		result := r.commitRow(ctx, p)
+		r.post(func() {
+			if r.mem == mem {
+				r.stepMember(membership.RowPut{AskedAt: asked, Result: result})
+			}
+		})
+	})
+}
+
+func (r *Runtime) commitRow(ctx context.Context, p membership.PutRow) membership.PutResult {
+	value, err := json.Marshal(p.View)
+	if err != nil {
+		return membership.PutRefused
+	}
+	err = r.cfg.Table.Commit(ctx, platform.Txn{
+		Conditions: []platform.Condition{{Key: r.rowKey(), Version: p.RowVersion}},
+		Puts:       []platform.Put{{Key: r.rowKey(), Value: value}},
+	})
+	switch {
+	case err == nil:
+		return membership.PutDone
+	case errors.Is(err, platform.ErrConflict), errors.Is(err, platform.ErrUnavailable):
+		r.cfg.Log.Debug("put the view", "error", err)
+		return membership.PutRefused
+	}
+	r.cfg.Log.Debug("put the view", "error", err)
+	return membership.PutUnknown
+}
+
+func (r *Runtime) background(f func(ctx context.Context)) {
+	r.wg.Go(func() {
+		ctx, cancel := context.WithTimeout(r.ctx, tableTimeout)
+		defer cancel()
+		f(ctx)
+	})
+}
+
+// failAll ends the calls that still wait when the loop ends.
+func (r *Runtime) failAll() {
+	err := verdict.New(verdict.MayHaveRun, verdict.Draining, "this entry has stopped")
+	for _, c := range r.calls {
+		c.deliver(ledger.Reply{Err: err})
+	}
+}
+
+// memberOf returns a run of a sender.
+func memberOf(from structs.Member, incarnation uint64) structs.Member {
+	from.Incarnation = incarnation
+	return from
+}
--- /dev/null
+++ b/internal/claims/outbox.go
@@ -0,0 +1,141 @@
+package claims
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"currantstall/internal/ledger"
+	"currantstall/internal/membership"
+	"currantstall/internal/metrics"
+	"currantstall/internal/structs"
+	"currantstall/internal/verdict"
+	"currantstall/internal/wire"
+)
+
+// heartbeat is a membership message as encoded on the wire.
+type heartbeat struct {
+	From uint64          `cbor:"1,keyasint"` // incarnation of the sender
+	To   uint64          `cbor:"2,keyasint"` // incarnation of the addressee
+	Beat membership.Beat `cbor:"3,keyasint"`
+}
+
+// outbox gathers the messages to one entry.
+type outbox struct {
+	from  uint64
+	to    structs.Member
+	beats []membership.Beat
+	batch ledger.Batch
+	count int // of the batch's messages
+	eager bool
+	since time.Time // of the oldest lazy message, zero for none
+}
+
+// outbox returns the gathered messages to a run of an entry. Messages to an
+// earlier run are sent off first.
+func (r *Runtime) outbox(to structs.Member) *outbox {
+	o := r.outboxes[to.Name]
+	if o != nil && (!o.to.Same(to) || o.from != r.self.Incarnation) {
+		r.send(o)
+		o = nil
+	}
+	if o == nil {
+		o = &outbox{from: r.self.Incarnation, to: to}
+		r.outboxes[to.Name] = o
+	}
+	return o
+}
+
+func (o *outbox) beat(b membership.Beat) {
+	o.beats = append(o.beats, b)
+	o.eager = true
+}
+
+func (o *outbox) add(now time.Time, s ledger.Send) {
+	o.batch.Add(s.Message)
+	o.count++
+	if !s.Lazy {
+		o.eager = true
+	} else if o.since.IsZero() {
+		o.since = now
+	}
+}
+
+// flush sends to each entry that has a message which should not wait.
+func (r *Runtime) flush(now time.Time) {
+	for _, name := range slices.Sorted(maps.Keys(r.outboxes)) {
+		o := r.outboxes[name]
+		if o.eager || !o.since.IsZero() && now.Sub(o.since) >= lazyDelay {
+			r.send(o)
+			delete(r.outboxes, name)
+		}
+	}
+}
+
+func (r *Runtime) flushAll(now time.Time) { r.flush(now.Add(lazyDelay)) }
+
+func (r *Runtime) send(o *outbox) {
+	msgs := make([]wire.Message, 0, len(o.beats)+1)
+	for _, b := range o.beats {
+		msgs = r.encode(msgs, wire.Membership, heartbeat{From: o.from, To: o.to.Incarnation, Beat: b})
+	}
+	if o.count > 0 {
+		o.batch.From = o.from
+		o.batch.To = o.to.Incarnation
+		msgs = r.encode(msgs, wire.Ledger, o.batch)
+	}
+	r.cfg.Transport.Send(o.to, msgs...)
+}
+
+func (r *Runtime) encode(msgs []wire.Message, t wire.Type, body any) []wire.Message {
+	m, err := wire.NewMessage(t, body)
+	if err != nil {
+		r.cfg.Log.Error("message dropped", "error", err)
+		return msgs
+	}
+	return append(msgs, m)
+}
+
+// Receive takes a message of type Membership or Ledger from an entry of this
+// data centre. It does not block.
+func (r *Runtime) Receive(from structs.Member, m wire.Message) {
+	var err error
+	switch m.Type {
+	case wire.Membership:
+		var h heartbeat
+		if err = wire.Decode(m.Body, &h); err == nil {
+			r.post(func() { r.onBeat(memberOf(from, h.From), h) })
+		}
+	case wire.Ledger:
+		var b ledger.Batch
+		if err = wire.Decode(m.Body, &b); err == nil {
+			r.post(func() { r.onBatch(memberOf(from, b.From), &b) })
+		}
+	}
+	if err != nil {
+		r.cfg.Metrics.Count(metrics.Dropped, verdict.BadFrame)
+		r.cfg.Log.Warn("message dropped", "from", from.Name, "error", err)
+	}
+}
+
+// onBeat takes a heartbeat. One to an earlier run of this entry only shows
+// which run its sender is.
+func (r *Runtime) onBeat(from structs.Member, h heartbeat) {
+	if known, ok := r.links[from.Name]; ok && known.Incarnation < from.Incarnation {
+		r.links[from.Name] = from
+	}
+	if h.To != r.self.Incarnation {
+		r.stepMember(membership.PeerSeen{Member: from})
+		return
+	}
+	r.stepMember(membership.Received{From: from, Beat: h.Beat})
+}
+
+func (r *Runtime) onBatch(from structs.Member, b *ledger.Batch) {
+	if b.To != r.self.Incarnation {
+		return
+	}
+	for _, m := range b.Messages() {
+		r.stepLedger(ledger.Received{From: from, Message: m})
+	}
+}
--- /dev/null
+++ b/internal/claims/runtime_test.go
@@ -0,0 +1,285 @@
+package claims
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"currantstall/internal/key"
+	"currantstall/internal/ledger"
+	"currantstall/internal/membership"
+	"currantstall/internal/standin/platformd"
+	"currantstall/internal/structs"
+	"currantstall/internal/verdict"
+	"currantstall/internal/wire"
+)
+
+const (
+	testDC   = "vannes"
+	patience = 30 * time.Second // bound of each wait
+)
+
+// network carries messages between runtimes in one process, in order.
+type network struct {
+	mu    sync.Mutex
+	nodes map[string]*endpoint
+	store *platformd.Store
+	sent  int // messages
+	bytes int // of message bodies
+}
+
+type endpoint struct {
+	net   *network
+	self  structs.Member
+	rt    *Runtime
+	inbox chan delivery
+}
+
+type delivery struct {
+	from structs.Member
+	msgs []wire.Message
+}
+
+// Send implements Transport.
+func (e *endpoint) Send(to structs.Member, msgs ...wire.Message) {
+	e.net.mu.Lock()
+	defer e.net.mu.Unlock()
+	target := e.net.nodes[to.Name]
+	if target == nil || e.net.nodes[e.self.Name] != e {
+		return
+	}
+	for _, m := range msgs {
+		e.net.sent++
+		e.net.bytes += len(m.Body)
+	}
+	select {
+	case target.inbox <- delivery{e.self, msgs}:
+	default:
+	}
+}
+
+func newNetwork() *network {
+	return &network{nodes: make(map[string]*endpoint), store: platformd.NewStore()}
+}
+
+// start runs an entry and links it with all others.
+func (n *network) start(t testing.TB, name string, incarnation uint64) *Runtime {
+	t.Helper()
+	e := &endpoint{net: n, self: structs.Member{Name: name, Incarnation: incarnation, Addr: name + ":1"}, inbox: make(chan delivery, 4096)}
+	rt, err := New(Config{
+		Self:       e.self,
+		Membership: membership.DefaultConfig(testDC),
+		Ledger:     ledger.DefaultConfig(testDC),
+		Table:      n.store,
+		Transport:  e,
+		Log:        slog.New(slog.DiscardHandler),
+	})
+	assert.NilError(t, err)
+	e.rt = rt
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	wg.Go(func() { e.receive(ctx) })
+	rt.Start()
+	n.mu.Lock()
+	n.nodes[name] = e
+	for _, o := range n.nodes {
+		if o != e {
+			o.rt.LinkUp(e.self)
+			rt.LinkUp(o.self)
+		}
+	}
+	n.mu.Unlock()
+	t.Cleanup(func() {
+		rt.Stop()
+		cancel()
+		wg.Wait()
+	})
+	return rt
+}
+
+func (e *endpoint) receive(ctx context.Context) {
+	for {
+		select {
+		case d := <-e.inbox:
+			for _, m := range d.msgs {
+				e.rt.Receive(d.from, m)
+			}
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// kill cuts an entry off for good.
+func (n *network) kill(name string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	delete(n.nodes, name)
+}
+
+func (n *network) startThree(t testing.TB) []*Runtime {
+	t.Helper()
+	var rts []*Runtime
+	for i := range 3 {
+		rts = append(rts, n.start(t, fmt.Sprintf("vm%d", i), 1))
+	}
+	waitMembers(t, 3, rts...)
+	return rts
+}
+
+// waitMembers waits until the runtimes are in a view in force of that size.
+func waitMembers(t testing.TB, size int, rts ...*Runtime) {
+	t.Helper()
+	eventually(t, func() bool {
+		for _, rt := range rts {
+			if s := rt.Snapshot(); !s.Ready || len(s.InForce.Members) != size {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+func eventually(t testing.TB, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(patience); !ok(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("waited too long")
+		}
+	}
+}
+
+func newKey(t testing.TB) key.Key {
+	t.Helper()
+	k, err := key.New(testDC)
+	assert.NilError(t, err)
+	return k
+}
+
+// grant acquires a key, which must be new, until it is granted.
+func grant(t testing.TB, rt *Runtime, k key.Key) {
+	t.Helper()
+	eventually(t, func() bool {
+		c, err := rt.Acquire(t.Context(), k, 1)
+		return err == nil && c.Granted
+	})
+}
+
+func answer(s string) structs.Outcome {
+	return structs.Outcome{Verdict: verdict.Completed, Answers: [][]byte{[]byte(s)}}
+}
+
+func reasonOf(err error) verdict.Reason {
+	var e *verdict.Error
+	if errors.As(err, &e) {
+		return e.Reason
+	}
+	return ""
+}
+
+func TestCopiesShareOneRun(t *testing.T) {
+	rts := newNetwork().startThree(t)
+	for range 9 { // homes differ
+		k := newKey(t)
+		grant(t, rts[0], k)
+		_, err := rts[0].MayStart(k)
+		assert.NilError(t, err)
+		assert.Equal(t, reasonOf(rts[1].Refuse(t.Context(), k)), verdict.AlreadyClaimed)
+		kept := make(chan *structs.Outcome)
+		for _, rt := range rts[1:] {
+			go func() {
+				c, _ := rt.Acquire(context.Background(), k, 1)
+				kept <- c.Kept
+			}()
+		}
+
+		rts[0].Finish(k, answer("a"))
+
+		for range 2 {
+			o := <-kept
+			assert.Assert(t, o != nil)
+			assert.DeepEqual(t, o.Answers, [][]byte{[]byte("a")})
+		}
+		_, err = rts[2].Acquire(t.Context(), k, 2)
+		assert.Equal(t, reasonOf(err), verdict.KeyConflict)
+		_, err = rts[0].MayStart(k)
+		assert.Assert(t, err != nil)
+	}
+}
+
+func TestRefusalHoldsForOtherCopies(t *testing.T) {
+	rts := newNetwork().startThree(t)
+	k := newKey(t)
+	assert.NilError(t, rts[0].Refuse(t.Context(), k))
+
+	_, err := rts[1].Acquire(t.Context(), k, 1)
+
+	assert.Equal(t, verdict.Of(err).Verdict, verdict.NotRun)
+	assert.Equal(t, reasonOf(err), verdict.RefusedElsewhere)
+	grant(t, rts[1], k) // after the mark's end
+}
+
+func TestOldSystemSharesTheKeys(t *testing.T) {
+	rts := newNetwork().startThree(t)
+	ours, theirs := newKey(t), newKey(t)
+	grant(t, rts[0], ours)
+	rts[0].Finish(ours, answer("a"))
+
+	kept, err := rts[1].ExternalClaim(t.Context(), ours)
+	assert.NilError(t, err)
+	assert.Equal(t, kept.Verdict, verdict.Completed)
+	kept, err = rts[1].ExternalClaim(t.Context(), theirs)
+	assert.NilError(t, err)
+	assert.Assert(t, kept == nil)
+
+	c, err := rts[2].Acquire(t.Context(), theirs, 7)
+	assert.NilError(t, err)
+	assert.Equal(t, c.Kept.Reason, verdict.RanElsewhere)
+}
+
+func TestLostHolderIsSettledAndTheRestServes(t *testing.T) {
+	n := newNetwork()
+	rts := n.startThree(t)
+	k := newKey(t)
+	grant(t, rts[0], k)
+
+	n.kill("vm0")
+	waitMembers(t, 2, rts[1], rts[2])
+
+	c, err := rts[1].Acquire(t.Context(), k, 1)
+	assert.NilError(t, err)
+	assert.Equal(t, c.Kept.Reason, verdict.HolderLost)
+	grant(t, rts[2], newKey(t))
+	again := n.start(t, "vm0", 2)
+	waitMembers(t, 3, again, rts[1], rts[2])
+}
+
+func TestLeavingKeepsTheAnswers(t *testing.T) {
+	n := newNetwork()
+	rts := n.startThree(t)
+	var keys []key.Key
+	for range 30 {
+		k := newKey(t)
+		keys = append(keys, k)
+		grant(t, rts[0], k)
+		rts[0].Finish(k, answer(k.String()))
+	}
+	for i, rt := range rts[:2] {
+		ctx, cancel := context.WithTimeout(t.Context(), patience)
+		assert.NilError(t, rt.Leave(ctx))
+		cancel()
+		waitMembers(t, 2-i, rts[2])
+	}
+	for _, k := range keys {
+		c, err := rts[2].Acquire(t.Context(), k, 1)
+		assert.NilError(t, err)
+		assert.Assert(t, c.Kept != nil)
+		assert.DeepEqual(t, c.Kept.Answers, [][]byte{[]byte(k.String())})
+	}
+}
--- a/internal/ledger/event.go
+++ b/internal/ledger/event.go
@@ -110,6 +110,9 @@
 type Record struct {
 	Key     key.Key
 	Outcome structs.Outcome
+	Digest  uint64 // of the work, 0 if not known
+	// Again means that the claim's holder may have recorded it too.
+	Again bool
 }
 
 // HandedOver reports that all claims that moved with a view have reached
--- a/internal/ledger/home.go
+++ b/internal/ledger/home.go
@@ -48,6 +48,21 @@
 	}
 }
 
+// refuseAgain refuses a further copy under a mark. The refusal has to stay true
+// for as long as the first one, unless callers that repeat without a pause
+// would put off the next grant for ever: then it promises nothing.
+func (l *Ledger) refuseAgain(now time.Time, id ID, m *mark) *structs.Outcome {
+	o := m.outcome
+	o.RetryAfter = l.cfg.RefusalMark()
+	if now.Sub(m.since) > (maxMarks-1)*l.cfg.RefusalMark() {
+		o.Verdict = verdict.MayHaveRun
+		o.RetryAfter = m.until.Sub(now)
+		return &o
+	}
+	l.setMark(now, id, m, l.cfg.RefusalMark())
+	return &o
+}
+
 func (l *Ledger) onClaim(now time.Time, from *structs.Member, c Claim) {
 	l.send(from, l.homeClaim(now, from, c))
 }
@@ -87,11 +102,7 @@
 		return r
 	}
 	if m := l.marks[c.ID]; m != nil && now.Before(m.until) && !l.without.mark {
-		// This refusal has to stay true as well.
-		o := m.outcome
-		o.RetryAfter = l.cfg.RefusalMark()
-		l.setMark(now, c.ID, m, l.cfg.RefusalMark())
-		r.Outcome = &o
+		r.Outcome = l.refuseAgain(now, c.ID, m)
 		return r
 	}
 	if l.key(c.ID).MintedAt().Sub(now) > l.cfg.Skew {
@@ -236,6 +247,12 @@
 		if r.Outcome != nil {
 			return r
 		}
+		if m := l.marks[p.ID]; p.Mark && m != nil && now.Before(m.until) {
+			if o := l.refuseAgain(now, p.ID, m); o.Verdict != verdict.NotRun {
+				r.Outcome = o
+				return r
+			}
+		}
 		r.Result = NoClaim
 		if p.Mark {
 			l.setMark(now, p.ID, &mark{holder: from, outcome: l.refusal(verdict.RefusedElsewhere)}, l.cfg.RefusalMark())
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -65,6 +65,10 @@
 	return d + d*time.Duration(c.MarginPercent)/100
 }
 
+// maxMarks bounds how long refusals in a row may put off the next grant, in
+// lengths of a refusal mark.
+const maxMarks = 4
+
 // Phase says how far a claim is.
 type Phase uint8
 
@@ -112,6 +116,7 @@
 	holder  *structs.Member
 	attempt uint64 // 0 for a refusal without a claim
 	until   time.Time
+	since   time.Time // of the first refusal in a row
 	outcome structs.Outcome
 	synced  bool
 }
--- a/internal/ledger/store.go
+++ b/internal/ledger/store.go
@@ -22,7 +22,7 @@
 		l.release(now, id, e, o)
 	} else {
 		l.keep(id, e, &o)
-		l.act(Record{Key: f.Key, Outcome: o})
+		l.act(Record{Key: f.Key, Outcome: o, Digest: e.digest})
 		l.tell(now, id, e, &o)
 		l.storeOutcome(now, id, e)
 	}
@@ -40,7 +40,7 @@
 		return
 	}
 	e.outcome = &f.Outcome
-	l.act(Record(f))
+	l.act(Record{Key: f.Key, Outcome: f.Outcome, Digest: e.digest})
 	home, other := l.latest().records(f.Key.ID, e.holder)
 	for _, m := range []*structs.Member{home, other} {
 		if m != nil && m.Name != l.self.Name {
@@ -101,10 +101,16 @@
 }
 
 func (l *Ledger) setMark(now time.Time, id ID, m *mark, d time.Duration) {
-	m.until = now.Add(d)
-	if old := l.marks[id]; old != nil && old.until.After(m.until) {
-		m.until = old.until
+	until := now.Add(d)
+	since := now
+	if old := l.marks[id]; old != nil && now.Before(old.until) {
+		since = old.since
+		if old.until.After(until) {
+			until = old.until
+		}
 	}
+	m.since = since
+	m.until = until
 	l.marks[id] = m
 	l.timers.add(now, l.cfg.RefusalMark(), timer{kind: markEnd, id: id})
 }
@@ -201,7 +207,7 @@
 		l.tell(now, r.ID, e, r.Outcome)
 	case e.outcome.Reason == verdict.HolderLost && r.Outcome.Reason != verdict.HolderLost:
 		l.keep(r.ID, e, r.Outcome)
-		l.act(Record{Key: l.key(r.ID), Outcome: *r.Outcome})
+		l.act(Record{Key: l.key(r.ID), Outcome: *r.Outcome, Digest: e.digest, Again: true})
 	}
 }
 
--- a/internal/ledger/view.go
+++ b/internal/ledger/view.go
@@ -303,7 +303,7 @@
 	if e.open() {
 		o := holderLost
 		l.keep(id, e, &o)
-		l.act(Record{Key: l.key(id), Outcome: o})
+		l.act(Record{Key: l.key(id), Outcome: o, Digest: e.digest, Again: true})
 		l.tell(now, id, e, &o)
 		return
 	}
@@ -311,6 +311,6 @@
 		return !r.Left && r.Member.Same(*e.holder) && e.outcome.Reason != verdict.HolderLost
 	})
 	if lost {
-		l.act(Record{Key: l.key(id), Outcome: *e.outcome})
+		l.act(Record{Key: l.key(id), Outcome: *e.outcome, Digest: e.digest, Again: true})
 	}
 }
