Entry process, demo and tests of real processes under faults

Cause: the parts stood side by side; nothing ran from a caller to a target and back as separate processes. Ruled out: readiness without an ownership of targets. The demo's first request was refused no_target right after the entry called itself ready; an entry is now ready once it has shared out the targets for a view that it is in. One metrics registry a process made a second entry in the demo panic; each has its own. Conclusion: the whole path stands; policy and failure work goes on from here.

--- a/cmd/currantstall/entry.go
+++ b/cmd/currantstall/entry.go
@@ -1,20 +1,53 @@
 package main
 
 import (
-	"net/http"
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
 
-	"github.com/labstack/echo/v4"
+	"currantstall/internal/entry"
+	"currantstall/internal/settings"
 )
 
-// entryCmd runs an entry.
+// entryCmd runs an entry until it is told to stop.
 type entryCmd struct {
-	Listen string `default:"127.0.0.1:7400" placeholder:"HOST:PORT" help:"Address for callers and operators."`
+	settings.Entry
 }
 
-// Run implements the command.
+// Run implements the command. SIGTERM and SIGINT stop the entry in order; the
+// error is nil if nothing was cut off.
 func (c *entryCmd) Run() error {
-	e := echo.New()
-	e.HideBanner = true
-	e.GET("/healthz", func(c echo.Context) error { return c.String(http.StatusOK, "ok\n") })
-	return e.Start(c.Listen)
+	secret, err := c.Secret()
+	if err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	p, err := entry.Start(entry.Config{
+		Name:            c.VM,
+		DC:              c.DC,
+		Listen:          c.Listen,
+		PeerListen:      c.PeerListen,
+		PeerAdvertise:   c.PeerAdvertise,
+		PlatformURL:     c.Platform,
+		Secret:          secret,
+		WritesPerSecond: c.WritesPerSecond,
+		Lease:           c.Lease,
+		BodyBytes:       c.BodyBytes(),
+		AnswerBytes:     c.AnswerBytes(),
+		KeptBytes:       c.KeptBytes(),
+		PeerQueueBytes:  c.PeerQueueBytes(),
+		Policy:          c.AdmissionPolicy(),
+		Log:             c.Logger(os.Stderr).With("vm", c.VM),
+	})
+	if err != nil {
+		return err
+	}
+	fmt.Printf("entry %s callers=%s peers=%s\n", c.VM, p.Addr(), p.PeerAddr())
+	<-ctx.Done()
+	stopping, cancel := context.WithTimeout(context.Background(), c.DrainTimeout)
+	defer cancel()
+	return p.Stop(stopping)
 }
--- a/cmd/currantstall/main.go
+++ b/cmd/currantstall/main.go
@@ -23,6 +23,7 @@
 
 // cli holds one field for each command; the command's own file declares it.
 type cli struct {
+	Demo     demoCmd     `cmd:"" help:"Run a whole deployment in this process and show the promises on it."`
 	Entry    entryCmd    `cmd:"" help:"Run an entry: serve callers, peers and operators."`
 	Load     loadCmd     `cmd:"" help:"Send work at a steady rate and print what became of it."`
 	Manifest manifestCmd `cmd:"" help:"Check, apply, show or compare the operators' manifest."`
--- /dev/null
+++ b/internal/demo/cluster.go
@@ -0,0 +1,203 @@
+// Package demo runs a whole deployment in one process: a platform stand-in,
+// two data centres with two entries each, runners and workers. It shows the
+// promises of the dispatcher on it and reports the first one that broke.
+package demo
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"time"
+
+	"currantstall/internal/entry"
+	"currantstall/internal/platform"
+	"currantstall/internal/standin/platformd"
+	"currantstall/internal/standin/runner"
+	"currantstall/internal/standin/taskserver"
+	"currantstall/internal/standin/worker"
+)
+
+// The size of the deployment.
+const (
+	entriesPerDC = 2
+	runnersPerDC = 3
+	workersPerDC = 3
+	readyWait    = 15 * time.Second
+	readyPoll    = 20 * time.Millisecond
+	stopWait     = 10 * time.Second
+	demoLease    = 1500 * time.Millisecond
+	listLagMS    = 100
+)
+
+var dataCentres = []string{"coast", "island"}
+
+// secret is shared by the entries of the demo, which listen on loopback only.
+const secret = "a secret for the demo alone"
+
+// cluster is a running deployment.
+type cluster struct {
+	platform *platformd.Server
+	list     *platform.Client
+	entries  []*entry.Process
+	targets  []*taskserver.Server
+}
+
+// startCluster starts every part. On an error it stops what it started.
+func startCluster(log *slog.Logger, listen string) (*cluster, error) {
+	c := &cluster{}
+	if err := c.start(log, listen); err != nil {
+		c.kill()
+		return nil, err
+	}
+	return c, nil
+}
+
+func (c *cluster) start(log *slog.Logger, listen string) error {
+	var err error
+	if c.platform, err = platformd.Start(""); err != nil {
+		return err
+	}
+	faults := platformd.DefaultFaults()
+	faults.ListLagMS = listLagMS
+	c.platform.Store.SetFaults(faults)
+	if c.list, err = platform.NewClient(platform.Config{URL: c.platform.URL()}); err != nil {
+		return err
+	}
+	for _, dc := range dataCentres {
+		if err := c.startTargets(dc); err != nil {
+			return err
+		}
+		for i := range entriesPerDC {
+			if err := c.startEntry(log, dc, i, listen); err != nil {
+				return err
+			}
+			listen = "" // the first entry takes the given address
+		}
+	}
+	return nil
+}
+
+func (c *cluster) startTargets(dc string) error {
+	for i := range runnersPerDC {
+		vm := platform.VM{Name: fmt.Sprintf("%s-runner-%d", dc, i+1), DC: dc, Rack: fmt.Sprintf("rack-%d", i+1)}
+		if err := c.startTarget(runner.New, vm); err != nil {
+			return err
+		}
+	}
+	for i := range workersPerDC {
+		vm := platform.VM{Name: fmt.Sprintf("%s-worker-%d", dc, i+1), DC: dc, Rack: fmt.Sprintf("rack-%d", i+1)}
+		if err := c.startTarget(worker.New, vm); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (c *cluster) startTarget(start func(taskserver.Config) (*taskserver.Server, error), vm platform.VM) error {
+	s, err := start(taskserver.Config{VM: vm, List: c.list, Seed: uint64(len(c.targets))})
+	if err != nil {
+		return err
+	}
+	c.targets = append(c.targets, s)
+	return nil
+}
+
+func (c *cluster) startEntry(log *slog.Logger, dc string, i int, listen string) error {
+	if listen == "" {
+		listen = "127.0.0.1:0"
+	}
+	name := fmt.Sprintf("%s-entry-%d", dc, i+1)
+	p, err := entry.Start(entry.Config{
+		Name:            name,
+		DC:              dc,
+		Listen:          listen,
+		PeerListen:      "127.0.0.1:0",
+		PlatformURL:     c.platform.URL(),
+		Secret:          []byte(secret),
+		WritesPerSecond: 30,
+		Lease:           demoLease,
+		BodyBytes:       64 << 20,
+		AnswerBytes:     64 << 20,
+		KeptBytes:       16 << 20,
+		Log:             log.With("vm", name),
+	})
+	if err != nil {
+		return err
+	}
+	c.entries = append(c.entries, p)
+	return nil
+}
+
+// awaitReady waits until every entry is ready.
+func (c *cluster) awaitReady(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, readyWait)
+	defer cancel()
+	for _, p := range c.entries {
+		if err := until(ctx, p.Ready); err != nil {
+			return fmt.Errorf("entry %s is not ready: %w", p.Self().Name, err)
+		}
+	}
+	return nil
+}
+
+// until calls check until it returns nil, and returns its last error when ctx
+// ends.
+func until(ctx context.Context, check func() error) error {
+	for {
+		err := check()
+		if err == nil {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return err
+		case <-time.After(readyPoll):
+		}
+	}
+}
+
+// stop ends the entries one after the other as a planned stop does, then the
+// rest.
+func (c *cluster) stop() error {
+	ctx, cancel := context.WithTimeout(context.Background(), stopWait)
+	defer cancel()
+	var errs []error
+	for _, p := range c.entries {
+		if err := p.Stop(ctx); err != nil {
+			errs = append(errs, fmt.Errorf("stop %s: %w", p.Self().Name, err))
+		}
+	}
+	c.entries = nil
+	c.kill()
+	return errors.Join(errs...)
+}
+
+// kill ends everything at once.
+func (c *cluster) kill() {
+	for _, p := range c.entries {
+		p.Kill()
+	}
+	for _, t := range c.targets {
+		t.Kill()
+	}
+	if c.list != nil {
+		c.list.Close()
+	}
+	if c.platform != nil {
+		_ = c.platform.Close()
+	}
+}
+
+// starts counts the starts of a key at all targets, by task.
+func (c *cluster) starts(k string) map[int]int {
+	counts := make(map[int]int)
+	for _, t := range c.targets {
+		for id, n := range t.Starts() {
+			if id.Key.String() == k {
+				counts[id.Task] += n
+			}
+		}
+	}
+	return counts
+}
--- /dev/null
+++ b/internal/demo/demo.go
@@ -0,0 +1,319 @@
+package demo
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"slices"
+	"time"
+
+	"currantstall/internal/api"
+	"currantstall/internal/structs"
+	"currantstall/internal/verdict"
+)
+
+// Config says what the demo runs on.
+type Config struct {
+	// Manifests are the files to apply, one after the other.
+	Manifests []Manifest
+	// Listen is the address of the first entry; empty takes a free port.
+	Listen string
+	// Stay keeps the deployment up until the context ends.
+	Stay bool
+	Out  io.Writer
+	Log  *slog.Logger
+}
+
+// Manifest is one user's manifest with the work to show on it.
+type Manifest struct {
+	Name  string
+	Text  []byte
+	Team  string
+	Kinds []string // of requests
+	Job   string   // kind of the job
+	Tasks int      // of the job
+}
+
+const (
+	requestsPerKind = 20
+	stepTimeout     = 30 * time.Second
+	spreadBound     = 5 * time.Second
+)
+
+// show carries the deployment and the output through the steps.
+type show struct {
+	cfg  Config
+	c    *cluster
+	base uint64 // manifest version in force
+}
+
+// Run starts a deployment, shows the promises on it and stops it. It returns
+// the first promise that broke.
+func Run(ctx context.Context, cfg Config) error {
+	c, err := startCluster(cfg.Log, cfg.Listen)
+	if err != nil {
+		return fmt.Errorf("start: %w", err)
+	}
+	s := &show{cfg: cfg, c: c}
+	if err := s.run(ctx); err != nil {
+		c.kill()
+		return err
+	}
+	if cfg.Stay {
+		s.say("Serving on http://%s until interrupted.", c.entries[0].Addr())
+		<-ctx.Done()
+	}
+	if err := c.stop(); err != nil {
+		return err
+	}
+	s.say("Every entry has drained and left its view.")
+	return nil
+}
+
+func (s *show) say(format string, args ...any) { fmt.Fprintf(s.cfg.Out, format+"\n", args...) }
+
+func (s *show) run(ctx context.Context) error {
+	s.say("%d data centres, %d entries, %d targets.", len(dataCentres), len(s.c.entries), len(s.c.targets))
+	for i := range s.cfg.Manifests {
+		if err := s.manifest(ctx, &s.cfg.Manifests[i]); err != nil {
+			return err
+		}
+	}
+	return s.account(ctx)
+}
+
+// manifest applies one user's manifest and shows its work.
+func (s *show) manifest(ctx context.Context, m *Manifest) error {
+	ctx, cancel := context.WithTimeout(ctx, stepTimeout)
+	defer cancel()
+	steps := []func(context.Context, *Manifest) error{s.apply, s.requests, s.resubmission, s.refusal, s.job}
+	for _, step := range steps {
+		if err := step(ctx, m); err != nil {
+			return fmt.Errorf("%s: %w", m.Name, err)
+		}
+	}
+	return nil
+}
+
+// apply has the manifest accepted and waits until it is in force everywhere.
+func (s *show) apply(ctx context.Context, m *Manifest) error {
+	path := fmt.Sprintf("/v1/manifest?base=%d", s.base)
+	var accepted api.ManifestBody
+	began := time.Now()
+	err := until(ctx, func() error { return s.call(ctx, 0, "PUT", path, m.Text, &accepted) })
+	if err != nil {
+		return fmt.Errorf("apply manifest: %w", err)
+	}
+	s.base = accepted.Version
+	for i := range s.c.entries {
+		err := until(ctx, func() error { return s.inForce(ctx, i, accepted.Version) })
+		if err != nil {
+			return err
+		}
+	}
+	spread := time.Since(began)
+	if spread > spreadBound {
+		return fmt.Errorf("manifest took %v to be in force everywhere, bound %v", spread, spreadBound)
+	}
+	s.say("%s: manifest version %d in force at every entry after %v.", m.Name, accepted.Version, spread.Round(time.Millisecond))
+	if err := s.c.awaitReady(ctx); err != nil {
+		return err
+	}
+	for i := range s.c.entries {
+		if err := until(ctx, func() error { return s.targetsKnown(ctx, i) }); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// targetsKnown returns nil once an entry has all targets of its data centre
+// from the platform's lagging list.
+func (s *show) targetsKnown(ctx context.Context, i int) error {
+	var st api.Status
+	if err := s.call(ctx, i, "GET", "/v1/status", nil, &st); err != nil {
+		return err
+	}
+	if want := runnersPerDC + workersPerDC; st.Targets.Known != want {
+		return fmt.Errorf("entry %s knows %d targets, want %d", st.Name, st.Targets.Known, want)
+	}
+	return nil
+}
+
+func (s *show) inForce(ctx context.Context, i int, version uint64) error {
+	var st api.Status
+	if err := s.call(ctx, i, "GET", "/v1/status", nil, &st); err != nil {
+		return err
+	}
+	if st.ManifestVersion != version {
+		return fmt.Errorf("entry %s has manifest version %d, want %d", st.Name, st.ManifestVersion, version)
+	}
+	return nil
+}
+
+// requests sends requests of each kind through all entries.
+func (s *show) requests(ctx context.Context, m *Manifest) error {
+	for _, kind := range m.Kinds {
+		var took []time.Duration
+		for i := range requestsPerKind {
+			began := time.Now()
+			if _, err := s.request(ctx, i, api.RequestBody{Kind: kind, Team: m.Team}); err != nil {
+				return err
+			}
+			took = append(took, time.Since(began))
+		}
+		slices.Sort(took)
+		s.say("%s: %d of %d %s requests answered, median %v.", m.Name, len(took), requestsPerKind, kind, took[len(took)/2].Round(time.Millisecond))
+	}
+	return nil
+}
+
+// request sends one request and checks that the answer is its own.
+func (s *show) request(ctx context.Context, i int, body api.RequestBody) (*api.AnswerBody, error) {
+	body.Body = json.RawMessage(`{"service_ms":20}`)
+	data, err := json.Marshal(body)
+	if err != nil {
+		return nil, err
+	}
+	var answer api.AnswerBody
+	if err := s.call(ctx, i, "POST", "/v1/requests", data, &answer); err != nil {
+		return nil, err
+	}
+	var own struct {
+		Key string `json:"key"`
+	}
+	if err := json.Unmarshal(answer.Answer, &own); err != nil {
+		return nil, fmt.Errorf("answer of %s: %w", answer.Key, err)
+	}
+	if own.Key != answer.Key {
+		return nil, fmt.Errorf("request %s got the answer of %s", answer.Key, own.Key)
+	}
+	return &answer, nil
+}
+
+// resubmission sends one request twice, through entries of both data centres.
+func (s *show) resubmission(ctx context.Context, m *Manifest) error {
+	k, err := s.newKey(ctx)
+	if err != nil {
+		return err
+	}
+	kind := s.notRepeatable(m)
+	first, err := s.request(ctx, 0, api.RequestBody{Key: k, Kind: kind, Team: m.Team})
+	if err != nil {
+		return err
+	}
+	second, err := s.request(ctx, len(s.c.entries)-1, api.RequestBody{Key: k, Kind: kind, Team: m.Team})
+	if err != nil {
+		return fmt.Errorf("resubmission: %w", err)
+	}
+	if string(first.Answer) != string(second.Answer) {
+		return fmt.Errorf("resubmission of %s got another answer", k)
+	}
+	if n := s.c.starts(k)[0]; n != 1 {
+		return fmt.Errorf("%s started %d times", k, n)
+	}
+	s.say("%s: a resubmitted %s through the other data centre got the same answer; it started once.", m.Name, kind)
+	return nil
+}
+
+// notRepeatable is the first kind, which each manifest has as such.
+func (s *show) notRepeatable(m *Manifest) string { return m.Kinds[0] }
+
+// refusal submits a job that no worker can hold.
+func (s *show) refusal(ctx context.Context, m *Manifest) error {
+	k, err := s.newKey(ctx)
+	if err != nil {
+		return err
+	}
+	body := api.SubmissionBody{
+		Key:   k,
+		Kind:  m.Job,
+		Team:  m.Team,
+		Tasks: []json.RawMessage{json.RawMessage(`{}`)},
+		Needs: &structs.Resources{MilliCPU: 1000, Accelerators: 4},
+	}
+	err = s.submit(ctx, 0, body, nil)
+	var e *verdict.Error
+	if !errors.As(err, &e) || e.Verdict != verdict.NotRun {
+		return fmt.Errorf("a job that fits nowhere was not refused with not_run: %v", err)
+	}
+	if n := len(s.c.starts(k)); n != 0 {
+		return fmt.Errorf("%s was refused with not_run and started %d tasks", k, n)
+	}
+	s.say("%s: a job that fits nowhere was refused: %s. Nothing of it started.", m.Name, e.Message)
+	return nil
+}
+
+// job submits a job and checks that its answer is whole.
+func (s *show) job(ctx context.Context, m *Manifest) error {
+	k, err := s.newKey(ctx)
+	if err != nil {
+		return err
+	}
+	body := api.SubmissionBody{Key: k, Kind: m.Job, Team: m.Team}
+	for range m.Tasks {
+		body.Tasks = append(body.Tasks, json.RawMessage(`{"service_ms":50}`))
+	}
+	began := time.Now()
+	var answer api.JobBody
+	if err := s.submit(ctx, 1, body, &answer); err != nil {
+		return fmt.Errorf("job: %w", err)
+	}
+	if len(answer.Answers) != m.Tasks {
+		return fmt.Errorf("job %s got %d of %d answers", k, len(answer.Answers), m.Tasks)
+	}
+	starts := s.c.starts(k)
+	for task := range m.Tasks {
+		if starts[task] != 1 {
+			return fmt.Errorf("task %d of %s started %d times", task, k, starts[task])
+		}
+	}
+	s.say("%s: a job of %d tasks was answered whole after %v; each task started once.", m.Name, m.Tasks, time.Since(began).Round(time.Millisecond))
+	return nil
+}
+
+func (s *show) submit(ctx context.Context, i int, body api.SubmissionBody, answer *api.JobBody) error {
+	data, err := json.Marshal(body)
+	if err != nil {
+		return err
+	}
+	return s.call(ctx, i, "POST", "/v1/submissions", data, answer)
+}
+
+func (s *show) newKey(ctx context.Context) (string, error) {
+	var keys api.KeysBody
+	if err := s.call(ctx, 0, "POST", "/v1/keys", nil, &keys); err != nil {
+		return "", fmt.Errorf("mint key: %w", err)
+	}
+	return keys.Keys[0], nil
+}
+
+// account waits until the account holds what ran and may not be repeated.
+func (s *show) account(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, stepTimeout)
+	defer cancel()
+	var lines int
+	err := until(ctx, func() error {
+		var body api.AccountBody
+		if err := s.call(ctx, 0, "GET", "/v1/account?limit=10000", nil, &body); err != nil {
+			return err
+		}
+		lines = len(body.Lines)
+		if want := s.accountable(); lines < want {
+			return fmt.Errorf("the account has %d lines, want %d", lines, want)
+		}
+		return nil
+	})
+	if err != nil {
+		return err
+	}
+	s.say("The account holds %d keys that ran, each once.", lines)
+	return nil
+}
+
+// accountable is the least number of keys that the account has to hold: the
+// first kind's requests, the resubmitted one and the job of each manifest.
+func (s *show) accountable() int { return len(s.cfg.Manifests) * (requestsPerKind + 2) }
--- a/internal/engine/forward.go
+++ b/internal/engine/forward.go
@@ -22,8 +22,8 @@
 	retrySoon = 100 * time.Millisecond
 	// maxRemaining bounds questions without a deadline.
 	maxRemaining = time.Minute
-	// defaultKeyTTL is the life of a key where the manifest sets none.
-	defaultKeyTTL = 10 * time.Minute
+	// DefaultKeyTTL is the life of a key where the manifest sets none.
+	DefaultKeyTTL = 10 * time.Minute
 )
 
 // forwards hands requests for keys of another data centre to its members.
@@ -288,7 +288,7 @@
 // keyTTL returns the life of a key.
 func keyTTL(m *manifest.Manifest) time.Duration {
 	if m == nil || m.Limits.KeyTTLMS == 0 {
-		return defaultKeyTTL
+		return DefaultKeyTTL
 	}
 	return time.Duration(m.Limits.KeyTTLMS) * time.Millisecond
 }
--- /dev/null
+++ b/internal/entry/lifecycle.go
@@ -0,0 +1,109 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"sync"
+	"time"
+
+	"currantstall/internal/statechart"
+)
+
+const lifecycleBeat = 20 * time.Millisecond
+
+// lifecycle steps the process through the chart process.
+type lifecycle struct {
+	log *slog.Logger
+
+	mu    sync.Mutex
+	state statechart.ProcessState
+	why   error // why the entry has not joined
+}
+
+func newLifecycle(log *slog.Logger) *lifecycle {
+	return &lifecycle{log: log, state: statechart.ProcessStarting}
+}
+
+// step applies an event. The caller holds the lock.
+func (l *lifecycle) step(e statechart.ProcessEvent) statechart.ProcessAction {
+	next, action, ok := statechart.Process.Step(l.state, e)
+	if !ok || next == l.state {
+		return statechart.ProcessDoNothing
+	}
+	l.log.Info("entry changes state", "from", l.state.String(), "to", next.String())
+	l.state = next
+	return action
+}
+
+// watch returns a loop that follows whether the entry has joined.
+func (l *lifecycle) watch(joined func() error) func(context.Context) {
+	return func(ctx context.Context) {
+		t := time.NewTicker(lifecycleBeat)
+		defer t.Stop()
+		for {
+			l.note(joined())
+			select {
+			case <-ctx.Done():
+				return
+			case <-t.C:
+			}
+		}
+	}
+}
+
+// note takes whether the entry has joined.
+func (l *lifecycle) note(err error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.why = err
+	if err != nil {
+		l.step(statechart.ProcessOnRemoved)
+		return
+	}
+	l.step(statechart.ProcessOnManifestHeld)
+	l.step(statechart.ProcessOnJoined)
+}
+
+// drain begins the planned stop.
+func (l *lifecycle) drain() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.step(statechart.ProcessOnStop)
+}
+
+// stopped ends the planned stop.
+func (l *lifecycle) stopped() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.step(statechart.ProcessOnDrained)
+}
+
+// stopping reports whether the planned stop has begun.
+func (l *lifecycle) stopping() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.state == statechart.ProcessDraining || l.state == statechart.ProcessStopped
+}
+
+// ready returns nil while the balancer may send work here.
+func (l *lifecycle) ready() error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	switch {
+	case l.state == statechart.ProcessServing:
+		return nil
+	case l.state == statechart.ProcessDraining || l.state == statechart.ProcessStopped:
+		return errors.New("draining")
+	case l.why != nil:
+		return l.why
+	}
+	return errors.New("starting")
+}
+
+// name returns the state's name.
+func (l *lifecycle) name() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.state.String()
+}
--- /dev/null
+++ b/internal/entry/links.go
@@ -0,0 +1,126 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"currantstall/internal/claims"
+	"currantstall/internal/key"
+	"currantstall/internal/peer"
+	"currantstall/internal/structs"
+	"currantstall/internal/verdict"
+	"currantstall/internal/wire"
+)
+
+// links adapts the node to the engine, the claims and the rollout.
+type links struct{ node *peer.Node }
+
+// Send implements engine.Links.
+func (l links) Send(name string, msgs ...wire.Message) error { return l.node.Send(name, msgs...) }
+
+// Broadcast implements engine.Links.
+func (l links) Broadcast(msgs ...wire.Message) int { return l.node.Broadcast(msgs...) }
+
+// Linked implements engine.Links.
+func (l links) Linked(dc string) []string {
+	var names []string
+	for _, p := range l.node.Linked() {
+		if p.DC == dc {
+			names = append(names, p.Name)
+		}
+	}
+	return names
+}
+
+// DCOf implements engine.Links.
+func (l links) DCOf(name string) (string, bool) {
+	for _, p := range l.node.Linked() {
+		if p.Name == name {
+			return p.DC, true
+		}
+	}
+	return "", false
+}
+
+// RTT implements engine.Links.
+func (l links) RTT(name string) (time.Duration, bool) { return l.node.RTT(name) }
+
+// count returns the number of linked entries.
+func (l links) count() int { return len(l.node.Linked()) }
+
+// rolloutPeers adapts the node to the manifest's rollout, which may lose
+// messages.
+type rolloutPeers struct{ links }
+
+// Broadcast implements manifest.Peers.
+func (r rolloutPeers) Broadcast(m wire.Message) { r.node.Broadcast(m) }
+
+// Send implements manifest.Peers.
+func (r rolloutPeers) Send(to string, m wire.Message) { _ = r.node.Send(to, m) }
+
+// claimLinks adapts the node to the claims runtime, which repeats what is lost.
+type claimLinks struct{ links }
+
+// Send implements claims.Transport.
+func (c claimLinks) Send(to structs.Member, msgs ...wire.Message) {
+	_ = c.node.Send(to.Name, msgs...)
+}
+
+// external adapts the claims runtime to the engine.
+type external struct{ claims *claims.Runtime }
+
+// ClaimExternal implements engine.External.
+func (x external) ClaimExternal(ctx context.Context, k key.Key) error {
+	o, err := x.claims.ExternalClaim(ctx, k)
+	if err != nil {
+		return err
+	}
+	if o == nil {
+		return nil
+	}
+	if err := o.Err(); err != nil {
+		return err
+	}
+	return verdict.New(verdict.Completed, verdict.AlreadyClaimed, "key %s has run and is complete", k)
+}
+
+// inbox routes what arrives from other entries.
+type inbox struct{ p *Process }
+
+// Receive implements peer.Handler.
+func (i inbox) Receive(from peer.Peer, m wire.Message) {
+	if err := i.route(from, m); err != nil {
+		i.p.cfg.Log.Warn("message dropped", "from", from.Name, "type", m.Type, "error", err)
+	}
+}
+
+func (i inbox) route(from peer.Peer, m wire.Message) error {
+	switch m.Type {
+	case wire.Membership, wire.Ledger:
+		if from.DC == i.p.cfg.DC {
+			i.p.claims.Receive(from.Member, m)
+		}
+		return nil
+	case wire.ManifestNew, wire.ManifestGet, wire.ManifestAll:
+		return i.p.rollout.Handle(from.Name, m)
+	}
+	return i.p.engine.Receive(from.Name, m)
+}
+
+// LinkUp implements peer.Handler.
+func (i inbox) LinkUp(p peer.Peer) {
+	if p.DC == i.p.cfg.DC {
+		i.p.claims.LinkUp(p.Member)
+	}
+	i.p.engine.LinkUp(p.Name, p.Incarnation)
+	i.p.owner.changed()
+}
+
+// LinkDown implements peer.Handler.
+func (i inbox) LinkDown(p peer.Peer) {
+	if p.DC == i.p.cfg.DC {
+		i.p.claims.LinkDown(p.Member)
+	}
+	i.p.engine.LinkDown(p.Name)
+	i.p.owner.changed()
+}
--- /dev/null
+++ b/internal/entry/operators.go
@@ -0,0 +1,96 @@
+package entry
+
+import (
+	"context"
+	"runtime"
+	"time"
+
+	"currantstall/internal/api"
+	"currantstall/internal/key"
+	"currantstall/internal/manifest"
+	"currantstall/internal/target"
+)
+
+// manifests adapts the rollout to the service.
+type manifests struct{ p *Process }
+
+// Current implements api.Manifests.
+func (m manifests) Current() *manifest.Manifest { return m.p.rollout.Current() }
+
+// Apply implements api.Manifests.
+func (m manifests) Apply(ctx context.Context, base uint64, next *manifest.Manifest) (*manifest.Manifest, error) {
+	return m.p.rollout.Apply(ctx, m.p.cfg.Name, base, next)
+}
+
+// account adapts journal and engine to the service.
+type account struct{ p *Process }
+
+// ClaimExternal implements api.Account.
+func (a account) ClaimExternal(ctx context.Context, k key.Key) error {
+	return a.p.engine.ClaimExternal(ctx, k)
+}
+
+// Read implements api.Account.
+func (a account) Read(ctx context.Context, after string, limit int) ([]api.AccountLine, error) {
+	page, err := a.p.journal.Read(ctx, after, limit)
+	if err != nil {
+		return nil, err
+	}
+	lines := make([]api.AccountLine, len(page.Lines))
+	for i, l := range page.Lines {
+		lines[i] = api.AccountLine{
+			Position: l.Position,
+			Key:      l.Entry.Key.String(),
+			Verdict:  l.Entry.Verdict,
+			Reason:   l.Entry.Reason,
+			System:   string(l.Entry.System),
+			At:       l.Entry.At(),
+		}
+	}
+	return lines, nil
+}
+
+// status describes the entry for operators.
+func (p *Process) status() api.Status {
+	s := api.Status{
+		Name:       p.cfg.Name,
+		DC:         p.cfg.DC,
+		State:      p.state.name(),
+		Ready:      p.state.ready() == nil,
+		View:       p.claims.Snapshot().Newest,
+		Targets:    p.targetCounts(),
+		Kinds:      p.kindStatus(),
+		Goroutines: runtime.NumGoroutine(),
+	}
+	if m := p.rollout.Current(); m != nil {
+		s.ManifestVersion = m.Version
+	}
+	for _, l := range p.node.Linked() {
+		s.Links = append(s.Links, l.Name)
+	}
+	var mem runtime.MemStats
+	runtime.ReadMemStats(&mem)
+	s.HeapBytes = mem.HeapAlloc
+	return s
+}
+
+func (p *Process) kindStatus() []api.KindStatus {
+	var kinds []api.KindStatus
+	for _, k := range p.engine.KindStatus() {
+		kinds = append(kinds, api.KindStatus{Kind: k.Kind, Queued: k.Queued, Running: k.Running})
+	}
+	return kinds
+}
+
+func (p *Process) targetCounts() api.TargetCounts {
+	c := api.TargetCounts{Known: len(p.set.VMs()), Owned: len(p.owner.addrs())}
+	for _, h := range p.tracker.Snapshot(time.Now()) {
+		switch h.State {
+		case target.Ejected, target.Trial:
+			c.Ejected++
+		case target.Leaving:
+			c.Leaving++
+		}
+	}
+	return c
+}
--- /dev/null
+++ b/internal/entry/ownership.go
@@ -0,0 +1,205 @@
+package entry
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"currantstall/internal/engine"
+	"currantstall/internal/placement"
+	"currantstall/internal/platform"
+	"currantstall/internal/structs"
+	"currantstall/internal/target"
+)
+
+// ownership keeps up to date which targets this entry owns: those that fall to
+// it among the linked members of the view. Two owners for a moment cost only
+// speed.
+type ownership struct {
+	self    string
+	engine  *engine.Engine
+	pool    *target.Pool
+	tracker *target.Tracker
+	targets func() []platform.VM
+	linked  func() []string // entries of the data centre with a link
+	entries func() int      // all linked entries and this one
+
+	mu      sync.Mutex
+	view    structs.View
+	settled bool                 // computed for a view that has this entry
+	lostAt  map[string]time.Time // members without a link
+	byAddr  map[string]platform.VM
+	pending chan struct{}
+}
+
+func newOwnership() *ownership {
+	return &ownership{
+		lostAt:  make(map[string]time.Time),
+		byAddr:  make(map[string]platform.VM),
+		pending: make(chan struct{}, 1),
+	}
+}
+
+// changed asks for a new computation.
+func (o *ownership) changed() {
+	select {
+	case o.pending <- struct{}{}:
+	default:
+	}
+}
+
+// setView takes a new view.
+func (o *ownership) setView(v structs.View) {
+	o.mu.Lock()
+	o.view = v
+	o.mu.Unlock()
+	o.changed()
+}
+
+// run computes the ownership when something changed, and at a slow beat for
+// links that were lost a while ago.
+func (o *ownership) run(ctx context.Context) {
+	t := time.NewTicker(ownerDelay)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-o.pending:
+		case <-t.C:
+		}
+		o.compute(time.Now())
+	}
+}
+
+// compute tells engine and pool which targets are owned.
+func (o *ownership) compute(now time.Time) {
+	vms := o.targets()
+	members := o.present(now)
+	names := make([]string, len(vms))
+	for i, vm := range vms {
+		names[i] = vm.Name
+	}
+	owners := placement.Owners(members, names)
+	var owned []platform.VM
+	var workers []structs.Resources
+	byAddr := make(map[string]platform.VM, len(vms))
+	for i, vm := range vms {
+		if vm.Role == platform.RoleWorker {
+			workers = append(workers, vm.Size)
+		}
+		if owners[i] >= 0 && members[owners[i]] == o.self {
+			owned = append(owned, vm)
+			byAddr[vm.Addr] = vm
+		}
+	}
+	o.mu.Lock()
+	o.byAddr = byAddr
+	o.settled = slices.Contains(members, o.self)
+	o.mu.Unlock()
+	for _, vm := range vms {
+		o.pool.SetShare(vm.Addr, o.share(vm))
+	}
+	o.engine.SetTargets(owned, workers)
+	o.setHealth(now)
+}
+
+// share returns how many connections to a target this entry may hold.
+func (o *ownership) share(vm platform.VM) int {
+	o.mu.Lock()
+	_, mine := o.byAddr[vm.Addr]
+	o.mu.Unlock()
+	return target.ShareOf(vm.MaxConn, o.entries(), mine)
+}
+
+// present returns the members that count: this entry and those whose link is
+// up or was lost only just now.
+func (o *ownership) present(now time.Time) []string {
+	up := make(map[string]bool)
+	for _, name := range o.linked() {
+		up[name] = true
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	var names []string
+	for _, m := range o.view.Members {
+		if m.Name == o.self || up[m.Name] {
+			delete(o.lostAt, m.Name)
+			names = append(names, m.Name)
+			continue
+		}
+		lost, known := o.lostAt[m.Name]
+		if !known {
+			o.lostAt[m.Name] = now
+			lost = now
+		}
+		if now.Sub(lost) < ownerDelay {
+			names = append(names, m.Name)
+		}
+	}
+	return names
+}
+
+// done reports whether the ownership was computed for a view that has this
+// entry.
+func (o *ownership) done() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.settled
+}
+
+// setHealth tells the engine what each owned target may get.
+func (o *ownership) setHealth(now time.Time) {
+	for addr, vm := range o.ownedByAddr() {
+		o.engine.SetHealth(vm.Name, healthOf(o.tracker.State(addr, now)))
+	}
+}
+
+// healthChanged tells the engine of one target.
+func (o *ownership) healthChanged(c target.Change) {
+	o.mu.Lock()
+	vm, ok := o.byAddr[c.Addr]
+	o.mu.Unlock()
+	if ok {
+		o.engine.SetHealth(vm.Name, healthOf(c.To))
+	}
+}
+
+func healthOf(s target.State) placement.Health {
+	switch s {
+	case target.Healthy:
+		return placement.Healthy
+	case target.Trial:
+		return placement.OnTrial
+	case target.Ejected:
+		return placement.Ejected
+	}
+	return placement.Leaving
+}
+
+func (o *ownership) ownedByAddr() map[string]platform.VM {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.byAddr // replaced as a whole, never changed
+}
+
+// addrs returns the addresses of the owned targets.
+func (o *ownership) addrs() []string {
+	owned := o.ownedByAddr()
+	addrs := make([]string, 0, len(owned))
+	for addr := range owned {
+		addrs = append(addrs, addr)
+	}
+	return addrs
+}
+
+// report takes a target's usage report.
+func (o *ownership) report(addr string, u target.Usage) {
+	vm, ok := o.ownedByAddr()[addr]
+	if !ok {
+		return
+	}
+	at := time.Now().Add(-time.Duration(u.AgeMS) * time.Millisecond)
+	o.engine.Report(vm.Name, at, placement.Usage{Running: len(u.Tasks), Used: u.Used})
+}
--- /dev/null
+++ b/internal/entry/provision.go
@@ -0,0 +1,210 @@
+package entry
+
+import (
+	"fmt"
+	"time"
+
+	"currantstall/internal/claims"
+	"currantstall/internal/dispatch"
+	"currantstall/internal/engine"
+	"currantstall/internal/journal"
+	"currantstall/internal/ledger"
+	"currantstall/internal/manifest"
+	"currantstall/internal/membership"
+	"currantstall/internal/peer"
+	"currantstall/internal/platform"
+	"currantstall/internal/target"
+)
+
+// provision builds the parts and connects them. Nothing runs yet.
+func (p *Process) provision() error {
+	if err := p.provisionPlatform(); err != nil {
+		return err
+	}
+	if err := p.provisionPeers(); err != nil {
+		return err
+	}
+	p.provisionTargets()
+	p.provisionJournal()
+	if err := p.provisionClaims(); err != nil {
+		return err
+	}
+	p.provisionEngine()
+	p.connect()
+	return nil
+}
+
+func (p *Process) provisionPlatform() error {
+	client, err := platform.NewClient(platform.Config{
+		URL:             p.cfg.PlatformURL,
+		WritesPerSecond: p.cfg.WritesPerSecond,
+		Metrics:         p.metrics,
+	})
+	if err != nil {
+		return fmt.Errorf("platform: %w", err)
+	}
+	p.platform = client
+	return nil
+}
+
+func (p *Process) provisionPeers() error {
+	node, err := peer.New(peer.Config{
+		Self:       p.self,
+		DC:         p.cfg.DC,
+		Secret:     p.cfg.Secret,
+		QueueBytes: p.cfg.PeerQueueBytes,
+		Metrics:    p.metrics,
+		Log:        p.cfg.Log,
+	}, inbox{p})
+	if err != nil {
+		return err
+	}
+	p.node = node
+	p.rollout = manifest.NewRollout(manifest.RolloutConfig{
+		Store:   manifest.NewStore(p.platform),
+		Peers:   rolloutPeers{links{node}},
+		Members: func() int { return len(links{node}.Linked(p.cfg.DC)) + 1 },
+		Metrics: p.metrics,
+	})
+	return nil
+}
+
+func (p *Process) provisionJournal() {
+	p.journal = journal.New(journal.Config{
+		Platform: p.platform,
+		DC:       p.cfg.DC,
+		Writer:   p.cfg.Name,
+		Entries:  func() int { return links{p.node}.count() + 1 },
+		Metrics:  p.metrics,
+	})
+}
+
+func (p *Process) provisionTargets() {
+	p.owner = newOwnership()
+	p.tracker = target.NewTracker(target.TrackerConfig{OnChange: p.owner.healthChanged})
+	p.pool = target.NewPool(target.PoolConfig{
+		Metrics:   p.metrics,
+		Log:       p.cfg.Log,
+		OnLeaving: func(addr string) { p.set.SaysLeaving(addr) },
+	})
+	p.set = target.NewSet(target.SetConfig{
+		List:    p.platform,
+		DC:      p.cfg.DC,
+		Tracker: p.tracker,
+		Pool:    p.pool,
+		Share:   p.owner.share,
+		OnList:  p.owner.changed,
+		Log:     p.cfg.Log,
+	})
+	p.dir = &directory{
+		list:    p.platform,
+		log:     p.cfg.Log.Debug,
+		onList:  func(vms []platform.VM) { p.set.Apply(vms, time.Now()) },
+		onPeers: p.node.SetPeers,
+		dcs:     map[string]bool{p.cfg.DC: true},
+	}
+}
+
+func (p *Process) provisionClaims() error {
+	members := membership.DefaultConfig(p.cfg.DC)
+	members.Lease = p.cfg.Lease
+	keys := ledger.DefaultConfig(p.cfg.DC)
+	keys.KeptBytes = p.cfg.KeptBytes
+	runtime, err := claims.New(claims.Config{
+		Self:       p.self,
+		Membership: members,
+		Ledger:     keys,
+		Table:      p.platform,
+		Transport:  claimLinks{links{p.node}},
+		Journal:    p.journal,
+		Metrics:    p.metrics,
+		Log:        p.cfg.Log,
+		OnView:     p.viewChanged,
+	})
+	if err != nil {
+		return err
+	}
+	p.claims = runtime
+	return nil
+}
+
+func (p *Process) provisionEngine() {
+	p.retries = dispatch.NewBudget(dispatch.DefaultRetryPercent)
+	p.hedges = dispatch.NewBudget(dispatch.DefaultHedgePercent)
+	p.dispatch = dispatch.New(dispatch.Config{
+		Targets: p.pool,
+		Retries: p.retries,
+		Hedges:  p.hedges,
+		Metrics: p.metrics,
+		Observe: p.observe,
+		Seed:    p.self.Incarnation,
+	})
+	p.engine = engine.New(engine.Config{
+		Self:        p.self,
+		DC:          p.cfg.DC,
+		Claims:      p.claims,
+		External:    external{p.claims},
+		Journal:     p.journal,
+		Links:       links{p.node},
+		Manifest:    p.rollout.Current,
+		KnownDC:     p.dir.knows,
+		Policy:      p.cfg.Policy,
+		Metrics:     p.metrics,
+		Log:         p.cfg.Log,
+		Dispatch:    p.dispatch,
+		AnswerBytes: p.cfg.AnswerBytes,
+	})
+	p.owner.self = p.cfg.Name
+	p.owner.engine = p.engine
+	p.owner.pool = p.pool
+	p.owner.tracker = p.tracker
+	p.owner.targets = p.set.VMs
+	p.owner.linked = func() []string { return links{p.node}.Linked(p.cfg.DC) }
+	p.owner.entries = func() int { return links{p.node}.count() + 1 }
+}
+
+// observe judges a target by an attempt.
+func (p *Process) observe(addr string, ev target.Evidence, took time.Duration, kind string) {
+	p.tracker.Observe(addr, ev, took, kind, time.Now())
+}
+
+// connect has each part told of what changes.
+func (p *Process) connect() {
+	p.rollout.Subscribe(func(m *manifest.Manifest) {
+		p.engine.Configure(m, 1/float64(links{p.node}.count()+1))
+		p.retries.SetPercent(orDefault(m.Limits.RetryPercent, dispatch.DefaultRetryPercent))
+		p.claims.SetLimits(p.keyTTL(m), p.keptBytes(m))
+		p.hedges.SetPercent(orDefault(m.Limits.HedgePercent, dispatch.DefaultHedgePercent))
+	})
+}
+
+// viewChanged takes a change of the views. Targets and links follow the newest
+// view: it is what the entries agree on next.
+func (p *Process) viewChanged(s claims.Snapshot) {
+	p.dir.setView(s.Newest)
+	p.owner.setView(s.Newest)
+}
+
+// keyTTL returns the life of a key.
+func (p *Process) keyTTL(m *manifest.Manifest) time.Duration {
+	if m.Limits.KeyTTLMS == 0 {
+		return engine.DefaultKeyTTL
+	}
+	return time.Duration(m.Limits.KeyTTLMS) * time.Millisecond
+}
+
+// keptBytes returns the bound of kept answers, at most what the settings allow.
+func (p *Process) keptBytes(m *manifest.Manifest) int64 {
+	if m.Limits.KeptAnswerBytes == 0 {
+		return p.cfg.KeptBytes
+	}
+	return min(m.Limits.KeptAnswerBytes, p.cfg.KeptBytes)
+}
+
+// orDefault returns v, or the default for zero.
+func orDefault(v, d int) int {
+	if v == 0 {
+		return d
+	}
+	return v
+}
--- /dev/null
+++ b/internal/integration/load_test.go
@@ -0,0 +1,168 @@
+package integration
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"currantstall/internal/api"
+	"currantstall/internal/key"
+	"currantstall/internal/verdict"
+)
+
+// attempts bounds the submissions of one request.
+const attempts = 8
+
+// outcome is what a caller ended up with for one key.
+type outcome struct {
+	key     string
+	verdict verdict.Verdict
+	reason  verdict.Reason
+	message string
+	answer  string
+	told    []verdict.Verdict // of every submission that was answered
+}
+
+// caller submits requests that may not be repeated, and resubmits each under
+// its key through another entry until it has an answer or its tries are over.
+type caller struct {
+	f       *fleet
+	entries []string
+	dcs     []string
+	client  *http.Client
+
+	mu       sync.Mutex
+	outcomes []outcome
+}
+
+func newCaller(f *fleet, dcs []string, entries ...string) *caller {
+	return &caller{f: f, dcs: dcs, entries: entries, client: &http.Client{Timeout: 8 * time.Second}}
+}
+
+// run sends n requests, from several goroutines with a pause between two, and
+// waits for their ends. at is called with the number of requests sent so far.
+func (c *caller) run(n int, pause time.Duration, at func(sent int)) {
+	var wg sync.WaitGroup
+	for i := range n {
+		at(i)
+		wg.Go(func() { c.submit(i) })
+		time.Sleep(pause)
+	}
+	wg.Wait()
+}
+
+// submit carries one request to its end.
+func (c *caller) submit(i int) {
+	k, err := key.New(c.dcs[i%len(c.dcs)])
+	if err != nil {
+		panic(err)
+	}
+	o := outcome{key: k.String()}
+	for try := range attempts {
+		if c.try(&o, c.entries[(i+try)%len(c.entries)]) {
+			break
+		}
+		time.Sleep(50 * time.Millisecond << min(try, 4))
+	}
+	c.mu.Lock()
+	c.outcomes = append(c.outcomes, o)
+	c.mu.Unlock()
+}
+
+// try submits once and reports whether the outcome stands.
+func (c *caller) try(o *outcome, entry string) bool {
+	body, err := json.Marshal(api.RequestBody{Key: o.key, Kind: "unlock", Team: "households", Body: json.RawMessage(`{"service_ms":30}`)})
+	if err != nil {
+		panic(err)
+	}
+	resp, err := c.client.Post(c.f.entries[entry].url("/v1/requests"), "application/json", bytes.NewReader(body))
+	if err != nil {
+		return false
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode == http.StatusOK {
+		return c.answered(o, resp)
+	}
+	var e api.ErrorBody
+	if err := json.NewDecoder(resp.Body).Decode(&e); err != nil {
+		return false
+	}
+	o.told = append(o.told, e.Verdict)
+	o.verdict, o.reason, o.message = e.Verdict, e.Reason, e.Message
+	return e.Verdict == verdict.Failed
+}
+
+func (c *caller) answered(o *outcome, resp *http.Response) bool {
+	var a api.AnswerBody
+	if err := json.NewDecoder(resp.Body).Decode(&a); err != nil {
+		return false
+	}
+	o.told = append(o.told, a.Verdict)
+	o.verdict, o.reason, o.message, o.answer = a.Verdict, "", "", string(a.Answer)
+	return true
+}
+
+// check verifies the promises for every request that was sent: none started
+// twice; an answer is the request's own, and whole; what was last refused with
+// not_run did not start; every caller was told something.
+func (c *caller) check(t *testing.T) (completed int) {
+	t.Helper()
+	starts := make(map[string]int)
+	for id, n := range c.f.starts() {
+		assert.Assert(t, n <= 1, "%s started %d times", id, n)
+		starts[id.Key.String()] += n
+	}
+	for i := range c.outcomes {
+		o := &c.outcomes[i]
+		assert.NilError(t, o.check(starts[o.key]))
+		if o.verdict == verdict.Completed {
+			completed++
+		}
+	}
+	t.Logf("%d of %d completed, %v", completed, len(c.outcomes), c.reasons())
+	return completed
+}
+
+func (o *outcome) check(starts int) error {
+	switch o.verdict {
+	case verdict.Completed:
+		var own struct {
+			Key string `json:"key"`
+		}
+		if err := json.Unmarshal([]byte(o.answer), &own); err != nil {
+			return fmt.Errorf("%s got no whole answer: %w", o.key, err)
+		}
+		if own.Key != o.key {
+			return fmt.Errorf("%s got the answer of %s", o.key, own.Key)
+		}
+		if starts != 1 {
+			return fmt.Errorf("%s was answered after %d starts", o.key, starts)
+		}
+	case verdict.NotRun:
+		if starts != 0 {
+			return fmt.Errorf("%s was told not_run (%s: %s) after %d starts", o.key, o.reason, o.message, starts)
+		}
+	case verdict.MayHaveRun, verdict.Failed:
+	default:
+		return errors.New(o.key + " was told nothing")
+	}
+	return nil
+}
+
+// reasons counts the reasons of what did not complete.
+func (c *caller) reasons() map[verdict.Reason]int {
+	counts := make(map[verdict.Reason]int)
+	for i := range c.outcomes {
+		if o := &c.outcomes[i]; o.verdict != verdict.Completed {
+			counts[o.reason]++
+		}
+	}
+	return counts
+}
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/uber-go/tally/v4"
 	promreporter "github.com/uber-go/tally/v4/prometheus"
 
@@ -55,7 +57,9 @@
 // New starts a root scope whose values Handler serves in the Prometheus text
 // format. Close stops it.
 func New() *Metrics {
-	r := promreporter.NewReporter(promreporter.Options{})
+	registry := prometheus.NewRegistry()
+	registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	r := promreporter.NewReporter(promreporter.Options{Registerer: registry, Gatherer: registry})
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{
 		Prefix:          "currantstall",
 		CachedReporter:  r,
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -115,7 +115,7 @@
 func (e *Entry) AnswerBytes() int64 { return e.AnswerMiB * mib }
 
 // KeptBytes returns KeptAnswersMiB in bytes.
-func (e *Entry) KeptBytes() int { return int(e.KeptAnswersMiB * mib) }
+func (e *Entry) KeptBytes() int64 { return e.KeptAnswersMiB * mib }
 
 // PeerQueueBytes returns PeerQueueMiB in bytes.
 func (e *Entry) PeerQueueBytes() int { return int(e.PeerQueueMiB * mib) }
--- a/internal/standin/taskserver/lookup.go
+++ b/internal/standin/taskserver/lookup.go
@@ -188,7 +188,7 @@
 	defer s.mu.Unlock()
 	s.trimRecent(now)
 	seen := now.Add(-s.cfg.UsageLag)
-	u := target.Usage{Tasks: []target.TaskUsage{}}
+	u := target.Usage{AgeMS: s.cfg.UsageLag.Milliseconds(), Tasks: []target.TaskUsage{}}
 	for _, list := range [][]*record{s.exec.tasks, s.recent} {
 		for _, r := range list {
 			if r.started.After(seen) || (!r.ended.IsZero() && !r.ended.After(seen)) {
--- a/internal/target/protocol.go
+++ b/internal/target/protocol.go
@@ -109,6 +109,7 @@
 
 // Usage is a target's report of what it runs. It lags behind.
 type Usage struct {
+	AgeMS int64             `json:"age_ms"` // how far the report lags behind
 	Used  structs.Resources `json:"used"`
 	Tasks []TaskUsage       `json:"tasks"` // the running ones
 }
