Placement: own work is never taken for an earlier owner's

Entries' own tasks counted as unknown ones whenever a usage report was older than it said, or a peak fell between two samples of the own history, so that capacity fell from 40 slots to 1.

--- a/internal/placement/index.go
+++ b/internal/placement/index.go
@@ -101,9 +101,9 @@
 // Take accounts a started task to a target.
 func (x *Index) Take(now time.Time, name string, needs structs.Resources) {
 	x.change(name, func(p *place) {
-		p.history.note(now, Usage{p.running, p.used})
 		p.running++
 		p.used = p.used.Plus(needs)
+		p.history.note(now, Usage{p.running, p.used})
 	})
 }
 
@@ -123,7 +123,7 @@
 // entry does not know of is taken off the target's room.
 func (x *Index) Report(name string, at time.Time, reported Usage) {
 	x.change(name, func(p *place) {
-		own := p.history.at(at, Usage{p.running, p.used})
+		own := p.history.since(at, Usage{p.running, p.used})
 		p.unknown = Unknown(own, reported)
 	})
 }
--- a/internal/placement/reconcile.go
+++ b/internal/placement/reconcile.go
@@ -29,38 +29,56 @@
 const (
 	historyLen      = 16
 	historyInterval = 250 * time.Millisecond
+	// reportSlack is how much older than it says a report may be.
+	reportSlack = time.Second
 )
 
-// history remembers what this entry ran on a target over the last 4 s, as
-// usage reports lag: a report is compared with the past that it speaks of.
+// history remembers the most that this entry ran on a target in each interval
+// of the last 4 s, as usage reports lag: a report is compared with the past
+// that it speaks of.
 type history struct {
 	samples [historyLen]sample
 	next    int
 }
 
 type sample struct {
-	at    time.Time
-	usage Usage
+	from time.Time
+	most Usage
 }
 
-// note records the usage up to now, at most once an interval.
+// note records a usage that began now.
 func (h *history) note(now time.Time, u Usage) {
 	last := &h.samples[(h.next+historyLen-1)%historyLen]
-	if now.Sub(last.at) < historyInterval {
+	if now.Sub(last.from) < historyInterval {
+		last.most = last.most.max(u)
 		return
 	}
-	h.samples[h.next] = sample{at: now, usage: u}
+	h.samples[h.next] = sample{from: now, most: u}
 	h.next = (h.next + 1) % historyLen
 }
 
-// at returns the usage at a time: that of the first sample not before it, or
-// the current one if there is none.
-func (h *history) at(t time.Time, current Usage) Usage {
-	for i := range historyLen {
-		s := &h.samples[(h.next+i)%historyLen]
-		if !s.at.IsZero() && !s.at.Before(t) {
-			return s.usage
+// since returns the most that ran from a time on. A report is compared with
+// that and not with the very moment, since own work that is taken for another's
+// would shut the target out, while other work that is missed costs only speed.
+func (h *history) since(t time.Time, current Usage) Usage {
+	t = t.Add(-reportSlack)
+	most := current
+	for i := range h.samples {
+		s := &h.samples[i]
+		if s.from.Add(historyInterval).After(t) {
+			most = most.max(s.most)
 		}
 	}
-	return current
+	return most
+}
+
+func (u Usage) max(o Usage) Usage {
+	return Usage{
+		Running: max(u.Running, o.Running),
+		Used: structs.Resources{
+			MilliCPU:     max(u.Used.MilliCPU, o.Used.MilliCPU),
+			MemoryMB:     max(u.Used.MemoryMB, o.Used.MemoryMB),
+			Accelerators: max(u.Used.Accelerators, o.Used.Accelerators),
+		},
+	}
 }
