Manifest: peers agree when a link comes up; a change reads less first

A process that starts during an outage had to wait for its next poll, which in a large data centre is many seconds away. LinkUp tells the peer the version held, and an entry without a manifest polls at the shortest interval. The property failed at first: a lost question kept a process from asking again; a new link now forgets what was asked.

Apply took the current sections from the table although the entry had them from a peer.

--- a/internal/manifest/rollout.go
+++ b/internal/manifest/rollout.go
@@ -128,6 +128,9 @@
 // Apply has a manifest accepted as the version after base, puts it in force
 // here and pushes it to the peers. Its errors are those of Store.Apply.
 func (r *Rollout) Apply(ctx context.Context, writer string, base uint64, next *Manifest) (*Manifest, error) {
+	if cur := r.Current(); cur.version() == base && cur != nil {
+		r.cfg.Store.last.Store(cur) // it may have come from a peer
+	}
 	u, err := r.cfg.Store.Apply(ctx, writer, base, next)
 	if err != nil {
 		return nil, err
@@ -152,6 +155,13 @@
 	return nil
 }
 
+// LinkUp tells a newly linked peer the version held here, so that the two come
+// to the higher of both at once, also while the table is out of reach.
+func (r *Rollout) LinkUp(peer string) {
+	r.setAsked(0) // the answer may have been lost with the link before
+	r.send(peer, wire.ManifestNew, NewBody{Version: r.Current().version()})
+}
+
 func (r *Rollout) adoptAndPush(u Update) {
 	if !r.Adopt(u.Manifest) {
 		return
@@ -176,10 +186,11 @@
 	}
 }
 
-// pollDelay varies by half to keep the entries out of step.
+// pollDelay varies by half to keep the entries out of step. An entry without a
+// manifest serves nothing yet, and does not wait for the others.
 func (r *Rollout) pollDelay() time.Duration {
 	d := r.cfg.PollInterval
-	if n := r.cfg.Members(); n > pollersAtOnce {
+	if n := r.cfg.Members(); n > pollersAtOnce && r.Current() != nil {
 		d = d * time.Duration(n) / pollersAtOnce
 	}
 	return d*3/4 + rand.N(d/2+1)
--- a/internal/manifest/rollout_test.go
+++ b/internal/manifest/rollout_test.go
@@ -244,6 +244,29 @@
 	}
 }
 
+// linkUp joins each pair of processes.
+func (w *world) linkUp() {
+	for _, p := range w.procs {
+		for _, q := range w.procs {
+			if p != q {
+				p.rollout.LinkUp(q.name)
+			}
+		}
+	}
+	w.settle()
+}
+
+// pollInOutage has each process poll twice, since what it asks for may be
+// overtaken by what it is told.
+func (w *world) pollInOutage() {
+	for range 2 {
+		for _, p := range w.procs {
+			assert.ErrorIs(w.t, p.rollout.Poll(context.Background()), platform.ErrUnavailable)
+		}
+		w.settle()
+	}
+}
+
 // settle delivers all messages in flight and those that they cause.
 func (w *world) settle() {
 	for n := 0; len(w.flying) > 0; n++ {
@@ -275,11 +298,10 @@
 		for _, p := range w.procs {
 			highest = max(highest, p.rollout.Current().version())
 		}
-		for range 2 {
-			for _, p := range w.procs {
-				assert.ErrorIs(t, p.rollout.Poll(ctx), platform.ErrUnavailable)
-			}
-			w.settle()
+		if rapid.Bool().Draw(t, "links come up") {
+			w.linkUp()
+		} else {
+			w.pollInOutage()
 		}
 		for _, p := range w.procs {
 			assert.Equal(t, p.rollout.Current().version(), highest, p.name)
