--- a/internal/peer/fuzz_test.go
+++ b/internal/peer/fuzz_test.go
@@ -34,7 +34,7 @@
 	}
 	f.Fuzz(func(t *testing.T, b []byte) {
 		var h hello
-		if decodeHello(b, wire.Hello, &h) != nil || n.checkPeer(h.Version, h.Self, h.DC, h.Nonce) != nil {
+		if n.decodeHello(b, wire.Hello, &h) != nil || n.checkPeer(h.Version, h.Self, h.DC, h.Nonce) != nil {
 			return
 		}
 		assert.Equal(t, len(h.Nonce), nonceSize)
--- a/internal/peer/handshake.go
+++ b/internal/peer/handshake.go
@@ -101,7 +101,7 @@
 		return greeting{}, err
 	}
 	var g greeting
-	if err := readHello(ctx, c, wire.HelloAck, &g); err != nil {
+	if err := n.readHello(ctx, c, wire.HelloAck, &g); err != nil {
 		return greeting{}, err
 	}
 	if err := n.checkPeer(g.Version, g.Self, g.DC, g.Nonce); err != nil {
@@ -119,7 +119,7 @@
 // readDialer reads a hello and checks all that needs no proof.
 func (n *Node) readDialer(ctx context.Context, c *websocket.Conn) (hello, error) {
 	var h hello
-	if err := readHello(ctx, c, wire.Hello, &h); err != nil {
+	if err := n.readHello(ctx, c, wire.Hello, &h); err != nil {
 		return h, err
 	}
 	if h.To != n.cfg.Self.Name {
@@ -136,7 +136,7 @@
 		return finish{}, err
 	}
 	var f finish
-	if err := readHello(ctx, c, wire.HelloAck, &f); err != nil {
+	if err := n.readHello(ctx, c, wire.HelloAck, &f); err != nil {
 		return finish{}, err
 	}
 	if !hmac.Equal(f.Proof, n.proof(labelDialer, h, g, f)) {
@@ -201,20 +201,21 @@
 	return c.Write(ctx, websocket.MessageBinary, buf.Bytes())
 }
 
-func readHello(ctx context.Context, c *websocket.Conn, want wire.Type, body any) error {
+func (n *Node) readHello(ctx context.Context, c *websocket.Conn, want wire.Type, body any) error {
 	c.SetReadLimit(maxHello)
 	_, b, err := c.Read(ctx)
 	if err != nil {
 		return fmt.Errorf("read %s: %w", want, err)
 	}
-	return decodeHello(b, want, body)
+	return n.decodeHello(b, want, body)
 }
 
-func decodeHello(b []byte, want wire.Type, body any) error {
+func (n *Node) decodeHello(b []byte, want wire.Type, body any) error {
 	ms, err := wire.DecodeFrame(b)
 	if err != nil {
 		return refusal(verdict.BadHello, "%w", err)
 	}
+	n.counters.received(ms)
 	if len(ms) != 1 || ms[0].Type != want {
 		return refusal(verdict.BadHello, "no single %s message", want)
 	}
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -153,6 +153,11 @@
 	eventually(t, "the round trip is known", func() bool { _, ok := a.RTT("b"); return ok })
 	assert.Equal(t, b.counted(metrics.PeerMessagesIn, wire.Ledger.String()), int64(500))
 	assert.Equal(t, a.counted(metrics.Dropped, ""), int64(0))
+	for _, typ := range []wire.Type{wire.Hello, wire.HelloAck} {
+		sent := a.counted(metrics.PeerMessagesOut, typ.String()) + b.counted(metrics.PeerMessagesOut, typ.String())
+		got := a.counted(metrics.PeerMessagesIn, typ.String()) + b.counted(metrics.PeerMessagesIn, typ.String())
+		assert.Assert(t, sent > 0 && sent == got, "%s: %d sent, %d received", typ, sent, got)
+	}
 }
 
 func TestBothDialAtOnceAndOneSessionStays(t *testing.T) {
@@ -269,7 +274,7 @@
 	change(&h)
 	assert.NilError(t, n.writeHello(ctx, c, wire.Hello, h))
 	var g greeting
-	if err := readHello(ctx, c, wire.HelloAck, &g); err != nil {
+	if err := n.readHello(ctx, c, wire.HelloAck, &g); err != nil {
 		return err
 	}
 	f := finish{Proof: g.Proof} // the acceptor's own proof, reflected
