--- a/internal/entry/ownership.go
+++ b/internal/entry/ownership.go
@@ -77,11 +77,7 @@
 func (o *ownership) compute(now time.Time) {
 	vms := o.targets()
 	members := o.present(now)
-	names := make([]string, len(vms))
-	for i, vm := range vms {
-		names[i] = vm.Name
-	}
-	owners := placement.Owners(members, names)
+	owners := ownersOf(members, vms)
 	var owned []platform.VM
 	var workers []structs.Resources
 	byAddr := make(map[string]platform.VM, len(vms))
@@ -113,6 +109,26 @@
 	return target.ShareOf(vm.MaxConn, o.entries(), mine)
 }
 
+// ownersOf returns the index in members of each target's owner. Runners and
+// workers are divided apart: each member gets an even part of both.
+func ownersOf(members []string, vms []platform.VM) []int {
+	owners := make([]int, len(vms))
+	for _, role := range []platform.Role{platform.RoleRunner, platform.RoleWorker} {
+		var names []string
+		var at []int
+		for i := range vms {
+			if vms[i].Role == role {
+				names = append(names, vms[i].Name)
+				at = append(at, i)
+			}
+		}
+		for i, owner := range placement.Owners(members, names) {
+			owners[at[i]] = owner
+		}
+	}
+	return owners
+}
+
 // present returns the members that count: this entry and those whose link is
 // up or was lost only just now.
 func (o *ownership) present(now time.Time) []string {
