--- a/internal/admission/kind.go
+++ b/internal/admission/kind.go
@@ -144,7 +144,7 @@
 func (k *kind) serve(n *node) {
 	f := n.flow
 	f.served = n.class
-	k.virtual = f.start
+	k.virtual = max(k.virtual, f.start)
 	f.start += 1 / f.weight
 	k.dequeue(n)
 	if f.pos >= 0 {
@@ -153,6 +153,19 @@
 	k.running++
 }
 
+// maxCharge bounds what one unit is charged, in mean run times.
+const maxCharge = 20
+
+// charge corrects what serve charged for a unit, one mean run time, to what it
+// took: teams share the slots' time, so that one with long tasks gets fewer.
+func (k *kind) charge(f *flow, took time.Duration) {
+	cost := min(float64(took)/float64(k.service.Hold()), maxCharge)
+	f.start += (cost - 1) / f.weight
+	if f.pos >= 0 {
+		k.active.fix(f.pos)
+	}
+}
+
 func (k *kind) deactivate(f *flow) {
 	k.active.remove(f)
 	k.weights -= f.weight
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -176,6 +176,7 @@
 	if n == nil || n.state != running {
 		return
 	}
+	n.kind.charge(n.flow, took)
 	n.kind.service.Observe(took, ok)
 	q.end(now, n)
 }
@@ -187,6 +188,7 @@
 	if n == nil || n.state != running {
 		return
 	}
+	n.kind.charge(n.flow, 0)
 	q.end(now, n)
 }
 
--- a/internal/admission/team_test.go
+++ b/internal/admission/team_test.go
@@ -20,7 +20,7 @@
 		wa := rapid.Float64Range(0.1, 10).Draw(t, "weight a")
 		wb := rapid.Float64Range(0.1, 10).Draw(t, "weight b")
 		q := New(Config{})
-		q.Configure(epoch, []manifest.Kind{{Name: "k", Share: 1}}, []manifest.Team{{Name: "a", Weight: wa}, {Name: "b", Weight: wb}, {Name: "c"}}, manifest.Limits{})
+		q.Configure(epoch, []manifest.Kind{{Name: "k", Share: 1, ServiceMS: 1}}, []manifest.Team{{Name: "a", Weight: wa}, {Name: "b", Weight: wb}, {Name: "c"}}, manifest.Limits{})
 		q.SetCapacity(1)
 		id := uint64(0)
 		offer := func(team string, n int) {
@@ -49,6 +49,36 @@
 	})
 }
 
+// Teams share the time of the slots, however long their tasks take.
+func TestTeamsShareTheTimeOfTheSlots(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		took := map[string]time.Duration{
+			"a": time.Duration(rapid.IntRange(50, 500).Draw(t, "a ms")) * time.Millisecond,
+			"b": time.Duration(rapid.IntRange(50, 500).Draw(t, "b ms")) * time.Millisecond,
+		}
+		q := New(Config{})
+		q.Configure(epoch, []manifest.Kind{{Name: "k", Share: 1, ServiceMS: 100}}, nil, manifest.Limits{})
+		q.SetCapacity(1)
+		id, now := uint64(0), epoch
+		for range 400 {
+			for _, team := range []string{"a", "b"} {
+				id++
+				assert.Assert(t, q.Offer(now, []Unit{{ID: id, Group: id, Kind: "k", Team: team, Deadline: epoch.Add(24 * time.Hour)}}) == nil)
+			}
+		}
+		used := map[string]time.Duration{}
+		for range 400 {
+			u, ok := q.Next(now, anyRoom)
+			assert.Assert(t, ok)
+			now = now.Add(took[u.Team])
+			q.Finished(now, u.ID, took[u.Team], true)
+			used[u.Team] += took[u.Team]
+		}
+		part := float64(used["a"]) / float64(used["a"]+used["b"])
+		assert.Assert(t, part > 0.4 && part < 0.6, "a with tasks of %v took %.2f, b has %v", took["a"], part, took["b"])
+	})
+}
+
 // A team's admitted tasks stay within this entry's part of its rate and burst,
 // up to one job, and a job above the burst is not refused for ever.
 func TestQuotaBoundsARateOverTime(t *testing.T) {
