--- a/internal/load/report.go
+++ b/internal/load/report.go
@@ -37,7 +37,8 @@
 	Unsent    int // not sent, as too many were in flight
 	Completed int
 	OnTime    int
-	// Useful is the run time of all tasks of the calls that were on time.
+	// Useful is the run time of all tasks of the calls that ended within the
+	// counted time, whenever they were sent, and were on time.
 	Useful  time.Duration
 	Refused map[Refusal]int
 	// Latency of completed calls from the intended time, µs.
@@ -93,10 +94,19 @@
 	record(r.Ratio, int64(1000*float64(took)/float64(c.ideal())))
 	if took <= c.stream.Deadline {
 		r.OnTime++
-		r.Useful += c.work()
 	}
 }
 
+// noteUseful counts the work of a call that ended within the counted time.
+func (r *recorder) noteUseful(c *call, end time.Time, a answerBody, err error) {
+	if err != nil || a.Verdict != verdict.Completed || end.Sub(c.at) > c.stream.Deadline {
+		return
+	}
+	r.mu.Lock()
+	r.Useful += c.work()
+	r.mu.Unlock()
+}
+
 func (r *recorder) skip() {
 	r.mu.Lock()
 	r.Unsent++
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -97,8 +97,12 @@
 		defer func() { <-r.slots }()
 		sent := time.Now()
 		a, err := r.send(ctx, c)
+		end := time.Now()
 		if counted {
-			rec.note(c, sent, time.Now(), a, err)
+			rec.note(c, sent, end, a, err)
+		}
+		if since := end.Sub(r.start) - r.cfg.WarmUp; since >= 0 && since < r.cfg.Duration {
+			rec.noteUseful(c, end, a, err)
 		}
 	})
 }
