Engine: a stopping or joining entry passes work on

Cause: reading the stop of an entry. Drain waited for the work of its own callers but not for tasks that peers had handed over, so a stop could cut those off; and a stopping or joining entry refused keyed work (with a mark at the home, which for half a second refused the same key at the other entries too) though its neighbours could have taken it. Change: one counter of everything in flight; a stopping entry sends handed-over tasks back, and one that takes nothing forwards whole requests within its data centre. A forwarded request is never forwarded on.

--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -7,7 +7,6 @@
 	"context"
 	"log/slog"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"currantstall/internal/admission"
@@ -62,6 +61,8 @@
 	Links    Links
 	// Manifest returns the manifest in force, or nil.
 	Manifest func() *manifest.Manifest
+	// Member reports whether this entry may claim keys now.
+	Member func() bool
 	// KnownDC reports whether a data centre is or was lately listed.
 	KnownDC func(dc string) bool
 	Policy  admission.Policy
@@ -76,11 +77,10 @@
 // Engine carries work at one entry.
 type Engine struct {
 	Config
-	started  time.Time
-	draining atomic.Bool
-	base     context.Context // ends when the process gives up what runs
-	stop     context.CancelFunc
-	inFlight sync.WaitGroup
+	started time.Time
+	base    context.Context // ends when the process gives up what runs
+	stop    context.CancelFunc
+	flights *flights
 
 	requests *scheduler
 	jobs     *scheduler
@@ -98,6 +98,7 @@
 	e := &Engine{
 		Config:  c,
 		started: time.Now(),
+		flights: newFlights(),
 		remotes: newRemotes(),
 		outbox:  newOutbox(),
 		answers: dispatch.NewMemory(c.AnswerBytes),
@@ -118,10 +119,14 @@
 	if w.Key.DC != e.DC {
 		return e.forwards.do(ctx, w)
 	}
-	if e.draining.Load() {
-		return e.refusal(ctx, w, verdict.New(verdict.NotRun, verdict.Draining, "this entry is stopping").After(retrySoon))
+	if !e.flights.enter() {
+		return e.elsewhere(ctx, w, verdict.New(verdict.NotRun, verdict.Draining, "this entry is stopping").After(retrySoon))
 	}
+	defer e.flights.leave()
 	claimed := !w.Repeatable && !w.Fresh
+	if claimed && !e.Member() {
+		return e.elsewhere(ctx, w, verdict.New(verdict.NotRun, verdict.NotReady, "this entry is in no view in force").After(retrySoon))
+	}
 	if claimed {
 		c, err := e.Claims.Acquire(ctx, w.Key, w.Digest())
 		if err != nil {
@@ -144,6 +149,15 @@
 	}
 }
 
+// elsewhere hands work that this entry can't take now to another entry of its
+// data centre. Without one it refuses.
+func (e *Engine) elsewhere(ctx context.Context, w *structs.Work, refusal *verdict.Error) structs.Outcome {
+	if len(e.Links.Linked(e.DC)) == 0 {
+		return e.refusal(ctx, w, refusal)
+	}
+	return e.forwards.do(ctx, w)
+}
+
 // ofRequest turns the outcome of this copy of the work into one of the
 // request: nobody records the copies of repeatable work, so an earlier one may
 // have run under a key that the caller brought.
@@ -167,7 +181,7 @@
 // begin queues the tasks of work that this entry alone may start.
 func (e *Engine) begin(w *structs.Work, claimed bool) *group {
 	g := newGroup(e.base, w, e.answers, func(o structs.Outcome) { e.finish(w, claimed, o) })
-	e.inFlight.Add(1)
+	e.flights.hold()
 	e.track(g)
 	if err := e.scheduler(w.Class).submit(g, claimed); err != nil {
 		e.rejectAll(g, err)
@@ -185,7 +199,7 @@
 // finish records the outcome before any caller sees it, so that a resubmission
 // that follows an answer finds it kept.
 func (e *Engine) finish(w *structs.Work, claimed bool, o structs.Outcome) {
-	defer e.inFlight.Done()
+	defer e.flights.leave()
 	if claimed {
 		e.Claims.Finish(w.Key, o)
 	} else if !w.Repeatable && o.Verdict != verdict.NotRun {
@@ -291,20 +305,13 @@
 	return structs.OutcomeOf(e.Refuse(ctx, w.Key, err))
 }
 
-// Drain refuses new work and waits until what runs is over, or ctx ends.
+// Drain takes no new work and waits until what runs is over, or ctx ends.
 func (e *Engine) Drain(ctx context.Context) error {
-	e.draining.Store(true)
-	done := make(chan struct{})
-	go func() {
-		e.inFlight.Wait()
-		close(done)
-	}()
-	select {
-	case <-done:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
+	e.flights.close()
+	for _, s := range []*scheduler{e.requests, e.jobs} {
+		s.tell(time.Now())
 	}
+	return e.flights.wait(ctx)
 }
 
 // Close gives up what still runs.
--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -106,6 +106,14 @@
 	mu      sync.Mutex
 	engines map[string]*Engine
 	cut     map[string]bool
+	out     map[string]bool // entries that are in no view
+}
+
+// outside reports whether an entry is in no view.
+func (n *fakeNet) outside(name string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.out[name]
 }
 
 // fakeLinks is one engine's end of the net.
@@ -188,6 +196,7 @@
 		Journal:     c.(*fakeClaims),
 		Links:       &fakeLinks{net: n, self: name},
 		Manifest:    func() *manifest.Manifest { return testManifest },
+		Member:      func() bool { return !n.outside(name) },
 		KnownDC:     func(dc string) bool { return dc == "a" || dc == "b" },
 		Dispatch:    dispatch.New(dispatch.Config{Targets: pool}),
 		Metrics:     metrics.NewNop(),
@@ -214,7 +223,7 @@
 }
 
 func newNet() *fakeNet {
-	return &fakeNet{engines: make(map[string]*Engine), cut: make(map[string]bool)}
+	return &fakeNet{engines: make(map[string]*Engine), cut: make(map[string]bool), out: make(map[string]bool)}
 }
 
 func startTarget(t *testing.T, role platform.Role, name string) *taskserver.Server {
@@ -474,3 +483,38 @@
 	assert.Equal(t, o.Reason, verdict.LeaseLapsed)
 	assert.Equal(t, len(r.Starts()), 0)
 }
+
+func TestAnEntryThatTakesNothingPassesWorkOn(t *testing.T) {
+	n := newNet()
+	c := newFakeClaims()
+	r := startTarget(t, platform.RoleRunner, "r1")
+	e1 := n.start(t, "e1", "a", c)
+	e1.SetTargets([]platform.VM{r.VM()}, nil)
+	joining, stopping := n.start(t, "e2", "a", c), n.start(t, "e3", "a", c)
+	n.mu.Lock()
+	n.out["e2"] = true
+	n.mu.Unlock()
+	assert.NilError(t, stopping.Drain(context.Background()))
+
+	for _, e := range []*Engine{joining, stopping} {
+		o := e.Do(context.Background(), newWork(t, "unlock", structs.Request, 1))
+		assert.Equal(t, o.Verdict, verdict.Completed, o.Message)
+	}
+	assert.Equal(t, len(r.Starts()), 2)
+}
+
+func TestAStoppingEntrySendsHandedWorkBack(t *testing.T) {
+	n := newNet()
+	c := newFakeClaims()
+	r := startTarget(t, platform.RoleRunner, "r1")
+	stopping := n.start(t, "e1", "a", c)
+	stopping.SetTargets([]platform.VM{r.VM()}, nil)
+	e := n.start(t, "e2", "a", c)
+	waitForLoad(t, e, "e1")
+	stopping.flights.close() // before it told anybody
+
+	o := e.Do(context.Background(), newWork(t, "unlock", structs.Request, 1))
+
+	assert.Equal(t, o.Verdict, verdict.NotRun, o.Message)
+	assert.Equal(t, len(r.Starts()), 0)
+}
--- a/internal/engine/forward.go
+++ b/internal/engine/forward.go
@@ -38,8 +38,8 @@
 // forwardCall is one question that awaits its answer.
 type forwardCall struct {
 	to   string
-	done chan *structs.Outcome // nil if the work still runs
-	lost chan struct{}         // closed when the member cannot answer any more
+	done chan *forwardDone
+	lost chan struct{} // closed when the member cannot answer any more
 }
 
 func newForwards(e *Engine) *forwards {
@@ -156,7 +156,7 @@
 }
 
 // askOne sends the question to one member. answered is false if the member
-// was lost or did not answer in time.
+// declined, was lost or did not answer in time.
 func (f *forwards) askOne(ctx context.Context, to string, q *forward) (o *structs.Outcome, answered bool) {
 	c := f.register(to, q)
 	defer f.forget(q.ID)
@@ -169,8 +169,8 @@
 		return nil, false
 	}
 	select {
-	case o = <-c.done:
-		return o, true
+	case d := <-c.done:
+		return d.Outcome, !d.Declined
 	case <-c.lost:
 		return nil, false
 	case <-ctx.Done():
@@ -179,7 +179,7 @@
 }
 
 func (f *forwards) register(to string, q *forward) *forwardCall {
-	c := &forwardCall{to: to, done: make(chan *structs.Outcome, 1), lost: make(chan struct{})}
+	c := &forwardCall{to: to, done: make(chan *forwardDone, 1), lost: make(chan struct{})}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.next++
@@ -207,7 +207,7 @@
 		f.e.Metrics.Count(metrics.Dropped, verdict.LateAnswer)
 		return
 	}
-	c.done <- d.Outcome
+	c.done <- d
 }
 
 // lose ends the calls to a member that is gone.
@@ -226,7 +226,22 @@
 func (f *forwards) serve(from string, q *forward) {
 	ctx, cancel := context.WithTimeout(f.e.base, q.Remaining)
 	defer cancel()
-	f.e.respond(from, wire.ForwardDone, forwardDone{ID: q.ID, Outcome: f.answer(ctx, q)})
+	d := forwardDone{ID: q.ID}
+	if q.Op == opDo && !f.e.takes(q.Work) {
+		d.Declined = true
+	} else {
+		d.Outcome = f.answer(ctx, q)
+	}
+	f.e.respond(from, wire.ForwardDone, d)
+}
+
+// takes reports whether this entry can take work that is forwarded to it.
+// Forwarded work is not forwarded on.
+func (e *Engine) takes(w *structs.Work) bool {
+	if e.flights.draining() {
+		return false
+	}
+	return w == nil || w.Repeatable || e.Member()
 }
 
 func (f *forwards) answer(ctx context.Context, q *forward) *structs.Outcome {
--- a/internal/engine/handoff.go
+++ b/internal/engine/handoff.go
@@ -85,10 +85,15 @@
 	s.kick()
 }
 
-// receiveBatch queues units that a peer hands over.
+// receiveBatch queues units that a peer hands over. A stopping entry sends them
+// back.
 func (s *scheduler) receiveBatch(from string, b *runBatch) {
 	now := time.Now()
 	for _, r := range b.Units {
+		if !s.e.flights.enter() {
+			s.e.reply(from, r.ID, result{err: verdict.New(verdict.NotRun, verdict.Draining, "this entry is stopping")})
+			continue
+		}
 		u := s.e.handedUnit(from, r, now)
 		s.mu.Lock()
 		err := s.offer([]*unit{u})
@@ -116,6 +121,7 @@
 	origin := remoteID{from, r.ID}
 	e.remotes.add(origin, cancel)
 	u.finish = func(res result) {
+		defer e.flights.leave()
 		e.remotes.remove(origin)
 		cancel()
 		e.reply(from, r.ID, res)
--- a/internal/engine/load.go
+++ b/internal/engine/load.go
@@ -151,12 +151,15 @@
 		k := &stats.Kinds[i]
 		kinds[i] = kindLoad{Kind: k.Kind, Free: k.Free, Queued: k.Queued, Wait: k.Wait}
 	}
+	if s.e.flights.draining() {
+		kinds = nil // no room any more
+	}
 	due := now.Sub(s.told.at) >= tellEvery || matters(s.told.kinds, kinds)
 	if due {
 		s.told = toldLoad{at: now, kinds: kinds}
 	}
 	s.mu.Unlock()
-	if !due || len(kinds) == 0 {
+	if !due {
 		return
 	}
 	m, err := wire.NewMessage(wire.Load, load{Class: s.class, Kinds: kinds})
--- a/internal/engine/messages.go
+++ b/internal/engine/messages.go
@@ -34,6 +34,9 @@
 type forwardDone struct {
 	ID      uint64           `cbor:"1,keyasint"`
 	Outcome *structs.Outcome `cbor:"2,keyasint,omitempty"`
+	// Declined means that the sender can't take the work and has not looked
+	// at it; another member may.
+	Declined bool `cbor:"3,keyasint,omitempty"`
 }
 
 // runUnit is one task handed over for execution.
--- a/internal/entry/provision.go
+++ b/internal/entry/provision.go
@@ -147,6 +147,7 @@
 		Journal:     p.journal,
 		Links:       links{p.node},
 		Manifest:    p.rollout.Current,
+		Member:      p.claims.Ready,
 		KnownDC:     p.dir.knows,
 		Policy:      p.cfg.Policy,
 		Metrics:     p.metrics,
