--- a/internal/integration/faults_test.go
+++ b/internal/integration/faults_test.go
@@ -18,7 +18,7 @@
 	for _, name := range []string{"e1", "e2", "e3"} {
 		f.startEntry(name, "coast")
 	}
-	f.apply(f.entries["e1"])
+	f.apply(f.entry("e1"))
 	f.awaitReady("e1", "e2", "e3")
 	return f
 }
@@ -66,7 +66,7 @@
 func TestKilledEntry(t *testing.T) {
 	f := three(t)
 	c := newCaller(f, []string{"coast"}, "e1", "e2", "e3")
-	c.run(requests, pause, at(faultAt, func() { f.entries["e2"].kill() }))
+	c.run(requests, pause, at(faultAt, func() { f.entry("e2").kill() }))
 	c.check(t)
 	recovered(t, f, "e1", "e3")
 }
@@ -75,7 +75,7 @@
 	f := three(t)
 	c := newCaller(f, []string{"coast"}, "e1", "e3")
 	c.run(requests, pause, at(faultAt, func() {
-		f.entries["e2"].kill()
+		f.entry("e2").kill()
 		f.startEntry("e2", "coast")
 	}))
 	c.check(t)
@@ -88,8 +88,8 @@
 	f := three(t)
 	c := newCaller(f, []string{"coast"}, "e1", "e2", "e3")
 	c.run(2*requests, pause, both(
-		at(faultAt, func() { f.entries["e2"].signal(syscall.SIGSTOP) }),
-		at(2*requests-60, func() { f.entries["e2"].signal(syscall.SIGCONT) }),
+		at(faultAt, func() { f.entry("e2").signal(syscall.SIGSTOP) }),
+		at(2*requests-60, func() { f.entry("e2").signal(syscall.SIGCONT) }),
 	))
 	c.check(t)
 	recovered(t, f, "e1", "e3")
@@ -115,7 +115,7 @@
 	c := newCaller(f, []string{"coast"}, "e1", "e2", "e3")
 	c.run(requests, pause, both(
 		at(faultAt, func() { f.silence("e2") }),
-		at(faultAt+30, func() { f.entries["e2"].proxy.Toxics.ResetToxics(t.Context()) }),
+		at(faultAt+30, func() { f.entry("e2").proxy.Toxics.ResetToxics(t.Context()) }),
 	))
 	c.check(t)
 	f.awaitReady("e1", "e2", "e3")
@@ -142,7 +142,7 @@
 	f.startTargets("island", 2, 0)
 	f.startEntry("c1", "coast")
 	f.startEntry("i1", "island")
-	f.apply(f.entries["c1"])
+	f.apply(f.entry("c1"))
 	f.awaitReady("c1", "i1")
 	f.cut("c1")
 	f.cut("i1")
@@ -166,10 +166,10 @@
 func TestPlannedStop(t *testing.T) {
 	f := three(t)
 	c := newCaller(f, []string{"coast"}, "e1", "e2", "e3")
-	c.run(requests, pause, at(faultAt, func() { f.entries["e2"].signal(syscall.SIGTERM) }))
-	<-f.entries["e2"].ended
+	c.run(requests, pause, at(faultAt, func() { f.entry("e2").signal(syscall.SIGTERM) }))
+	<-f.entry("e2").ended
 
-	assert.Equal(t, f.entries["e2"].cmd.ProcessState.ExitCode(), 0, f.entries["e2"].log.String())
+	assert.Equal(t, f.entry("e2").cmd.ProcessState.ExitCode(), 0, f.entry("e2").log.String())
 	assert.Equal(t, c.check(t), requests)
 	for i := range c.outcomes {
 		again := outcome{key: c.outcomes[i].key}
--- a/internal/integration/fleet_test.go
+++ b/internal/integration/fleet_test.go
@@ -67,7 +67,8 @@
 	store    *toxiproxy.Proxy // between entries and platform
 	list     *platform.Client
 	toxics   *toxiproxy.ApiServer
-	entries  map[string]*process
+	mu       sync.Mutex
+	entries  map[string]*process // by name, guarded by mu
 	order    []string
 	targets  []*taskserver.Server
 }
@@ -121,6 +122,13 @@
 	return f
 }
 
+// entry returns the latest process of a name, or nil.
+func (f *fleet) entry(name string) *process {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.entries[name]
+}
+
 func (f *fleet) newProxy(name, upstream string) *toxiproxy.Proxy {
 	f.t.Helper()
 	p := toxiproxy.NewProxy(f.toxics, name, "127.0.0.1:0", upstream)
@@ -164,7 +172,7 @@
 func (f *fleet) startEntry(name, dc string, flags ...string) *process {
 	f.t.Helper()
 	p := &process{name: name, dc: dc, ended: make(chan struct{}), log: &logBuffer{}}
-	if old := f.entries[name]; old != nil {
+	if old := f.entry(name); old != nil {
 		p.proxy = old.proxy
 	} else {
 		p.proxy = f.newProxy(name, "127.0.0.1:1")
@@ -182,7 +190,9 @@
 	stdout, err := p.cmd.StdoutPipe()
 	assert.NilError(f.t, err)
 	assert.NilError(f.t, p.cmd.Start())
+	f.mu.Lock()
 	f.entries[name] = p
+	f.mu.Unlock()
 	started := make(chan [2]string, 1)
 	var reading sync.WaitGroup
 	reading.Go(func() { p.readLog(stderr) })
@@ -260,7 +270,7 @@
 func (f *fleet) awaitReady(names ...string) {
 	f.t.Helper()
 	for _, name := range names {
-		p := f.entries[name]
+		p := f.entry(name)
 		f.eventually(name+" ready", func() error {
 			resp, err := http.Get(p.url("/readyz"))
 			if err != nil {
@@ -289,12 +299,12 @@
 
 // cut makes an entry unreachable for its peers: each connection through its
 // proxy ends and no new one is made.
-func (f *fleet) cut(name string) { f.entries[name].proxy.Stop() }
+func (f *fleet) cut(name string) { f.entry(name).proxy.Stop() }
 
 // heal undoes cut.
 func (f *fleet) heal(name string) {
 	f.t.Helper()
-	assert.NilError(f.t, f.entries[name].proxy.Start())
+	assert.NilError(f.t, f.entry(name).proxy.Start())
 }
 
 // starts counts the starts at all targets, by key and task.
@@ -314,14 +324,14 @@
 	f.t.Helper()
 	for _, stream := range []string{"upstream", "downstream"} {
 		spec := fmt.Sprintf(`{"type":"timeout","stream":%q,"attributes":{"timeout":0}}`, stream)
-		_, err := f.entries[name].proxy.Toxics.AddToxicJson(strings.NewReader(spec))
+		_, err := f.entry(name).proxy.Toxics.AddToxicJson(strings.NewReader(spec))
 		assert.NilError(f.t, err)
 	}
 }
 
 // linked returns nil if an entry has n links.
 func (f *fleet) linked(name string, n int) error {
-	resp, err := http.Get(f.entries[name].url("/v1/status"))
+	resp, err := http.Get(f.entry(name).url("/v1/status"))
 	if err != nil {
 		return err
 	}
--- a/internal/integration/load_test.go
+++ b/internal/integration/load_test.go
@@ -82,7 +82,7 @@
 	if err != nil {
 		panic(err)
 	}
-	resp, err := c.client.Post(c.f.entries[entry].url("/v1/requests"), "application/json", bytes.NewReader(body))
+	resp, err := c.client.Post(c.f.entry(entry).url("/v1/requests"), "application/json", bytes.NewReader(body))
 	if err != nil {
 		return false
 	}
