--- a/internal/journal/bench_test.go
+++ b/internal/journal/bench_test.go
@@ -52,7 +52,7 @@
 		wg.Go(func() { j.Run(ctx) })
 	}
 	maxLag := recordAt(b, rate, dcs, journals)
-	writes := server.Store.Stats().TotalWrites()
+	stats := server.Store.Stats()
 	cancel()
 	wg.Wait()
 	for _, j := range journals {
@@ -64,7 +64,9 @@
 	for _, row := range rows {
 		bytes += len(row.Value)
 	}
-	b.ReportMetric(float64(writes)/benchTime.Seconds(), "writes/s")
+	b.ReportMetric(float64(stats.TotalWrites())/benchTime.Seconds(), "writes/s")
+	b.ReportMetric(float64(stats.Conflicts)/benchTime.Seconds(), "conflicts/s")
+	b.ReportMetric(float64(stats.TotalReads())/benchTime.Seconds(), "reads/s")
 	b.ReportMetric(float64(bytes)/float64(rate)/benchTime.Seconds(), "B/outcome")
 	b.ReportMetric(float64(maxLag.Milliseconds()), "max_lag_ms")
 	b.ReportMetric(float64(server.Store.Stats().RateLimited), "rate_limited")
--- a/internal/journal/commit.go
+++ b/internal/journal/commit.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -23,12 +24,15 @@
 	entries int    // at the front of pending
 	body    []byte // of the object, nil for an inline batch
 	row     batchRow
+	seq     uint64 // number that is tried, 0 for none
 }
 
 // Run commits batches until ctx ends.
 func (j *Journal) Run(ctx context.Context) {
 	for {
-		t := time.NewTimer(j.interval())
+		// Entries out of step seldom meet at the same number.
+		d := j.interval()
+		t := time.NewTimer(d*3/4 + rand.N(d/2+1))
 		select {
 		case <-t.C:
 		case <-ctx.Done():
@@ -150,43 +154,38 @@
 }
 
 // append writes the batch's row as the next of the log. A row that exists is
-// never replaced, so the row at a number settles whose batch it holds.
+// never replaced, so the row at a number settles whose batch it holds; until
+// that is known no other number is tried.
 func (j *Journal) append(ctx context.Context, f *flight) error {
 	for {
-		if j.next == 0 {
-			end, err := j.findEnd(ctx, j.cfg.DC, 0)
+		if f.seq == 0 {
+			end, err := j.findEnd(ctx, j.cfg.DC, j.end)
 			if err != nil {
 				return err
 			}
-			j.next = end + 1
+			j.end, f.seq = end, end+1
 		}
 		err := j.putRow(ctx, f)
-		if err == nil {
-			j.next++
-			return nil
-		}
-		if !errors.Is(err, platform.ErrConflict) {
+		if err != nil && !errors.Is(err, platform.ErrConflict) {
 			return err
 		}
-		mine, err := j.isMine(ctx, f)
-		if err != nil {
-			return err
+		mine := err == nil
+		if !mine {
+			if mine, err = j.isMine(ctx, f); err != nil {
+				return err
+			}
 		}
+		j.end = f.seq
 		if mine {
-			j.next++
 			return nil
 		}
-		end, err := j.findEnd(ctx, j.cfg.DC, j.next)
-		if err != nil {
-			return err
-		}
+		f.seq = 0
 		j.scope.Counter("append_conflict").Inc(1)
-		j.next = end + 1
 	}
 }
 
 func (j *Journal) putRow(ctx context.Context, f *flight) error {
-	k := rowKey(j.cfg.DC, j.next)
+	k := rowKey(j.cfg.DC, f.seq)
 	// The time is that of this attempt, so that the rows are nearly in order
 	// of time even if a batch waited through an outage.
 	f.row.WrittenMS = j.cfg.Now().UnixMilli()
@@ -213,7 +212,7 @@
 // isMine reports whether the row at the number tried holds this batch, by a
 // copy from an earlier commit.
 func (j *Journal) isMine(ctx context.Context, f *flight) (bool, error) {
-	row, err := j.cfg.Platform.Get(ctx, rowKey(j.cfg.DC, j.next))
+	row, err := j.cfg.Platform.Get(ctx, rowKey(j.cfg.DC, f.seq))
 	if err != nil {
 		return false, fmt.Errorf("read journal row: %w", err)
 	}
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -158,7 +158,7 @@
 
 	commitMu sync.Mutex // held by the one commit in flight
 	flight   *flight
-	next     uint64 // sequence number to try next, 0 if not known
+	end      uint64 // number of a row that exists, the last one known; 0 for none
 
 	lookups lookupQueue
 }
--- a/internal/journal/lookup.go
+++ b/internal/journal/lookup.go
@@ -215,13 +215,15 @@
 	return low, nil
 }
 
+// exists checks for a row without reading it.
 func (j *Journal) exists(ctx context.Context, dc string, seq uint64) (bool, error) {
-	_, err := j.cfg.Platform.Get(ctx, rowKey(dc, seq))
-	if errors.Is(err, platform.ErrNotFound) {
-		return false, nil
+	missing := platform.Condition{Key: rowKey(dc, seq)}
+	err := j.cfg.Platform.Commit(ctx, platform.Txn{Conditions: []platform.Condition{missing}})
+	if errors.Is(err, platform.ErrConflict) {
+		return true, nil
 	}
 	if err != nil {
 		return false, fmt.Errorf("find the end of the journal of %s: %w", dc, err)
 	}
-	return true, nil
+	return false, nil
 }
--- a/internal/journal/property_test.go
+++ b/internal/journal/property_test.go
@@ -66,6 +66,9 @@
 	if err := f.blocked(); err != nil {
 		return err
 	}
+	if len(txn.Puts) == 0 { // a read
+		return f.Store.Commit(ctx, txn)
+	}
 	switch rapid.SampledFrom([]fate{answered, answered, answerLost, neverArrives, arrivesLate, startsOutage}).Draw(f.t, "fate") {
 	case startsOutage:
 		f.down = true
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -128,12 +128,16 @@
 	return page.Rows, err
 }
 
-// Commit implements Table. It waits for the write budget.
+// Commit implements Table. It waits for the write budget if it writes.
 func (c *Client) Commit(ctx context.Context, txn Txn) error {
 	body, err := json.Marshal(txn)
 	if err != nil {
 		return fmt.Errorf("encode transaction: %w", err)
 	}
+	if len(txn.Puts) == 0 {
+		_, err := c.send(ctx, PathCommit, body)
+		return readError(err)
+	}
 	return c.write(ctx, PathCommit, body, len(txn.Puts))
 }
 
--- a/internal/platform/client_test.go
+++ b/internal/platform/client_test.go
@@ -70,7 +70,10 @@
 	stale := put("a/1", "y")
 	stale.Conditions = []platform.Condition{{Key: "a/1", Version: 7}}
 	assert.ErrorIs(t, c.Commit(ctx, stale), platform.ErrConflict)
+	check := platform.Txn{Conditions: []platform.Condition{{Key: "a/1", Version: 1}}}
+	assert.NilError(t, c.Commit(ctx, check))
 	assert.NilError(t, c.Commit(ctx, platform.Txn{Puts: []platform.Put{{Key: "a/1"}}}))
+	assert.ErrorIs(t, c.Commit(ctx, check), platform.ErrConflict)
 	_, err = c.Get(ctx, "a/1")
 	assert.ErrorIs(t, err, platform.ErrNotFound)
 
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -43,6 +43,7 @@
 }
 
 // Txn is a set of writes that take effect together if every condition holds.
+// Without writes it checks the conditions, and counts and fails as a read.
 type Txn struct {
 	Conditions []Condition `json:"conditions,omitempty"`
 	Puts       []Put       `json:"puts"`
--- a/internal/standin/platformd/stats.go
+++ b/internal/standin/platformd/stats.go
@@ -11,12 +11,13 @@
 	listPrefix   = "vms"
 )
 
-// Stats counts what the store has served. Reads are requests; Writes are rows
-// and objects written. Both are by the key's first part, up to the first '/'.
+// Stats counts what the store has served. Reads are requests, transactions that
+// only check conditions among them; Writes are rows and objects written. Both are by the key's first part, up to the first '/'.
 type Stats struct {
 	Reads       map[string]int64 `json:"reads"`
 	Writes      map[string]int64 `json:"writes"`
 	Commits     int64            `json:"commits"`
+	Conflicts   int64            `json:"conflicts"` // commits whose condition did not hold
 	Announces   int64            `json:"announces"`
 	AnswersLost int64            `json:"answers_lost"`
 	RateLimited int64            `json:"rate_limited"`
--- a/internal/standin/platformd/store.go
+++ b/internal/standin/platformd/store.go
@@ -92,6 +92,9 @@
 	if err := checkTxn(txn); err != nil {
 		return err
 	}
+	if len(txn.Puts) == 0 {
+		return s.check(ctx, txn)
+	}
 	if err := s.admitWrite(ctx, len(txn.Puts)); err != nil {
 		return err
 	}
@@ -101,11 +104,25 @@
 	return s.answer()
 }
 
+// check serves a transaction without writes, which counts as a read.
+func (s *Store) check(ctx context.Context, txn platform.Txn) error {
+	if len(txn.Conditions) == 0 {
+		return fmt.Errorf("empty transaction: %w", platform.ErrRejected)
+	}
+	if err := s.admitRead(ctx, txn.Conditions[0].Key); err != nil {
+		return err
+	}
+	return s.apply(txn)
+}
+
 // apply makes the transaction take effect, or returns ErrConflict.
 func (s *Store) apply(txn platform.Txn) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, c := range txn.Conditions {
+		if s.rows[c.Key].Version != c.Version && len(txn.Puts) > 0 {
+			s.stats.Conflicts++
+		}
 		if s.rows[c.Key].Version != c.Version {
 			return fmt.Errorf("row %s is at version %d, not %d: %w", c.Key, s.rows[c.Key].Version, c.Version, platform.ErrConflict)
 		}
@@ -114,7 +131,9 @@
 		s.stats.Writes[keyPrefix(p.Key)]++
 		s.put(p)
 	}
-	s.stats.Commits++
+	if len(txn.Puts) > 0 {
+		s.stats.Commits++
+	}
 	return nil
 }
 
