--- a/cmd/currantstall/load.go
+++ b/cmd/currantstall/load.go
@@ -22,6 +22,7 @@
 	Service  time.Duration `default:"100ms" help:"Mean run time of a task at a stand-in."`
 	Spread   float64       `default:"0.5" help:"Standard deviation of the run time's logarithm; 0 for a fixed time."`
 	Deadline time.Duration `default:"2s" help:"Time from the intended send time to the deadline."`
+	KeyDC    string        `name:"key-data-centre" placeholder:"NAME" help:"Data centre for which keys are minted here, as a caller that may resubmit does. Default: the entries mint them."`
 	WarmUp   time.Duration `default:"1s" help:"Time before counting begins."`
 	Duration time.Duration `default:"10s" help:"Time that is counted."`
 	Seed     uint64        `default:"1" help:"Seed of arrivals, run times and entries."`
@@ -55,6 +56,7 @@
 		Service:  c.Service,
 		Spread:   c.Spread,
 		Deadline: c.Deadline,
+		KeyDC:    c.KeyDC,
 	}
 	if c.Tasks > 0 {
 		s.Class, s.Tasks = structs.Job, c.Tasks
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -308,9 +308,7 @@
 // Drain takes no new work and waits until what runs is over, or ctx ends.
 func (e *Engine) Drain(ctx context.Context) error {
 	e.flights.close()
-	for _, s := range []*scheduler{e.requests, e.jobs} {
-		s.tell(time.Now())
-	}
+	e.tell(time.Now())
 	return e.flights.wait(ctx)
 }
 
--- a/internal/engine/load.go
+++ b/internal/engine/load.go
@@ -142,32 +142,45 @@
 	}
 }
 
-// tell sends this entry's load to the others, if it changed or is old.
-func (s *scheduler) tell(now time.Time) {
+// tell sends this entry's load to the others, as far as it changed or is old.
+// The classes share a frame.
+func (e *Engine) tell(now time.Time) {
+	var msgs []wire.Message
+	for _, s := range []*scheduler{e.requests, e.jobs} {
+		l, due := s.news(now)
+		if !due {
+			continue
+		}
+		m, err := wire.NewMessage(wire.Load, l)
+		if err != nil {
+			e.Log.Error("load not encoded", "error", err)
+			continue
+		}
+		msgs = append(msgs, m)
+	}
+	if len(msgs) > 0 {
+		e.Links.Broadcast(msgs...)
+	}
+}
+
+// news returns the load of the class, and whether the others should be told.
+func (s *scheduler) news(now time.Time) (l load, due bool) {
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	stats := s.queue.Stats()
-	kinds := make([]kindLoad, len(stats.Kinds))
+	l = load{Class: s.class, Kinds: make([]kindLoad, len(stats.Kinds))}
 	for i := range stats.Kinds {
 		k := &stats.Kinds[i]
-		kinds[i] = kindLoad{Kind: k.Kind, Free: k.Free, Queued: k.Queued, Wait: k.Wait}
+		l.Kinds[i] = kindLoad{Kind: k.Kind, Free: k.Free, Queued: k.Queued, Wait: k.Wait}
 	}
 	if s.e.flights.draining() {
-		kinds = nil // no room any more
-	}
-	due := now.Sub(s.told.at) >= tellEvery || matters(s.told.kinds, kinds)
-	if due {
-		s.told = toldLoad{at: now, kinds: kinds}
-	}
-	s.mu.Unlock()
-	if !due {
-		return
+		l.Kinds = nil // no room any more
 	}
-	m, err := wire.NewMessage(wire.Load, load{Class: s.class, Kinds: kinds})
-	if err != nil {
-		s.e.Log.Error("load not encoded", "error", err)
-		return
+	if now.Sub(s.told.at) < tellEvery && !matters(s.told.kinds, l.Kinds) {
+		return l, false
 	}
-	s.e.Links.Broadcast(m)
+	s.told = toldLoad{at: now, kinds: l.Kinds}
+	return l, true
 }
 
 // matters reports whether a change of load could change what a peer does: a
--- a/internal/engine/targets.go
+++ b/internal/engine/targets.go
@@ -35,11 +35,20 @@
 	s.kick()
 }
 
-// SetHealth tells what an owned target may get.
-func (e *Engine) SetHealth(name string, h placement.Health) {
+// TargetHealth is what an owned target may get.
+type TargetHealth struct {
+	Name   string
+	Health placement.Health
+}
+
+// SetHealth tells what owned targets may get. It costs as much for all of them
+// as for one, so they are told together.
+func (e *Engine) SetHealth(targets ...TargetHealth) {
 	for _, s := range []*scheduler{e.requests, e.jobs} {
 		s.mu.Lock()
-		s.pool.index.SetHealth(name, h)
+		for _, t := range targets {
+			s.pool.index.SetHealth(t.Name, t.Health)
+		}
 		s.queue.SetCapacity(s.pool.capacity())
 		s.mu.Unlock()
 		s.kick()
@@ -98,6 +107,7 @@
 			for _, s := range []*scheduler{e.requests, e.jobs} {
 				s.beat(now)
 			}
+			e.tell(now)
 		}
 	}
 }
@@ -110,5 +120,4 @@
 	s.mu.Unlock()
 	s.kick()
 	s.expireHanded(now)
-	s.tell(now)
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -60,6 +60,7 @@
 	listPoll       = time.Second
 	announceEvery  = 2 * time.Second
 	usageBeat      = time.Second
+	reportsPerBeat = 16                     // usage reports asked for
 	ownerDelay     = 500 * time.Millisecond // a lost link this old counts for ownership
 	headerTimeout  = 10 * time.Second
 	idleTimeout    = 2 * time.Minute
@@ -171,7 +172,7 @@
 	usage := &target.UsagePoller{
 		Pool:    p.pool,
 		Beat:    usageBeat,
-		Owned:   p.owner.addrs,
+		Owned:   p.owner.nextReports,
 		OnUsage: p.owner.report,
 	}
 	for _, f := range []func(context.Context){
--- a/internal/entry/lifecycle.go
+++ b/internal/entry/lifecycle.go
@@ -10,7 +10,7 @@
 	"currantstall/internal/statechart"
 )
 
-const lifecycleBeat = 20 * time.Millisecond
+const lifecycleBeat = 50 * time.Millisecond
 
 // lifecycle steps the process through the chart process.
 type lifecycle struct {
--- a/internal/entry/operators.go
+++ b/internal/entry/operators.go
@@ -83,7 +83,7 @@
 }
 
 func (p *Process) targetCounts() api.TargetCounts {
-	c := api.TargetCounts{Known: len(p.set.VMs()), Owned: len(p.owner.addrs())}
+	c := api.TargetCounts{Known: len(p.set.VMs()), Owned: p.owner.count()}
 	for _, h := range p.tracker.Snapshot(time.Now()) {
 		switch h.State {
 		case target.Ejected, target.Trial:
--- a/internal/entry/ownership.go
+++ b/internal/entry/ownership.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -30,6 +31,7 @@
 	settled bool                 // computed for a view that has this entry
 	lostAt  map[string]time.Time // members without a link
 	byAddr  map[string]platform.VM
+	turn    int // of the target that is asked for a usage report next
 	pending chan struct{}
 }
 
@@ -167,9 +169,12 @@
 
 // setHealth tells the engine what each owned target may get.
 func (o *ownership) setHealth(now time.Time) {
-	for addr, vm := range o.ownedByAddr() {
-		o.engine.SetHealth(vm.Name, healthOf(o.tracker.State(addr, now)))
+	owned := o.ownedByAddr()
+	states := make([]engine.TargetHealth, 0, len(owned))
+	for addr, vm := range owned {
+		states = append(states, engine.TargetHealth{Name: vm.Name, Health: healthOf(o.tracker.State(addr, now))})
 	}
+	o.engine.SetHealth(states...)
 }
 
 // healthChanged tells the engine of one target.
@@ -178,7 +183,7 @@
 	vm, ok := o.byAddr[c.Addr]
 	o.mu.Unlock()
 	if ok {
-		o.engine.SetHealth(vm.Name, healthOf(c.To))
+		o.engine.SetHealth(engine.TargetHealth{Name: vm.Name, Health: healthOf(c.To)})
 	}
 }
 
@@ -200,14 +205,25 @@
 	return o.byAddr // replaced as a whole, never changed
 }
 
-// addrs returns the addresses of the owned targets.
-func (o *ownership) addrs() []string {
+// count returns the number of owned targets.
+func (o *ownership) count() int { return len(o.ownedByAddr()) }
+
+// nextReports returns the addresses of the owned targets to ask for a usage
+// report next: a bounded number at each beat, all of them in turn.
+func (o *ownership) nextReports() []string {
 	owned := o.ownedByAddr()
-	addrs := make([]string, 0, len(owned))
-	for addr := range owned {
-		addrs = append(addrs, addr)
+	addrs := slices.Sorted(maps.Keys(owned))
+	if len(addrs) <= reportsPerBeat {
+		return addrs
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	next := make([]string, reportsPerBeat)
+	for i := range next {
+		next[i] = addrs[(o.turn+i)%len(addrs)]
 	}
-	return addrs
+	o.turn = (o.turn + reportsPerBeat) % len(addrs)
+	return next
 }
 
 // report takes a target's usage report.
--- a/internal/load/client.go
+++ b/internal/load/client.go
@@ -11,6 +11,7 @@
 	"slices"
 	"time"
 
+	"currantstall/internal/key"
 	"currantstall/internal/structs"
 	"currantstall/internal/verdict"
 )
@@ -30,6 +31,7 @@
 
 // requestBody is the body of POST /v1/requests.
 type requestBody struct {
+	Key        string   `json:"key,omitempty"`
 	Kind       string   `json:"kind"`
 	Team       string   `json:"team"`
 	Body       taskBody `json:"body"`
@@ -38,6 +40,7 @@
 
 // submissionBody is the body of POST /v1/submissions.
 type submissionBody struct {
+	Key        string             `json:"key,omitempty"`
 	Kind       string             `json:"kind"`
 	Team       string             `json:"team"`
 	Tasks      []taskBody         `json:"tasks"`
@@ -91,14 +94,30 @@
 	for i, t := range c.tasks {
 		tasks[i].ServiceMS = float64(t) / float64(time.Millisecond)
 	}
+	k, err := c.mint()
+	if err != nil {
+		return "", nil, err
+	}
 	if c.stream.Class == structs.Request {
-		body, err = json.Marshal(requestBody{c.stream.Kind, c.stream.Team, tasks[0], ms})
+		body, err = json.Marshal(requestBody{k, c.stream.Kind, c.stream.Team, tasks[0], ms})
 		return "/v1/requests", body, err
 	}
-	body, err = json.Marshal(submissionBody{c.stream.Kind, c.stream.Team, tasks, c.stream.Needs, ms})
+	body, err = json.Marshal(submissionBody{k, c.stream.Kind, c.stream.Team, tasks, c.stream.Needs, ms})
 	return "/v1/submissions", body, err
 }
 
+// mint returns the text of a new key, or nothing if the entry is to mint one.
+func (c *call) mint() (string, error) {
+	if c.stream.KeyDC == "" {
+		return "", nil
+	}
+	k, err := key.New(c.stream.KeyDC)
+	if err != nil {
+		return "", err
+	}
+	return k.String(), nil
+}
+
 // send carries out a call. The error is that of the transport: what became of
 // the request is then not known.
 func (c *call) send(ctx context.Context, client *http.Client) (answerBody, error) {
--- a/internal/load/stream.go
+++ b/internal/load/stream.go
@@ -41,6 +41,9 @@
 	Needs *structs.Resources
 	// Deadline of a request, from its intended time.
 	Deadline time.Duration
+	// KeyDC is the data centre for which the sender mints a key for each
+	// request; without it the entry mints one, which needs no claim.
+	KeyDC string
 }
 
 // validate reports the first wrong setting.
