--- a/internal/measure/slopes.go
+++ b/internal/measure/slopes.go
@@ -49,7 +49,10 @@
 			return err
 		}
 	}
-	return withEntries(ctx, binary, dir, 4, func(m *measurement) error { return m.slopeLoad(ctx) })
+	if err := withEntries(ctx, binary, dir, 4, func(m *measurement) error { return m.slopeLoad(ctx) }); err != nil {
+		return err
+	}
+	return kills(ctx, binary, dir)
 }
 
 // withEntries runs f on a data centre of n entries without targets.
@@ -265,6 +268,8 @@
 		results, err := load.Run(ctx, load.Config{Addrs: m.addrs, Streams: []load.Stream{stream}, WarmUp: warmUp, Duration: sampleTime + settle, Seed: seed})
 		if err == nil {
 			r := &results[0]
+			figure(float64(r.Latency.ValueAtQuantile(50))/1000, "ms", "slope_latency_p50_%s", name)
+			figure(float64(r.Latency.ValueAtQuantile(99))/1000, "ms", "slope_latency_p99_%s", name)
 			figure(r.RatioAt(50), "ratio", "slope_response_ratio_p50_%s", name)
 			figure(r.RatioAt(99), "ratio", "slope_response_ratio_p99_%s", name)
 			figure(fraction(r.Completed, r.Sent), "ratio", "slope_completed_%s", name)
