--- a/internal/claims/call.go
+++ b/internal/claims/call.go
@@ -166,6 +166,7 @@
 func (r *Runtime) MayStart(k key.Key) (time.Time, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	now := r.now()
 	l := r.led
 	var lease time.Time
 	if r.prev != nil && !l.Holds(k) && r.prev.Holds(k) {
@@ -173,7 +174,7 @@
 	} else {
 		lease = r.mem.LeaseEnd()
 	}
-	until, err := l.MayStart(time.Now(), lease, k)
+	until, err := l.MayStart(now, lease, k)
 	if err != nil {
 		return time.Time{}, err
 	}
--- a/internal/claims/loop.go
+++ b/internal/claims/loop.go
@@ -106,7 +106,7 @@
 }
 
 func (r *Runtime) stepMember(e membership.Event) {
-	for _, a := range r.mem.Step(time.Now(), e) {
+	for _, a := range r.mem.Step(r.now(), e) {
 		r.memberAction(a)
 	}
 }
@@ -153,11 +153,12 @@
 func (r *Runtime) stepLedger(e ledger.Event) { r.stepOf(r.led, e) }
 
 func (r *Runtime) stepOf(l *ledger.Ledger, e ledger.Event) {
+	now := r.now()
 	var lease time.Time
 	if l == r.led {
 		lease = r.mem.LeaseEnd()
 	}
-	for _, a := range l.Step(time.Now(), lease, e) {
+	for _, a := range l.Step(now, lease, e) {
 		r.ledgerAction(l, a)
 	}
 }
--- a/internal/claims/runtime.go
+++ b/internal/claims/runtime.go
@@ -22,6 +22,7 @@
 	lazyDelay     = 20 * time.Millisecond // longest wait of a lazy message
 	tableTimeout  = time.Second           // of one read or put of the view's row
 	lookupTimeout = time.Second           // of one look-up in the account
+	suspendGap    = 100 * time.Millisecond
 	rowPrefix     = "view/"
 )
 
@@ -85,6 +86,7 @@
 	mem  *membership.State
 	led  *ledger.Ledger
 	prev *ledger.Ledger // of the run before, which was removed
+	last time.Time      // of the newest step
 
 	// Owned by the loop.
 	calls    map[uint64]*call
@@ -129,10 +131,27 @@
 func (r *Runtime) enter(self structs.Member) {
 	r.self = self
 	r.prev = r.led
-	r.mem = membership.New(r.cfg.Membership, self, time.Now())
+	r.last = time.Now()
+	r.mem = membership.New(r.cfg.Membership, self, r.last)
 	r.led = ledger.New(r.cfg.Ledger, self)
 }
 
+// now returns the time of a step. The monotonic clock stands still while a VM
+// is suspended; the wall clock, set on resume, tells. The caller holds mu.
+func (r *Runtime) now() time.Time {
+	now := time.Now()
+	if wallAhead(r.last, now) > suspendGap {
+		r.mem.DropLeases(now)
+	}
+	r.last = now
+	return now
+}
+
+// wallAhead returns how much more time passed on the wall clock.
+func wallAhead(from, to time.Time) time.Duration {
+	return to.Round(0).Sub(from.Round(0)) - to.Sub(from)
+}
+
 // Start begins to take part: the entry enters the view as soon as it can.
 func (r *Runtime) Start() {
 	go r.loop()
--- a/internal/ledger/sim_test.go
+++ b/internal/ledger/sim_test.go
@@ -28,6 +28,10 @@
 	keys   []key.Key
 	hist   history
 	hooks  without
+	// shortTerm makes leases by promises end 2 s after the last read, and lets
+	// entries come back at new addresses: nobody can tell then that a run of
+	// theirs is over.
+	shortTerm bool
 	// noReadBack takes a put without an answer for done.
 	noReadBack bool
 	failure    string
@@ -61,6 +65,16 @@
 	return last
 }
 
+func (w *world) config() membership.Config {
+	c := membership.DefaultConfig(simDC)
+	if w.shortTerm {
+		c.Term = 2 * time.Second
+		c.SlowPoll = time.Second
+		c.ChallengeEvery = 3 * time.Second
+	}
+	return c
+}
+
 func newWorld(seed uint64, members int) *world {
 	w := &world{rng: rand.New(rand.NewPCG(seed, 1)), cut: make(map[[2]int]bool)}
 	w.hist.init()
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -113,6 +113,7 @@
 	challenged time.Time
 	unclear    time.Time // end of the fast reads after a put without an answer
 	busy       bool      // a table operation is in flight
+	leasesFrom time.Time // what was asked before gives no lease
 	nextRead   time.Time
 	nextBeat   time.Time
 	lastStep   time.Time
@@ -158,6 +159,17 @@
 	return s.tableEnd
 }
 
+// DropLeases ends all leases of this member. The caller uses it when the clock
+// may have stood still. What was asked before now gives none either.
+func (s *State) DropLeases(now time.Time) {
+	s.leasesFrom = now
+	s.tableEnd = time.Time{}
+	s.lastRead = time.Time{}
+	for _, p := range s.order {
+		p.promised = time.Time{}
+	}
+}
+
 // promiseEnd returns the end of the lease by promises. A member that left by
 // itself acts on no removal any more, so its promise isn't needed. One that
 // died may have acted on one before, so its promise is.
--- a/internal/membership/propose.go
+++ b/internal/membership/propose.go
@@ -97,7 +97,7 @@
 func (s *State) challenge(now time.Time, prev structs.View) *structs.View {
 	if prev.Challenge != nil {
 		mine := prev.Challenge.Same(s.self)
-		if mine || now.Before(s.rowSince.Add(2*s.cfg.widen(s.cfg.Term))) {
+		if mine || !s.replaced(*prev.Challenge) && now.Before(s.rowSince.Add(2*s.cfg.widen(s.cfg.Term))) {
 			return nil
 		}
 	}
@@ -109,6 +109,15 @@
 	return &prev
 }
 
+// replaced reports whether a newer run of the same entry is known.
+func (s *State) replaced(m structs.Member) bool {
+	if m.Name == s.self.Name {
+		return m.Incarnation < s.self.Incarnation
+	}
+	p := s.peers[m.Name]
+	return p != nil && m.Incarnation < p.member.Incarnation
+}
+
 func removes(rs []structs.Removal, m structs.Member) bool {
 	return slices.ContainsFunc(rs, func(r structs.Removal) bool { return r.Member.Same(m) })
 }
--- a/internal/membership/step.go
+++ b/internal/membership/step.go
@@ -133,7 +133,7 @@
 	}
 	if b.Promise {
 		asked := s.start.Add(time.Duration(b.Answer - 1))
-		if end := asked.Add(s.cfg.Lease); b.Answer > 0 && !asked.After(now) && end.After(p.promised) {
+		if end := asked.Add(s.cfg.Lease); b.Answer > 0 && !asked.After(now) && !asked.Before(s.leasesFrom) && end.After(p.promised) {
 			p.promised = end
 		}
 	}
@@ -220,7 +220,7 @@
 		return
 	}
 	challenged := e.View.Challenge != nil && !e.View.Challenge.Same(s.self)
-	if e.View.Has(s.self) && s.view.Has(s.self) && !challenged {
+	if e.View.Has(s.self) && s.view.Has(s.self) && !challenged && !e.AskedAt.Before(s.leasesFrom) {
 		if end := e.AskedAt.Add(s.cfg.Lease); end.After(s.tableEnd) {
 			s.tableEnd = end
 		}
