Ledger: a dropped answer takes no room of the kept ones

The text that stands for a dropped answer was counted as kept bytes, so after enough drops every new answer was dropped at once; and an outcome that replaced another left the other's bytes counted.

--- a/internal/ledger/bench_test.go
+++ b/internal/ledger/bench_test.go
@@ -17,6 +17,8 @@
 	leds map[string]*Ledger
 	view structs.View
 	msgs int
+	// replies are those since the last reset.
+	replies []Reply
 }
 
 func newCluster(members int) *cluster {
@@ -36,15 +38,19 @@
 
 func (c *cluster) step(l *Ledger, e Event) {
 	for _, a := range l.Step(c.now, c.now.Add(time.Hour), e) {
-		if s, ok := a.(Send); ok {
+		switch a := a.(type) {
+		case Reply:
+			c.replies = append(c.replies, a)
+		case Send:
 			c.msgs++
-			c.step(c.leds[s.To.Name], Received{From: *l.self, Message: s.Message})
+			c.step(c.leds[a.To.Name], Received{From: *l.self, Message: a.Message})
 		}
 	}
 }
 
 // serve runs one key through a claim, a start and an outcome.
 func (c *cluster) serve(b *testing.B, holder *Ledger, k key.Key, o structs.Outcome) {
+	c.replies = c.replies[:0]
 	c.step(holder, Acquire{Ticket: 1, Key: k, Digest: 1})
 	if _, err := holder.MayStart(c.now, c.now.Add(time.Hour), k); err != nil {
 		b.Fatal(err)
--- a/internal/ledger/keep.go
+++ b/internal/ledger/keep.go
@@ -32,6 +32,14 @@
 	Message: "the work ran to its end; its answer is no longer kept",
 }
 
+// keptBytes returns the bytes that an entry's outcome holds for itself.
+func keptBytes(o *structs.Outcome) int64 {
+	if o == nil || o == answerDropped {
+		return 0
+	}
+	return int64(o.Size())
+}
+
 // add notes a new entry for expiry.
 func (l *Ledger) add(now time.Time, id uuid.UUID, e *entry) {
 	if _, ok := l.entries[id]; !ok {
@@ -59,16 +67,17 @@
 	if e == nil {
 		return
 	}
-	if e.outcome != nil {
-		l.bodies.bytes -= int64(e.outcome.Size())
-	}
+	l.bodies.bytes -= keptBytes(e.outcome)
 	delete(l.entries, id)
 }
 
 // keep sets an entry's outcome and drops the oldest answers over the bound.
 func (l *Ledger) keep(id uuid.UUID, e *entry, o *structs.Outcome) {
+	if e.outcome != o {
+		l.bodies.bytes -= keptBytes(e.outcome)
+	}
 	e.outcome = o
-	size := int64(o.Size())
+	size := keptBytes(o)
 	if size == 0 {
 		return
 	}
@@ -89,10 +98,9 @@
 	if e == nil || e.outcome == nil || e.outcome == answerDropped {
 		return
 	}
-	l.bodies.bytes -= int64(e.outcome.Size())
+	l.bodies.bytes -= keptBytes(e.outcome)
 	if e.outcome.Verdict == verdict.Completed {
 		e.outcome = answerDropped
-		l.bodies.bytes += int64(answerDropped.Size())
 		return
 	}
 	o := *e.outcome
