Remove three reasons that nothing gives

Cause: stale_view, platform_conflict and write_budget were declared and listed for operators, and no code outside the declaration named them (grep over all packages). An operator would look for counters that can't exist.

--- a/internal/verdict/reason.go
+++ b/internal/verdict/reason.go
@@ -48,8 +48,6 @@
 	RefusedElsewhere Reason = "refused_elsewhere"
 	// ClaimTimeout means that no claim was granted in time.
 	ClaimTimeout Reason = "claim_timeout"
-	// StaleView means that the claim was sent under another view.
-	StaleView Reason = "stale_view"
 	// HolderLost means that the entry that ran the request is gone.
 	HolderLost Reason = "holder_lost"
 	// RanElsewhere means that the old system has claimed the key.
@@ -83,8 +81,6 @@
 const (
 	PlatformUnavailable Reason = "platform_unavailable"
 	PlatformUnknown     Reason = "platform_unknown"
-	PlatformConflict    Reason = "platform_conflict"
-	WriteBudget         Reason = "write_budget"
 	Internal            Reason = "internal"
 )
 
