Remove code that nothing calls

Cause: placement.Index.Has and Running, estimate.Service.Observed, platform.Budget.SetRate, platform.Client.Budget, target.Set.Ready with its field, Machine.Name and EventName and entry.handoverWait had no use in code nor in tests (a listing of uses over the type-checked packages).

Conclusion: behaviour is unchanged; vet, staticcheck and the tests of the touched packages pass.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -65,7 +65,6 @@
 	headerTimeout  = 10 * time.Second
 	idleTimeout    = 2 * time.Minute
 	platformWait   = 2 * time.Second
-	handoverWait   = 10 * time.Second
 	shutdownWait   = 5 * time.Second
 	balancerNotice = 300 * time.Millisecond // for the balancer to see readyz
 )
--- a/internal/estimate/service.go
+++ b/internal/estimate/service.go
@@ -83,9 +83,6 @@
 	return time.Duration(s.hist.quantile(p) * float64(time.Microsecond))
 }
 
-// Observed returns the number of observations.
-func (s *Service) Observed() int { return s.observed }
-
 func (s *Service) refresh() {
 	if !s.hist.stale {
 		return
--- a/internal/placement/index.go
+++ b/internal/placement/index.go
@@ -79,9 +79,6 @@
 	delete(x.byName, name)
 }
 
-// Has reports whether the target is in the index.
-func (x *Index) Has(name string) bool { return x.byName[name] != nil }
-
 // Len returns the number of targets.
 func (x *Index) Len() int { return len(x.all) }
 
@@ -139,15 +136,6 @@
 	x.list(p)
 }
 
-// Running returns the tasks accounted to a target by this entry.
-func (x *Index) Running(name string) int {
-	p := x.byName[name]
-	if p == nil {
-		return 0
-	}
-	return p.running
-}
-
 // Slots returns the tasks that the targets can run at one time: the slots of
 // runners, or, of workers, as many tasks of the given needs as fit when empty.
 // What another owner runs there is taken off. It looks at each target.
--- a/internal/platform/budget.go
+++ b/internal/platform/budget.go
@@ -28,10 +28,6 @@
 	}
 }
 
-// SetRate changes the budget, for instance when the number of processes that
-// share the platform has changed. Bursts stay as they are.
-func (b *Budget) SetRate(perSecond float64) { b.limiter.SetLimit(rate.Limit(perSecond)) }
-
 type backgroundKey struct{}
 
 // WithBackground marks the writes under ctx as the least urgent, for group
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -108,9 +108,6 @@
 // at once, but for one at each probe interval.
 func (c *Client) Outage() bool { return c.circuit.isOpen() }
 
-// Budget returns the write budget that all users of the client share.
-func (c *Client) Budget() *Budget { return c.budget }
-
 // Close drops the idle connections.
 func (c *Client) Close() { c.http.CloseIdleConnections() }
 
--- a/internal/statechart/statechart.go
+++ b/internal/statechart/statechart.go
@@ -17,7 +17,6 @@
 // and actions; their values are indexes into the Names it was compiled with.
 // Action 0 means that nothing is to be done.
 type Machine[S, E, A ~uint8] struct {
-	name    string
 	initial S
 	names   Names
 	events  int
@@ -56,15 +55,9 @@
 // Initial returns the state in which the chart starts.
 func (m *Machine[S, E, A]) Initial() S { return m.initial }
 
-// Name returns the chart's name.
-func (m *Machine[S, E, A]) Name() string { return m.name }
-
 // StateName returns the state's name in the chart, or "unknown".
 func (m *Machine[S, E, A]) StateName(s S) string { return nameAt(m.names.States, int(s)) }
 
-// EventName returns the event's name in the chart, or "unknown".
-func (m *Machine[S, E, A]) EventName(e E) string { return nameAt(m.names.Events, int(e)) }
-
 func nameAt(names []string, i int) string {
 	if i >= len(names) {
 		return "unknown"
@@ -83,7 +76,6 @@
 	}
 	states, events, actions := index(names.States), index(names.Events), index(names.Actions)
 	m := &Machine[S, E, A]{
-		name:    c.Chart,
 		initial: S(states[c.Initial]),
 		names:   names,
 		events:  len(names.Events),
--- a/internal/target/set.go
+++ b/internal/target/set.go
@@ -55,9 +55,8 @@
 type Set struct {
 	cfg SetConfig
 
-	mu   sync.Mutex
-	vms  map[string]*listed // by address
-	seen bool
+	mu  sync.Mutex
+	vms map[string]*listed // by address
 }
 
 // listed is one target.
@@ -124,7 +123,6 @@
 func (s *Set) apply(vms []platform.VM, now time.Time) (changed bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.seen = true
 	for _, l := range s.vms {
 		l.missed++
 	}
@@ -191,13 +189,6 @@
 	s.cfg.Tracker.Leave(addr, now)
 }
 
-// Ready reports whether a list was read yet.
-func (s *Set) Ready() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.seen
-}
-
 // VMs returns the targets that are not gone, sorted by name.
 func (s *Set) VMs() []platform.VM {
 	s.mu.Lock()
