State charts name only what the code steps

Conclusion: the transitions that the code takes are the same; the tests of statechart, dispatch, target, peer, entry and engine pass.

--- a/internal/entry/lifecycle.go
+++ b/internal/entry/lifecycle.go
@@ -26,14 +26,13 @@
 }
 
 // step applies an event. The caller holds the lock.
-func (l *lifecycle) step(e statechart.ProcessEvent) statechart.ProcessAction {
-	next, action, ok := statechart.Process.Step(l.state, e)
+func (l *lifecycle) step(e statechart.ProcessEvent) {
+	next, _, ok := statechart.Process.Step(l.state, e)
 	if !ok || next == l.state {
-		return statechart.ProcessDoNothing
+		return
 	}
 	l.log.Info("entry changes state", "from", l.state.String(), "to", next.String())
 	l.state = next
-	return action
 }
 
 // watch returns a loop that follows whether the entry has joined.
--- a/internal/statechart/process.go
+++ b/internal/statechart/process.go
@@ -16,14 +16,7 @@
 		ProcessOnStop:         "stop",
 		ProcessOnDrained:      "drained",
 	},
-	Actions: []string{
-		ProcessDoNothing: "",
-		ProcessDoJoin:    "join",
-		ProcessDoOpen:    "open",
-		ProcessDoRejoin:  "rejoin",
-		ProcessDoDrain:   "drain",
-		ProcessDoExit:    "exit",
-	},
+	Actions: []string{""},
 })
 
 // ProcessState is one of the states of Process.
@@ -50,18 +43,8 @@
 	ProcessOnDrained
 )
 
-// ProcessAction is one of the actions of Process.
+// ProcessAction is the type of the actions of Process, of which there are none.
 type ProcessAction uint8
 
-// The actions of Process.
-const (
-	ProcessDoNothing ProcessAction = iota
-	ProcessDoJoin
-	ProcessDoOpen
-	ProcessDoRejoin
-	ProcessDoDrain
-	ProcessDoExit
-)
-
 // String returns the name of the state in the chart.
 func (s ProcessState) String() string { return Process.StateName(s) }
--- a/internal/statechart/target_health.go
+++ b/internal/statechart/target_health.go
@@ -10,7 +10,6 @@
 		TargetHealthGone:    "gone",
 	},
 	Events: []string{
-		TargetHealthOnSucceeded:   "succeeded",
 		TargetHealthOnFailing:     "failing",
 		TargetHealthOnCooled:      "cooled",
 		TargetHealthOnTrialPassed: "trial_passed",
@@ -22,7 +21,6 @@
 		TargetHealthDoNothing:    "",
 		TargetHealthDoEject:      "eject",
 		TargetHealthDoStartTrial: "start_trial",
-		TargetHealthDoReadmit:    "readmit",
 		TargetHealthDoStopNew:    "stop_new",
 		TargetHealthDoForget:     "forget",
 	},
@@ -45,8 +43,7 @@
 
 // The events of TargetHealth.
 const (
-	TargetHealthOnSucceeded TargetHealthEvent = iota
-	TargetHealthOnFailing
+	TargetHealthOnFailing TargetHealthEvent = iota
 	TargetHealthOnCooled
 	TargetHealthOnTrialPassed
 	TargetHealthOnLeave
@@ -62,7 +59,6 @@
 	TargetHealthDoNothing TargetHealthAction = iota
 	TargetHealthDoEject
 	TargetHealthDoStartTrial
-	TargetHealthDoReadmit
 	TargetHealthDoStopNew
 	TargetHealthDoForget
 )
