Engine: results of a job's handed-over tasks share a message

An entry hands most tasks of a large job to its peers, and each came back as a message of its own. A job's answer needs all of them, so one can wait for the last, for a failure or for 100 ms. Figures: before, one message a task; after, one a job and entry where the tasks end within 100 ms of each other (TestResultsOfAJobWaitForItsLastTask).

--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -87,6 +87,7 @@
 	forwards *forwards
 	remotes  *remotes
 	outbox   *outbox
+	results  *results
 	answers  *dispatch.Memory
 
 	mu     sync.Mutex
@@ -108,6 +109,7 @@
 	e.requests = newScheduler(e, structs.Request)
 	e.jobs = newScheduler(e, structs.Job)
 	e.forwards = newForwards(e)
+	e.results = newResults(e.sendResults)
 	return e
 }
 
--- a/internal/engine/handoff.go
+++ b/internal/engine/handoff.go
@@ -26,6 +26,7 @@
 			continue
 		}
 		u.Remaining = u.deadline.Sub(now)
+		u.Group = u.group
 		msg.Units = append(msg.Units, u.runUnit)
 	}
 	if len(msg.Units) == 0 {
@@ -91,7 +92,7 @@
 	now := time.Now()
 	for _, r := range b.Units {
 		if !s.e.flights.enter() {
-			s.e.reply(from, r.ID, result{err: verdict.New(verdict.NotRun, verdict.Draining, "this entry is stopping")})
+			s.e.reply(from, &r, result{err: verdict.New(verdict.NotRun, verdict.Draining, "this entry is stopping")})
 			continue
 		}
 		u := s.e.handedUnit(from, r, now)
@@ -119,25 +120,19 @@
 	u.ctx = ctx
 	context.AfterFunc(ctx, func() { e.scheduler(r.Class).stop([]*unit{u}) })
 	origin := remoteID{from, r.ID}
+	if r.Class == structs.Job {
+		e.results.expect(groupID{from, r.Group})
+	}
 	e.remotes.add(origin, cancel)
 	u.finish = func(res result) {
 		defer e.flights.leave()
 		e.remotes.remove(origin)
 		cancel()
-		e.reply(from, r.ID, res)
+		e.reply(from, &r, res)
 	}
 	return u
 }
 
-// reply sends the result of a handed-over task to the entry that waits for it.
-func (e *Engine) reply(to string, id uint64, r result) {
-	o := structs.Outcome{Verdict: verdict.Completed, Answers: [][]byte{r.answer}}
-	if r.err != nil {
-		o = structs.OutcomeOf(r.err)
-	}
-	e.respond(to, wire.RunDone, runDone{Results: []runResult{{ID: id, Outcome: o}}})
-}
-
 // receiveDone takes the results of handed-over units.
 func (s *scheduler) receiveDone(from string, results []runResult) {
 	for _, r := range results {
--- a/internal/engine/messages.go
+++ b/internal/engine/messages.go
@@ -55,6 +55,8 @@
 	// Lease is the time for which the sender may start the task; 0 for no
 	// bound.
 	Lease time.Duration `cbor:"11,keyasint,omitempty"`
+	// Group names the sender's job that the task belongs to.
+	Group uint64 `cbor:"12,keyasint,omitempty"`
 	// JobSize is the number of tasks of the whole job.
 	JobSize int `cbor:"12,keyasint,omitempty"`
 }
--- /dev/null
+++ b/internal/engine/results.go
@@ -0,0 +1,122 @@
+package engine
+
+import (
+	"sync"
+	"time"
+
+	"currantstall/internal/structs"
+	"currantstall/internal/verdict"
+	"currantstall/internal/wire"
+)
+
+// holdResults is the longest time for which the result of a job's task waits
+// for the other tasks of the job that run here.
+const holdResults = 100 * time.Millisecond
+
+// groupID names a job by the entry that handed its tasks over.
+type groupID struct {
+	from string
+	id   uint64
+}
+
+// heldGroup is a job of a peer with tasks here.
+type heldGroup struct {
+	pending int // tasks that have no result yet
+	results []runResult
+	since   time.Time // of the oldest result
+}
+
+// results gathers the results of handed-over tasks. A job's answer needs all
+// its tasks, so the result of one can wait until the last one here ends, or one
+// fails; that saves most of the messages and delays no answer. Results of
+// requests are sent at once.
+type results struct {
+	send func(to string, rs []runResult)
+
+	mu     sync.Mutex
+	groups map[groupID]*heldGroup
+}
+
+func newResults(send func(to string, rs []runResult)) *results {
+	return &results{send: send, groups: make(map[groupID]*heldGroup)}
+}
+
+// expect counts a job's task that was taken over.
+func (r *results) expect(g groupID) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	h := r.groups[g]
+	if h == nil {
+		h = &heldGroup{}
+		r.groups[g] = h
+	}
+	h.pending++
+}
+
+// add takes the result of a task that expect counted.
+func (r *results) add(g groupID, res runResult, now time.Time) {
+	r.mu.Lock()
+	h := r.groups[g]
+	if h == nil {
+		r.mu.Unlock()
+		r.send(g.from, []runResult{res})
+		return
+	}
+	h.pending--
+	if len(h.results) == 0 {
+		h.since = now
+	}
+	h.results = append(h.results, res)
+	var ready []runResult
+	if h.pending == 0 || res.Outcome.Verdict != verdict.Completed {
+		ready = h.take()
+	}
+	if h.pending == 0 {
+		delete(r.groups, g)
+	}
+	r.mu.Unlock()
+	if len(ready) > 0 {
+		r.send(g.from, ready)
+	}
+}
+
+// take empties the group. The caller holds the lock.
+func (h *heldGroup) take() []runResult {
+	ready := h.results
+	h.results = nil
+	return ready
+}
+
+// flush sends what has waited long enough.
+func (r *results) flush(now time.Time) {
+	ready := make(map[string][]runResult)
+	r.mu.Lock()
+	for g, h := range r.groups {
+		if len(h.results) > 0 && now.Sub(h.since) >= holdResults {
+			ready[g.from] = append(ready[g.from], h.take()...)
+		}
+	}
+	r.mu.Unlock()
+	for to, rs := range ready {
+		r.send(to, rs)
+	}
+}
+
+// sendResults sends results to the entry that waits for them.
+func (e *Engine) sendResults(to string, rs []runResult) {
+	e.respond(to, wire.RunDone, runDone{Results: rs})
+}
+
+// reply sends or holds the result of a handed-over task.
+func (e *Engine) reply(to string, u *runUnit, r result) {
+	o := structs.Outcome{Verdict: verdict.Completed, Answers: [][]byte{r.answer}}
+	if r.err != nil {
+		o = structs.OutcomeOf(r.err)
+	}
+	res := runResult{ID: u.ID, Outcome: o}
+	if u.Class == structs.Request {
+		e.sendResults(to, []runResult{res})
+		return
+	}
+	e.results.add(groupID{to, u.Group}, res, time.Now())
+}
--- /dev/null
+++ b/internal/engine/results_test.go
@@ -0,0 +1,59 @@
+package engine
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"currantstall/internal/structs"
+	"currantstall/internal/verdict"
+)
+
+// sentResults notes what results sends.
+type sentResults struct{ batches [][]runResult }
+
+func (s *sentResults) send(_ string, rs []runResult) { s.batches = append(s.batches, rs) }
+
+func completed(id uint64) runResult {
+	return runResult{ID: id, Outcome: structs.Outcome{Verdict: verdict.Completed}}
+}
+
+func TestResultsOfAJobWaitForItsLastTask(t *testing.T) {
+	var sent sentResults
+	r := newResults(sent.send)
+	g := groupID{"e1", 7}
+	now := time.Unix(0, 0)
+	for range 3 {
+		r.expect(g)
+	}
+
+	r.add(g, completed(1), now)
+	r.add(g, completed(2), now)
+	r.flush(now.Add(holdResults / 2))
+	assert.Equal(t, len(sent.batches), 0)
+	r.add(g, completed(3), now)
+
+	assert.Equal(t, len(sent.batches), 1)
+	assert.Equal(t, len(sent.batches[0]), 3)
+	assert.Equal(t, len(r.groups), 0)
+}
+
+func TestAFailedTaskAndALongWaitSendWhatIsHeld(t *testing.T) {
+	var sent sentResults
+	r := newResults(sent.send)
+	g := groupID{"e1", 7}
+	now := time.Unix(0, 0)
+	for range 4 {
+		r.expect(g)
+	}
+
+	r.add(g, completed(1), now)
+	r.flush(now.Add(holdResults))
+	r.add(g, completed(2), now)
+	r.add(g, runResult{ID: 3, Outcome: structs.Outcome{Verdict: verdict.Failed}}, now)
+
+	assert.Equal(t, len(sent.batches), 2)
+	assert.Equal(t, len(sent.batches[0]), 1)
+	assert.Equal(t, len(sent.batches[1]), 2)
+}
--- a/internal/engine/targets.go
+++ b/internal/engine/targets.go
@@ -107,6 +107,7 @@
 			for _, s := range []*scheduler{e.requests, e.jobs} {
 				s.beat(now)
 			}
+			e.results.flush(now)
 			e.tell(now)
 		}
 	}
