--- a/internal/admission/queue_test.go
+++ b/internal/admission/queue_test.go
@@ -1,10 +1,8 @@
 package admission
 
 import (
-	"flag"
 	"fmt"
 	"math"
-	"os"
 	"testing"
 	"time"
 
@@ -12,18 +10,11 @@
 	"pgregory.net/rapid"
 
 	"currantstall/internal/manifest"
+	"currantstall/internal/rapidtest"
 	"currantstall/internal/verdict"
 )
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	for name, value := range map[string]string{"rapid.checks": "1000", "rapid.seed": "5", "rapid.nofailfile": "true"} {
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
-		}
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { rapidtest.Main(m, 5, 1000) }
 
 var epoch = time.UnixMilli(1_800_000_000_000)
 
--- a/internal/estimate/service_test.go
+++ b/internal/estimate/service_test.go
@@ -1,24 +1,16 @@
 package estimate
 
 import (
-	"flag"
-	"os"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
+
+	"currantstall/internal/rapidtest"
 )
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	for name, value := range map[string]string{"rapid.checks": "1000", "rapid.seed": "5", "rapid.nofailfile": "true"} {
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
-		}
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { rapidtest.Main(m, 5, 1000) }
 
 // A declaration off by up to 10 times either way is outweighed by 50 run
 // times, of which up to a quarter are instant failures and a fifth come from a
--- a/internal/journal/journal_test.go
+++ b/internal/journal/journal_test.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"flag"
 	"fmt"
-	"os"
 	"sync"
 	"testing"
 	"time"
@@ -13,20 +11,13 @@
 
 	"currantstall/internal/key"
 	"currantstall/internal/platform"
+	"currantstall/internal/rapidtest"
 	"currantstall/internal/standin/platformd"
 	"currantstall/internal/structs"
 	"currantstall/internal/verdict"
 )
 
-func TestMain(m *testing.M) {
-	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "2000", "rapid.nofailfile": "true"} {
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
-		}
-	}
-	flag.Parse() // the command line goes before these
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { rapidtest.Main(m, 1, 2000) }
 
 func newStore() *platformd.Store {
 	s := platformd.NewStore()
--- a/internal/manifest/manifest_test.go
+++ b/internal/manifest/manifest_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"flag"
 	"fmt"
 	"os"
 	"testing"
@@ -11,19 +10,12 @@
 	"gotest.tools/v3/assert"
 
 	"currantstall/internal/platform"
+	"currantstall/internal/rapidtest"
 	"currantstall/internal/standin/platformd"
 	"currantstall/internal/verdict"
 )
 
-func TestMain(m *testing.M) {
-	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "2000", "rapid.nofailfile": "true"} {
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
-		}
-	}
-	flag.Parse() // the command line goes before these
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { rapidtest.Main(m, 1, 2000) }
 
 const goodYAML = `
 kinds:
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -1,9 +1,7 @@
 package placement
 
 import (
-	"flag"
 	"fmt"
-	"os"
 	"slices"
 	"strings"
 	"testing"
@@ -12,19 +10,12 @@
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
+	"currantstall/internal/rapidtest"
 	"currantstall/internal/structs"
 	"currantstall/internal/verdict"
 )
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	for name, value := range map[string]string{"rapid.checks": "1000", "rapid.seed": "5", "rapid.nofailfile": "true"} {
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
-		}
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { rapidtest.Main(m, 5, 1000) }
 
 var epoch = time.UnixMilli(1_800_000_000_000)
 
--- a/internal/platform/client_test.go
+++ b/internal/platform/client_test.go
@@ -4,12 +4,10 @@
 	"bufio"
 	"context"
 	"errors"
-	"flag"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
-	"os"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -19,18 +17,11 @@
 	"gotest.tools/v3/poll"
 
 	"currantstall/internal/platform"
+	"currantstall/internal/rapidtest"
 	"currantstall/internal/standin/platformd"
 )
 
-func TestMain(m *testing.M) {
-	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "2000", "rapid.nofailfile": "true"} {
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
-		}
-	}
-	flag.Parse() // the command line goes before these
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { rapidtest.Main(m, 1, 2000) }
 
 func startStandIn(t *testing.T) *platformd.Server {
 	t.Helper()
