--- a/internal/dispatch/backoff.go
+++ b/internal/dispatch/backoff.go
@@ -5,6 +5,8 @@
 	"math/rand/v2"
 	"sync"
 	"time"
+
+	"currantstall/internal/sleep"
 )
 
 // backoff draws waits between attempts: a random part of a bound that doubles
@@ -30,17 +32,5 @@
 
 // wait waits before try n. It reports false if ctx ended first.
 func (b *backoff) wait(ctx context.Context, n int) bool {
-	return pause(ctx, b.draw(n))
-}
-
-// pause waits for d. It reports false if ctx ended first.
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return sleep.For(ctx, b.draw(n)) == nil
 }
--- a/internal/dispatch/lookup.go
+++ b/internal/dispatch/lookup.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"currantstall/internal/metrics"
+	"currantstall/internal/sleep"
 	"currantstall/internal/target"
 	"currantstall/internal/verdict"
 )
@@ -112,7 +113,7 @@
 		if q.once {
 			return st, true
 		}
-		if !pause(ctx, next) {
+		if sleep.For(ctx, next) != nil {
 			return st, false
 		}
 	}
--- a/internal/journal/commit.go
+++ b/internal/journal/commit.go
@@ -11,6 +11,7 @@
 	"github.com/google/uuid"
 
 	"currantstall/internal/platform"
+	"currantstall/internal/sleep"
 	"currantstall/internal/wire"
 )
 
@@ -64,7 +65,7 @@
 			return fmt.Errorf("flush journal, %d entries left: %w", left, err)
 		}
 		if err != nil {
-			sleep(ctx, j.cfg.Interval)
+			_ = sleep.For(ctx, j.cfg.Interval)
 		}
 		left -= n
 		if n == 0 && err == nil {
@@ -74,15 +75,6 @@
 	return nil
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
-
 func (j *Journal) commitNext(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(platform.WithBackground(ctx), commitTimeout)
 	defer cancel()
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -6,6 +6,8 @@
 	"math/rand/v2"
 	"sync"
 	"time"
+
+	"currantstall/internal/sleep"
 )
 
 const defaultMaxInFlight = 20_000
@@ -75,7 +77,7 @@
 	end := r.start.Add(r.cfg.WarmUp + r.cfg.Duration)
 	for at := r.start.Add(s.gap(rng)); at.Before(end); at = at.Add(s.gap(rng)) {
 		c := &call{stream: s, at: at, tasks: s.services(rng), addr: r.cfg.Addrs[rng.IntN(len(r.cfg.Addrs))]}
-		if !sleepUntil(ctx, at) {
+		if sleep.For(ctx, time.Until(at)) != nil {
 			return
 		}
 		r.launch(ctx, c, rec)
@@ -106,19 +108,3 @@
 		}
 	})
 }
-
-// sleepUntil waits for a time, and returns false if ctx ends first.
-func sleepUntil(ctx context.Context, at time.Time) bool {
-	wait := time.Until(at)
-	if wait <= 0 {
-		return ctx.Err() == nil
-	}
-	t := time.NewTimer(wait)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/peer/connect.go
+++ b/internal/peer/connect.go
@@ -6,6 +6,7 @@
 
 	"github.com/coder/websocket"
 
+	"currantstall/internal/sleep"
 	"currantstall/internal/statechart"
 	"currantstall/internal/verdict"
 	"currantstall/internal/wire"
@@ -13,7 +14,7 @@
 
 // dial makes one attempt to connect to a peer, over a new connection.
 func (n *Node) dial(ctx context.Context, r *remote, addr string, lost session) {
-	if r.waitsForPeer() && !sleep(ctx, dialGrace) {
+	if r.waitsForPeer() && sleep.For(ctx, dialGrace) != nil {
 		return
 	}
 	if lost != (session{}) {
--- a/internal/peer/remote.go
+++ b/internal/peer/remote.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"currantstall/internal/sleep"
 	"currantstall/internal/statechart"
 	"currantstall/internal/verdict"
 	"currantstall/internal/wire"
@@ -120,7 +121,7 @@
 	ctx := r.background()
 	d := backOff(r.failures)
 	r.node.start(func() {
-		if sleep(ctx, d) {
+		if sleep.For(ctx, d) == nil {
 			r.event(ctx, statechart.PeerLinkOnRetry)
 		}
 	})
@@ -143,17 +144,6 @@
 	return d/2 + rand.N(d/2)
 }
 
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
-
 // waitsForPeer reports whether the first dial is the peer's.
 func (r *remote) waitsForPeer() bool {
 	r.mu.Lock()
--- a/internal/platform/budget.go
+++ b/internal/platform/budget.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"golang.org/x/time/rate"
+
+	"currantstall/internal/sleep"
 )
 
 // Budget bounds the writes of one process to the platform. Writers go first
@@ -63,7 +65,7 @@
 	}
 	defer func() { <-b.background }()
 	for !b.limiter.AllowN(time.Now(), n) {
-		if err := sleep(ctx, b.untilFree(n)); err != nil {
+		if err := sleep.For(ctx, b.untilFree(n)); err != nil {
 			return err
 		}
 	}
@@ -76,14 +78,3 @@
 	seconds := max(missing, 0) / float64(b.limiter.Limit())
 	return time.Duration(seconds*float64(time.Second)) + time.Millisecond
 }
-
-func sleep(ctx context.Context, d time.Duration) error {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
--- a/internal/platform/readback.go
+++ b/internal/platform/readback.go
@@ -5,6 +5,8 @@
 	"errors"
 	"fmt"
 	"time"
+
+	"currantstall/internal/sleep"
 )
 
 // Effect is what a row shows about an earlier write.
@@ -58,7 +60,7 @@
 		}
 		// The row is untouched, but the lost copy may still be on its way.
 		// Only a copy that takes effect or conflicts settles that.
-		if sleep(ctx, pause) != nil {
+		if sleep.For(ctx, pause) != nil {
 			return fmt.Errorf("read back %s: %w", txn.Conditions[0].Key, ErrUnknown)
 		}
 		pause = min(2*pause, maxReadBackPause)
