--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"currantstall/internal/api"
+	"currantstall/internal/client"
 	"currantstall/internal/structs"
 	"currantstall/internal/verdict"
 )
@@ -41,13 +42,15 @@
 	requestsPerKind = 20
 	stepTimeout     = 30 * time.Second
 	spreadBound     = 5 * time.Second
+	accountLimit    = 10_000 // keys
 )
 
 // show carries the deployment and the output through the steps.
 type show struct {
-	cfg  Config
-	c    *cluster
-	base uint64 // manifest version in force
+	cfg     Config
+	c       *cluster
+	clients []*client.Client // one for each entry
+	base    uint64           // manifest version in force
 }
 
 // Run starts a deployment, shows the promises on it and stops it. It returns
@@ -75,7 +78,25 @@
 
 func (s *show) say(format string, args ...any) { fmt.Fprintf(s.cfg.Out, format+"\n", args...) }
 
+// connect makes a client for each entry.
+func (s *show) connect() error {
+	for _, e := range s.c.entries {
+		c, err := client.New("http://" + e.Addr())
+		if err != nil {
+			return err
+		}
+		s.clients = append(s.clients, c)
+	}
+	return nil
+}
+
+// entry returns the client of an entry, by its index round the deployment.
+func (s *show) entry(i int) *client.Client { return s.clients[i%len(s.clients)] }
+
 func (s *show) run(ctx context.Context) error {
+	if err := s.connect(); err != nil {
+		return err
+	}
 	s.say("%d data centres, %d entries, %d targets.", len(dataCentres), len(s.c.entries), len(s.c.targets))
 	for i := range s.cfg.Manifests {
 		if err := s.manifest(ctx, &s.cfg.Manifests[i]); err != nil {
@@ -100,16 +121,18 @@
 
 // apply has the manifest accepted and waits until it is in force everywhere.
 func (s *show) apply(ctx context.Context, m *Manifest) error {
-	path := fmt.Sprintf("/v1/manifest?base=%d", s.base)
-	var accepted api.ManifestBody
+	var version uint64
 	began := time.Now()
-	err := until(ctx, func() error { return s.call(ctx, 0, "PUT", path, m.Text, &accepted) })
+	err := until(ctx, func() (err error) {
+		version, err = s.entry(0).Apply(ctx, s.base, m.Text)
+		return err
+	})
 	if err != nil {
 		return fmt.Errorf("apply manifest: %w", err)
 	}
-	s.base = accepted.Version
+	s.base = version
 	for i := range s.c.entries {
-		err := until(ctx, func() error { return s.inForce(ctx, i, accepted.Version) })
+		err := until(ctx, func() error { return s.inForce(ctx, i, version) })
 		if err != nil {
 			return err
 		}
@@ -118,7 +141,7 @@
 	if spread > spreadBound {
 		return fmt.Errorf("manifest took %v to be in force everywhere, bound %v", spread, spreadBound)
 	}
-	s.say("%s: manifest version %d in force at every entry after %v.", m.Name, accepted.Version, spread.Round(time.Millisecond))
+	s.say("%s: manifest version %d in force at every entry after %v.", m.Name, version, spread.Round(time.Millisecond))
 	if err := s.c.awaitReady(ctx); err != nil {
 		return err
 	}
@@ -133,8 +156,8 @@
 // targetsKnown returns nil once an entry has all targets of its data centre
 // from the platform's lagging list.
 func (s *show) targetsKnown(ctx context.Context, i int) error {
-	var st api.Status
-	if err := s.call(ctx, i, "GET", "/v1/status", nil, &st); err != nil {
+	st, err := s.entry(i).Status(ctx)
+	if err != nil {
 		return err
 	}
 	if want := runnersPerDC + workersPerDC; st.Targets.Known != want {
@@ -144,8 +167,8 @@
 }
 
 func (s *show) inForce(ctx context.Context, i int, version uint64) error {
-	var st api.Status
-	if err := s.call(ctx, i, "GET", "/v1/status", nil, &st); err != nil {
+	st, err := s.entry(i).Status(ctx)
+	if err != nil {
 		return err
 	}
 	if st.ManifestVersion != version {
@@ -174,14 +197,10 @@
 // request sends one request and checks that the answer is its own.
 func (s *show) request(ctx context.Context, i int, body api.RequestBody) (*api.AnswerBody, error) {
 	body.Body = json.RawMessage(`{"service_ms":20}`)
-	data, err := json.Marshal(body)
+	answer, err := s.entry(i).Request(ctx, body)
 	if err != nil {
 		return nil, err
 	}
-	var answer api.AnswerBody
-	if err := s.call(ctx, i, "POST", "/v1/requests", data, &answer); err != nil {
-		return nil, err
-	}
 	var own struct {
 		Key string `json:"key"`
 	}
@@ -235,7 +254,7 @@
 		Tasks: []json.RawMessage{json.RawMessage(`{}`)},
 		Needs: &structs.Resources{MilliCPU: 1000, Accelerators: 4},
 	}
-	err = s.submit(ctx, 0, body, nil)
+	_, err = s.entry(0).Submit(ctx, body)
 	var e *verdict.Error
 	if !errors.As(err, &e) || e.Verdict != verdict.NotRun {
 		return fmt.Errorf("a job that fits nowhere was not refused with not_run: %v", err)
@@ -258,8 +277,8 @@
 		body.Tasks = append(body.Tasks, json.RawMessage(`{"service_ms":50}`))
 	}
 	began := time.Now()
-	var answer api.JobBody
-	if err := s.submit(ctx, 1, body, &answer); err != nil {
+	answer, err := s.entry(1).Submit(ctx, body)
+	if err != nil {
 		return fmt.Errorf("job: %w", err)
 	}
 	if len(answer.Answers) != m.Tasks {
@@ -275,20 +294,12 @@
 	return nil
 }
 
-func (s *show) submit(ctx context.Context, i int, body api.SubmissionBody, answer *api.JobBody) error {
-	data, err := json.Marshal(body)
-	if err != nil {
-		return err
-	}
-	return s.call(ctx, i, "POST", "/v1/submissions", data, answer)
-}
-
 func (s *show) newKey(ctx context.Context) (string, error) {
-	var keys api.KeysBody
-	if err := s.call(ctx, 0, "POST", "/v1/keys", nil, &keys); err != nil {
+	keys, err := s.entry(0).Keys(ctx, 1)
+	if err != nil {
 		return "", fmt.Errorf("mint key: %w", err)
 	}
-	return keys.Keys[0], nil
+	return keys[0], nil
 }
 
 // account waits until the account holds what ran and may not be repeated.
@@ -297,8 +308,8 @@
 	defer cancel()
 	var lines int
 	err := until(ctx, func() error {
-		var body api.AccountBody
-		if err := s.call(ctx, 0, "GET", "/v1/account?limit=10000", nil, &body); err != nil {
+		body, err := s.entry(0).Account(ctx, "", accountLimit)
+		if err != nil {
 			return err
 		}
 		lines = len(body.Lines)
