--- a/internal/engine/load.go
+++ b/internal/engine/load.go
@@ -9,7 +9,7 @@
 )
 
 const (
-	// tellEvery is the beat of load messages while nothing changes.
+	// tellEvery is the interval of load messages while nothing changes.
 	tellEvery = 250 * time.Millisecond
 	// maxTrip stands for the way to a peer whose round trip is not known.
 	maxTrip = 10 * time.Millisecond
--- a/internal/engine/scheduler.go
+++ b/internal/engine/scheduler.go
@@ -9,7 +9,7 @@
 	"currantstall/internal/verdict"
 )
 
-// tick is the beat of deadlines and load messages.
+// tick is the interval of deadlines and load messages.
 const tick = 20 * time.Millisecond
 
 // lateGrace is how long work that may not be repeated runs on past its
--- a/internal/entry/directory.go
+++ b/internal/entry/directory.go
@@ -27,7 +27,7 @@
 	view    structs.View
 }
 
-// run reads the list at each beat until ctx ends.
+// run reads the list at each interval until ctx ends.
 func (d *directory) run(ctx context.Context) {
 	t := time.NewTicker(listPoll)
 	defer t.Stop()
--- a/internal/entry/ownership.go
+++ b/internal/entry/ownership.go
@@ -59,7 +59,7 @@
 	o.changed()
 }
 
-// run computes the ownership when something changed, and at a slow beat for
+// run computes the ownership when something changed, and at long intervals for
 // links that were lost a while ago.
 func (o *ownership) run(ctx context.Context) {
 	t := time.NewTicker(ownerDelay)
@@ -209,7 +209,7 @@
 func (o *ownership) count() int { return len(o.ownedByAddr()) }
 
 // nextReports returns the addresses of the owned targets to ask for a usage
-// report next: a bounded number at each beat, all of them in turn.
+// report next: a bounded number at each interval, all of them in turn.
 func (o *ownership) nextReports() []string {
 	owned := o.ownedByAddr()
 	addrs := slices.Sorted(maps.Keys(owned))
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -1,5 +1,6 @@
-// Package metrics declares the names of all metrics once and counts through
-// tally.
+// Package metrics declares the names of the counters that several packages
+// share, once, and counts through tally. Counters and gauges of one package
+// alone are named there, under the scope of the package.
 package metrics
 
 import (
--- a/internal/platform/circuit.go
+++ b/internal/platform/circuit.go
@@ -8,7 +8,7 @@
 )
 
 // circuit holds back requests while the platform is down, so that an outage
-// costs its users one attempt at each beat and no waiting.
+// costs its users one attempt at each interval and no waiting.
 type circuit struct {
 	mu        sync.Mutex
 	threshold int           // failures in a row that open the circuit
--- a/internal/target/set.go
+++ b/internal/target/set.go
@@ -87,7 +87,7 @@
 	return &Set{cfg: cfg, vms: make(map[string]*listed)}
 }
 
-// Run reads the list at each beat until ctx ends.
+// Run reads the list at each interval until ctx ends.
 func (s *Set) Run(ctx context.Context) {
 	beat := time.NewTicker(s.cfg.Poll)
 	defer beat.Stop()
--- a/internal/target/usage.go
+++ b/internal/target/usage.go
@@ -14,7 +14,7 @@
 	usageParallel    = 4
 )
 
-// UsagePoller asks owned targets for their usage reports at a slow beat.
+// UsagePoller asks owned targets for their usage reports at long intervals.
 type UsagePoller struct {
 	Pool *Pool
 	Beat time.Duration // 0 stands for DefaultUsageBeat
@@ -24,7 +24,7 @@
 	OnUsage func(addr string, u Usage)
 }
 
-// Run asks at each beat until ctx ends.
+// Run asks at each interval until ctx ends.
 func (u *UsagePoller) Run(ctx context.Context) {
 	d := u.Beat
 	if d <= 0 {
@@ -43,7 +43,7 @@
 }
 
 // askAll asks all owned targets, a few at a time. A target that does not
-// answer is asked again at the next beat.
+// answer is asked again at the next interval.
 func (u *UsagePoller) askAll(ctx context.Context) {
 	var g errgroup.Group
 	g.SetLimit(usageParallel)
