Ledger: hash member names once a view, visit keys without a sort

Cause: BenchmarkNewView. While a member with 100,000 keys learned and enforced a view, its loop did nothing else for 161 ms, and heartbeats waited; a third of it sorted the keys, most of the rest hashed the names of the members again for each key. Keys are now visited in the order of their expiry buckets, which is fixed too.

--- a/internal/ledger/place.go
+++ b/internal/ledger/place.go
@@ -8,16 +8,16 @@
 	"currantstall/internal/structs"
 )
 
-// place is a view together with its members' names.
+// place is a view together with the hashes of its members' names.
 type place struct {
-	view  structs.View
-	names []string
+	view   structs.View
+	hashes []uint64
 }
 
 func newPlace(v structs.View) *place {
-	p := &place{view: v, names: make([]string, len(v.Members))}
+	p := &place{view: v, hashes: make([]uint64, len(v.Members))}
 	for i, m := range v.Members {
-		p.names[i] = m.Name
+		p.hashes[i] = rendezvous.Hash(m.Name)
 	}
 	return p
 }
@@ -25,7 +25,7 @@
 // top returns the first and second choice for a key, nil where there is none.
 func (p *place) top(id uuid.UUID) (first, second *structs.Member) {
 	k := key.Key{ID: id}
-	i, j := rendezvous.Top(k.Hash(), p.names)
+	i, j := rendezvous.TopHashed(k.Hash(), p.hashes)
 	if i >= 0 {
 		first = &p.view.Members[i]
 	}
--- a/internal/ledger/view.go
+++ b/internal/ledger/view.go
@@ -1,6 +1,7 @@
 package ledger
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -80,11 +81,15 @@
 	return home.Same(*l.self) || !l.latest().view.Has(*home)
 }
 
-// eachID visits all records and refusal marks in a fixed order.
+// eachID visits all records and refusal marks in a fixed order. A record may
+// be visited twice.
 func (l *Ledger) eachID(visit func(id ID, holder *structs.Member, rank Rank)) {
-	for _, id := range sortedIDs(l.entries) {
-		e := l.entries[id]
-		visit(id, e.holder, e.rank)
+	for _, bucket := range slices.Sorted(maps.Keys(l.expiry.ids)) {
+		for _, id := range l.expiry.ids[bucket] {
+			if e := l.entries[id]; e != nil {
+				visit(id, e.holder, e.rank)
+			}
+		}
 	}
 	for _, id := range sortedIDs(l.marks) {
 		if l.entries[id] == nil {
@@ -277,8 +282,11 @@
 	l.chain = l.chain[i:]
 	l.inForce = version
 	v := l.chain[0]
-	for _, id := range sortedIDs(l.entries) {
+	l.eachID(func(id ID, _ *structs.Member, _ Rank) {
 		e := l.entries[id]
+		if e == nil {
+			return // a refusal mark
+		}
 		home, other := v.records(id, e.holder)
 		switch {
 		case same(home, l.self):
@@ -291,7 +299,7 @@
 		default:
 			l.drop(id)
 		}
-	}
+	})
 }
 
 // settle ends the claim of a holder that is gone. The outcomes of a holder
