--- a/internal/journal/property_test.go
+++ b/internal/journal/property_test.go
@@ -14,24 +14,20 @@
 	"currantstall/internal/standin/platformd"
 )
 
-// fate is what happens to one write.
-type fate int
-
-const (
-	answered fate = iota
-	answerLost
-	neverArrives
-	arrivesLate
-	startsOutage // after the write took effect
-)
+// startsOutage begins an outage after the write took effect, unanswered.
+const startsOutage = platformd.FateOther
+
+var fates = []platformd.Fate{
+	platformd.Answered, platformd.Answered, platformd.AnswerLost,
+	platformd.NeverArrives, platformd.ArrivesLate, startsOutage,
+}
 
 // faulty is a platform whose writes meet drawn fates.
 type faulty struct {
-	*platformd.Store
+	*platformd.Lossy
 	t      *rapid.T
 	down   bool
 	cancel context.CancelFunc
-	late   []platform.Txn
 }
 
 func (f *faulty) blocked() error {
@@ -69,28 +65,12 @@
 	if len(txn.Puts) == 0 { // a read
 		return f.Store.Commit(ctx, txn)
 	}
-	switch rapid.SampledFrom([]fate{answered, answered, answerLost, neverArrives, arrivesLate, startsOutage}).Draw(f.t, "fate") {
-	case startsOutage:
+	fate := rapid.SampledFrom(fates).Draw(f.t, "fate")
+	if fate == startsOutage {
 		f.down = true
-		fallthrough
-	case answerLost:
-		_ = f.Store.Commit(ctx, txn)
-		return platform.ErrUnknown
-	case neverArrives:
-		return platform.ErrUnknown
-	case arrivesLate:
-		f.late = append(f.late, txn)
-		return platform.ErrUnknown
-	}
-	f.deliverLate()
-	return f.Store.Commit(ctx, txn)
-}
-
-func (f *faulty) deliverLate() {
-	for _, txn := range f.late {
-		_ = f.Store.Commit(context.Background(), txn)
+		fate = platformd.AnswerLost
 	}
-	f.late = nil
+	return f.CommitAs(ctx, txn, fate)
 }
 
 // writer is one run of an entry that writes to the account.
@@ -148,7 +128,7 @@
 	case "up":
 		a.down = false
 	case "late":
-		a.deliverLate()
+		a.DeliverLate()
 	}
 }
 
@@ -195,7 +175,7 @@
 func TestTheAccountHoldsEachKeyOnce(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		a := &account{
-			faulty:  &faulty{Store: newStore(), t: t},
+			faulty:  &faulty{Lossy: &platformd.Lossy{Store: newStore()}, t: t},
 			durable: map[key.Key]Entry{},
 		}
 		for i := range 3 {
@@ -211,7 +191,7 @@
 			a.flush(w)
 		}
 		a.down, a.cancel = false, nil
-		a.deliverLate()
+		a.DeliverLate()
 
 		reader := New(Config{Platform: a.faulty, DC: "quimper"})
 		lines := readAll(t, reader, rapid.IntRange(1, 5).Draw(t, "limit"))
--- a/internal/manifest/rollout_test.go
+++ b/internal/manifest/rollout_test.go
@@ -15,18 +15,17 @@
 	"currantstall/internal/wire"
 )
 
-// fate is what happens to one commit.
-type fate int
-
+// Fates of a commit besides those of platformd.
 const (
-	answered fate = iota
-	answerLost
-	answerLostThenDown
-	neverArrives
-	arrivesLate
-	overtaken // another operator's change is accepted first
+	answerLostThenDown = platformd.FateOther + iota
+	overtaken          // another operator's change is accepted first
 )
 
+var fates = []platformd.Fate{
+	platformd.Answered, platformd.AnswerLost, answerLostThenDown,
+	platformd.NeverArrives, platformd.ArrivesLate, overtaken,
+}
+
 // process is one run of an entry.
 type process struct {
 	name    string
@@ -41,12 +40,11 @@
 
 // world is a platform with faults, some entries and the messages in flight.
 type world struct {
-	*platformd.Store
+	*platformd.Lossy
 	t        *rapid.T
 	down     bool
 	nested   bool
 	cancel   context.CancelFunc
-	late     []platform.Txn
 	procs    []*process
 	flying   []envelope
 	changes  int
@@ -88,30 +86,16 @@
 	if w.nested {
 		return w.Store.Commit(ctx, txn)
 	}
-	switch rapid.SampledFrom([]fate{answered, answerLost, answerLostThenDown, neverArrives, arrivesLate, overtaken}).Draw(w.t, "fate") {
+	fate := rapid.SampledFrom(fates).Draw(w.t, "fate")
+	switch fate {
 	case answerLostThenDown:
 		w.down = true
-		fallthrough
-	case answerLost:
-		_ = w.Store.Commit(ctx, txn)
-		return platform.ErrUnknown
-	case neverArrives:
-		return platform.ErrUnknown
-	case arrivesLate:
-		w.late = append(w.late, txn)
-		return platform.ErrUnknown
+		fate = platformd.AnswerLost
 	case overtaken:
 		w.rival()
+		fate = platformd.Answered
 	}
-	w.deliverLate()
-	return w.Store.Commit(ctx, txn)
-}
-
-func (w *world) deliverLate() {
-	for _, txn := range w.late {
-		_ = w.Store.Commit(context.Background(), txn)
-	}
-	w.late = nil
+	return w.CommitAs(ctx, txn, fate)
 }
 
 // rival has another operator's change accepted in the midst of a call.
@@ -238,7 +222,7 @@
 	case "up":
 		w.down = false
 	case "late":
-		w.deliverLate()
+		w.DeliverLate()
 	case "restart":
 		w.procs[i] = w.start(p.name)
 	}
@@ -281,7 +265,7 @@
 func TestRolloutNeverGoesBackAndLosesNothing(t *testing.T) {
 	ctx := context.Background()
 	rapid.Check(t, func(t *rapid.T) {
-		w := &world{Store: platformd.NewStore(), t: t, accepted: map[uint64]*Manifest{}, refused: map[float64]bool{}}
+		w := &world{Lossy: &platformd.Lossy{Store: platformd.NewStore()}, t: t, accepted: map[uint64]*Manifest{}, refused: map[float64]bool{}}
 		w.SetFaults(platformd.Faults{})
 		for _, name := range []string{"vm-1", "vm-2", "vm-3"} {
 			w.procs = append(w.procs, w.start(name))
@@ -309,7 +293,7 @@
 
 		// With faults over, all hold the table's version.
 		w.down, w.nested = false, true
-		w.deliverLate()
+		w.DeliverLate()
 		table, err := NewStore(w).Load(ctx)
 		assert.NilError(t, err)
 		for v := range w.accepted {
--- a/internal/platform/readback_test.go
+++ b/internal/platform/readback_test.go
@@ -13,53 +13,35 @@
 	"currantstall/internal/standin/platformd"
 )
 
-// fate is what happens to one commit.
-type fate int
-
+// Fates of a commit besides those of platformd.
 const (
-	answered fate = iota
-	answerLost
-	neverArrives
-	arrivesLate // takes effect at a later commit or read
-	refused
+	refused   = platformd.FateOther + iota
 	overtaken // another writer commits first
 )
 
+var fates = []platformd.Fate{
+	platformd.Answered, platformd.AnswerLost, platformd.NeverArrives, platformd.ArrivesLate, refused, overtaken,
+}
+
 // scriptedTable gives each commit the next fate of its script.
 type scriptedTable struct {
-	*platformd.Store
-	script []fate
-	late   []platform.Txn
+	*platformd.Lossy
+	script []platformd.Fate
 }
 
 func (s *scriptedTable) Commit(ctx context.Context, txn platform.Txn) error {
-	f := answered
+	f := platformd.Answered
 	if len(s.script) > 0 {
 		f, s.script = s.script[0], s.script[1:]
 	}
 	switch f {
-	case answerLost:
-		_ = s.Store.Commit(ctx, txn)
-		return platform.ErrUnknown
-	case neverArrives:
-		return platform.ErrUnknown
-	case arrivesLate:
-		s.late = append(s.late, txn)
-		return platform.ErrUnknown
 	case refused:
 		return platform.ErrUnavailable
 	case overtaken:
 		_ = s.Store.Commit(ctx, put(guardKey, "other"))
+		f = platformd.Answered
 	}
-	s.deliverLate()
-	return s.Store.Commit(ctx, txn)
-}
-
-func (s *scriptedTable) deliverLate() {
-	for _, txn := range s.late {
-		_ = s.Store.Commit(context.Background(), txn)
-	}
-	s.late = nil
+	return s.CommitAs(ctx, txn, f)
 }
 
 const (
@@ -75,8 +57,8 @@
 		store := platformd.NewStore()
 		store.SetFaults(platformd.Faults{})
 		assert.NilError(t, store.Commit(context.Background(), put(guardKey, "before")))
-		script := rapid.SliceOfN(rapid.SampledFrom([]fate{answered, answerLost, neverArrives, arrivesLate, refused, overtaken}), 0, 4).Draw(t, "script")
-		table := &scriptedTable{Store: store, script: script}
+		script := rapid.SliceOfN(rapid.SampledFrom(fates), 0, 4).Draw(t, "script")
+		table := &scriptedTable{Lossy: &platformd.Lossy{Store: store}, script: script}
 		txn := platform.Txn{
 			Conditions: []platform.Condition{{Key: guardKey, Version: 1}},
 			Puts:       []platform.Put{{Key: guardKey, Value: []byte("mine")}, {Key: markKey, Value: []byte("mine")}},
@@ -94,7 +76,7 @@
 		defer cancel()
 
 		err := platform.CommitReadBack(ctx, table, txn, settle)
-		table.deliverLate()
+		table.DeliverLate()
 
 		mark, getErr := store.Get(ctx, markKey)
 		took := getErr == nil
