Claims: a stopped runtime allows no start; close the peer listener after it

Cause: read while checking what the entry does with the notion of certain death. Kill closed the peer listener first, and MayStart of a stopped runtime still went by its last lease, so a new run could have proven at the same address that the old one is over while that one could still start.

Measured: go test -race of claims and entry passes.

--- a/internal/claims/call.go
+++ b/internal/claims/call.go
@@ -166,6 +166,9 @@
 func (r *Runtime) MayStart(k key.Key) (time.Time, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.ctx.Err() != nil {
+		return time.Time{}, verdict.New(verdict.NotRun, verdict.LeaseLapsed, "this entry has stopped")
+	}
 	now := r.now()
 	l := r.led
 	var lease time.Time
--- a/internal/claims/runtime_test.go
+++ b/internal/claims/runtime_test.go
@@ -260,6 +260,19 @@
 	waitMembers(t, 3, again, rts[1], rts[2])
 }
 
+func TestStoppedRuntimeAllowsNoStart(t *testing.T) {
+	rts := newNetwork().startThree(t)
+	k := newKey(t)
+	grant(t, rts[0], k)
+
+	rts[0].Stop()
+
+	_, err := rts[0].MayStart(k)
+	assert.Equal(t, reasonOf(err), verdict.LeaseLapsed)
+	_, err = rts[0].Acquire(t.Context(), newKey(t), 1)
+	assert.Equal(t, verdict.Of(err).Verdict, verdict.MayHaveRun)
+}
+
 func TestLeavingKeepsTheAnswers(t *testing.T) {
 	n := newNetwork()
 	rts := n.startThree(t)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -280,11 +280,15 @@
 	p.cancel()
 	if p.callers != nil {
 		_ = p.callers.Close()
-		_ = p.peers.Close()
 	}
 	if p.claims != nil {
 		p.claims.Stop()
 	}
+	if p.peers != nil {
+		// A new run that answers at this address proves to the others that
+		// this one starts nothing any more.
+		_ = p.peers.Close()
+	}
 	if p.engine != nil {
 		p.engine.Close()
 	}
