Tasks at an entry that was removed are settled at once

Cause: what a peer had been handed was settled only when a new run of it linked up. An entry that was killed for good never does, so jobs with a task there waited for their deadline plus its grace. Now a member that leaves the view in force is settled like one that was restarted: its lease has run out, it starts nothing more, and what it had is may_have_run.

--- a/internal/engine/inbox.go
+++ b/internal/engine/inbox.go
@@ -78,6 +78,11 @@
 	e.forwards.lose(name)
 }
 
+// PeerRemoved tells that an entry is no longer in the view in force of this
+// data centre. It starts nothing any more under this one's claims, and its
+// process may be gone for good, so its results are not waited for.
+func (e *Engine) PeerRemoved(name string) { e.losePeer(name) }
+
 // losePeer settles what a lost entry was given.
 func (e *Engine) losePeer(name string) {
 	e.requests.losePeer(name)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -96,6 +96,7 @@
 	peersAt   net.Addr
 	cancel    context.CancelFunc
 	wg        sync.WaitGroup
+	inForce   structs.View // the last one that viewChanged took in
 }
 
 // Start provisions and starts an entry. It returns once the listeners are
--- a/internal/entry/provision.go
+++ b/internal/entry/provision.go
@@ -181,9 +181,16 @@
 
 // viewChanged takes a change of the views. Targets and links follow the newest
 // view: it is what the entries agree on next.
+// viewChanged passes a change of the views on. Calls come one at a time.
 func (p *Process) viewChanged(s claims.Snapshot) {
 	p.dir.setView(s.Newest)
 	p.owner.setView(s.Newest)
+	for _, m := range p.inForce.Members {
+		if !s.InForce.Has(m) && m.Name != p.cfg.Name {
+			p.wg.Go(func() { p.engine.PeerRemoved(m.Name) })
+		}
+	}
+	p.inForce = s.InForce
 }
 
 // keyTTL returns the life of a key.
