Look-ups without a wait get an answer, jobs without one are accepted first

Cause 1: GET /v1/submissions without wait gave the question to the key's home a context that had ended, so that a completed job was reported as home_unreachable at every entry but its own. The wait is now for running work only and the home has a second to answer; with a wait, work that runs at another entry is asked for every 50 ms. Cause 2: POST with wait_ms 0 answered 'running' before the job was claimed. A DELETE right after found nothing at the other entries and the job ran on. The call now waits for the claim, at most a second.

--- a/cmd/currantstall/remote_test.go
+++ b/cmd/currantstall/remote_test.go
@@ -40,7 +40,12 @@
 	return structs.Outcome{Verdict: verdict.Completed, Answers: w.Tasks}
 }
 
-func (f *fakeEntry) Lookup(context.Context, key.Key) (*structs.Outcome, error) {
+func (f *fakeEntry) Submit(ctx context.Context, w *structs.Work, accepted func()) structs.Outcome {
+	accepted()
+	return f.Do(ctx, w)
+}
+
+func (f *fakeEntry) Lookup(context.Context, key.Key, time.Duration) (*structs.Outcome, error) {
 	f.looked++
 	if f.looked == 1 {
 		return nil, nil
--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -25,6 +25,9 @@
 	maxKeysPerCall     = 10_000
 	defaultMaxBody     = 1 << 20 // a task's body, where the manifest sets none
 	maxWait            = 60 * time.Second
+	// acceptTimeout bounds the wait for a job's claim after the caller's own
+	// wait is over.
+	acceptTimeout = time.Second
 )
 
 // Engine is what the service asks of the dispatcher.
@@ -34,9 +37,13 @@
 	// Do runs the work and returns its outcome. It returns early with the
 	// verdict MayHaveRun if ctx ends; claimed work goes on.
 	Do(ctx context.Context, w *structs.Work) structs.Outcome
-	// Lookup returns the outcome of a key, waiting for it until ctx ends. It
-	// returns nil while the work runs.
-	Lookup(ctx context.Context, k key.Key) (*structs.Outcome, error)
+	// Submit is Do, and calls accepted once the work is claimed and queued,
+	// or on its way to the data centre of its key. It does not call it for
+	// work that is refused, nor for a copy of earlier work.
+	Submit(ctx context.Context, w *structs.Work, accepted func()) structs.Outcome
+	// Lookup returns the outcome of a key, waiting up to wait for work that
+	// runs. It returns nil if the work still runs then.
+	Lookup(ctx context.Context, k key.Key, wait time.Duration) (*structs.Outcome, error)
 	// Cancel stops the work of a key as far as it has not started, and
 	// returns its outcome.
 	Cancel(ctx context.Context, k key.Key) (structs.Outcome, error)
--- a/internal/api/submissions.go
+++ b/internal/api/submissions.go
@@ -75,13 +75,16 @@
 }
 
 // runJob runs the job and answers when it is over or when the caller's wait
-// ends, whichever is first. The job does not stop with the call.
+// ends, whichever is first. The job does not stop with the call. "Running" is
+// said of a job that was accepted, so that a cancel that follows finds it; after
+// acceptTimeout it is said without that, too.
 func (s *server) runJob(c echo.Context, w *structs.Work, waitMS *int64, release func()) error {
 	done := make(chan structs.Outcome, 1)
+	accepted := make(chan struct{})
 	ctx := context.WithoutCancel(c.Request().Context())
 	go func() {
 		defer release()
-		done <- s.Engine.Do(ctx, w)
+		done <- s.Engine.Submit(ctx, w, func() { close(accepted) })
 	}()
 	var timeout <-chan time.Time
 	if waitMS != nil {
@@ -93,10 +96,20 @@
 	case o := <-done:
 		return s.writeJob(c, w.Key, &o)
 	case <-timeout:
-		return s.writeJob(c, w.Key, nil)
 	case <-c.Request().Context().Done():
 		return nil
 	}
+	late := time.NewTimer(acceptTimeout)
+	defer late.Stop()
+	select {
+	case o := <-done:
+		return s.writeJob(c, w.Key, &o)
+	case <-accepted:
+	case <-late.C: // a copy of work that runs, or a slow claim
+	case <-c.Request().Context().Done():
+		return nil
+	}
+	return s.writeJob(c, w.Key, nil)
 }
 
 // writeJob sends a job's outcome; nil stands for one that still runs.
@@ -139,9 +152,7 @@
 			return s.writeError(c, k, e)
 		}
 	}
-	ctx, cancel := context.WithTimeout(c.Request().Context(), wait)
-	defer cancel()
-	o, err := s.Engine.Lookup(ctx, k)
+	o, err := s.Engine.Lookup(c.Request().Context(), k, wait)
 	if err != nil {
 		return s.writeError(c, k, err)
 	}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -118,7 +118,13 @@
 
 // Do implements api.Engine.
 func (e *Engine) Do(ctx context.Context, w *structs.Work) structs.Outcome {
+	return e.Submit(ctx, w, func() {})
+}
+
+// Submit implements api.Engine.
+func (e *Engine) Submit(ctx context.Context, w *structs.Work, accepted func()) structs.Outcome {
 	if w.Key.DC != e.DC {
+		accepted()
 		return e.forwards.do(ctx, w)
 	}
 	if !e.flights.enter() {
@@ -139,6 +145,11 @@
 		}
 	}
 	g := e.begin(w, claimed)
+	select {
+	case <-g.done:
+	default:
+		accepted()
+	}
 	late := time.NewTimer(time.Until(w.Deadline))
 	defer late.Stop()
 	select {
@@ -245,14 +256,16 @@
 }
 
 // Lookup implements api.Engine.
-func (e *Engine) Lookup(ctx context.Context, k key.Key) (*structs.Outcome, error) {
+func (e *Engine) Lookup(ctx context.Context, k key.Key, wait time.Duration) (*structs.Outcome, error) {
 	if k.DC != e.DC {
-		return e.forwards.lookup(ctx, k)
+		return e.forwards.lookup(ctx, k, wait)
 	}
 	g := e.tracked(k)
 	if g == nil {
-		return e.Claims.Outcome(ctx, k)
+		return e.lookupElsewhere(ctx, k, wait)
 	}
+	ctx, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
 	select {
 	case <-g.done:
 		return &g.outcome, nil
@@ -261,6 +274,29 @@
 	}
 }
 
+// lookupElsewhere asks the key's home until the work is over or the wait is.
+// The home gets the time to answer even without a wait.
+func (e *Engine) lookupElsewhere(ctx context.Context, k key.Key, wait time.Duration) (*structs.Outcome, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+lookupTimeout)
+	defer cancel()
+	until := time.Now().Add(wait)
+	for {
+		o, err := e.Claims.Outcome(ctx, k)
+		if o != nil || err != nil {
+			return o, err
+		}
+		left := time.Until(until)
+		if left <= 0 {
+			return nil, nil
+		}
+		select {
+		case <-time.After(min(left, lookupEvery)):
+		case <-ctx.Done():
+			return nil, nil
+		}
+	}
+}
+
 // Cancel implements api.Engine. The answer waits until every task of the work
 // is known to be over or to have never started.
 func (e *Engine) Cancel(ctx context.Context, k key.Key) (structs.Outcome, error) {
--- a/internal/engine/forward.go
+++ b/internal/engine/forward.go
@@ -14,6 +14,10 @@
 )
 
 const (
+	// lookupTimeout bounds the question to a key's home, without the wait
+	// for work that runs, and lookupEvery is the time between two of them.
+	lookupTimeout = time.Second
+	lookupEvery   = 50 * time.Millisecond
 	// refuseTimeout bounds the question to a key's home before a refusal.
 	refuseTimeout = 300 * time.Millisecond
 	// forwardRetry is the wait before another member is tried.
@@ -66,11 +70,13 @@
 }
 
 // lookup asks for the outcome of a key; nil means that it still runs.
-func (f *forwards) lookup(ctx context.Context, k key.Key) (*structs.Outcome, error) {
+func (f *forwards) lookup(ctx context.Context, k key.Key, wait time.Duration) (*structs.Outcome, error) {
 	if err := f.checkDC(k); err != nil {
 		return nil, err
 	}
-	o, err := f.ask(ctx, &forward{Op: opLookup, Key: k, Remaining: remaining(ctx)})
+	ctx, cancel := context.WithTimeout(ctx, wait+2*lookupTimeout)
+	defer cancel()
+	o, err := f.ask(ctx, &forward{Op: opLookup, Key: k, Remaining: wait + lookupTimeout})
 	if err != nil {
 		return nil, err
 	}
@@ -256,7 +262,7 @@
 	case opClaimExternal:
 		return outcomePtr(f.e.ClaimExternal(ctx, q.Key))
 	case opLookup:
-		o, err := f.e.Lookup(ctx, q.Key)
+		o, err := f.e.Lookup(ctx, q.Key, q.Remaining-lookupTimeout)
 		if err != nil {
 			return outcomePtr(err)
 		}
