Tests of jobs with real processes

Proxies have a loopback address for each deployment and try again to bind, as a child process between fork and exec holds their port for a moment when tests run at the same time.

--- a/internal/integration/fleet_test.go
+++ b/internal/integration/fleet_test.go
@@ -12,6 +12,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -60,9 +61,13 @@
 	return m.Run()
 }
 
+// fleets counts the deployments so far.
+var fleets atomic.Uint32
+
 // fleet is a deployment under test.
 type fleet struct {
 	t        *testing.T
+	host     string // of the proxies
 	platform *platformd.Server
 	store    *toxiproxy.Proxy // between entries and platform
 	list     *platform.Client
@@ -111,6 +116,7 @@
 	p.Store.SetFaults(faults)
 	f := &fleet{
 		t:        t,
+		host:     fmt.Sprintf("127.0.1.%d", fleets.Add(1)),
 		platform: p,
 		toxics:   toxiproxy.NewServer(toxiproxy.NewMetricsContainer(nil), zerolog.Nop()),
 		entries:  make(map[string]*process),
@@ -129,9 +135,12 @@
 	return f.entries[name]
 }
 
+// newProxy starts a proxy on the fleet's own loopback address: a proxy binds
+// its port again when it is changed or healed, and no one else may have taken
+// the port by then.
 func (f *fleet) newProxy(name, upstream string) *toxiproxy.Proxy {
 	f.t.Helper()
-	p := toxiproxy.NewProxy(f.toxics, name, "127.0.0.1:0", upstream)
+	p := toxiproxy.NewProxy(f.toxics, name, f.host+":0", upstream)
 	assert.NilError(f.t, p.Start())
 	f.t.Cleanup(p.Stop)
 	return p
@@ -154,19 +163,27 @@
 // startTargets starts runners and workers in a data centre.
 func (f *fleet) startTargets(dc string, runners, workers int) {
 	f.t.Helper()
-	start := func(new func(taskserver.Config) (*taskserver.Server, error), name string) {
-		s, err := new(taskserver.Config{VM: platform.VM{Name: name, DC: dc, Rack: name}, List: f.list, Seed: uint64(len(f.targets))})
-		assert.NilError(f.t, err)
-		f.targets = append(f.targets, s)
+	for range runners {
+		f.startTarget(runner.New, dc, taskserver.Config{List: f.list})
 	}
-	for i := range runners {
-		start(runner.New, fmt.Sprintf("%s-runner-%d", dc, i))
-	}
-	for i := range workers {
-		start(worker.New, fmt.Sprintf("%s-worker-%d", dc, i))
+	for range workers {
+		f.startTarget(worker.New, dc, taskserver.Config{List: f.list})
 	}
 }
 
+// startTarget starts one target. Its name and rack are filled in.
+func (f *fleet) startTarget(start func(taskserver.Config) (*taskserver.Server, error), dc string, cfg taskserver.Config) *taskserver.Server {
+	f.t.Helper()
+	cfg.VM.Name = fmt.Sprintf("%s-target-%d", dc, len(f.targets))
+	cfg.VM.Rack = cfg.VM.Name
+	cfg.VM.DC = dc
+	cfg.Seed = uint64(len(f.targets))
+	s, err := start(cfg)
+	assert.NilError(f.t, err)
+	f.targets = append(f.targets, s)
+	return s
+}
+
 // startEntry starts an entry process. A name that was started before is
 // started again behind the same proxy.
 func (f *fleet) startEntry(name, dc string, flags ...string) *process {
@@ -205,7 +222,7 @@
 	select {
 	case addrs := <-started:
 		p.addr = addrs[0]
-		assert.NilError(f.t, p.proxy.Update(&toxiproxy.Proxy{Listen: p.proxy.Listen, Upstream: addrs[1], Enabled: true}))
+		f.forward(p.proxy, addrs[1])
 	case <-p.ended:
 		f.t.Fatalf("entry %s did not start:\n%s", name, p.log)
 	case <-time.After(waitLong):
@@ -214,6 +231,16 @@
 	return p
 }
 
+// forward points a proxy to a process. The proxy binds its port again, which a
+// child process of a test that runs at the same time may still hold for the
+// moment between its fork and its exec.
+func (f *fleet) forward(p *toxiproxy.Proxy, upstream string) {
+	f.t.Helper()
+	f.eventually("proxy "+p.Name, func() error {
+		return p.Update(&toxiproxy.Proxy{Listen: p.Listen, Upstream: upstream, Enabled: true})
+	})
+}
+
 func (p *process) readLog(r io.Reader) {
 	lines := bufio.NewScanner(r)
 	for lines.Scan() {
@@ -329,15 +356,40 @@
 	}
 }
 
-// linked returns nil if an entry has n links.
-func (f *fleet) linked(name string, n int) error {
+// status returns what an entry says of itself.
+func (f *fleet) status(name string) (*api.Status, error) {
 	resp, err := http.Get(f.entry(name).url("/v1/status"))
 	if err != nil {
-		return err
+		return nil, err
 	}
 	defer func() { _ = resp.Body.Close() }()
 	var s api.Status
-	if err := json.NewDecoder(resp.Body).Decode(&s); err != nil {
+	return &s, json.NewDecoder(resp.Body).Decode(&s)
+}
+
+// awaitTargets waits until the entries own n targets between them.
+func (f *fleet) awaitTargets(n int, names ...string) {
+	f.t.Helper()
+	f.eventually("targets known", func() error {
+		owned := 0
+		for _, name := range names {
+			s, err := f.status(name)
+			if err != nil {
+				return err
+			}
+			owned += s.Targets.Owned
+		}
+		if owned != n {
+			return fmt.Errorf("%d targets are owned, want %d", owned, n)
+		}
+		return nil
+	})
+}
+
+// linked returns nil if an entry has n links.
+func (f *fleet) linked(name string, n int) error {
+	s, err := f.status(name)
+	if err != nil {
 		return err
 	}
 	if len(s.Links) != n {
