A task that finds no second target goes back to the queue

Cause: pick gave an excluded target's place back before it asked for the next one, so a dead or silent target, which looks idle, was chosen four times over and the task was refused although others had room. An entry all of whose targets had failed the task refused it at once, too. Excluded places are now held while others are tried, and a task that provably did not run, or may run twice, is queued again up to three times without a second charge to its team's quota. One that may have run before is never told not_run. The retry budget was not the cause: it withheld nothing.

--- a/internal/admission/offer.go
+++ b/internal/admission/offer.go
@@ -42,7 +42,7 @@
 	if err := q.check(now, k, u, wait, len(units)); err != nil {
 		return err
 	}
-	if !u.Handed {
+	if !u.Handed && !u.Charged {
 		if delay, ok := t.take(now, len(units)); !ok {
 			return refuse(verdict.QuotaExceeded, "the team is above its rate", delay)
 		}
--- a/internal/engine/attempt.go
+++ b/internal/engine/attempt.go
@@ -50,8 +50,11 @@
 	silentFactor = 2
 	// minSilent is the least time before a look-up.
 	minSilent = 250 * time.Millisecond
-	// maxPicks bounds the targets tried for a place that is not excluded.
-	maxPicks = 4
+	// maxPicks bounds the places tried for one that is not excluded.
+	maxPicks = 16
+	// maxRequeues bounds how often a task without another own target goes
+	// back to the queue.
+	maxRequeues = 3
 )
 
 // dispatchPlace turns an accounted place into the dispatcher's.
@@ -67,6 +70,8 @@
 }
 
 // pick accounts another place for a unit, at a target that is not excluded.
+// Excluded places are held meanwhile, so that they don't look the least loaded
+// again and again.
 func (s *scheduler) pick(u *unit, exclude []string) (dispatch.Place, bool) {
 	now := time.Now()
 	s.mu.Lock()
@@ -74,12 +79,41 @@
 	for range maxPicks {
 		at, ok := s.pool.take(now, u)
 		if !ok {
-			return dispatch.Place{}, false
+			break
 		}
 		if !slices.Contains(exclude, at.addr) {
 			return s.dispatchPlace(u, at), true
 		}
-		s.pool.release(now, u, at)
+		defer s.pool.release(now, u, at)
 	}
+	u.stranded = true
 	return dispatch.Place{}, false
 }
+
+// requeue queues a task again that found no second target here and that
+// provably did not run or may run twice. By then the targets that failed it
+// are known for it, or a peer has room. It reports false if the error stands.
+func (s *scheduler) requeue(u *unit, err *verdict.Error) bool {
+	if err == nil || (err.Verdict != verdict.NotRun && !u.Repeatable) {
+		return false
+	}
+	s.mu.Lock()
+	if !u.stranded || u.requeues == maxRequeues || u.from != "" || u.ctx.Err() != nil {
+		s.mu.Unlock()
+		return false
+	}
+	u.stranded = false
+	u.requeues++
+	if err.Verdict != verdict.NotRun {
+		u.remember(err)
+	}
+	refused := s.offer([]*unit{u})
+	s.mu.Unlock()
+	if refused != nil {
+		return false
+	}
+	if u.ctx.Err() != nil {
+		s.stop([]*unit{u})
+	}
+	return true
+}
--- a/internal/engine/scheduler.go
+++ b/internal/engine/scheduler.go
@@ -149,7 +149,9 @@
 	s.pool.observe(u.Kind, answer.Used)
 	delete(s.units, u.ID)
 	s.mu.Unlock()
-	u.finish(result{answer: answer.Body, err: err})
+	if !s.requeue(u, err) {
+		u.finish(result{answer: answer.Body, err: err})
+	}
 	s.kick()
 }
 
--- a/internal/engine/unit.go
+++ b/internal/engine/unit.go
@@ -26,6 +26,21 @@
 	spread  *placement.Spread // of the job's tasks over racks, or nil
 	place   place
 	began   time.Time
+	// stranded means that the last attempt found no second target.
+	stranded bool
+	requeues int
+}
+
+// remember keeps an attempt that may have run: a later end that says not_run
+// is then none of the task.
+func (u *unit) remember(err *verdict.Error) {
+	finish := u.finish
+	u.finish = func(r result) {
+		if r.err != nil && r.err.Verdict == verdict.NotRun {
+			r.err = err
+		}
+		finish(r)
+	}
 }
 
 // admission returns the unit as the queue sees it.
@@ -39,6 +54,7 @@
 		JobSize:  u.JobSize,
 		Deadline: u.deadline,
 		Handed:   u.from != "",
+		Charged:  u.requeues > 0,
 	}
 }
 
