--- a/internal/integration/fleet_test.go
+++ b/internal/integration/fleet_test.go
@@ -367,7 +367,8 @@
 	return &s, json.NewDecoder(resp.Body).Decode(&s)
 }
 
-// awaitTargets waits until the entries own n targets between them.
+// awaitTargets waits until the entries of a data centre all know its n targets
+// and own them between them.
 func (f *fleet) awaitTargets(n int, names ...string) {
 	f.t.Helper()
 	f.eventually("targets known", func() error {
@@ -378,6 +379,9 @@
 				return err
 			}
 			owned += s.Targets.Owned
+			if s.Targets.Known != n {
+				return fmt.Errorf("%s knows %d targets, want %d", name, s.Targets.Known, n)
+			}
 		}
 		if owned != n {
 			return fmt.Errorf("%d targets are owned, want %d", owned, n)
--- a/internal/integration/jobs_test.go
+++ b/internal/integration/jobs_test.go
@@ -145,7 +145,8 @@
 	f.startEntry("i1", "island")
 	f.apply(f.entries["c1"])
 	f.awaitReady("c1", "c2", "i1")
-	f.awaitTargets(4, "c1", "c2", "i1")
+	f.awaitTargets(2, "c1", "c2")
+	f.awaitTargets(2, "i1")
 	f.eventually("links", func() error { return f.linked("i1", 2) })
 	var jobs []job
 	for _, n := range []int{1, 50, structs.MaxTasks} {
@@ -255,9 +256,7 @@
 	t.Parallel()
 	f := workers(t, 2)
 	j := job{body: jobBody(mint("coast"), 50, 50*time.Millisecond)}
-	var err error
-	j.reply, err = f.submitJob("e1", j.body)
-	assert.NilError(t, err)
+	f.resubmit(&j, "e1") // until e1 has heard of its peers' room
 	assert.Equal(t, j.reply.Verdict, verdict.Completed, "%s", j.reply)
 
 	for _, entry := range []string{"e1", "e2", "e3"} {
@@ -271,6 +270,7 @@
 	}
 
 	other := job{body: jobBody(j.body.Key, 49, 50*time.Millisecond)}
+	var err error
 	other.reply, err = f.submitJob("e2", other.body)
 	assert.NilError(t, err)
 	assert.Equal(t, other.reply.Reason, verdict.KeyConflict)
