Dispatch: hold the place of a task that runs on past its deadline

Cause: work that may not be repeated is left to run when its time here ends, but its place was given back at once, so that the next task was sent to a slot that was taken. The place is now held until a look-up says that the task is over, the target is lost, or a minute has passed. Before: TestAPlaceIsHeldWhileItsTaskRunsOn found 1 task running when the place was given back.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -25,6 +25,9 @@
 	instance string // run of the target that the start is meant for, if leased
 	sent     time.Time
 
+	// runsOn means that the task was left to run at its target.
+	runsOn bool
+
 	mu    sync.Mutex
 	found *ending // what a look-up found out while the attempt ran
 }
@@ -39,13 +42,18 @@
 	return &attempt{d: d, task: t, place: p}
 }
 
-// carryOut sends the task, waits for its end and gives the place back.
+// carryOut sends the task, waits for its end and gives the place back. Of a
+// task that runs on past its end here, the place is held until it is over.
 func (a *attempt) carryOut(ctx context.Context) (target.Answer, *verdict.Error) {
 	end := a.send(ctx)
 	if a.undecided(end) {
 		end = a.resolve(ctx, end)
 	}
-	a.place.Release()
+	if a.runsOn {
+		a.d.wg.Go(a.releaseLater)
+	} else {
+		a.place.Release()
+	}
 	return end.answer, end.err
 }
 
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -53,7 +53,7 @@
 type Place struct {
 	Addr string
 	// Release gives the room back. It is called once, when the task is over
-	// at the target or was given up.
+	// at the target or was given up; that may be after Do has returned.
 	Release func()
 }
 
@@ -97,7 +97,9 @@
 	cfg    Config
 	pause  *backoff
 	settle *backoff
-	wg     sync.WaitGroup // stops and look-ups that outlive their task
+	wg     sync.WaitGroup  // stops and look-ups that outlive their task
+	ctx    context.Context // ends with Close
+	stop   context.CancelFunc
 }
 
 // New returns a dispatcher.
@@ -117,16 +119,21 @@
 	if cfg.Observe == nil {
 		cfg.Observe = func(string, target.Evidence, time.Duration, string) {}
 	}
-	return &Dispatcher{
+	d := &Dispatcher{
 		cfg:    cfg,
 		pause:  newBackoff(retryBase, retryLimit, cfg.Seed),
 		settle: newBackoff(settleBase, settleLimit, cfg.Seed+1),
 	}
+	d.ctx, d.stop = context.WithCancel(context.Background())
+	return d
 }
 
 // Close waits for what still runs on behalf of ended tasks, which is bounded in
-// time.
-func (d *Dispatcher) Close() { d.wg.Wait() }
+// time. Places that are still held are given back.
+func (d *Dispatcher) Close() {
+	d.stop()
+	d.wg.Wait()
+}
 
 // Do carries a task out and returns its whole answer. The error is a
 // *verdict.Error about the task as a whole, all attempts counted. When ctx ends
--- a/internal/dispatch/lookup.go
+++ b/internal/dispatch/lookup.go
@@ -27,6 +27,9 @@
 	// proofFor is how long after a start a fence counts as a proof: a target
 	// forgets an ended task after target.RecordRetention.
 	proofFor = target.RecordRetention / 2
+	// holdLimit bounds how long the place of a task that runs on past its
+	// deadline is held.
+	holdLimit = time.Minute
 	// endGrace bounds the work on an attempt whose context has ended.
 	endGrace = time.Second
 )
@@ -56,12 +59,22 @@
 		defer cancel()
 	}
 	found, ok := a.lookUp(ctx, q)
+	a.runsOn = !ok && q.once && q.ask != target.AskStop
 	if !ok || (found.err != nil && found.err.Verdict == verdict.MayHaveRun) {
 		return end
 	}
 	return found
 }
 
+// releaseLater gives the place back once a look-up says that the task is over,
+// the target is lost, or holdLimit has passed.
+func (a *attempt) releaseLater() {
+	defer a.place.Release()
+	ctx, cancel := context.WithTimeout(a.d.ctx, holdLimit)
+	defer cancel()
+	a.lookUp(ctx, query{ask: target.AskState, why: verdict.Timeout})
+}
+
 // mustStop reports whether a running task is to be stopped: always after a
 // cancel, and at the deadline only if the work may be repeated. Other work is
 // left to run, as a resubmission may still want its answer.
