--- a/internal/measure/cluster.go
+++ b/internal/measure/cluster.go
@@ -12,6 +12,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"syscall"
@@ -318,6 +319,14 @@
 	}
 }
 
+// killAll ends entries and targets at once.
+func (c *cluster) killAll() {
+	for _, p := range append(slices.Clone(c.entries), c.targets...) {
+		_ = p.cmd.Process.Kill()
+		<-p.done
+	}
+}
+
 // stop ends everything.
 func (c *cluster) stop() {
 	stopAll(c.entries)
--- a/internal/measure/kill.go
+++ b/internal/measure/kill.go
@@ -28,6 +28,7 @@
 	var times []time.Duration
 	for range killRuns {
 		err := withEntries(ctx, binary, dir, 3, func(m *measurement) error {
+			defer m.killAll() // a planned stop would take long for no figure
 			took, err := m.killOne(ctx)
 			times = append(times, took)
 			return err
--- a/internal/measure/slopes.go
+++ b/internal/measure/slopes.go
@@ -35,8 +35,11 @@
 var loadRates = []float64{200, 400, 800}
 
 // slopes measures what an entry costs by the number of entries, of targets and
-// of requests.
+// of requests, and what its kill costs.
 func slopes(ctx context.Context, binary, dir string) error {
+	if err := kills(ctx, binary, dir); err != nil {
+		return err
+	}
 	for _, n := range entryCounts {
 		if err := withEntries(ctx, binary, dir, n, func(m *measurement) error {
 			return m.sample(ctx, fmt.Sprintf("idle_%d_entries", n))
@@ -49,10 +52,7 @@
 			return err
 		}
 	}
-	if err := withEntries(ctx, binary, dir, 4, func(m *measurement) error { return m.slopeLoad(ctx) }); err != nil {
-		return err
-	}
-	return kills(ctx, binary, dir)
+	return withEntries(ctx, binary, dir, 4, func(m *measurement) error { return m.slopeLoad(ctx) })
 }
 
 // withEntries runs f on a data centre of n entries without targets.
