Lease of 1.5 s by default

Cause: after a kill an entry's share of the keys is refused for the detection and the lease. A lease is renewed by heartbeats each 250 ms, so a shorter one costs no message. The test of the defaults names the new value.

--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -27,7 +27,7 @@
 func TestDefaultsAreValid(t *testing.T) {
 	e, err := parse(t, goodArgs)
 	assert.NilError(t, err)
-	assert.Equal(t, e.Lease, 3*time.Second)
+	assert.Equal(t, e.Lease, 1500*time.Millisecond)
 	assert.Equal(t, e.BodyBytes(), int64(256<<20))
 	assert.Equal(t, e.AdmissionPolicy(), admission.Shares)
 }
