Engine: the interval of load messages grows with the links

Cause: the slopes give 638 bytes a second a link at an idle entry with 13 links, so 27 links would take all of the 17 KB a second that control may cost. Figures: before, 8,294 bytes a second with 13 links; the interval goes from 250 to 520 ms there and to 750 ms from 19 links on. A stopping entry tells its peers at the next beat, so that only one goroutine sends loads.

--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -88,6 +88,7 @@
 	remotes  *remotes
 	outbox   *outbox
 	results  *results
+	links    int // entries that the last load went to
 	answers  *dispatch.Memory
 
 	mu     sync.Mutex
@@ -343,10 +344,10 @@
 	return structs.OutcomeOf(e.Refuse(ctx, w.Key, err))
 }
 
-// Drain takes no new work and waits until what runs is over, or ctx ends.
+// Drain takes no new work and waits until what runs is over, or ctx ends. The
+// next beat of Run tells the peers that there is no room here any more.
 func (e *Engine) Drain(ctx context.Context) error {
 	e.flights.close()
-	e.tell(time.Now())
 	return e.flights.wait(ctx)
 }
 
--- a/internal/engine/load.go
+++ b/internal/engine/load.go
@@ -9,8 +9,12 @@
 )
 
 const (
-	// tellEvery is the interval of load messages while nothing changes.
-	tellEvery = 250 * time.Millisecond
+	// The interval of load messages while nothing changes grows with the
+	// number of links, so that an entry's cost does not grow as fast as that.
+	// It stays below the age at which a load says nothing any more.
+	minTellEvery  = 250 * time.Millisecond
+	maxTellEvery  = 750 * time.Millisecond
+	tellEveryLink = 40 * time.Millisecond
 	// maxTrip stands for the way to a peer whose round trip is not known.
 	maxTrip = 10 * time.Millisecond
 )
@@ -143,11 +147,12 @@
 }
 
 // tell sends this entry's load to the others, as far as it changed or is old.
-// The classes share a frame.
+// The classes share a frame. Calls come one at a time.
 func (e *Engine) tell(now time.Time) {
+	every := min(max(time.Duration(e.links)*tellEveryLink, minTellEvery), maxTellEvery)
 	var msgs []wire.Message
 	for _, s := range []*scheduler{e.requests, e.jobs} {
-		l, due := s.news(now)
+		l, due := s.news(now, every)
 		if !due {
 			continue
 		}
@@ -159,12 +164,13 @@
 		msgs = append(msgs, m)
 	}
 	if len(msgs) > 0 {
-		e.Links.Broadcast(msgs...)
+		e.links = e.Links.Broadcast(msgs...)
 	}
 }
 
-// news returns the load of the class, and whether the others should be told.
-func (s *scheduler) news(now time.Time) (l load, due bool) {
+// news returns the load of the class, and whether the others should be told: it
+// changed, or the last one is older than every.
+func (s *scheduler) news(now time.Time, every time.Duration) (l load, due bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	stats := s.queue.Stats()
@@ -176,7 +182,7 @@
 	if s.e.flights.draining() {
 		l.Kinds = nil // no room any more
 	}
-	if now.Sub(s.told.at) < tellEvery && !matters(s.told.kinds, l.Kinds) {
+	if now.Sub(s.told.at) < every && !matters(s.told.kinds, l.Kinds) {
 		return l, false
 	}
 	s.told = toldLoad{at: now, kinds: l.Kinds}
