Engine: results of one class or run can no longer be taken for another's

Cause: each scheduler and the forwarding numbered its work from 1, while results from a peer carry the number alone and were offered to both schedulers. A task's result could end a request handed to the same peer, and after a restart a result of the earlier run one of the new run: one caller got another's answer. Found by reading.

--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"flag"
 	"fmt"
 	"log/slog"
 	"sync"
@@ -29,6 +30,12 @@
 )
 
 func TestMain(m *testing.M) {
+	flag.Parse()
+	for name, value := range map[string]string{"rapid.checks": "1000", "rapid.seed": "3", "rapid.nofailfile": "true"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
 	goleak.VerifyTestMain(m)
 }
 
--- a/internal/engine/forward.go
+++ b/internal/engine/forward.go
@@ -47,7 +47,7 @@
 }
 
 func newForwards(e *Engine) *forwards {
-	return &forwards{e: e, wait: make(map[uint64]*forwardCall)}
+	return &forwards{e: e, wait: make(map[uint64]*forwardCall), next: firstID(e.Self.Incarnation, idSeries)}
 }
 
 // do hands work to a member of its key's data centre. A member that is lost
--- a/internal/engine/scheduler.go
+++ b/internal/engine/scheduler.go
@@ -40,6 +40,7 @@
 		units:  make(map[uint64]*unit),
 		handed: make(map[uint64]*unit),
 		peers:  make(map[string]*peerState),
+		next:   firstID(e.Self.Incarnation, uint64(class)),
 	}
 }
 
