--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -61,6 +61,8 @@
 	assert.Equal(t, r.Completed+refused+noAnswer, r.Sent)
 	assert.Equal(t, r.Completed, r.Sent/3)
 	assert.Equal(t, r.OnTime, r.Completed)
+	assert.Equal(t, r.AllSent, r.Sent)
+	assert.Equal(t, r.AllTasks, r.Completed)
 
 	calls.Store(0)
 	cfg.Streams = []Stream{stream(structs.Job, 5)}
--- a/internal/load/report.go
+++ b/internal/load/report.go
@@ -39,8 +39,12 @@
 	OnTime    int
 	// Useful is the run time of all tasks of the calls that ended within the
 	// counted time, whenever they were sent, and were on time.
-	Useful  time.Duration
-	Refused map[Refusal]int
+	Useful time.Duration
+	// AllSent and AllTasks count the calls and the tasks of completed calls
+	// of the whole run, the warm-up included.
+	AllSent  int
+	AllTasks int
+	Refused  map[Refusal]int
 	// Latency of completed calls from the intended time, µs.
 	Latency *hdrhistogram.Histogram
 	// Ratio of that latency to the run time of the longest task, in
@@ -97,6 +101,16 @@
 	}
 }
 
+// noteAny counts a call of the whole run.
+func (r *recorder) noteAny(c *call, a answerBody, err error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.AllSent++
+	if err == nil && a.Verdict == verdict.Completed {
+		r.AllTasks += len(c.tasks)
+	}
+}
+
 // noteUseful counts the work of a call that ended within the counted time.
 func (r *recorder) noteUseful(c *call, end time.Time, a answerBody, err error) {
 	if err != nil || a.Verdict != verdict.Completed || end.Sub(c.at) > c.stream.Deadline {
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -100,6 +100,7 @@
 		sent := time.Now()
 		a, err := r.send(ctx, c)
 		end := time.Now()
+		rec.noteAny(c, a, err)
 		if counted {
 			rec.note(c, sent, end, a, err)
 		}
--- a/internal/measure/scenario.go
+++ b/internal/measure/scenario.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"os"
 	"slices"
 	"strings"
@@ -11,7 +12,6 @@
 	"currantstall/internal/load"
 	"currantstall/internal/platform"
 	"currantstall/internal/structs"
-	"currantstall/internal/verdict"
 )
 
 const (
@@ -229,6 +229,7 @@
 	peer       float64 // between entries, for work
 	background float64 // between entries, besides
 	starts     int     // at targets
+	byType     map[string]float64
 }
 
 // messages reads the counters. A message type that is not known as background
@@ -239,15 +240,17 @@
 	if err != nil {
 		return n, err
 	}
+	n.byType = make(map[string]float64)
 	for name, v := range sums {
 		if !strings.HasPrefix(name, "currantstall_peer_messages_out{") {
 			continue
 		}
 		if isBackground(name) {
 			n.background += v
-		} else {
-			n.peer += v
+			continue
 		}
+		n.peer += v
+		n.byType[typeOf(name)] += v
 	}
 	for _, role := range []platform.Role{platform.RoleRunner, platform.RoleWorker} {
 		starts, _, err := m.starts(ctx, role)
@@ -259,6 +262,13 @@
 	return n, nil
 }
 
+// typeOf returns the value of a counter's only label.
+func typeOf(name string) string {
+	_, rest, _ := strings.Cut(name, `"`)
+	typ, _, _ := strings.Cut(rest, `"`)
+	return typ
+}
+
 func isBackground(name string) bool {
 	for _, t := range []string{"hello", "ping", "pong", "ack", "membership", "load", "manifest"} {
 		if strings.Contains(name, `type="`+t) {
@@ -276,21 +286,21 @@
 	if err != nil {
 		return err
 	}
-	answered, tasks := 0, 0
+	// The counters include the warm-up, so they are compared with all calls.
+	calls, tasks := 0, 0
 	for i := range results {
-		r := &results[i]
-		answered += r.Sent
-		tasks += r.Completed * r.Stream.Tasks
-		tasks += r.Refused[load.Refusal{Verdict: verdict.Failed, Reason: verdict.TaskFailed}]
-	}
-	// The counters include the warm-up, so they are compared with all work.
-	scale := float64(window) / float64(window+warmUp)
-	n := float64(max(1, answered))
-	starts := scale * float64(after.starts-before.starts)
-	figure(scale*(after.peer-before.peer)/n, "messages", "peer_messages_per_request_%s", name)
-	figure(scale*(after.background-before.background)/n, "messages", "background_messages_per_request_%s", name)
-	extra := max(0, starts-float64(tasks))
-	figure((scale*(after.peer-before.peer)+2*extra)/n, "messages", "wasted_messages_per_request_%s", name)
+		calls += results[i].AllSent
+		tasks += results[i].AllTasks
+	}
+	n := float64(max(1, calls))
+	peer := after.peer - before.peer
+	figure(peer/n, "messages", "peer_messages_per_request_%s", name)
+	figure((after.background-before.background)/n, "messages", "background_messages_per_request_%s", name)
+	for _, typ := range slices.Sorted(maps.Keys(after.byType)) {
+		figure((after.byType[typ]-before.byType[typ])/n, "messages", "peer_messages_%s_per_request_%s", typ, name)
+	}
+	extra := max(0, after.starts-before.starts-tasks)
+	figure((peer+2*float64(extra))/n, "messages", "wasted_messages_per_request_%s", name)
 	return nil
 }
 
