--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"flag"
 	"fmt"
 	"log/slog"
 	"sync"
@@ -20,6 +19,7 @@
 	"currantstall/internal/manifest"
 	"currantstall/internal/metrics"
 	"currantstall/internal/platform"
+	"currantstall/internal/rapidtest"
 	"currantstall/internal/standin/runner"
 	"currantstall/internal/standin/taskserver"
 	"currantstall/internal/standin/worker"
@@ -30,12 +30,7 @@
 )
 
 func TestMain(m *testing.M) {
-	flag.Parse()
-	for name, value := range map[string]string{"rapid.checks": "1000", "rapid.seed": "3", "rapid.nofailfile": "true"} {
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
-		}
-	}
+	rapidtest.Fix(3, 1000)
 	goleak.VerifyTestMain(m)
 }
 
