--- a/internal/api/decode.go
+++ b/internal/api/decode.go
@@ -1,7 +1,6 @@
 package api
 
 import (
-	"bytes"
 	"encoding/json"
 	"errors"
 	"io"
@@ -10,6 +9,7 @@
 	"github.com/labstack/echo/v4"
 
 	"currantstall/internal/key"
+	"currantstall/internal/strictjson"
 	"currantstall/internal/verdict"
 )
 
@@ -45,14 +45,9 @@
 // decodeStrict reads one JSON value into v. Unknown fields, wrong types and
 // trailing bytes are errors.
 func decodeStrict(body []byte, v any) error {
-	d := json.NewDecoder(bytes.NewReader(body))
-	d.DisallowUnknownFields()
-	if err := d.Decode(v); err != nil {
+	if err := strictjson.Decode(body, v); err != nil {
 		return verdict.New(verdict.NotRun, verdict.BadRequest, "body is not valid: %w", err)
 	}
-	if _, err := d.Token(); !errors.Is(err, io.EOF) {
-		return verdict.New(verdict.NotRun, verdict.BadRequest, "body holds more than one JSON value")
-	}
 	return nil
 }
 
--- a/internal/manifest/decode.go
+++ b/internal/manifest/decode.go
@@ -2,12 +2,12 @@
 
 import (
 	"bytes"
-	"encoding/json"
 	"errors"
 	"io"
 
 	"github.com/goccy/go-yaml"
 
+	"currantstall/internal/strictjson"
 	"currantstall/internal/verdict"
 )
 
@@ -62,14 +62,4 @@
 	return nil
 }
 
-func decodeJSON(text []byte, m *Manifest) error {
-	dec := json.NewDecoder(bytes.NewReader(text))
-	dec.DisallowUnknownFields()
-	if err := dec.Decode(m); err != nil {
-		return err
-	}
-	if _, err := dec.Token(); !errors.Is(err, io.EOF) {
-		return errors.New("text holds more than one JSON value")
-	}
-	return nil
-}
+func decodeJSON(text []byte, m *Manifest) error { return strictjson.Decode(text, m) }
--- /dev/null
+++ b/internal/manifest/fuzz_test.go
@@ -0,0 +1,29 @@
+package manifest
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"currantstall/examples"
+)
+
+// FuzzDecode checks that a manifest that is accepted has one canonical form:
+// what EncodeYAML writes of it decodes to the same.
+func FuzzDecode(f *testing.F) {
+	for _, s := range []string{goodYAML, string(examples.Kelpfire), string(examples.Office), `{"kinds": []} {}`, `{"kinds":[{"name":"a"}]}`, "kinds: [{}]", "---\n", ""} {
+		f.Add([]byte(s))
+	}
+	f.Fuzz(func(t *testing.T, text []byte) {
+		m, err := Decode(text)
+		if err != nil {
+			return
+		}
+		out, err := m.EncodeYAML()
+		assert.NilError(t, err)
+		again, err := Decode(out)
+		assert.NilError(t, err, "%s", out)
+		again.Version = m.Version
+		assert.DeepEqual(t, again, m)
+	})
+}
