--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -21,7 +21,7 @@
 
 // Bounds of the settings.
 const (
-	minLease = 500 * time.Millisecond
+	minLease = time.Second
 	maxLease = time.Minute
 	mib      = 1 << 20 // bytes
 )
@@ -40,7 +40,7 @@
 	PeerSecretFile string `placeholder:"PATH" help:"File that holds the secret; white space at its ends does not count."`
 
 	WritesPerSecond float64       `default:"21" help:"Budget of this entry for writes to the platform, in writes a second: the deployment's budget (150 by default) divided by its entries."`
-	Lease           time.Duration `default:"1500ms" help:"How long a member may start work without renewal, 500ms to 1m. A dead entry's share of the keys is refused for about that long."`
+	Lease           time.Duration `default:"1500ms" help:"How long a member may start work without renewal, 1s to 1m. A dead entry's share of the keys is refused for about that long."`
 	DrainTimeout    time.Duration `default:"30s" help:"How long a planned stop waits for running work."`
 
 	BodyMiB        int64  `name:"body-mib" default:"256" help:"Memory for request bodies in flight, in MiB."`
