--- a/internal/demo/cluster.go
+++ b/internal/demo/cluster.go
@@ -12,6 +12,7 @@
 
 	"currantstall/internal/entry"
 	"currantstall/internal/platform"
+	"currantstall/internal/sleep"
 	"currantstall/internal/standin/platformd"
 	"currantstall/internal/standin/runner"
 	"currantstall/internal/standin/taskserver"
@@ -149,10 +150,8 @@
 		if err == nil {
 			return nil
 		}
-		select {
-		case <-ctx.Done():
+		if sleep.For(ctx, readyPoll) != nil {
 			return err
-		case <-time.After(readyPoll):
 		}
 	}
 }
--- a/internal/engine/forward.go
+++ b/internal/engine/forward.go
@@ -8,6 +8,7 @@
 	"currantstall/internal/key"
 	"currantstall/internal/manifest"
 	"currantstall/internal/metrics"
+	"currantstall/internal/sleep"
 	"currantstall/internal/structs"
 	"currantstall/internal/verdict"
 	"currantstall/internal/wire"
@@ -153,10 +154,8 @@
 				return o, nil
 			}
 		}
-		select {
-		case <-ctx.Done():
+		if sleep.For(ctx, forwardRetry) != nil {
 			return nil, unreachable(q.Key)
-		case <-time.After(forwardRetry):
 		}
 	}
 }
