--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -26,14 +26,14 @@
 	// rttBeats is how often the round trip is measured on a busy link, in
 	// heartbeat intervals.
 	rttBeats = 6
-	// ackFraction of the peer's queue may wait for a receipt to ride on other
-	// traffic; then the receipt is sent by itself.
+	// ackFraction: once 1/ackFraction of the peer's queue was received without
+	// a frame to piggyback the receipt on, the receipt is sent by itself.
 	ackFraction = 8
 	// rttWeight is the weight of a new sample, as in RFC 6298.
 	rttWeight = 8
 )
 
-// beat is the body of Ping and Pong: the pinger's clock, which the answer
+// beat (a heartbeat) is the body of Ping and Pong: the pinger's clock, which the answer
 // repeats, in ns.
 type beat struct {
 	Sent int64 `cbor:"1,keyasint"`
@@ -128,14 +128,14 @@
 	}
 }
 
-// ping asks the peer for a sign of life and a receipt. The caller holds r.mu.
+// ping asks the peer for an answer and a receipt. The caller holds r.mu.
 func (l *link) ping() {
 	l.pingDue = true
 	l.poke()
 }
 
 // beat counts silent intervals and closes a silent link. Intervals are counted,
-// not clock time, so that a pause of this process does not condemn a link.
+// not clock time, so that a pause of this process closes no link.
 func (l *link) beat() {
 	l.r.mu.Lock()
 	defer l.r.mu.Unlock()
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -3,7 +3,7 @@
 //
 // Either side of a pair may dial. Both prove that they know the shared secret
 // before either counts as linked (handshake.go). Messages are numbered within
-// the sender's stream; receipts ride on other traffic or on heartbeats. What
+// the sender's stream; receipts are piggybacked on other traffic or on heartbeats. What
 // was not acknowledged when a connection is lost is sent again on the next one
 // to the same run of the peer, and the receiver drops what it had already, so
 // within a stream each message is delivered at most once and in order. A link
