Entries started in an outage serve by seeds

Load messages say whether the sender is a member; an entry that started blind is ready while a member of its data centre is linked, passes keyed work, look-ups and refusals on to members, and shows passes_on in its status.

Found on the way: not_run for a key of an unlisted data centre rested on the age of the process, also if the list was never read; it now needs the list to have been read without a gap for a key's whole life.

--- a/cmd/currantstall/entry.go
+++ b/cmd/currantstall/entry.go
@@ -8,7 +8,9 @@
 	"syscall"
 
 	"currantstall/internal/entry"
+	"currantstall/internal/peer"
 	"currantstall/internal/settings"
+	"currantstall/internal/structs"
 )
 
 // entryCmd runs an entry until it is told to stop.
@@ -32,6 +34,7 @@
 		PeerListen:      c.PeerListen,
 		PeerAdvertise:   c.PeerAdvertise,
 		PlatformURL:     c.Platform,
+		Seeds:           c.seeds(),
 		Secret:          secret,
 		WritesPerSecond: c.WritesPerSecond,
 		Lease:           c.Lease,
@@ -51,3 +54,12 @@
 	defer cancel()
 	return p.Stop(stopping)
 }
+
+// seeds returns the seeds as peers.
+func (c *entryCmd) seeds() []peer.Peer {
+	peers := make([]peer.Peer, len(c.Seed))
+	for i, s := range c.Seed {
+		peers[i] = peer.Peer{Member: structs.Member{Name: s.Name, Addr: s.Addr}, DC: s.DC}
+	}
+	return peers
+}
--- a/internal/api/operators.go
+++ b/internal/api/operators.go
@@ -37,10 +37,13 @@
 
 // Status is the entry's view of itself, for operators.
 type Status struct {
-	Name            string       `json:"name"`
-	DC              string       `json:"data_centre"`
-	State           string       `json:"state"`
-	Ready           bool         `json:"ready"`
+	Name  string `json:"name"`
+	DC    string `json:"data_centre"`
+	State string `json:"state"`
+	Ready bool   `json:"ready"`
+	// PassesOn means that the entry is no member of a view and hands work to
+	// the members that it is linked to.
+	PassesOn        bool         `json:"passes_on"`
 	ManifestVersion uint64       `json:"manifest_version"`
 	View            structs.View `json:"view"`
 	Links           []string     `json:"links"`
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -65,6 +65,9 @@
 	Member func() bool
 	// KnownDC reports whether a data centre is or was lately listed.
 	KnownDC func(dc string) bool
+	// Watched returns for how long the list of data centres has been read
+	// without a gap.
+	Watched func() time.Duration
 	Policy  admission.Policy
 	Metrics *metrics.Metrics
 	Log     *slog.Logger
@@ -262,6 +265,9 @@
 		return e.forwards.lookup(ctx, k, wait)
 	}
 	g := e.tracked(k)
+	if g == nil && e.passesOn() {
+		return e.forwards.lookup(ctx, k, wait)
+	}
 	if g == nil {
 		return e.lookupElsewhere(ctx, k, wait)
 	}
@@ -275,6 +281,12 @@
 	}
 }
 
+// passesOn reports whether this entry knows of no keys, being in no view, and
+// can ask others of its data centre.
+func (e *Engine) passesOn() bool {
+	return !e.Member() && len(e.Links.Linked(e.DC)) > 0
+}
+
 // lookupElsewhere asks the key's home until the work is over or the wait is.
 // The home gets the time to answer even without a wait.
 func (e *Engine) lookupElsewhere(ctx context.Context, k key.Key, wait time.Duration) (*structs.Outcome, error) {
@@ -333,6 +345,9 @@
 	if e.tracked(k) != nil {
 		return verdict.New(verdict.MayHaveRun, verdict.KeyConflict, "a request with key %s runs at this entry", k)
 	}
+	if e.passesOn() {
+		return e.forwards.refuse(ctx, k)
+	}
 	return e.Claims.Refuse(ctx, k)
 }
 
--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -109,6 +109,7 @@
 	engines map[string]*Engine
 	cut     map[string]bool
 	out     map[string]bool // entries that are in no view
+	watched time.Duration   // of the list, without a gap
 }
 
 // outside reports whether an entry is in no view.
@@ -200,6 +201,7 @@
 		Manifest:    func() *manifest.Manifest { return testManifest },
 		Member:      func() bool { return !n.outside(name) },
 		KnownDC:     func(dc string) bool { return dc == "a" || dc == "b" },
+		Watched:     func() time.Duration { return n.watched },
 		Dispatch:    dispatch.New(dispatch.Config{Targets: pool}),
 		Metrics:     metrics.NewNop(),
 		Log:         slog.New(slog.DiscardHandler),
@@ -520,3 +522,22 @@
 	assert.Equal(t, o.Verdict, verdict.NotRun, o.Message)
 	assert.Equal(t, len(r.Starts()), 0)
 }
+
+// TestUnlistedDataCentre: not_run needs the list to have been read without a
+// gap for a key's whole life.
+func TestUnlistedDataCentre(t *testing.T) {
+	n := newNet()
+	e := n.start(t, "a1", "a", newFakeClaims())
+	for watched, want := range map[time.Duration]verdict.Verdict{
+		0:                           verdict.MayHaveRun,
+		DefaultKeyTTL:               verdict.MayHaveRun,
+		DefaultKeyTTL + time.Second: verdict.NotRun,
+	} {
+		n.watched = watched
+		w := newWork(t, "unlock", structs.Request, 1)
+		w.Key.DC = "z"
+		o := e.Do(t.Context(), w)
+		assert.Equal(t, o.Reason, verdict.UnknownDC)
+		assert.Equal(t, o.Verdict, want, "watched for %v", watched)
+	}
+}
--- a/internal/engine/forward.go
+++ b/internal/engine/forward.go
@@ -130,13 +130,13 @@
 
 // checkDC refuses keys of data centres that are not listed. Only members of a
 // key's data centre can grant it, so once this entry has watched the list for
-// a key's whole life, a key of an unlisted data centre has not run.
+// a key's whole life without a gap, a key of an unlisted data centre has not run.
 func (f *forwards) checkDC(k key.Key) error {
 	if f.e.KnownDC(k.DC) {
 		return nil
 	}
 	v := verdict.MayHaveRun
-	if time.Since(f.e.started) > keyTTL(f.e.Manifest()) {
+	if f.e.Watched() > keyTTL(f.e.Manifest()) {
 		v = verdict.NotRun
 	}
 	return verdict.New(v, verdict.UnknownDC, "data centre %q of the key is not listed", k.DC)
@@ -232,7 +232,7 @@
 	ctx, cancel := context.WithTimeout(f.e.base, q.Remaining)
 	defer cancel()
 	d := forwardDone{ID: q.ID}
-	if q.Op == opDo && !f.e.takes(q.Work) {
+	if f.declines(q) {
 		d.Declined = true
 	} else {
 		d.Outcome = f.answer(ctx, q)
@@ -240,6 +240,18 @@
 	f.e.respond(from, wire.ForwardDone, d)
 }
 
+// declines reports whether another member has to answer. An entry in no view
+// knows of no key but those that it runs.
+func (f *forwards) declines(q *forward) bool {
+	switch q.Op {
+	case opDo:
+		return !f.e.takes(q.Work)
+	case opLookup, opRefuse:
+		return q.Key.DC == f.e.DC && !f.e.Member() && f.e.tracked(q.Key) == nil
+	}
+	return false
+}
+
 // takes reports whether this entry can take work that is forwarded to it.
 // Forwarded work is not forwarded on.
 func (e *Engine) takes(w *structs.Work) bool {
--- a/internal/engine/load.go
+++ b/internal/engine/load.go
@@ -21,9 +21,10 @@
 
 // peerState is what is known of another entry's load.
 type peerState struct {
-	dc    string
-	at    time.Time
-	kinds map[string]*peerKind
+	dc     string
+	member bool // of its data centre's view
+	at     time.Time
+	kinds  map[string]*peerKind
 }
 
 // peerKind is the load of one kind at a peer.
@@ -34,8 +35,9 @@
 
 // toldLoad is what the peers were told last.
 type toldLoad struct {
-	at    time.Time
-	kinds []kindLoad
+	at     time.Time
+	member bool
+	kinds  []kindLoad
 }
 
 // receiveLoad notes a peer's load and hands over what it has room for.
@@ -44,7 +46,7 @@
 	if !ok {
 		return
 	}
-	p := &peerState{dc: dc, at: time.Now(), kinds: make(map[string]*peerKind, len(l.Kinds))}
+	p := &peerState{dc: dc, member: l.Member, at: time.Now(), kinds: make(map[string]*peerKind, len(l.Kinds))}
 	for _, k := range l.Kinds {
 		p.kinds[k.Kind] = &peerKind{kindLoad: k}
 	}
@@ -182,13 +184,29 @@
 	if s.e.flights.draining() {
 		l.Kinds = nil // no room any more
 	}
-	if now.Sub(s.told.at) < every && !matters(s.told.kinds, l.Kinds) {
+	l.Member = s.e.Member() && !s.e.flights.draining()
+	changed := l.Member != s.told.member || matters(s.told.kinds, l.Kinds)
+	if now.Sub(s.told.at) < every && !changed {
 		return l, false
 	}
-	s.told = toldLoad{at: now, kinds: l.Kinds}
+	s.told = toldLoad{at: now, member: l.Member, kinds: l.Kinds}
 	return l, true
 }
 
+// MemberLinked reports whether a linked entry of this data centre says that it
+// is a member, to which this one can pass work on.
+func (e *Engine) MemberLinked() bool {
+	s := e.requests
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, p := range s.peers {
+		if p.member && p.dc == e.DC {
+			return true
+		}
+	}
+	return false
+}
+
 // matters reports whether a change of load could change what a peer does: a
 // kind ran out of room, got some, or its room changed by a quarter.
 func matters(old, now []kindLoad) bool {
--- a/internal/engine/messages.go
+++ b/internal/engine/messages.go
@@ -86,6 +86,9 @@
 type load struct {
 	Class structs.Class `cbor:"1,keyasint"`
 	Kinds []kindLoad    `cbor:"2,keyasint"`
+	// Member means that the sender is a member of its data centre's view and
+	// not stopping.
+	Member bool `cbor:"3,keyasint,omitempty"`
 }
 
 // kindLoad is the sender's load of one kind.
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -38,7 +38,9 @@
 	// the address of the listener.
 	PeerAdvertise string
 	PlatformURL   string
-	Secret        []byte // shared by all entries
+	// Seeds are entries to dial as long as the list of VMs was never read.
+	Seeds  []peer.Peer
+	Secret []byte // shared by all entries
 	// WritesPerSecond bounds this entry's writes to the platform.
 	WritesPerSecond float64
 	// Lease is how long a member may start work without renewal.
@@ -89,6 +91,7 @@
 	dir      *directory
 	owner    *ownership
 	state    *lifecycle
+	passing  passing
 
 	callers   *http.Server
 	peers     *http.Server
@@ -190,11 +193,18 @@
 	p.claims.Start()
 }
 
-// joined returns nil once the entry may serve.
+// joined returns nil once the entry may serve: by itself, or by passing work
+// on while the platform is out of reach.
 func (p *Process) joined() error {
 	if p.rollout.Current() == nil {
 		return errors.New("no manifest yet")
 	}
+	err := p.memberJoined()
+	return p.passing.note(err, p.dir.startedBlind() && p.engine.MemberLinked())
+}
+
+// memberJoined returns nil once the entry is a member with all it needs.
+func (p *Process) memberJoined() error {
 	if !p.dir.seen() {
 		return errors.New("no list of VMs yet")
 	}
--- a/internal/entry/operators.go
+++ b/internal/entry/operators.go
@@ -57,6 +57,7 @@
 		DC:         p.cfg.DC,
 		State:      p.state.name(),
 		Ready:      p.state.ready() == nil,
+		PassesOn:   p.passing.on.Load(),
 		View:       p.claims.Snapshot().Newest,
 		Targets:    p.targetCounts(),
 		Kinds:      p.kindStatus(),
--- a/internal/entry/provision.go
+++ b/internal/entry/provision.go
@@ -101,6 +101,7 @@
 		log:     p.cfg.Log.Debug,
 		onList:  func(vms []platform.VM) { p.set.Apply(vms, time.Now()) },
 		onPeers: p.node.SetPeers,
+		seeds:   p.cfg.Seeds,
 		dcs:     map[string]bool{p.cfg.DC: true},
 	}
 }
@@ -149,6 +150,7 @@
 		Manifest:    p.rollout.Current,
 		Member:      p.claims.Ready,
 		KnownDC:     p.dir.knows,
+		Watched:     p.dir.watched,
 		Policy:      p.cfg.Policy,
 		Metrics:     p.metrics,
 		Log:         p.cfg.Log,
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -36,6 +36,8 @@
 	PeerAdvertise string `placeholder:"HOST:PORT" help:"Address that other entries dial. Default: the address listened on."`
 	Platform      string `required:"" placeholder:"URL" help:"Base URL of the platform's service, http://HOST:PORT."`
 
+	Seed []Seed `placeholder:"NAME=HOST:PORT@DATA-CENTRE" help:"Another entry: its name, its address for peers and its data centre. Repeat it, or separate by commas. The seeds are dialled as long as the platform's list was never read."`
+
 	PeerSecret     string `placeholder:"TEXT" help:"Secret shared by all entries, 16 bytes or more. Prefer the variable or the file to the flag, which shows in process lists."`
 	PeerSecretFile string `placeholder:"PATH" help:"File that holds the secret; white space at its ends does not count."`
 
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -53,6 +53,10 @@
 		{"--writes-per-second=-1", "--writes-per-second: is -1"},
 		{"--policy=lifo", "--policy must be one of"},
 		{"--log-level=loud", "--log-level must be one of"},
+		{"--seed=e2=127.0.0.1:7401", "is not NAME=HOST:PORT@DATA-CENTRE"},
+		{"--seed=127.0.0.1:7401@rennes", "is not NAME=HOST:PORT@DATA-CENTRE"},
+		{"--seed=e2=entry:7401@rennes", "names its host by no IP number"},
+		{"--seed=e2=127.0.0.1:7401@Rennes", `"Rennes" is no name`},
 		{"--lease=3", "expected duration"},
 	} {
 		_, err := parse(t, goodArgs+" "+tc.args)
@@ -61,6 +65,18 @@
 	}
 }
 
+func TestSeedsFromFlagsOrVariable(t *testing.T) {
+	want := []Seed{{"e2", "10.0.0.2:7401", "rennes"}, {"q1", "[::1]:7401", "quimper"}}
+	e, err := parse(t, goodArgs+" --seed=e2=10.0.0.2:7401@rennes --seed=q1=[::1]:7401@quimper")
+	assert.NilError(t, err)
+	assert.DeepEqual(t, e.Seed, want)
+
+	t.Setenv("CURRANTSTALL_SEED", "e2=10.0.0.2:7401@rennes,q1=[::1]:7401@quimper")
+	e, err = parse(t, goodArgs)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, e.Seed, want)
+}
+
 func TestSecretFromVariableOrFile(t *testing.T) {
 	without := strings.Fields(goodArgs)[:3]
 	file := filepath.Join(t.TempDir(), "secret")
