Account: missing outcomes shown, work refused before any is dropped; cancel

The check comes after the claim: a resubmission still gets its kept answer and the refusal is true by the claim's release, as for a full queue. journal_full counts it. GET /v1/account has missing, and currantstall account prints it.

currantstall cancel KEY, with the exit statuses of the other commands.

--- a/cmd/currantstall/account.go
+++ b/cmd/currantstall/account.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"os"
 )
 
@@ -29,6 +30,9 @@
 	if err != nil {
 		return err
 	}
+	if a.Missing > 0 {
+		fmt.Fprintf(os.Stderr, "currantstall: %d outcomes that belong here were dropped in an outage\n", a.Missing)
+	}
 	enc := json.NewEncoder(os.Stdout)
 	for _, l := range a.Lines {
 		if err := enc.Encode(l); err != nil {
--- a/cmd/currantstall/main.go
+++ b/cmd/currantstall/main.go
@@ -29,6 +29,7 @@
 	Manifest manifestCmd `cmd:"" help:"Check, apply, show or compare the operators' manifest."`
 	Request  requestCmd  `cmd:"" help:"Send one request and print its answer."`
 	Submit   submitCmd   `cmd:"" help:"Send one job and print its answers."`
+	Cancel   cancelCmd   `cmd:"" help:"Stop what has not started under a key and print its outcome."`
 	Key      keyCmd      `cmd:"" help:"Mint keys, which make a resubmission safe."`
 	Status   statusCmd   `cmd:"" help:"Print an entry's view of itself."`
 	Account  accountCmd  `cmd:"" help:"Read the account of what has run, or claim keys in it."`
--- a/cmd/currantstall/remote_test.go
+++ b/cmd/currantstall/remote_test.go
@@ -74,8 +74,8 @@
 	return m, nil
 }
 
-func (f *fakeEntry) Read(context.Context, string, int) ([]api.AccountLine, error) {
-	return []api.AccountLine{{Position: "1", Verdict: verdict.Completed}}, nil
+func (f *fakeEntry) Read(context.Context, string, int) (api.AccountBody, error) {
+	return api.AccountBody{Lines: []api.AccountLine{{Position: "1", Verdict: verdict.Completed}}, Next: "1", Missing: 2}, nil
 }
 
 func (f *fakeEntry) ClaimExternal(context.Context, key.Key) error { return nil }
@@ -111,6 +111,8 @@
 		{"request unlock nonsense --team=households", exitOther},
 		{"request unlock 1 --team=nobody", exitNotRun},
 		{"submit dusk-unlocks [1,2] --team=households", 0},
+		{"cancel " + k.String(), exitNotRun},
+		{"cancel nonsense", exitNotRun},
 		{"submit dusk-unlocks 7 --team=households", exitOther},
 		{"key --count=3", 0},
 		{"key --count=0", exitNotRun},
@@ -135,6 +137,10 @@
 
 	cl, err := client.New(srv.URL)
 	assert.NilError(t, err)
+	account, err := cl.Account(t.Context(), "", 10)
+	assert.NilError(t, err)
+	assert.Equal(t, account.Missing, 2)
+	assert.Equal(t, account.Next, "1")
 	job, err := await(t.Context(), cl, api.JobBody{Key: k.String(), State: "running"})
 	assert.NilError(t, err)
 	assert.Equal(t, string(job.Answers[0]), "1")
--- a/internal/api/operators.go
+++ b/internal/api/operators.go
@@ -29,7 +29,7 @@
 // Account is the account of what has run.
 type Account interface {
 	// Read returns up to limit lines after a position, oldest first.
-	Read(ctx context.Context, after string, limit int) ([]AccountLine, error)
+	Read(ctx context.Context, after string, limit int) (AccountBody, error)
 	// ClaimExternal claims a key for the old system. It returns nil if the
 	// old system may run it, else what is known of the key.
 	ClaimExternal(ctx context.Context, k key.Key) error
@@ -135,6 +135,9 @@
 	Lines []AccountLine `json:"lines"`
 	// Next is the position to read on from.
 	Next string `json:"next"`
+	// Missing is the number of outcomes that were dropped in an outage and
+	// would stand among these lines.
+	Missing int `json:"missing"`
 }
 
 func (s *server) getAccount(c echo.Context) error {
@@ -148,14 +151,10 @@
 		limit = n
 	}
 	after := c.QueryParam("after")
-	lines, err := s.Account.Read(c.Request().Context(), after, limit)
+	body, err := s.Account.Read(c.Request().Context(), after, limit)
 	if err != nil {
 		return s.writeError(c, key.Key{}, err)
 	}
-	body := AccountBody{Lines: lines, Next: after}
-	if n := len(lines); n > 0 {
-		body.Next = lines[n-1].Position
-	}
 	return c.JSON(http.StatusOK, body)
 }
 
--- a/internal/engine/cancel.go
+++ b/internal/engine/cancel.go
@@ -78,5 +78,9 @@
 	if k.DC != e.DC {
 		return e.forwards.claimExternal(ctx, k)
 	}
+	if e.journalFull(1) {
+		full := verdict.New(verdict.NotRun, verdict.MemoryFull, "too many outcomes wait for the platform").After(retryJournal)
+		return e.Refuse(ctx, k, full)
+	}
 	return e.External.ClaimExternal(ctx, k)
 }
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -47,6 +47,9 @@
 type Journal interface {
 	// Record adds an outcome. It reports false if the journal is full.
 	Record(e journal.Entry) bool
+	// Full reports whether outcomes could be dropped once running pieces of
+	// work have ended.
+	Full(running int) bool
 }
 
 // Config holds what an engine is built from.
@@ -94,8 +97,9 @@
 	links    int // entries that the last load went to
 	answers  *dispatch.Memory
 
-	mu     sync.Mutex
-	groups map[key.Key]*group
+	mu          sync.Mutex
+	groups      map[key.Key]*group
+	accountable int // groups whose outcome goes into the account
 }
 
 // New returns an engine without targets.
@@ -200,12 +204,35 @@
 	g := newGroup(e.base, w, e.answers, func(o structs.Outcome) { e.finish(w, claimed, o) })
 	e.flights.hold()
 	e.track(g)
-	if err := e.scheduler(w.Class).submit(g, claimed); err != nil {
+	err := e.checkJournal(w)
+	if err == nil {
+		err = e.scheduler(w.Class).submit(g, claimed)
+	}
+	if err != nil {
 		e.rejectAll(g, err)
 	}
 	return g
 }
 
+// checkJournal refuses work whose outcome the account might lose. The work is
+// tracked already and counts as running. Its claim was granted, so that a key
+// that ran before has its kept answer all the same.
+func (e *Engine) checkJournal(w *structs.Work) *verdict.Error {
+	if w.Repeatable || !e.journalFull(0) {
+		return nil
+	}
+	return verdict.New(verdict.NotRun, verdict.MemoryFull, "too many outcomes wait for the platform").After(retryJournal)
+}
+
+// journalFull reports whether the outcomes of what runs, and of more, might
+// find no room.
+func (e *Engine) journalFull(more int) bool {
+	e.mu.Lock()
+	running := e.accountable
+	e.mu.Unlock()
+	return e.Journal.Full(running + more)
+}
+
 // rejectAll ends a group of which nothing was queued.
 func (e *Engine) rejectAll(g *group, err *verdict.Error) {
 	for i := range g.work.Tasks {
@@ -222,7 +249,7 @@
 	} else if !w.Repeatable && o.Verdict != verdict.NotRun {
 		e.account(w, o)
 	}
-	e.untrack(w.Key)
+	e.untrack(w)
 }
 
 // account records work under a key that no claim records.
@@ -238,12 +265,18 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.groups[g.work.Key] = g
+	if !g.work.Repeatable {
+		e.accountable++
+	}
 }
 
-func (e *Engine) untrack(k key.Key) {
+func (e *Engine) untrack(w *structs.Work) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	delete(e.groups, k)
+	delete(e.groups, w.Key)
+	if !w.Repeatable {
+		e.accountable--
+	}
 }
 
 func (e *Engine) tracked(k key.Key) *group {
--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -42,6 +42,7 @@
 	lease error
 
 	recorded []journal.Entry
+	full     bool
 }
 
 func newFakeClaims() *fakeClaims {
@@ -101,6 +102,18 @@
 	return true
 }
 
+func (f *fakeClaims) Full(int) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.full
+}
+
+func (f *fakeClaims) setFull(full bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.full = full
+}
+
 func (f *fakeClaims) ClaimExternal(context.Context, key.Key) error { return nil }
 
 // fakeNet connects engines in memory.
@@ -292,6 +305,35 @@
 	assert.Equal(t, c.recorded[0].Key, w.Key)
 }
 
+// TestAFullJournalStopsNewWorkOnly: what may not be repeated is refused, and
+// starts once there is room; kept answers and repeatable work are served.
+func TestAFullJournalStopsNewWorkOnly(t *testing.T) {
+	n, c := newNet(), newFakeClaims()
+	e := n.start(t, "e1", "a", c)
+	r := startTarget(t, platform.RoleRunner, "r1")
+	e.SetTargets([]platform.VM{r.VM()}, nil)
+	kept := newWork(t, "unlock", structs.Request, 1)
+	assert.Equal(t, e.Do(t.Context(), kept).Verdict, verdict.Completed)
+
+	c.setFull(true)
+	refused, fresh := newWork(t, "unlock", structs.Request, 1), newWork(t, "unlock", structs.Request, 1)
+	fresh.Fresh = true
+	for _, w := range []*structs.Work{refused, fresh} {
+		o := e.Do(t.Context(), w)
+		assert.Equal(t, o.Verdict, verdict.NotRun)
+		assert.Equal(t, o.Reason, verdict.MemoryFull)
+	}
+	assert.Equal(t, verdict.Of(e.ClaimExternal(t.Context(), refused.Key)).Reason, verdict.MemoryFull)
+	assert.Equal(t, len(r.Starts()), 1)
+	assert.Equal(t, e.Do(t.Context(), kept).Verdict, verdict.Completed)
+	assert.Equal(t, e.Do(t.Context(), newWork(t, "balance", structs.Request, 1)).Verdict, verdict.Completed)
+
+	c.setFull(false)
+	assert.Equal(t, e.Do(t.Context(), refused).Verdict, verdict.Completed)
+	assert.Equal(t, e.accountable, 0)
+	assert.Equal(t, len(r.Starts()), 3)
+}
+
 func TestJobIsWholeOrFailed(t *testing.T) {
 	n := newNet()
 	c := newFakeClaims()
--- a/internal/engine/forward.go
+++ b/internal/engine/forward.go
@@ -25,6 +25,8 @@
 	forwardRetry = 50 * time.Millisecond
 	// retrySoon is the advice of refusals that another entry may not give.
 	retrySoon = 100 * time.Millisecond
+	// retryJournal is the advice while outcomes wait for the platform.
+	retryJournal = time.Second
 	// maxRemaining bounds questions without a deadline.
 	maxRemaining = time.Minute
 	// DefaultKeyTTL is the life of a key where the manifest sets none.
--- a/internal/entry/operators.go
+++ b/internal/entry/operators.go
@@ -31,10 +31,10 @@
 }
 
 // Read implements api.Account.
-func (a account) Read(ctx context.Context, after string, limit int) ([]api.AccountLine, error) {
+func (a account) Read(ctx context.Context, after string, limit int) (api.AccountBody, error) {
 	page, err := a.p.journal.Read(ctx, after, limit)
 	if err != nil {
-		return nil, err
+		return api.AccountBody{}, err
 	}
 	lines := make([]api.AccountLine, len(page.Lines))
 	for i, l := range page.Lines {
@@ -47,7 +47,7 @@
 			At:       l.Entry.At(),
 		}
 	}
-	return lines, nil
+	return api.AccountBody{Lines: lines, Next: page.Next, Missing: page.Missing}, nil
 }
 
 // status describes the entry for operators.
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -89,6 +89,9 @@
 	DefaultSettleWindow    = time.Hour
 )
 
+// reservePart is the part, one in so many, of MaxPending that Full leaves.
+const reservePart = 10
+
 // Config sets up a Journal. Zero values stand for the defaults.
 type Config struct {
 	Platform platform.Platform
@@ -193,12 +196,18 @@
 	return true
 }
 
-// Full reports whether the next Record would drop its entry. Work that must
-// stand in the account should then not be started.
-func (j *Journal) Full() bool {
+// Full reports whether entries could be dropped once running pieces of work
+// have ended. Work that must stand in the account should then not be started.
+// A reserve is left for what peers and the old system add.
+func (j *Journal) Full(running int) bool {
 	j.mu.Lock()
-	defer j.mu.Unlock()
-	return len(j.pending) >= j.cfg.MaxPending
+	n := len(j.pending)
+	j.mu.Unlock()
+	full := n+running+j.cfg.MaxPending/reservePart >= j.cfg.MaxPending
+	if full {
+		j.scope.Counter("full").Inc(1)
+	}
+	return full
 }
 
 // Lag returns the number of entries that wait for the platform and the age of
--- a/internal/journal/journal_test.go
+++ b/internal/journal/journal_test.go
@@ -110,7 +110,7 @@
 		keys = append(keys, k)
 		assert.Equal(t, j.Record(completed(k)), i < 3)
 	}
-	assert.Assert(t, j.Full())
+	assert.Assert(t, j.Full(0))
 	short, cancel := context.WithTimeout(ctx, 20*time.Millisecond)
 	defer cancel()
 	assert.ErrorIs(t, j.Flush(short), platform.ErrUnavailable)
@@ -127,6 +127,15 @@
 	assert.Assert(t, j.Record(completed(keys[4])), "a dropped key may be recorded again")
 }
 
+func TestFullLeavesRoomForWhatRuns(t *testing.T) {
+	j := New(Config{Platform: newStore(), DC: "rennes", MaxPending: 20})
+	for range 10 {
+		assert.Assert(t, j.Record(completed(newKey(t, "rennes"))))
+	}
+	assert.Assert(t, !j.Full(7), "10 wait, 7 run, 2 are reserved")
+	assert.Assert(t, j.Full(8))
+}
+
 func TestTheOldSystemsClaimStandsAsItsOwn(t *testing.T) {
 	k := newKey(t, "rennes")
 	e := EntryOf(k, structs.Outcome{Verdict: verdict.MayHaveRun, Reason: verdict.RanElsewhere})
