Guaranteed work through an entry without targets; late judgement of unfit jobs

(2) A job that fits nowhere, taken in by an entry before it knew its workers, waited until its deadline. Change: (1) loads say how many tasks could wait for slots of the kind's guarantee, and an entry without targets hands that many over. (2) Queued tasks are judged again when the sizes of the workers change.

--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -372,6 +372,31 @@
 	assert.Equal(t, len(w1.Starts()), 0)
 }
 
+// TestAQueuedJobIsJudgedWhenWorkersAreKnown submits a job that fits nowhere to
+// an entry that learns its workers only later.
+func TestAQueuedJobIsJudgedWhenWorkersAreKnown(t *testing.T) {
+	n := newNet()
+	e := n.start(t, "e1", "a", newFakeClaims())
+	w1 := startTarget(t, platform.RoleWorker, "w1")
+	e.SetTargets([]platform.VM{w1.VM()}, nil)
+	w := newWork(t, "dusk", structs.Job, 3)
+	w.Needs.Accelerators = 1
+	done := make(chan structs.Outcome, 1)
+	go func() { done <- e.Do(context.Background(), w) }()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if e.tracked(w.Key) == nil {
+			return poll.Continue("not taken in")
+		}
+		return poll.Success()
+	}, poll.WithTimeout(10*time.Second), poll.WithDelay(5*time.Millisecond))
+
+	e.SetTargets([]platform.VM{w1.VM()}, []structs.Resources{w1.VM().Size})
+
+	o := <-done
+	assert.Equal(t, o.Verdict, verdict.NotRun)
+	assert.Equal(t, o.Reason, verdict.NeverFits)
+}
+
 func TestAFullEntryHandsWorkToAPeer(t *testing.T) {
 	n := newNet()
 	c := newFakeClaims()
--- a/internal/engine/load.go
+++ b/internal/engine/load.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"math"
 	"time"
 
 	"currantstall/internal/admission"
@@ -116,11 +117,16 @@
 		if k == nil {
 			continue
 		}
+		free, queued := k.Free, k.Queued
+		if s.pool.index.Len() == 0 && k.Guarded > free {
+			// Without a target here, a peer's next slots are the best there is.
+			free, queued = k.Guarded, 0
+		}
 		loads = append(loads, placement.PeerLoad{
 			Member: name,
 			DC:     p.dc,
-			Free:   k.Free,
-			Queued: k.Queued,
+			Free:   free,
+			Queued: queued,
 			Wait:   k.Wait,
 			Trip:   s.trip(name),
 			Age:    now.Sub(p.at),
@@ -130,6 +136,13 @@
 	return loads
 }
 
+// guarded returns how many more tasks of a kind could wait here for slots of its
+// guarantee, for at most about one run time. The wait that is told with it says
+// whether that meets a deadline.
+func guarded(k *admission.KindStats) int {
+	return max(0, 2*int(math.Ceil(k.Guaranteed))-k.Running-k.Queued)
+}
+
 // trip returns half the round trip to a peer.
 func (s *scheduler) trip(name string) time.Duration {
 	rtt, ok := s.e.Links.RTT(name)
@@ -179,7 +192,7 @@
 	l = load{Class: s.class, Kinds: make([]kindLoad, len(stats.Kinds))}
 	for i := range stats.Kinds {
 		k := &stats.Kinds[i]
-		l.Kinds[i] = kindLoad{Kind: k.Kind, Free: k.Free, Queued: k.Queued, Wait: k.Wait}
+		l.Kinds[i] = kindLoad{Kind: k.Kind, Free: k.Free, Queued: k.Queued, Wait: k.Wait, Guarded: guarded(k)}
 	}
 	if s.e.flights.draining() {
 		l.Kinds = nil // no room any more
@@ -215,7 +228,7 @@
 	}
 	for i := range now {
 		a, b := &old[i], &now[i]
-		if a.Kind != b.Kind || (a.Free == 0) != (b.Free == 0) || (a.Queued == 0) != (b.Queued == 0) {
+		if a.Kind != b.Kind || (a.Free == 0) != (b.Free == 0) || (a.Queued == 0) != (b.Queued == 0) || (a.Guarded == 0) != (b.Guarded == 0) {
 			return true
 		}
 		if diff := a.Free - b.Free; diff*4 > a.Free || -diff*4 > a.Free {
--- a/internal/engine/messages.go
+++ b/internal/engine/messages.go
@@ -97,4 +97,7 @@
 	Free   int           `cbor:"2,keyasint"` // tasks that could start now
 	Queued int           `cbor:"3,keyasint"`
 	Wait   time.Duration `cbor:"4,keyasint"` // estimated for one more task
+	// Guarded is the number of tasks that could wait for slots of the kind's
+	// guarantee.
+	Guarded int `cbor:"5,keyasint,omitempty"`
 }
--- a/internal/engine/targets.go
+++ b/internal/engine/targets.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"currantstall/internal/admission"
@@ -9,6 +10,7 @@
 	"currantstall/internal/placement"
 	"currantstall/internal/platform"
 	"currantstall/internal/structs"
+	"currantstall/internal/verdict"
 )
 
 // SetTargets replaces the targets that this entry owns, and tells the sizes of
@@ -27,14 +29,41 @@
 }
 
 func (s *scheduler) setTargets(owned []platform.VM, sizes []structs.Resources) {
+	var unfit []refused
 	s.mu.Lock()
 	s.pool.setOwned(owned)
-	s.pool.sizes = sizes
+	if !slices.Equal(s.pool.sizes, sizes) {
+		s.pool.sizes = sizes
+		unfit = s.takeUnfit()
+	}
 	s.queue.SetCapacity(s.pool.capacity())
 	s.mu.Unlock()
+	for _, r := range unfit {
+		r.u.finish(result{err: r.err})
+	}
 	s.kick()
 }
 
+// refused is a unit with the reason for which it is refused.
+type refused struct {
+	u   *unit
+	err *verdict.Error
+}
+
+// takeUnfit removes queued tasks that no worker could ever hold, such as those
+// that were taken in before any worker was known. The caller holds the lock.
+func (s *scheduler) takeUnfit() []refused {
+	var unfit []refused
+	for id, u := range s.units {
+		err := s.pool.neverFits(s.pool.needs(u.Kind, u.Needs))
+		if err != nil && s.queue.Cancel(id) {
+			delete(s.units, id)
+			unfit = append(unfit, refused{u, err})
+		}
+	}
+	return unfit
+}
+
 // TargetHealth is what an owned target may get.
 type TargetHealth struct {
 	Name   string
