--- a/internal/ledger/bench_test.go
+++ b/internal/ledger/bench_test.go
@@ -1,6 +1,7 @@
 package ledger
 
 import (
+	"fmt"
 	"runtime"
 	"testing"
 	"time"
@@ -92,29 +93,36 @@
 }
 
 // BenchmarkKeptKey is the memory of a kept key, over both of its records, with
-// an answer of 100 bytes and without.
+// an answer of 100 bytes and without, by the number of keys.
 func BenchmarkKeptKey(b *testing.B) {
-	const n = 200_000
-	for name, size := range map[string]int{"answer100": 100, "answer0": 0} {
-		b.Run(name, func(b *testing.B) {
-			for b.Loop() {
-				c := newCluster(7)
-				ks := benchKeys(b, n)
-				before := heapBytes()
-				for _, k := range ks {
-					c.now = c.now.Add(10 * time.Microsecond)
-					o := structs.Outcome{Verdict: verdict.Completed}
-					if size > 0 {
-						o.Answers = [][]byte{make([]byte, size)}
-					}
-					c.serve(b, c.leds["vma"], k, o)
+	for _, n := range []int{10_000, 100_000, 1_000_000} {
+		for _, size := range []int{0, 100} {
+			b.Run(fmt.Sprintf("keys%d/answer%d", n, size), func(b *testing.B) {
+				for b.Loop() {
+					b.ReportMetric(keptKey(b, n, size), "bytes/key")
 				}
-				b.ReportMetric(float64(heapBytes()-before)/n, "bytes/key")
-				runtime.KeepAlive(c)
-				runtime.KeepAlive(ks)
-			}
-		})
+			})
+		}
+	}
+}
+
+// keptKey returns the bytes that each of n keys takes with an answer of a size.
+func keptKey(b *testing.B, n, size int) float64 {
+	c := newCluster(7)
+	ks := benchKeys(b, n)
+	before := heapBytes()
+	for _, k := range ks {
+		c.now = c.now.Add(10 * time.Microsecond)
+		o := structs.Outcome{Verdict: verdict.Completed}
+		if size > 0 {
+			o.Answers = [][]byte{make([]byte, size)}
+		}
+		c.serve(b, c.leds["vma"], k, o)
 	}
+	used := heapBytes() - before
+	runtime.KeepAlive(c)
+	runtime.KeepAlive(ks)
+	return float64(used) / float64(n)
 }
 
 func heapBytes() uint64 {
