--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -201,7 +201,7 @@
 }
 
 // start adds an engine to the net.
-func (n *fakeNet) start(t *testing.T, name, dc string, c claims.Claims) *Engine {
+func (n *fakeNet) start(t testing.TB, name, dc string, c claims.Claims) *Engine {
 	t.Helper()
 	pool := target.NewPool(target.PoolConfig{})
 	e := New(Config{
--- a/internal/engine/forward.go
+++ b/internal/engine/forward.go
@@ -296,9 +296,24 @@
 	return outcomePtr(verdict.New(verdict.MayHaveRun, verdict.BadRequest, "unknown operation %d", q.Op))
 }
 
+// wellFormed reports whether forwarded work has what the entry that accepted it
+// has checked: a class and a number of tasks that goes with it.
+func wellFormed(w *structs.Work) bool {
+	if w == nil {
+		return false
+	}
+	switch w.Class {
+	case structs.Request:
+		return len(w.Tasks) == 1
+	case structs.Job:
+		return len(w.Tasks) >= 1 && len(w.Tasks) <= structs.MaxTasks
+	}
+	return false
+}
+
 func (f *forwards) answerDo(ctx context.Context, q *forward) *structs.Outcome {
-	if q.Work == nil {
-		return outcomePtr(verdict.New(verdict.MayHaveRun, verdict.BadRequest, "forwarded request holds no work"))
+	if !wellFormed(q.Work) {
+		return outcomePtr(verdict.New(verdict.MayHaveRun, verdict.BadRequest, "forwarded request holds no proper work"))
 	}
 	q.Work.Deadline = time.Now().Add(q.Remaining)
 	q.Work.Fresh = false
