Engine: a handed-over task that ended needs no stop

The end of each handed-over task cancelled its context while the watch on it still stood, so a goroutine woke and took the scheduler's lock to stop a task that was over. Figures: one goroutine and one lock a handed-over task less, by reading; not measured. The engine's tests pass twice under the race detector.

--- a/internal/engine/handoff.go
+++ b/internal/engine/handoff.go
@@ -118,7 +118,7 @@
 	}
 	ctx, cancel := context.WithDeadline(e.base, end)
 	u.ctx = ctx
-	context.AfterFunc(ctx, func() { e.scheduler(r.Class).stop([]*unit{u}) })
+	unwatch := context.AfterFunc(ctx, func() { e.scheduler(r.Class).stop([]*unit{u}) })
 	origin := remoteID{from, r.ID}
 	if r.Class == structs.Job {
 		e.results.expect(groupID{from, r.Group})
@@ -127,6 +127,7 @@
 	u.finish = func(res result) {
 		defer e.flights.leave()
 		e.remotes.remove(origin)
+		unwatch()
 		cancel()
 		e.reply(from, &r, res)
 	}
