--- a/cmd/currantstall/main.go
+++ b/cmd/currantstall/main.go
@@ -25,6 +25,7 @@
 type cli struct {
 	Demo     demoCmd     `cmd:"" help:"Run a whole deployment in this process and show the promises on it."`
 	Entry    entryCmd    `cmd:"" help:"Run an entry: serve callers, peers and operators."`
+	Serve    serveCmd    `cmd:"" help:"Run an entry on the users' platform."`
 	Load     loadCmd     `cmd:"" help:"Send work at a steady rate and print what became of it."`
 	Manifest manifestCmd `cmd:"" help:"Check, apply, show or compare the operators' manifest."`
 	Request  requestCmd  `cmd:"" help:"Send one request and print its answer."`
--- /dev/null
+++ b/internal/election/election.go
@@ -0,0 +1,218 @@
+// Package election decides which entry leads those that it can talk to. It
+// needs no agreement: two entries may lead at one time, since the targets obey
+// the higher fencing token. It is a function of what the peers have said and
+// the time.
+package election
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Beat is what an entry says of itself.
+type Beat struct {
+	// Joined orders the entries, the oldest first.
+	Joined uint64 `cbor:"1,keyasint"`
+	// Leading says that the entry leads, in Term, and owns that many targets.
+	Leading bool   `cbor:"2,keyasint,omitempty"`
+	Term    uint64 `cbor:"3,keyasint"`
+	Owned   int    `cbor:"4,keyasint,omitempty"`
+	// Leader is whom the entry follows, if it does not lead.
+	Leader string `cbor:"5,keyasint,omitempty"`
+	// Stopping entries must not be followed.
+	Stopping bool `cbor:"6,keyasint,omitempty"`
+	// Strained entries lead only if no other can.
+	Strained bool `cbor:"7,keyasint,omitempty"`
+}
+
+// Settings of an Election.
+type Settings struct {
+	// Quiet is how long a new entry listens before it may lead.
+	Quiet time.Duration
+	// Step is how much longer than the one before it each entry waits for a
+	// leader, in the order of succession.
+	Step time.Duration
+}
+
+// Defaults of Settings.
+const (
+	DefaultQuiet = 1200 * time.Millisecond
+	DefaultStep  = 400 * time.Millisecond
+)
+
+// relayAfter is how long a peer may take to notice that a leader is lost before
+// it counts as one that still reaches it.
+const relayAfter = 300 * time.Millisecond
+
+// Decision is whom to follow.
+type Decision struct {
+	// Leader is the entry to hand jobs to: this one, a leader, or one that
+	// follows a leader out of reach. It is empty while there is none.
+	Leader string
+	// Lead says that this entry leads.
+	Lead bool
+	Term uint64
+}
+
+// Election is the state of one entry. Use New.
+type Election struct {
+	cfg   Settings
+	self  string
+	own   Beat
+	peers map[string]Beat
+	since time.Duration // since when there is no leader
+	lost  bool
+	open  time.Duration // from when this entry may lead
+}
+
+// New returns the state of an entry that starts now.
+func New(cfg Settings, self string, joined uint64, now time.Duration) *Election {
+	return &Election{cfg: cfg, self: self, own: Beat{Joined: joined}, peers: make(map[string]Beat), open: now + cfg.Quiet}
+}
+
+// Hear takes in what a linked peer says.
+func (e *Election) Hear(peer string, b Beat) { e.peers[peer] = b }
+
+// Lost forgets a peer whose link is down.
+func (e *Election) Lost(peer string) { delete(e.peers, peer) }
+
+// Own returns what this entry says of itself.
+func (e *Election) Own() Beat { return e.own }
+
+// SetOwned, SetStopping and SetStrained change what this entry says of itself.
+func (e *Election) SetOwned(n int) { e.own.Owned = n }
+
+// SetStopping marks this entry as one that must not be followed.
+func (e *Election) SetStopping() { e.own.Stopping = true }
+
+// SetStrained marks this entry as one that should not lead.
+func (e *Election) SetStrained(s bool) { e.own.Strained = s }
+
+// Peers returns the number of peers that have spoken.
+func (e *Election) Peers() int { return len(e.peers) }
+
+// Decide returns whom to follow now.
+func (e *Election) Decide(now time.Duration) Decision {
+	if leader, ok := e.strongest(); ok {
+		e.lost = false
+		return e.follow(leader)
+	}
+	if !e.lost {
+		e.lost, e.since = true, now
+	}
+	if relay, ok := e.relay(); ok {
+		if now < e.since+relayAfter {
+			return e.follow("") // the peer may not have noticed the loss yet
+		}
+		return e.follow(relay)
+	}
+	rank := e.rank()
+	if rank >= 0 && now >= e.open && now >= e.since+time.Duration(rank)*e.cfg.Step {
+		return e.lead()
+	}
+	return e.follow("")
+}
+
+func (e *Election) follow(leader string) Decision {
+	if leader == e.self {
+		return Decision{Leader: e.self, Lead: true, Term: e.own.Term}
+	}
+	e.own.Leading, e.own.Leader = false, leader
+	return Decision{Leader: leader}
+}
+
+func (e *Election) lead() Decision {
+	e.own.Term = e.highestTerm() + 1
+	e.own.Leading, e.own.Leader = true, ""
+	e.lost = false
+	return Decision{Leader: e.self, Lead: true, Term: e.own.Term}
+}
+
+func (e *Election) highestTerm() uint64 {
+	term := e.own.Term
+	for _, b := range e.peers {
+		term = max(term, b.Term)
+	}
+	return term
+}
+
+// strongest returns the leader with the most targets among those in reach; of
+// equals the one with the latest term. A leader that stops or is strained gives
+// way if another entry could lead.
+func (e *Election) strongest() (string, bool) {
+	var best string
+	var bestBeat Beat
+	consider := func(name string, b Beat) {
+		if !b.Leading || b.Stopping || b.Strained && e.healthyOther(name) {
+			return
+		}
+		if best == "" || stronger(b, name, bestBeat, best) {
+			best, bestBeat = name, b
+		}
+	}
+	consider(e.self, e.own)
+	for name, b := range e.peers {
+		consider(name, b)
+	}
+	return best, best != ""
+}
+
+func stronger(a Beat, an string, b Beat, bn string) bool {
+	return cmp.Or(cmp.Compare(a.Owned, b.Owned), cmp.Compare(a.Term, b.Term), cmp.Compare(an, bn)) > 0
+}
+
+func (e *Election) healthyOther(name string) bool {
+	ok := func(n string, b Beat) bool { return n != name && !b.Stopping && !b.Strained }
+	if ok(e.self, e.own) {
+		return true
+	}
+	for n, b := range e.peers {
+		if ok(n, b) {
+			return true
+		}
+	}
+	return false
+}
+
+// relay returns a peer that follows a leader which this entry can't reach.
+func (e *Election) relay() (string, bool) {
+	best := ""
+	for name, b := range e.peers {
+		_, linked := e.peers[b.Leader]
+		if b.Leader == "" || b.Leader == e.self || linked || b.Stopping {
+			continue
+		}
+		if best == "" || name < best {
+			best = name
+		}
+	}
+	return best, best != ""
+}
+
+// rank returns this entry's place in the order of succession, -1 if it stops.
+func (e *Election) rank() int {
+	if e.own.Stopping {
+		return -1
+	}
+	type candidate struct {
+		name string
+		b    Beat
+	}
+	all := []candidate{{e.self, e.own}}
+	for name, b := range e.peers {
+		if !b.Stopping {
+			all = append(all, candidate{name, b})
+		}
+	}
+	slices.SortFunc(all, func(a, b candidate) int {
+		if a.b.Strained != b.b.Strained {
+			if a.b.Strained {
+				return 1
+			}
+			return -1
+		}
+		return cmp.Or(cmp.Compare(a.b.Joined, b.b.Joined), cmp.Compare(a.name, b.name))
+	})
+	return slices.IndexFunc(all, func(c candidate) bool { return c.name == e.self })
+}
--- /dev/null
+++ b/internal/node/counts.go
@@ -0,0 +1,72 @@
+package node
+
+import (
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"currantstall/internal/fleet"
+	"currantstall/internal/metrics"
+	"currantstall/internal/verdict"
+)
+
+// counts holds the counters of a node.
+type counts struct {
+	m         *metrics.Metrics
+	starts    tally.Counter
+	abandoned tally.Counter
+	late      tally.Counter
+	latency   tally.Histogram
+	answers   map[string]tally.Counter
+}
+
+// latencyBuckets of the time from a job's arrival to its answer.
+var latencyBuckets = tally.MustMakeExponentialDurationBuckets(10*time.Millisecond, 1.5, 16)
+
+func newCounts(m *metrics.Metrics) *counts {
+	s := m.Scope().SubScope("node")
+	c := &counts{
+		m: m, starts: s.Counter("starts"), abandoned: s.Counter("abandoned"), late: s.Counter("late_outcomes"),
+		latency: s.Histogram("answer_seconds", latencyBuckets), answers: make(map[string]tally.Counter),
+	}
+	for _, order := range []string{"start", "stop", "hold"} {
+		for a := fleet.Unanswered; a <= fleet.Reborn; a++ {
+			c.answers[order+a.String()] = s.Tagged(map[string]string{"order": order, "answer": a.String()}).Counter("orders")
+		}
+	}
+	return c
+}
+
+func (c *counts) answer(order string, a fleet.Answer) { c.answers[order+a.String()].Inc(1) }
+
+func (c *counts) outcome(o fleet.Outcome, took time.Duration) {
+	c.latency.RecordDuration(took)
+	if o.Verdict != verdict.Completed {
+		c.m.CountRefused(&verdict.Error{Verdict: o.Verdict, Reason: o.Reason})
+	}
+}
+
+// lagMeter tells a node that is too slow to lead from how late its own ticks
+// come.
+type lagMeter struct {
+	last time.Duration
+	mean time.Duration
+}
+
+const (
+	// strainedLag is the mean lateness of ticks from which an entry should not
+	// lead; calmLag the one below which it may again.
+	strainedLag = 40 * time.Millisecond
+	lagWeight   = 16
+)
+
+func (l *lagMeter) tick(now time.Duration) {
+	late := max(now-l.last-tickEvery, 0)
+	if l.last == 0 {
+		late = 0
+	}
+	l.last = now
+	l.mean += (min(late, time.Second) - l.mean) / lagWeight
+}
+
+func (l *lagMeter) strained() bool { return l.mean > strainedLag }
--- /dev/null
+++ b/internal/node/directory.go
@@ -0,0 +1,275 @@
+package node
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"currantstall/internal/fleet"
+	"currantstall/internal/peer"
+	"currantstall/internal/rendezvous"
+	"currantstall/internal/structs"
+	"currantstall/internal/wire"
+)
+
+const (
+	// directoryPath is where an entry serves what it knows, for entries that
+	// start while the platform can't be read.
+	directoryPath = "/directory"
+	// staleTargets is the age from which a list of targets is not trusted to
+	// show who leaves.
+	staleTargets = 1500 * time.Millisecond
+	// shareEvery bounds how often a peer is told the directory.
+	shareEvery = 300 * time.Millisecond
+	// seedEvery is the pause between two rounds of asking the seeds.
+	seedEvery = time.Second
+	// maxDirectory bounds a directory, in bytes.
+	maxDirectory = 8 << 20
+	// minorityPause is how long a minority waits before it claims targets whose
+	// home it can't reach.
+	minorityPause = 1500 * time.Millisecond
+)
+
+// directory is what a node knows of the deployment, and how fresh it is.
+type directory struct {
+	targets   []fleet.Target
+	targetsAt time.Duration // when the list was current at the platform
+	hasList   bool
+	members   map[string]fleet.Member
+	live      []string // members that the platform's store has heard of lately
+	shared    map[string]time.Duration
+}
+
+// directoryBody is the body of wire.Directory and of the directory's page.
+type directoryBody struct {
+	Self       fleet.Member   `cbor:"1,keyasint"`
+	Config     *fleet.Config  `cbor:"2,keyasint,omitempty"`
+	Targets    []fleet.Target `cbor:"3,keyasint,omitempty"`
+	HasTargets bool           `cbor:"4,keyasint,omitempty"`
+	TargetsAge time.Duration  `cbor:"5,keyasint,omitempty"`
+	Members    []fleet.Member `cbor:"6,keyasint,omitempty"`
+}
+
+func newDirectory() directory {
+	return directory{members: make(map[string]fleet.Member), shared: make(map[string]time.Duration)}
+}
+
+// unknownAge stands for the age of a list that was never read.
+const unknownAge = time.Hour
+
+func (d *directory) targetsAge(now time.Duration) time.Duration {
+	if !d.hasList {
+		return unknownAge
+	}
+	return now - d.targetsAt
+}
+
+// lacks reports whether a peer should be told the directory now.
+func (d *directory) lacks(now time.Duration, peer string, b beatBody, config int64) bool {
+	older := b.Config < config
+	stale := b.TargetsAge > staleTargets && d.targetsAge(now)+staleTargets/2 < b.TargetsAge
+	if !older && !stale || now < d.shared[peer]+shareEvery {
+		return false
+	}
+	d.shared[peer] = now
+	return true
+}
+
+// SetConfig puts a configuration in force unless a newer one is.
+func (n *Node) SetConfig(c *fleet.Config) {
+	n.post(func(now time.Duration) { n.setConfig(now, c, "platform") })
+}
+
+func (n *Node) setConfig(now time.Duration, c *fleet.Config, source string) {
+	if cur := n.config.Load(); cur != nil && cur.Version >= c.Version {
+		return
+	}
+	n.config.Store(c)
+	n.log.Info("config", "version", c.Version, "queues", len(c.Queues), "source", source)
+	if source != "platform" {
+		return
+	}
+	for name := range n.linked {
+		n.share(name)
+	}
+}
+
+// SetTargets replaces the list of targets by one that was current at a time.
+func (n *Node) SetTargets(list []fleet.Target, at time.Time) {
+	n.post(func(now time.Duration) { n.setTargets(now, list, at.Sub(n.began)) })
+}
+
+func (n *Node) setTargets(now time.Duration, list []fleet.Target, at time.Duration) {
+	if n.dir.hasList && at < n.dir.targetsAt {
+		return
+	}
+	n.dir.targets, n.dir.targetsAt, n.dir.hasList = list, at, true
+	n.pool.SetTargets(now, list)
+	if n.pool.Leading() {
+		n.claim(now)
+	}
+}
+
+// SetMembers replaces what the platform knows of the entries; live ones have
+// renewed their entry lately.
+func (n *Node) SetMembers(list []fleet.Member, live []string) {
+	n.post(func(now time.Duration) {
+		clear(n.dir.members)
+		for _, m := range list {
+			n.dir.members[m.Name] = m
+		}
+		n.dir.live = live
+		n.dial()
+	})
+}
+
+// dial links this entry with the members it knows.
+func (n *Node) dial() {
+	var ps []peer.Peer
+	for _, m := range n.dir.members {
+		if m.Name != n.cfg.Self.Name {
+			ps = append(ps, peer.Peer{Member: structs.Member{Name: m.Name, Addr: m.Addr}, DC: m.DC})
+		}
+	}
+	n.peers.SetPeers(ps)
+}
+
+// body returns what this entry knows.
+func (n *Node) body(now time.Duration) directoryBody {
+	b := directoryBody{
+		Self: n.cfg.Self, Config: n.config.Load(),
+		Targets: n.dir.targets, HasTargets: n.dir.hasList, TargetsAge: n.dir.targetsAge(now),
+	}
+	for _, m := range n.dir.members {
+		b.Members = append(b.Members, m)
+	}
+	return b
+}
+
+// share tells a peer what this entry knows.
+func (n *Node) share(to string) { n.send(to, wire.Directory, n.body(n.now())) }
+
+// learn takes in what another entry knows.
+func (n *Node) learn(now time.Duration, b directoryBody) {
+	if b.Config != nil {
+		n.setConfig(now, b.Config, "peer "+b.Self.Name)
+	}
+	if b.HasTargets {
+		n.setTargets(now, b.Targets, now-b.TargetsAge)
+	}
+	added := false
+	for _, m := range append(slices.Clone(b.Members), b.Self) {
+		if _, known := n.dir.members[m.Name]; !known && m.Name != "" {
+			n.dir.members[m.Name] = m
+			added = true
+		}
+	}
+	if added {
+		n.dial()
+	}
+}
+
+// claim tells the pool how soon it may claim each target. The larger part of
+// the live members claims all at once; a smaller part claims the targets whose
+// home is in it, and the others after a pause.
+func (n *Node) claim(now time.Duration) {
+	known := slices.Clone(n.dir.live)
+	for name := range n.linked {
+		if !slices.Contains(known, name) {
+			known = append(known, name)
+		}
+	}
+	if !slices.Contains(known, n.cfg.Self.Name) {
+		known = append(known, n.cfg.Self.Name)
+	}
+	slices.Sort(known)
+	inReach := func(name string) bool {
+		_, linked := n.linked[name]
+		return linked || name == n.cfg.Self.Name
+	}
+	reached := 0
+	for _, name := range known {
+		if inReach(name) {
+			reached++
+		}
+	}
+	majority := 2*reached > len(known)
+	n.pool.SetClaim(now, func(id string) time.Duration {
+		if majority {
+			return 0
+		}
+		if home, _ := rendezvous.Top(rendezvous.Hash(id), known); inReach(known[home]) {
+			return 0
+		}
+		return minorityPause
+	})
+}
+
+func (n *Node) serveDirectory(w http.ResponseWriter, _ *http.Request) {
+	got := make(chan directoryBody, 1)
+	n.post(func(now time.Duration) { got <- n.body(now) })
+	select {
+	case b := <-got:
+		body, err := wire.Encode(b)
+		if err != nil {
+			n.log.Error("directory that can't be encoded", "err", err)
+			w.WriteHeader(http.StatusInternalServerError)
+			return
+		}
+		_, _ = w.Write(body) // a peer that hangs up asks again
+	case <-n.ctx.Done():
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+// askSeeds asks the seeds for the directory until enough is known to serve.
+func (n *Node) askSeeds() {
+	client := &http.Client{Timeout: seedEvery, Transport: &http.Transport{DisableKeepAlives: true}}
+	for {
+		select {
+		case <-n.ctx.Done():
+			return
+		case <-time.After(seedEvery):
+		}
+		if n.Ready() {
+			continue
+		}
+		for _, addr := range n.cfg.Seeds {
+			if strings.EqualFold(addr, n.cfg.Self.Addr) {
+				continue
+			}
+			b, err := fetchDirectory(n.ctx, client, addr)
+			if err != nil {
+				n.log.Info("seed", "addr", addr, "outcome", "no answer", "err", err)
+				continue
+			}
+			n.post(func(now time.Duration) { n.learn(now, b) })
+		}
+	}
+}
+
+func fetchDirectory(ctx context.Context, c *http.Client, addr string) (directoryBody, error) {
+	var b directoryBody
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+directoryPath, nil)
+	if err != nil {
+		return b, fmt.Errorf("directory of %s: %w", addr, err)
+	}
+	resp, err := c.Do(req)
+	if err != nil {
+		return b, fmt.Errorf("directory of %s: %w", addr, err)
+	}
+	defer resp.Body.Close() //nolint:errcheck // only read
+	if resp.StatusCode != http.StatusOK {
+		return b, fmt.Errorf("directory of %s: status %d", addr, resp.StatusCode)
+	}
+	var buf bytes.Buffer
+	if _, err := io.Copy(&buf, io.LimitReader(resp.Body, maxDirectory)); err != nil {
+		return b, fmt.Errorf("directory of %s: %w", addr, err)
+	}
+	return b, wire.Decode(buf.Bytes(), &b)
+}
--- /dev/null
+++ b/internal/node/jobs.go
@@ -0,0 +1,269 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"currantstall/internal/fleet"
+	"currantstall/internal/pool"
+	"currantstall/internal/verdict"
+	"currantstall/internal/wire"
+)
+
+// pending is a job whose outcome this entry owes: to a caller, or to another
+// entry for which it relays.
+type pending struct {
+	job        fleet.Job
+	arrived    time.Duration
+	sentTo     string // the leader that has the job, "" while none has
+	mayHaveRun bool   // an earlier leader had it
+	lostAt     time.Duration
+	waiters    []chan fleet.Outcome
+	relayFor   string
+}
+
+// unledPatience is how long a job waits for a leader before it is refused.
+const unledPatience = 800 * time.Millisecond
+
+type submitBody struct {
+	Job        fleet.Job     `cbor:"1,keyasint"`
+	Waited     time.Duration `cbor:"2,keyasint"`
+	MayHaveRun bool          `cbor:"3,keyasint,omitempty"`
+	LostAgo    time.Duration `cbor:"4,keyasint,omitempty"`
+	Relayed    bool          `cbor:"5,keyasint,omitempty"`
+}
+
+type endedBody struct {
+	Job     string        `cbor:"1,keyasint"`
+	Outcome fleet.Outcome `cbor:"2,keyasint"`
+}
+
+// abandonBody says that the caller is gone, or, with Cancel, wants no answer.
+type abandonBody struct {
+	Job    string `cbor:"1,keyasint"`
+	Cancel bool   `cbor:"2,keyasint,omitempty"`
+}
+
+// Submit hands a job in and returns its outcome. If the context ends first, the
+// caller is taken to be gone.
+func (n *Node) Submit(ctx context.Context, j fleet.Job) (fleet.Outcome, error) {
+	done := make(chan fleet.Outcome, 1)
+	n.post(func(now time.Duration) { n.accept(now, j, done) })
+	select {
+	case o := <-done:
+		return o, nil
+	case <-ctx.Done():
+		n.post(func(now time.Duration) { n.abandon(now, j.ID, done) })
+		return fleet.Outcome{}, ctx.Err()
+	case <-n.ctx.Done():
+		return fleet.Outcome{Verdict: verdict.MayHaveRun, Reason: verdict.Draining}, nil
+	}
+}
+
+func (n *Node) accept(now time.Duration, j fleet.Job, done chan fleet.Outcome) {
+	if p := n.pending[j.ID]; p != nil {
+		p.waiters = append(p.waiters, done)
+		n.log.Info("job", "job", j.ID, "outcome", "joined the copy that is pending")
+		return
+	}
+	n.log.Info("job", "job", j.ID, "queue", j.Queue.Name, "tasks", j.Tasks(), "outcome", "accepted", "leader", n.decision.Leader,
+		"config", n.configVersion())
+	n.pending[j.ID] = &pending{job: j, arrived: now, waiters: []chan fleet.Outcome{done}}
+}
+
+// Cancel ends a job at its caller's word, and reports whether it was known.
+func (n *Node) Cancel(ctx context.Context, id string) bool {
+	known := make(chan bool, 1)
+	n.post(func(now time.Duration) {
+		p := n.pending[id]
+		if p != nil {
+			n.tellLeader(now, p, abandonBody{Job: id, Cancel: true})
+		}
+		known <- p != nil
+	})
+	select {
+	case k := <-known:
+		return k
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (n *Node) configVersion() int64 {
+	if c := n.config.Load(); c != nil {
+		return c.Version
+	}
+	return 0
+}
+
+// abandon drops a waiter whose connection is gone, and the job with the last.
+func (n *Node) abandon(now time.Duration, id string, done chan fleet.Outcome) {
+	p := n.pending[id]
+	if p == nil {
+		return
+	}
+	for i, w := range p.waiters {
+		if w == done {
+			p.waiters = append(p.waiters[:i], p.waiters[i+1:]...)
+			break
+		}
+	}
+	if len(p.waiters) > 0 || p.relayFor != "" {
+		return
+	}
+	n.log.Info("job", "job", id, "outcome", "caller gone", "sent_to", p.sentTo, "ms", (now - p.arrived).Milliseconds())
+	n.counts.abandoned.Inc(1)
+	n.tellLeader(now, p, abandonBody{Job: id})
+	delete(n.pending, id)
+}
+
+// tellLeader passes a word of the caller on to whoever has the job.
+func (n *Node) tellLeader(now time.Duration, p *pending, b abandonBody) {
+	switch {
+	case p.sentTo == n.cfg.Self.Name && b.Cancel:
+		n.pool.Cancel(now, b.Job)
+	case p.sentTo == n.cfg.Self.Name:
+		n.pool.Abandon(now, n.cfg.Self.Name, b.Job)
+	case p.sentTo != "":
+		n.send(p.sentTo, wire.PoolAbandon, b)
+	case b.Cancel:
+		n.settle(now, b.Job, fleet.Outcome{Verdict: p.verdict(), Reason: verdict.Cancelled})
+	}
+}
+
+func (p *pending) verdict() verdict.Verdict {
+	if p.mayHaveRun {
+		return verdict.MayHaveRun
+	}
+	return verdict.NotRun
+}
+
+// route hands the jobs that no leader has to the leader.
+func (n *Node) route(now time.Duration) {
+	leader := n.decision.Leader
+	if leader == "" {
+		return
+	}
+	for _, p := range n.pending {
+		if p.sentTo == "" && !(p.relayFor != "" && leader != n.cfg.Self.Name && p.relayFor == leader) {
+			n.submitTo(now, leader, p)
+		}
+	}
+}
+
+func (n *Node) submitTo(now time.Duration, leader string, p *pending) {
+	lostAgo := now - p.lostAt
+	if leader == n.cfg.Self.Name {
+		p.sentTo = leader
+		n.pool.Submit(now, pool.Submit{
+			Coordinator: leader, Job: p.job, Waited: now - p.arrived, MayHaveRun: p.mayHaveRun, LostAgo: lostAgo,
+		})
+		return
+	}
+	sent := n.send(leader, wire.PoolSubmit, submitBody{
+		Job: p.job, Waited: now - p.arrived, MayHaveRun: p.mayHaveRun, LostAgo: lostAgo, Relayed: p.relayFor != "",
+	})
+	if sent {
+		p.sentTo = leader
+	}
+}
+
+// leaderLost notes that whoever had the jobs may have started them.
+func (n *Node) leaderLost(now time.Duration, name string) {
+	for _, p := range n.pending {
+		if p.sentTo == name && name != "" {
+			p.sentTo, p.mayHaveRun, p.lostAt = "", true, now
+		}
+	}
+}
+
+// ended delivers an outcome of the own pool.
+func (n *Node) ended(now time.Duration, e pool.Ended) {
+	if e.Coordinator == n.cfg.Self.Name {
+		n.outcome(now, n.cfg.Self.Name, e.Job, e.Outcome)
+		return
+	}
+	n.send(e.Coordinator, wire.PoolEnded, endedBody{Job: e.Job, Outcome: e.Outcome})
+}
+
+// outcome takes in what a leader says of a job. A leader that has stopped
+// leading says that it is not ready; the job then goes to the next.
+func (n *Node) outcome(now time.Duration, from, id string, o fleet.Outcome) {
+	p := n.pending[id]
+	if p == nil {
+		n.counts.late.Inc(1)
+		return
+	}
+	if p.sentTo != from && o.Verdict != verdict.Completed && o.Verdict != verdict.Failed {
+		return // of a leader that no longer has it
+	}
+	if o.Reason == verdict.NotReady {
+		p.sentTo = ""
+		return
+	}
+	if o.Verdict == verdict.NotRun && p.mayHaveRun {
+		o.Verdict = verdict.MayHaveRun
+	}
+	n.settle(now, id, o)
+}
+
+// settle answers all who wait for a job.
+func (n *Node) settle(now time.Duration, id string, o fleet.Outcome) {
+	p := n.pending[id]
+	if p == nil {
+		return
+	}
+	delete(n.pending, id)
+	n.log.Info("answer", "job", id, "queue", p.job.Queue.Name, "verdict", o.Verdict.String(), "reason", o.Reason,
+		"from", p.sentTo, "ms", (now - p.arrived).Milliseconds(), "retry_after_ms", o.RetryAfter.Milliseconds())
+	n.counts.outcome(o, now-p.arrived)
+	for _, w := range p.waiters {
+		w <- o
+	}
+	if p.relayFor != "" {
+		n.send(p.relayFor, wire.PoolEnded, endedBody{Job: id, Outcome: o})
+	}
+}
+
+// refuseUnled refuses the jobs that wait too long for a leader.
+func (n *Node) refuseUnled(now time.Duration) {
+	for id, p := range n.pending {
+		if p.sentTo == "" && now > p.arrived+unledPatience && !p.mayHaveRun {
+			n.settle(now, id, fleet.Outcome{Verdict: verdict.NotRun, Reason: verdict.NoTarget, RetryAfter: time.Second})
+		}
+	}
+}
+
+// submitted takes in a job of another entry.
+func (n *Node) submitted(now time.Duration, from string, b submitBody) {
+	if n.pool.Leading() {
+		n.pool.Submit(now, pool.Submit{
+			Coordinator: from, Job: b.Job, Waited: b.Waited, MayHaveRun: b.MayHaveRun, LostAgo: b.LostAgo,
+		})
+		return
+	}
+	if b.Relayed || n.decision.Leader == "" || n.decision.Leader == from || n.pending[b.Job.ID] != nil {
+		n.send(from, wire.PoolEnded, endedBody{b.Job.ID, fleet.Outcome{Verdict: verdict.NotRun, Reason: verdict.NotReady}})
+		return
+	}
+	n.log.Info("job", "job", b.Job.ID, "outcome", "relayed", "for", from, "leader", n.decision.Leader)
+	n.pending[b.Job.ID] = &pending{
+		job: b.Job, arrived: now - b.Waited, mayHaveRun: b.MayHaveRun, lostAt: now - b.LostAgo, relayFor: from,
+	}
+}
+
+// abandoned takes in that another entry's caller is gone.
+func (n *Node) abandoned(now time.Duration, from string, b abandonBody) {
+	if p := n.pending[b.Job]; p != nil && p.relayFor == from {
+		n.tellLeader(now, p, b)
+		if !b.Cancel {
+			delete(n.pending, b.Job)
+		}
+		return
+	}
+	if b.Cancel {
+		n.pool.Cancel(now, b.Job)
+		return
+	}
+	n.pool.Abandon(now, from, b.Job)
+}
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,287 @@
+// Package node runs an entry of a pooled deployment: it keeps the callers'
+// jobs, follows or is the leader that owns the targets, and carries the pool's
+// orders to the targets. All state belongs to one goroutine, which takes events
+// one at a time; what blocks runs beside it and posts its result as an event.
+package node
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"currantstall/internal/election"
+	"currantstall/internal/fleet"
+	"currantstall/internal/metrics"
+	"currantstall/internal/peer"
+	"currantstall/internal/pool"
+	"currantstall/internal/structs"
+)
+
+// Config sets up a Node.
+type Config struct {
+	Self    fleet.Member
+	Secret  []byte // shared by all entries
+	Targets fleet.Targets
+	// Seeds are addresses of entries that may know the others.
+	Seeds   []string
+	Metrics *metrics.Metrics
+	Log     *slog.Logger
+}
+
+const (
+	// silentAfter closes a link on which nothing arrives. With the pool's grace
+	// it stays below the 1.3 s after which a caller comes back.
+	silentAfter = 500 * time.Millisecond
+	// retain is the least that a link takes: a message that a lost link did not
+	// deliver is sent anew by whoever still wants it.
+	retain = time.Nanosecond
+	// queueBytes bounds what waits for one peer.
+	queueBytes = 8 << 20
+	// beatEvery is the pause between two beats to the peers.
+	beatEvery = 200 * time.Millisecond
+	// tickEvery is the pause between two looks at what is due by time.
+	tickEvery = 20 * time.Millisecond
+	// eventQueue is how many events may wait.
+	eventQueue = 8192
+)
+
+// event changes the node's state. It runs on the node's goroutine.
+type event func(now time.Duration)
+
+// Node is a running entry. Use Start.
+type Node struct {
+	cfg     Config
+	log     *slog.Logger
+	counts  *counts
+	began   time.Time
+	events  chan event
+	stopped chan struct{}
+	ctx     context.Context
+	cancel  context.CancelFunc
+	peers   *peer.Node
+
+	config  atomic.Pointer[fleet.Config]
+	ready   atomic.Bool
+	leaving atomic.Bool
+
+	// Owned by the loop.
+	pool     *pool.Pool
+	election *election.Election
+	decision election.Decision
+	linked   map[string]time.Time
+	pending  map[string]*pending
+	dir      directory
+	stopping bool
+	lastBeat time.Duration
+	lastSaid election.Beat
+	lag      lagMeter
+}
+
+// Start runs a node until Close.
+func Start(cfg Config) (*Node, error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	n := &Node{
+		cfg: cfg, log: cfg.Log, counts: newCounts(cfg.Metrics), began: time.Now(),
+		events: make(chan event, eventQueue), stopped: make(chan struct{}),
+		ctx: ctx, cancel: cancel,
+		linked: make(map[string]time.Time), pending: make(map[string]*pending),
+		dir: newDirectory(),
+	}
+	n.pool = pool.New(pool.DefaultSettings(), n.logDecision)
+	n.election = election.New(election.Settings{Quiet: election.DefaultQuiet, Step: election.DefaultStep},
+		cfg.Self.Name, uint64(time.Now().UnixMilli()), n.now())
+	links, err := peer.New(peer.Config{
+		Self:        structs.Member{Name: cfg.Self.Name, Incarnation: uint64(time.Now().UnixNano()), Addr: cfg.Self.Addr},
+		DC:          cfg.Self.DC,
+		Secret:      cfg.Secret,
+		SilentAfter: silentAfter,
+		DialTimeout: silentAfter,
+		Retain:      retain,
+		QueueBytes:  queueBytes,
+		Metrics:     cfg.Metrics,
+		Log:         cfg.Log,
+	}, (*links)(n))
+	if err != nil {
+		cancel()
+		return nil, fmt.Errorf("links between entries: %w", err)
+	}
+	n.peers = links
+	go n.loop()
+	go n.askSeeds()
+	return n, nil
+}
+
+// Handler serves the other entries: links and the directory.
+func (n *Node) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle(peer.Path, n.peers)
+	mux.HandleFunc(directoryPath, n.serveDirectory)
+	return mux
+}
+
+// Config returns the configuration in force, nil before the first.
+func (n *Node) Config() *fleet.Config { return n.config.Load() }
+
+// Ready reports whether the node takes jobs: it knows a configuration and a
+// leader, and is not stopping.
+func (n *Node) Ready() bool { return n.ready.Load() }
+
+// Stopping reports whether Stop was called.
+func (n *Node) Stopping() bool { return n.leaving.Load() }
+
+// Stop makes the node unready and lets another lead. It goes on serving what
+// arrives.
+func (n *Node) Stop() {
+	n.leaving.Store(true)
+	n.post(func(time.Duration) {
+		n.stopping = true
+		n.election.SetStopping()
+		n.log.Info("stopping")
+	})
+}
+
+// Close ends the node.
+func (n *Node) Close() {
+	n.cancel()
+	<-n.stopped
+	if err := n.peers.Close(); err != nil {
+		n.log.Warn("close links", "err", err)
+	}
+}
+
+func (n *Node) now() time.Duration { return time.Since(n.began) }
+
+// post hands an event to the loop.
+func (n *Node) post(e event) {
+	select {
+	case n.events <- e:
+	case <-n.ctx.Done():
+	}
+}
+
+func (n *Node) loop() {
+	defer close(n.stopped)
+	tick := time.NewTicker(tickEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-n.ctx.Done():
+			return
+		case e := <-n.events:
+			e(n.now())
+			n.drain()
+		case <-tick.C:
+			n.lag.tick(n.now())
+		}
+		n.step(n.now())
+	}
+}
+
+// drain takes the events that are waiting, so that one round of placement
+// serves them all.
+func (n *Node) drain() {
+	for range 64 {
+		select {
+		case e := <-n.events:
+			e(n.now())
+		default:
+			return
+		}
+	}
+}
+
+// step decides what follows from the events taken.
+func (n *Node) step(now time.Duration) {
+	n.elect(now)
+	n.route(now)
+	n.pool.Tick(now)
+	n.perform(now)
+	n.beat(now)
+	n.refuseUnled(now)
+	n.ready.Store(n.config.Load() != nil && n.decision.Leader != "" && !n.stopping)
+}
+
+// elect follows the election's decision.
+func (n *Node) elect(now time.Duration) {
+	n.election.SetOwned(n.pool.Owned())
+	n.election.SetStrained(n.lag.strained())
+	d := n.election.Decide(now)
+	if d.Lead != n.pool.Leading() {
+		if d.Lead {
+			n.pool.Lead(now, fenceBase())
+			n.claim(now)
+		} else {
+			n.pool.Yield()
+		}
+	}
+	if d != n.decision {
+		n.log.Info("leader", "leader", d.Leader, "lead", d.Lead, "term", d.Term, "before", n.decision.Leader, "peers", n.election.Peers())
+		if d.Leader != n.decision.Leader {
+			n.leaderLost(now, n.decision.Leader)
+		}
+		n.decision = d
+	}
+}
+
+// fenceBase returns a fencing token above those of the owners before, by the
+// time of day, with bits that tell this owner apart. Where the time of day has
+// jumped back, the pool probes upwards.
+func fenceBase() uint64 {
+	const ownerBits = 12
+	return uint64(time.Now().UnixMilli())<<ownerBits | rand.Uint64N(1<<ownerBits)
+}
+
+// perform carries out what the pool wants done.
+func (n *Node) perform(now time.Duration) {
+	for _, e := range n.pool.Effects() {
+		switch e := e.(type) {
+		case fleet.Start:
+			n.counts.starts.Inc(1)
+			go n.start(e)
+		case fleet.Stop:
+			go n.stop(e)
+		case fleet.Hold:
+			go n.hold(now, e)
+		case pool.Ended:
+			n.ended(now, e)
+		}
+	}
+}
+
+const (
+	// orderTimeout bounds a start or stop.
+	orderTimeout = 300 * time.Millisecond
+	// holdSlack is how much longer than its wait a hold may take.
+	holdSlack = 200 * time.Millisecond
+)
+
+func (n *Node) start(o fleet.Start) {
+	ctx, cancel := context.WithTimeout(n.ctx, orderTimeout)
+	defer cancel()
+	rep := n.cfg.Targets.Start(ctx, o)
+	n.counts.answer("start", rep.Answer)
+	n.post(func(now time.Duration) { n.pool.StartDone(now, o, rep) })
+}
+
+func (n *Node) stop(o fleet.Stop) {
+	ctx, cancel := context.WithTimeout(n.ctx, orderTimeout)
+	defer cancel()
+	rep := n.cfg.Targets.Stop(ctx, o)
+	n.counts.answer("stop", rep.Answer)
+	n.post(func(now time.Duration) { n.pool.StopDone(now, o, rep) })
+}
+
+func (n *Node) hold(sent time.Duration, o fleet.Hold) {
+	ctx, cancel := context.WithTimeout(n.ctx, o.Wait+holdSlack)
+	defer cancel()
+	rep := n.cfg.Targets.Hold(ctx, o)
+	n.counts.answer("hold", rep.Answer)
+	n.post(func(now time.Duration) { n.pool.HoldDone(now, sent, o, rep) })
+}
+
+// logDecision writes one line of the pool.
+func (n *Node) logDecision(event string, args ...any) { n.log.Info(event, args...) }
--- /dev/null
+++ b/internal/pool/job.go
@@ -0,0 +1,326 @@
+package pool
+
+import (
+	"slices"
+	"time"
+
+	"currantstall/internal/fleet"
+	"currantstall/internal/structs"
+	"currantstall/internal/verdict"
+)
+
+type taskState uint8
+
+const (
+	taskBlocked taskState = iota // an earlier step is not done
+	taskWaiting
+	taskPlaced
+	taskDone
+)
+
+type task struct {
+	job      *job
+	id       fleet.TaskID
+	step     *fleet.Step
+	needs    structs.Resources
+	expect   time.Duration
+	state    taskState
+	run      int // number of the last run
+	failures int
+	current  *run
+}
+
+type job struct {
+	fleet.Job
+	class       *class
+	coordinator string
+	arrived     time.Duration
+	latest      time.Duration // after which a start comes too late for full worth
+	steps       [][]*task
+	left        []int // tasks that are not done, by step
+	waiting     int   // tasks that wait for a place
+	queued      bool  // stands in its class's queue
+	begun       bool  // a task was ordered, or may have been by an earlier owner
+	mayHaveRun  bool
+	safeAt      time.Duration // when nothing of an earlier owner can run any more
+	orphan      bool
+	orphanUntil time.Duration
+}
+
+// Submit hands a job in.
+type Submit struct {
+	Coordinator string // entry that keeps the caller's connection
+	Job         fleet.Job
+	// Waited is the time since the job arrived from the caller.
+	Waited time.Duration
+	// MayHaveRun says that an earlier owner may have started it, and LostAgo
+	// when it was lost.
+	MayHaveRun bool
+	LostAgo    time.Duration
+}
+
+// Submit takes a job in, or a copy of one that is known.
+func (p *Pool) Submit(now time.Duration, s Submit) {
+	if !p.leading {
+		p.emit(Ended{s.Coordinator, s.Job.ID, fleet.Outcome{Verdict: notRun(s.MayHaveRun), Reason: verdict.NotReady}})
+		return
+	}
+	if k, ok := p.kept[s.Job.ID]; ok {
+		p.log("job", "job", s.Job.ID, "outcome", "answered from kept outcome", "coordinator", s.Coordinator)
+		p.emit(Ended{s.Coordinator, s.Job.ID, k.outcome})
+		return
+	}
+	if j := p.jobs[s.Job.ID]; j != nil {
+		p.log("job", "job", j.ID, "outcome", "attached", "coordinator", s.Coordinator, "orphan", j.orphan)
+		j.coordinator, j.orphan = s.Coordinator, false
+		p.enqueue(j)
+		return
+	}
+	j := p.newJob(now, s)
+	p.jobs[j.ID] = j
+	p.adopt(now, j)
+	switch reason := p.neverFits(j); {
+	case reason != "" && !j.mayHaveRun:
+		p.end(now, j, fleet.Outcome{Verdict: verdict.Failed, Reason: reason})
+	default:
+		p.enqueue(j)
+	}
+}
+
+func notRun(mayHaveRun bool) verdict.Verdict {
+	if mayHaveRun {
+		return verdict.MayHaveRun
+	}
+	return verdict.NotRun
+}
+
+func (p *Pool) newJob(now time.Duration, s Submit) *job {
+	c := p.class(&s.Job.Queue)
+	j := &job{
+		Job: s.Job, class: c, coordinator: s.Coordinator, arrived: now - s.Waited,
+		mayHaveRun: s.MayHaveRun, begun: s.MayHaveRun,
+		steps: make([][]*task, len(s.Job.Steps)), left: make([]int, len(s.Job.Steps)),
+	}
+	if s.MayHaveRun {
+		j.safeAt = now + p.cfg.Safe - s.LostAgo
+	}
+	for i := range j.Steps {
+		st := &j.Steps[i]
+		expect := c.expect(st.Estimate)
+		ready := len(st.After) == 0
+		tasks := make([]task, st.Count)
+		j.left[i] = st.Count
+		j.steps[i] = make([]*task, st.Count)
+		for k := range tasks {
+			tasks[k] = task{job: j, id: fleet.TaskID{Job: j.ID, Step: i, Index: k}, step: st, needs: st.Needs, expect: expect}
+			j.steps[i][k] = &tasks[k]
+			if ready {
+				tasks[k].state = taskWaiting
+				j.waiting++
+			}
+		}
+	}
+	chain := j.chain()
+	j.latest = j.arrived + time.Duration(float64(chain)*(max(j.Queue.Stretch, 1)-1)) + j.Queue.Slack - tripMargin
+	return j
+}
+
+// chain returns the length of the longest chain of steps.
+func (j *job) chain() time.Duration {
+	ends := make([]time.Duration, len(j.Steps))
+	var longest time.Duration
+	for i := range j.Steps {
+		var from time.Duration
+		for _, a := range j.Steps[i].After {
+			from = max(from, ends[a])
+		}
+		ends[i] = from
+		if len(j.steps[i]) > 0 {
+			ends[i] += j.steps[i][0].expect
+		}
+		longest = max(longest, ends[i])
+	}
+	return longest
+}
+
+// task returns a task of a known job, or nil.
+func (p *Pool) task(id fleet.TaskID) *task {
+	j := p.jobs[id.Job]
+	if j == nil || id.Step < 0 || id.Step >= len(j.steps) || id.Index < 0 || id.Index >= len(j.steps[id.Step]) {
+		return nil
+	}
+	return j.steps[id.Step][id.Index]
+}
+
+// placed notes that a task runs or is ordered.
+func (p *Pool) placed(tk *task, r *run) {
+	j := tk.job
+	tk.current, tk.state = r, taskPlaced
+	j.waiting--
+	if j.waiting == 0 {
+		j.class.remove(j)
+	}
+	if !j.begun {
+		queued := j.queued
+		j.class.remove(j)
+		j.begun = true // which changes its place in the queue
+		if queued {
+			j.class.insert(j)
+		}
+	}
+}
+
+// requeue lets a task wait for a place again.
+func (p *Pool) requeue(now time.Duration, tk *task) {
+	if tk.state != taskPlaced {
+		return
+	}
+	tk.state = taskWaiting
+	j := tk.job
+	j.waiting++
+	if p.jobs[j.ID] != j {
+		return
+	}
+	if j.orphan {
+		p.dropOrphan(now, j)
+		return
+	}
+	p.enqueue(j)
+}
+
+func (p *Pool) enqueue(j *job) {
+	if j.waiting > 0 && !j.queued && !j.orphan && p.jobs[j.ID] == j {
+		j.class.insert(j)
+	}
+}
+
+func (p *Pool) taskDone(now time.Duration, tk *task) {
+	j := tk.job
+	if tk.state == taskWaiting {
+		j.waiting--
+		if j.waiting == 0 {
+			j.class.remove(j)
+		}
+	}
+	tk.state = taskDone
+	j.left[tk.id.Step]--
+	if j.left[tk.id.Step] > 0 {
+		return
+	}
+	if !slices.ContainsFunc(j.left, func(n int) bool { return n > 0 }) {
+		p.end(now, j, fleet.Outcome{Verdict: verdict.Completed})
+		return
+	}
+	p.unblock(j)
+}
+
+// unblock frees the steps whose earlier steps are done.
+func (p *Pool) unblock(j *job) {
+	for i := range j.Steps {
+		ready := !slices.ContainsFunc(j.Steps[i].After, func(a int) bool { return j.left[a] > 0 })
+		for _, tk := range j.steps[i] {
+			if ready && tk.state == taskBlocked {
+				tk.state = taskWaiting
+				j.waiting++
+			}
+		}
+	}
+	p.enqueue(j)
+}
+
+func (p *Pool) taskFailed(now time.Duration, tk *task, r *run) {
+	tk.failures++
+	p.log("run", "task", tk.id, "run", r.n, "target", r.target.ID, "outcome", "failed", "failures", tk.failures)
+	if tk.failures >= max(tk.job.Queue.Attempts, 1) {
+		p.end(now, tk.job, fleet.Outcome{Verdict: verdict.Failed, Reason: verdict.TaskFailed})
+		return
+	}
+	p.requeue(now, tk)
+}
+
+// end tells the coordinator how the job ended and stops what still runs of it.
+func (p *Pool) end(now time.Duration, j *job, o fleet.Outcome) {
+	if p.jobs[j.ID] != j {
+		return
+	}
+	delete(p.jobs, j.ID)
+	j.class.remove(j)
+	for _, r := range j.runs() {
+		p.stop(now, r, "its job has ended")
+	}
+	p.log("job", "job", j.ID, "queue", j.Queue.Name, "outcome", o.Verdict.String(), "reason", o.Reason,
+		"ms", (now - j.arrived).Milliseconds(), "slack_ms", (j.latest - now).Milliseconds())
+	if o.Verdict == verdict.Completed || o.Verdict == verdict.Failed {
+		p.kept[j.ID] = keptOutcome{o, now + keepOutcome}
+	}
+	if !j.orphan {
+		p.emit(Ended{j.coordinator, j.ID, o})
+	}
+}
+
+// runs returns what is ordered or runs of the job.
+func (j *job) runs() []*run {
+	var rs []*run
+	for _, tasks := range j.steps {
+		for _, tk := range tasks {
+			if tk.current != nil {
+				rs = append(rs, tk.current)
+			}
+		}
+	}
+	return rs
+}
+
+// Abandon notes that the caller of a job is gone. What waits is dropped; what
+// runs may go on for a moment, in case the caller comes back.
+func (p *Pool) Abandon(now time.Duration, coordinator, id string) {
+	j := p.jobs[id]
+	if j == nil || j.coordinator != coordinator {
+		return
+	}
+	p.orphan(now, j, now+p.cfg.OrphanGrace)
+}
+
+// Cancel ends a job at its caller's word.
+func (p *Pool) Cancel(now time.Duration, id string) {
+	if j := p.jobs[id]; j != nil {
+		p.end(now, j, fleet.Outcome{Verdict: notRun(j.begun), Reason: verdict.Cancelled})
+	}
+}
+
+// CoordinatorLost notes that the entry that keeps callers' connections is gone.
+// Its callers may be served elsewhere soon, so what runs for them is stopped
+// unless the entry comes back at once.
+func (p *Pool) CoordinatorLost(now time.Duration, name string) {
+	for _, j := range p.jobs {
+		if j.coordinator == name && !j.orphan {
+			p.orphan(now, j, now+p.cfg.LinkGrace)
+		}
+	}
+}
+
+func (p *Pool) orphan(now time.Duration, j *job, until time.Duration) {
+	j.orphan, j.orphanUntil = true, until
+	j.class.remove(j)
+	p.log("job", "job", j.ID, "outcome", "orphan", "coordinator", j.coordinator, "begun", j.begun)
+	p.dropOrphan(now, j)
+}
+
+// dropOrphan forgets an orphan of which nothing runs.
+func (p *Pool) dropOrphan(now time.Duration, j *job) {
+	if len(j.runs()) == 0 {
+		delete(p.jobs, j.ID)
+	} else if now >= j.orphanUntil {
+		for _, r := range j.runs() {
+			p.stop(now, r, "its caller is gone")
+		}
+	}
+}
+
+func (p *Pool) expireOrphans(now time.Duration) {
+	for _, j := range p.jobs {
+		if j.orphan && now >= j.orphanUntil {
+			p.dropOrphan(now, j)
+		}
+	}
+}
--- /dev/null
+++ b/internal/pool/ownership.go
@@ -0,0 +1,137 @@
+package pool
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"currantstall/internal/fleet"
+)
+
+const (
+	// firstBackoff is the pause before a target that was lost to another owner
+	// is claimed again; it doubles up to maxBackoff.
+	firstBackoff = 400 * time.Millisecond
+	maxBackoff   = 4 * time.Second
+	// fenceProbes bounds the tries to find a fence above all earlier ones.
+	fenceProbes = 30
+)
+
+// SetClaim says how soon each target may be claimed: pause returns the wait
+// since the start of the lead for a target's ID.
+func (p *Pool) SetClaim(now time.Duration, pause func(id string) time.Duration) {
+	for _, t := range p.order {
+		wait := pause(t.ID)
+		if wait == t.claimAfter {
+			continue
+		}
+		t.claimAfter = wait
+		if !t.owned && !t.asking {
+			t.askAt = now + wait
+		}
+	}
+}
+
+// acquireDue asks for the targets that are not owned and due.
+func (p *Pool) acquireDue(now time.Duration) {
+	for _, t := range p.order {
+		if !t.owned && !t.asking && now >= t.askAt && t.listed {
+			p.acquire(now, t)
+		}
+	}
+}
+
+// acquire sends a hold under a new fence. Whatever was ordered before under a
+// lower one can't begin once it is answered.
+func (p *Pool) acquire(now time.Duration, t *target) {
+	p.fence += fenceStep << min(t.lostTo, fenceProbes)
+	t.fence = p.fence
+	t.asking, t.holding, t.holdAt = true, true, now
+	t.owned = false
+	p.emit(fleet.Hold{Target: t.Target, Fence: t.fence, LeaseUntil: t.lease(now, p.cfg.Lease)})
+}
+
+// acquired takes in the first list under a new fence.
+func (p *Pool) acquired(now time.Duration, t *target, rep fleet.Report) {
+	t.asking, t.owned, t.lostTo = false, true, 0
+	p.log("ownership", "target", t.ID, "outcome", "acquired", "fence", t.fence, "running", len(rep.Running))
+	listed := make(map[runKey]bool, len(rep.Running))
+	for _, row := range rep.Running {
+		listed[runKey{row.Task, row.Run}] = true
+	}
+	for _, e := range rep.Ended {
+		listed[runKey{e.Task, e.Run}] = true
+	}
+	for _, r := range sortedRuns(t.runs) {
+		if !listed[r.key()] {
+			p.runGone(now, r) // a lower fence can't start it any more
+		}
+	}
+}
+
+// lose notes that another owner has used a higher fence.
+func (p *Pool) lose(now time.Duration, t *target) {
+	t.owned, t.asking = false, false
+	back := min(firstBackoff<<min(t.lostTo, 4), maxBackoff)
+	if t.claimAfter == 0 && t.lostTo < 8 {
+		back = 0 // ours by the placement of homes, or the fence was too low
+	}
+	t.lostTo++
+	t.askAt = now + back
+	p.log("ownership", "target", t.ID, "outcome", "fenced", "fence", t.fence, "lost", t.lostTo, "retry_ms", back.Milliseconds())
+}
+
+// unreachable notes that a target did not answer.
+func (p *Pool) unreachable(now time.Duration, t *target) {
+	if t.owned || t.misses == 1 {
+		p.log("ownership", "target", t.ID, "outcome", "unreachable", "misses", t.misses, "runs", len(t.runs))
+	}
+	t.owned, t.asking = false, false
+	t.askAt = now + reacquireAfter
+}
+
+// expireLeases gives up the runs on targets that are out of reach once no lease
+// can be in force there.
+func (p *Pool) expireLeases(now time.Duration) {
+	for _, t := range slices.Clone(p.order) {
+		if t.owned || len(t.runs) == 0 || !t.lapsed(now) {
+			continue
+		}
+		p.log("ownership", "target", t.ID, "outcome", "lapsed", "runs", len(t.runs))
+		for _, r := range sortedRuns(t.runs) {
+			p.runGone(now, r)
+		}
+		p.dropIfDone(t)
+	}
+}
+
+// allListed reports whether every target's list was read under our fence, so
+// that nothing runs that is not known.
+func (p *Pool) allListed() bool {
+	for _, t := range p.order {
+		if t.listed && !t.owned {
+			return false
+		}
+	}
+	return true
+}
+
+func sortedRuns(m map[runKey]*run) []*run {
+	rs := make([]*run, 0, len(m))
+	for _, r := range m {
+		rs = append(rs, r)
+	}
+	slices.SortFunc(rs, func(a, b *run) int {
+		if c := strings.Compare(a.task.Job, b.task.Job); c != 0 {
+			return c
+		}
+		if c := a.task.Step - b.task.Step; c != 0 {
+			return c
+		}
+		if c := a.task.Index - b.task.Index; c != 0 {
+			return c
+		}
+		return a.n - b.n
+	})
+	return rs
+}
--- /dev/null
+++ b/internal/pool/place.go
@@ -0,0 +1,190 @@
+package pool
+
+import (
+	"time"
+
+	"currantstall/internal/fleet"
+	"currantstall/internal/verdict"
+)
+
+// place gives room to what waits: first to the jobs that have begun, whose work
+// so far is lost otherwise, then by turns to the queue that has the least of its
+// share.
+func (p *Pool) place(now time.Duration) {
+	for _, c := range p.ranked {
+		p.placeBegun(now, c)
+	}
+	for _, c := range p.ranked {
+		c.full = false
+	}
+	for {
+		c := p.neediest()
+		if c == nil {
+			return
+		}
+		if !p.placeNext(now, c) {
+			c.full = true
+		}
+	}
+}
+
+func (p *Pool) placeBegun(now time.Duration, c *class) {
+	for i := 0; i < len(c.waiting); {
+		j := c.waiting[i]
+		if !j.begun {
+			return
+		}
+		if now >= j.safeAt || p.allListed() {
+			p.placeJob(now, j)
+		}
+		if i < len(c.waiting) && c.waiting[i] == j {
+			i++
+		}
+	}
+}
+
+// neediest returns the queue with waiting jobs that uses the least of its share.
+func (p *Pool) neediest() *class {
+	var best *class
+	var least float64
+	for _, c := range p.ranked {
+		if c.full || len(c.waiting) == 0 {
+			continue
+		}
+		if use := float64(c.inUse) / c.weight; best == nil || use < least {
+			best, least = c, use
+		}
+	}
+	return best
+}
+
+// maxTried bounds how many waiting jobs of a queue are tried for one place.
+const maxTried = 6
+
+// placeNext begins the first job of the queue that finds a place.
+func (p *Pool) placeNext(now time.Duration, c *class) bool {
+	tried := 0
+	for _, j := range c.waiting {
+		if j.begun {
+			continue
+		}
+		if p.placeJob(now, j) > 0 {
+			return true
+		}
+		if tried++; tried >= maxTried {
+			return false
+		}
+	}
+	return false
+}
+
+// placeJob orders the tasks of a job for which there is room, and returns how
+// many.
+func (p *Pool) placeJob(now time.Duration, j *job) int {
+	n := 0
+	for i := range j.steps {
+		for _, tk := range j.steps[i] {
+			if tk.state != taskWaiting {
+				continue
+			}
+			t := p.choose(tk)
+			if t == nil {
+				break
+			}
+			p.startTask(now, t, tk)
+			n++
+		}
+	}
+	return n
+}
+
+// choose returns the target for a task: of those with room the one that is left
+// with the least, so that larger tasks find theirs.
+func (p *Pool) choose(tk *task) *target {
+	var best *target
+	var bestScore int64
+	for _, t := range p.order {
+		if !t.feasible(tk) {
+			continue
+		}
+		score := t.free().MilliCPU - tk.needs.MilliCPU + t.penalty()
+		if tk.step.NearRack != "" && !t.Has(tk.step.NearRack) {
+			score += t.Capacity.MilliCPU
+		}
+		if best == nil || score < bestScore {
+			best, bestScore = t, score
+		}
+	}
+	return best
+}
+
+// feasible reports whether the target may run the task now.
+func (t *target) feasible(tk *task) bool {
+	if !t.owned || !t.listed || t.Leaving || !t.takesNew(len(t.runs)) {
+		return false
+	}
+	if !tk.needs.Fits(t.free()) || t.Service != tk.job.Queue.Service || !t.Has(tk.step.Label) {
+		return false
+	}
+	return tk.step.MaxPerTarget == 0 || t.countStep(tk.id) < tk.step.MaxPerTarget
+}
+
+func (t *target) countStep(id fleet.TaskID) int {
+	n := 0
+	for _, r := range t.runs {
+		if r.task.Job == id.Job && r.task.Step == id.Step {
+			n++
+		}
+	}
+	return n
+}
+
+// startTask orders a task at a target.
+func (p *Pool) startTask(now time.Duration, t *target, tk *task) {
+	tk.run++
+	r := &run{task: tk.id, n: tk.run, target: t, needs: tk.needs, owner: tk, at: now, expect: tk.expect}
+	t.runs[r.key()] = r
+	t.used = t.used.Plus(r.needs)
+	tk.job.class.inUse += r.needs.MilliCPU
+	p.placed(tk, r)
+	p.emit(fleet.Start{Target: t.Target, Task: tk.id, Run: r.n, Spec: tk.job.Spec, LeaseUntil: t.lease(now, p.cfg.Lease), Fence: t.fence})
+}
+
+// neverFits returns why no target can ever run the job, or "".
+func (p *Pool) neverFits(j *job) verdict.Reason {
+	for i := range j.Steps {
+		known, fits := false, false
+		for _, t := range p.order {
+			if t.Service != j.Queue.Service || !t.listed {
+				continue
+			}
+			known = true
+			if j.Steps[i].Needs.Fits(t.Capacity) && t.Has(j.Steps[i].Label) {
+				fits = true
+				break
+			}
+		}
+		if known && !fits {
+			return verdict.NeverFits
+		}
+	}
+	return ""
+}
+
+// refusedStart notes a target that did not take a start.
+func (p *Pool) refusedStart(now time.Duration, t *target, a fleet.Answer) {
+	switch a {
+	case fleet.NoRoom:
+		t.lookDue = true
+		t.pauseUntil = now + refusedPause
+	case fleet.Refused:
+		p.judgeFailure(now, t, "refuses starts")
+		t.pauseUntil = now + refusedPause
+	default:
+		t.lookDue = true // a lease that was too short: read the clock again
+		t.pauseUntil = now + refusedPause
+	}
+}
+
+// refusedPause is how long a target gets nothing after it refused a start.
+const refusedPause = 50 * time.Millisecond
--- /dev/null
+++ b/internal/pool/queue.go
@@ -0,0 +1,147 @@
+package pool
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"currantstall/internal/fleet"
+	"currantstall/internal/verdict"
+)
+
+const (
+	// tripMargin is kept for the ways between caller, entries and targets.
+	tripMargin = 12 * time.Millisecond
+	// meanWeight is the weight of a new run time in a queue's mean.
+	meanWeight = 0.05
+	// urgentWeight is the guaranteed share of the most urgent queue against
+	// that of the others.
+	urgentWeight = 2.0
+)
+
+// class is the state of a queue: what waits, and what room it has.
+type class struct {
+	name    string
+	urgency int
+	weight  float64
+	waiting []*job  // the begun ones first, then by the latest useful start
+	inUse   int64   // thousandths of a core
+	logMean float64 // of the run times in ns
+	full    bool    // found no place in this round
+}
+
+func (p *Pool) class(q *fleet.Queue) *class {
+	c := p.classes[q.Name]
+	if c == nil {
+		c = &class{name: q.Name}
+		p.classes[q.Name] = c
+		p.ranked = append(p.ranked, c)
+	}
+	if c.urgency != q.Urgency || c.weight == 0 {
+		c.urgency = q.Urgency
+		p.rank()
+	}
+	return c
+}
+
+// rank sorts the queues by urgency and sets their shares.
+func (p *Pool) rank() {
+	slices.SortFunc(p.ranked, func(a, b *class) int {
+		return cmp.Or(cmp.Compare(a.urgency, b.urgency), cmp.Compare(a.name, b.name))
+	})
+	for _, c := range p.ranked {
+		c.weight = 1
+		if c.urgency == p.ranked[0].urgency {
+			c.weight = urgentWeight
+		}
+	}
+}
+
+// expect returns how long a task of the queue is expected to run: the geometric
+// mean of what was declared and what others took, since both are off by a
+// factor rather than by an amount.
+func (c *class) expect(declared time.Duration) time.Duration {
+	if declared <= 0 {
+		if c.logMean == 0 {
+			return 0
+		}
+		return time.Duration(math.Exp(c.logMean))
+	}
+	if c.logMean == 0 {
+		return declared
+	}
+	return time.Duration(math.Exp((math.Log(float64(declared)) + c.logMean) / 2))
+}
+
+// learn takes in the run time of a task.
+func (c *class) learn(took time.Duration) {
+	l := math.Log(float64(max(took, time.Millisecond)))
+	if c.logMean == 0 {
+		c.logMean = l
+		return
+	}
+	c.logMean += meanWeight * (l - c.logMean)
+}
+
+func compareJobs(a, b *job) int {
+	if a.begun != b.begun {
+		if a.begun {
+			return -1
+		}
+		return 1
+	}
+	return cmp.Or(cmp.Compare(a.latest, b.latest), cmp.Compare(a.ID, b.ID))
+}
+
+func (c *class) insert(j *job) {
+	at, _ := slices.BinarySearchFunc(c.waiting, j, compareJobs)
+	c.waiting = slices.Insert(c.waiting, at, j)
+	j.queued = true
+}
+
+func (c *class) remove(j *job) {
+	if !j.queued {
+		return
+	}
+	j.queued = false
+	if at := slices.Index(c.waiting, j); at >= 0 {
+		c.waiting = slices.Delete(c.waiting, at, at+1)
+	}
+}
+
+// refuseHopeless refuses the jobs that were not begun in time.
+func (p *Pool) refuseHopeless(now time.Duration) {
+	for _, c := range p.ranked {
+		for _, j := range slices.Clone(c.waiting) {
+			switch {
+			case now >= j.arrived+j.Patience && j.Patience > 0:
+				p.end(now, j, fleet.Outcome{Verdict: notRun(j.begun), Reason: verdict.DeadlinePassed})
+			case !j.begun && now > j.latest:
+				p.end(now, j, fleet.Outcome{Verdict: verdict.NotRun, Reason: verdict.DeadlineUnmeetable, RetryAfter: p.retryAfter()})
+			}
+		}
+	}
+}
+
+// retryAfter advises a caller when room is likely: the time that the waiting
+// work takes on all targets, a second at the least.
+func (p *Pool) retryAfter() time.Duration {
+	var room, work float64
+	for _, t := range p.order {
+		if t.owned {
+			room += float64(t.Capacity.MilliCPU)
+		}
+	}
+	for _, c := range p.ranked {
+		for _, j := range c.waiting {
+			for i := range j.Steps {
+				work += float64(j.left[i]) * float64(j.Steps[i].Needs.MilliCPU) * c.expect(j.Steps[i].Estimate).Seconds()
+			}
+		}
+	}
+	if room == 0 {
+		return time.Second
+	}
+	return time.Second + time.Duration(work/room*float64(time.Second)).Truncate(time.Second)
+}
--- /dev/null
+++ b/internal/pool/target.go
@@ -0,0 +1,164 @@
+package pool
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"currantstall/internal/fleet"
+	"currantstall/internal/statechart"
+	"currantstall/internal/structs"
+)
+
+// target is what the pool knows of a target.
+type target struct {
+	fleet.Target
+	listed bool // by discovery
+	// home targets are claimed at once; others only after a pause while the
+	// owner can't tell whether others serve them.
+	claimAfter time.Duration
+
+	fence    uint64
+	owned    bool // a list was read under the fence
+	asking   bool // a hold is out that would make it owned
+	askAt    time.Duration
+	lostTo   int // fences lost in a row to another owner
+	holding  bool
+	holdAt   time.Duration // when the last hold was sent
+	misses   int           // holds without an answer in a row
+	lookDue  bool
+	looking  bool
+	seen     int64 // number of the last end that was taken in
+	unacked  bool  // ends were taken in and not acknowledged yet
+	used     structs.Resources
+	unknown  int // foreign runs of unknown size
+	runs     map[runKey]*run
+	clock    int64         // of the target, in ms
+	clockAt  time.Duration // when it was read
+	leaseMax int64         // the latest lease handed out, in ms of its clock
+
+	health
+}
+
+type runKey struct {
+	task fleet.TaskID
+	n    int
+}
+
+// free returns the room that is not taken. A run of unknown size takes all.
+func (t *target) free() structs.Resources {
+	if t.unknown > 0 {
+		return structs.Resources{}
+	}
+	return t.Capacity.Minus(t.used)
+}
+
+// forget drops ownership and all that depends on it.
+func (t *target) forget() {
+	t.owned, t.asking, t.holding, t.lookDue, t.looking, t.unacked = false, false, false, false, false, false
+	t.fence, t.misses, t.unknown, t.lostTo = 0, 0, 0, 0
+	t.used = structs.Resources{}
+	t.runs = make(map[runKey]*run)
+	t.leaseMax = 0
+}
+
+// lease returns a lease from now, in ms of the target's clock.
+func (t *target) lease(now, length time.Duration) int64 {
+	if t.clock == 0 {
+		return 0
+	}
+	until := t.clock + (now - t.clockAt).Milliseconds() + length.Milliseconds()
+	t.leaseMax = max(t.leaseMax, until)
+	return until
+}
+
+// lapsed reports whether every lease that was handed out has passed for sure,
+// also on a clock that is slow.
+func (t *target) lapsed(now time.Duration) bool {
+	if t.leaseMax == 0 {
+		return true
+	}
+	elapsed := float64((now - t.clockAt).Milliseconds()) * (1 - clockRate)
+	return float64(t.clock)+elapsed > float64(t.leaseMax+1)
+}
+
+func (t *target) readClock(now time.Duration, clock int64) {
+	if clock > 0 {
+		t.clock, t.clockAt = clock, now
+	}
+}
+
+// SetTargets replaces what discovery lists. claimAfter is the pause before a
+// target is claimed, by ID; absent means none.
+func (p *Pool) SetTargets(now time.Duration, list []fleet.Target) {
+	present := make(map[string]bool, len(list))
+	for _, info := range list {
+		present[info.ID] = true
+		t := p.targets[info.ID]
+		if t == nil {
+			t = p.add(info, now)
+		}
+		p.update(now, t, info)
+	}
+	for _, t := range slices.Clone(p.order) {
+		if !present[t.ID] {
+			t.listed = false
+			p.dropIfDone(t)
+		}
+	}
+}
+
+func (p *Pool) add(info fleet.Target, now time.Duration) *target {
+	t := &target{Target: info, askAt: now, health: newHealth()}
+	t.forget()
+	p.targets[info.ID] = t
+	at, _ := slices.BinarySearchFunc(p.order, info.ID, func(t *target, id string) int { return strings.Compare(t.ID, id) })
+	p.order = slices.Insert(p.order, at, t)
+	return t
+}
+
+func (p *Pool) update(now time.Duration, t *target, info fleet.Target) {
+	if info.Born != t.Born && info.Born != 0 && t.Born != 0 {
+		if info.Born < t.Born {
+			return // older than what the target itself has said
+		}
+		p.reborn(now, t, info.Born)
+	}
+	if info.Leaving != t.Leaving {
+		p.log("target", "target", t.ID, "leaving", info.Leaving)
+	}
+	if info.Addr != t.Addr {
+		t.askAt = now
+	}
+	t.Target, t.listed = info, true
+	if info.Leaving {
+		t.step(statechart.TargetHealthOnLeave)
+	} else {
+		t.step(statechart.TargetHealthOnReturn)
+	}
+}
+
+// dropIfDone forgets a target that is not listed any more once nothing that was
+// ordered there can still be running.
+func (p *Pool) dropIfDone(t *target) {
+	if t.listed || len(t.runs) > 0 {
+		return
+	}
+	delete(p.targets, t.ID)
+	p.order = slices.DeleteFunc(p.order, func(o *target) bool { return o == t })
+	p.log("target", "target", t.ID, "outcome", "gone")
+}
+
+// reborn drops all that ran on an earlier incarnation. The next fence is
+// higher, so that orders to the earlier one that arrive late are refused.
+func (p *Pool) reborn(now time.Duration, t *target, born int64) {
+	p.log("target", "target", t.ID, "outcome", "reborn", "runs", len(t.runs))
+	lost := t.runs
+	t.forget()
+	t.health = newHealth()
+	t.Born, t.clock, t.clockAt, t.seen = born, 0, 0, 0
+	t.askAt = now
+	for _, r := range sortedRuns(lost) {
+		p.runGone(now, r)
+	}
+}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -38,6 +38,11 @@
 	ManifestNew                 // manifest: a newer version exists
 	ManifestGet                 // manifest: asks for a whole manifest
 	ManifestAll                 // manifest: a whole manifest
+	PoolBeat                    // node: who leads, as the sender sees it
+	PoolSubmit                  // node: a job for the leader
+	PoolEnded                   // node: the outcome of a submitted job
+	PoolAbandon                 // node: the caller of a submitted job is gone
+	Directory                   // node: configuration, targets and members that the sender knows
 	maxType
 )
 
@@ -60,6 +65,7 @@
 var typeNames = [maxType]string{
 	"", "hello", "hello_ack", "ping", "pong", "ack", "membership", "ledger", "run", "run_done", "run_cancel",
 	"forward", "forward_done", "load", "manifest_new", "manifest_get", "manifest_all",
+	"pool_beat", "pool_submit", "pool_ended", "pool_abandon", "directory",
 }
 
 // String returns the name under which messages of the type are counted.
