Pool: work taken from another leader waits for its leases; an unreachable target lapses

A test found that an unreachable target never lapsed, since each try to own it renewed its lease. Entries that start together no longer lead at the same time.

--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -108,7 +108,7 @@
 		return e.follow(relay)
 	}
 	rank := e.rank()
-	if rank >= 0 && now >= e.open && now >= e.since+time.Duration(rank)*e.cfg.Step {
+	if rank >= 0 && now >= max(e.open, e.since)+time.Duration(rank)*e.cfg.Step {
 		return e.lead()
 	}
 	return e.follow("")
--- a/internal/node/jobs.go
+++ b/internal/node/jobs.go
@@ -38,12 +38,21 @@
 	Outcome fleet.Outcome `cbor:"2,keyasint"`
 }
 
-// abandonBody says that the caller is gone, or, with Cancel, wants no answer.
+// abandonBody takes a job back from the leader that has it.
 type abandonBody struct {
-	Job    string `cbor:"1,keyasint"`
-	Cancel bool   `cbor:"2,keyasint,omitempty"`
+	Job string `cbor:"1,keyasint"`
+	Why why    `cbor:"2,keyasint"`
 }
 
+// why says why a job is taken back.
+type why uint8
+
+const (
+	callerGone  why = iota + 1
+	cancelled       // by the caller
+	otherLeader     // it goes to another leader
+)
+
 // Submit hands a job in and returns its outcome. If the context ends first, the
 // caller is taken to be gone.
 func (n *Node) Submit(ctx context.Context, j fleet.Job) (fleet.Outcome, error) {
@@ -77,7 +86,7 @@
 	n.post(func(now time.Duration) {
 		p := n.pending[id]
 		if p != nil {
-			n.tellLeader(now, p, abandonBody{Job: id, Cancel: true})
+			n.tellLeader(now, p, abandonBody{id, cancelled})
 		}
 		known <- p != nil
 	})
@@ -113,20 +122,18 @@
 	}
 	n.log.Info("job", "job", id, "outcome", "caller gone", "sent_to", p.sentTo, "ms", (now - p.arrived).Milliseconds())
 	n.counts.abandoned.Inc(1)
-	n.tellLeader(now, p, abandonBody{Job: id})
+	n.tellLeader(now, p, abandonBody{id, callerGone})
 	delete(n.pending, id)
 }
 
 // tellLeader passes a word of the caller on to whoever has the job.
 func (n *Node) tellLeader(now time.Duration, p *pending, b abandonBody) {
 	switch {
-	case p.sentTo == n.cfg.Self.Name && b.Cancel:
-		n.pool.Cancel(now, b.Job)
 	case p.sentTo == n.cfg.Self.Name:
-		n.pool.Abandon(now, n.cfg.Self.Name, b.Job)
+		n.takeBack(now, n.cfg.Self.Name, b)
 	case p.sentTo != "":
 		n.send(p.sentTo, wire.PoolAbandon, b)
-	case b.Cancel:
+	case b.Why == cancelled:
 		n.settle(now, b.Job, fleet.Outcome{Verdict: p.verdict(), Reason: verdict.Cancelled})
 	}
 }
@@ -172,6 +179,9 @@
 func (n *Node) leaderLost(now time.Duration, name string) {
 	for _, p := range n.pending {
 		if p.sentTo == name && name != "" {
+			if _, linked := n.linked[name]; linked {
+				n.tellLeader(now, p, abandonBody{p.job.ID, otherLeader})
+			}
 			p.sentTo, p.mayHaveRun, p.lostAt = "", true, now
 		}
 	}
@@ -256,14 +266,22 @@
 func (n *Node) abandoned(now time.Duration, from string, b abandonBody) {
 	if p := n.pending[b.Job]; p != nil && p.relayFor == from {
 		n.tellLeader(now, p, b)
-		if !b.Cancel {
+		if b.Why != cancelled {
 			delete(n.pending, b.Job)
 		}
 		return
 	}
-	if b.Cancel {
+	n.takeBack(now, from, b)
+}
+
+// takeBack takes a job back from the own pool.
+func (n *Node) takeBack(now time.Duration, coordinator string, b abandonBody) {
+	switch b.Why {
+	case cancelled:
 		n.pool.Cancel(now, b.Job)
-		return
+	case otherLeader:
+		n.pool.Withdraw(now, coordinator, b.Job)
+	default:
+		n.pool.Abandon(now, coordinator, b.Job)
 	}
-	n.pool.Abandon(now, from, b.Job)
 }
--- a/internal/node/links.go
+++ b/internal/node/links.go
@@ -89,7 +89,7 @@
 func (n *Node) dropRelayed(now time.Duration, peer string) {
 	for id, p := range n.pending {
 		if p.relayFor == peer {
-			n.tellLeader(now, p, abandonBody{Job: id})
+			n.tellLeader(now, p, abandonBody{id, callerGone})
 			delete(n.pending, id)
 		}
 	}
--- a/internal/pool/job.go
+++ b/internal/pool/job.go
@@ -281,6 +281,16 @@
 	p.orphan(now, j, now+p.cfg.OrphanGrace)
 }
 
+// Withdraw notes that a coordinator hands the job to another owner: what runs
+// here has to end at once.
+func (p *Pool) Withdraw(now time.Duration, coordinator, id string) {
+	j := p.jobs[id]
+	if j == nil || j.coordinator != coordinator {
+		return
+	}
+	p.orphan(now, j, now)
+}
+
 // Cancel ends a job at its caller's word.
 func (p *Pool) Cancel(now time.Duration, id string) {
 	if j := p.jobs[id]; j != nil {
--- a/internal/pool/ownership.go
+++ b/internal/pool/ownership.go
@@ -48,7 +48,8 @@
 	t.fence = p.fence
 	t.asking, t.holding, t.holdAt = true, true, now
 	t.owned = false
-	p.emit(fleet.Hold{Target: t.Target, Fence: t.fence, LeaseUntil: t.lease(now, p.cfg.Lease)})
+	// No lease goes with it: a target that stays out of reach must lapse.
+	p.emit(fleet.Hold{Target: t.Target, Fence: t.fence})
 }
 
 // acquired takes in the first list under a new fence.
@@ -93,7 +94,7 @@
 // expireLeases gives up the runs on targets that are out of reach once no lease
 // can be in force there.
 func (p *Pool) expireLeases(now time.Duration) {
-	for _, t := range slices.Clone(p.order) {
+	for _, t := range p.order {
 		if t.owned || len(t.runs) == 0 || !t.lapsed(now) {
 			continue
 		}
@@ -101,19 +102,7 @@
 		for _, r := range sortedRuns(t.runs) {
 			p.runGone(now, r)
 		}
-		p.dropIfDone(t)
-	}
-}
-
-// allListed reports whether every target's list was read under our fence, so
-// that nothing runs that is not known.
-func (p *Pool) allListed() bool {
-	for _, t := range p.order {
-		if t.listed && !t.owned {
-			return false
-		}
 	}
-	return true
 }
 
 func sortedRuns(m map[runKey]*run) []*run {
--- a/internal/pool/place.go
+++ b/internal/pool/place.go
@@ -34,7 +34,7 @@
 		if !j.begun {
 			return
 		}
-		if now >= j.safeAt || p.allListed() {
+		if now >= j.safeAt {
 			p.placeJob(now, j)
 		}
 		if i < len(c.waiting) && c.waiting[i] == j {
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -179,6 +179,7 @@
 	p.stopUnclaimed(now)
 	p.expireOrphans(now)
 	p.coolTargets(now)
+	p.forgetGone(now)
 	p.place(now)
 	p.refuseHopeless(now)
 	for id, k := range p.kept {
--- /dev/null
+++ b/internal/pool/pool_test.go
@@ -0,0 +1,268 @@
+package pool
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"currantstall/internal/fleet"
+	"currantstall/internal/structs"
+	"currantstall/internal/verdict"
+)
+
+const ms = time.Millisecond
+
+// bench is a pool with the effects that it asked for.
+type bench struct {
+	t     *testing.T
+	p     *Pool
+	now   time.Duration
+	ended map[string]fleet.Outcome
+	out   []Effect
+}
+
+func newBench(t *testing.T, targets int) *bench {
+	t.Helper()
+	b := &bench{t: t, p: New(DefaultSettings(), nil), now: 10 * time.Second, ended: map[string]fleet.Outcome{}}
+	b.p.SetTargets(b.now, targetList(targets))
+	b.p.Lead(b.now, 1)
+	b.own()
+	return b
+}
+
+func targetList(n int) []fleet.Target {
+	list := make([]fleet.Target, n)
+	for i := range list {
+		list[i] = fleet.Target{
+			ID: fmt.Sprintf("t%02d", i), Service: "s", Addr: fmt.Sprintf("a%02d", i), Born: 1,
+			Capacity: structs.Resources{MilliCPU: 32000, MemoryMB: 1 << 17},
+		}
+	}
+	return list
+}
+
+// own answers the holds that take the targets over.
+func (b *bench) own() {
+	for _, h := range take[fleet.Hold](b) {
+		b.hold(h, nil, nil)
+	}
+}
+
+// take removes the effects of one type and returns them.
+func take[E any](b *bench) []E {
+	b.out = append(b.out, b.p.Effects()...)
+	var got []E
+	var rest []Effect
+	for _, e := range b.out {
+		if v, ok := e.(E); ok {
+			got = append(got, v)
+		} else {
+			rest = append(rest, e)
+		}
+	}
+	b.out = rest
+	return got
+}
+
+func (b *bench) tick(d time.Duration) {
+	b.now += d
+	b.p.Tick(b.now)
+}
+
+// clock is the targets' clock at the bench's time.
+func (b *bench) clock() int64 { return b.now.Milliseconds() }
+
+func (b *bench) hold(h fleet.Hold, running []fleet.Running, ended []fleet.End) {
+	b.p.HoldDone(b.now, b.now, h, fleet.Report{Answer: fleet.Accepted, Clock: b.clock(), Born: h.Target.Born, Running: running, Ended: ended})
+}
+
+func (b *bench) reply(s fleet.Start, a fleet.Answer) {
+	b.p.StartDone(b.now, s, fleet.Reply{Answer: a, Clock: b.clock(), Born: s.Target.Born})
+}
+
+func queue(name string, urgency int) fleet.Queue {
+	return fleet.Queue{Name: name, Service: "s", Urgency: urgency, Attempts: 2, Stretch: 1.6, Slack: 60 * ms}
+}
+
+func jobOf(id string, q fleet.Queue, tasks int, cpu int64, takes time.Duration) fleet.Job {
+	return fleet.Job{
+		ID: id, Queue: q, Spec: "spec", Patience: 2 * time.Second,
+		Steps: []fleet.Step{{Count: tasks, Needs: structs.Resources{MilliCPU: cpu, MemoryMB: 64}, Estimate: takes}},
+	}
+}
+
+func (b *bench) submit(j fleet.Job) { b.p.Submit(b.now, Submit{Coordinator: "e1", Job: j}) }
+
+func (b *bench) outcomes() map[string]fleet.Outcome {
+	for _, e := range take[Ended](b) {
+		_, twice := b.ended[e.Job]
+		assert.Assert(b.t, !twice, "%s ended twice", e.Job)
+		b.ended[e.Job] = e.Outcome
+	}
+	return b.ended
+}
+
+func TestJobEndsWhenAllItsTasksAreDone(t *testing.T) {
+	b := newBench(t, 2)
+	b.submit(jobOf("j", queue("q", 0), 2, 14000, 60*ms))
+	b.tick(ms)
+	starts := take[fleet.Start](b)
+	assert.Equal(t, len(starts), 2)
+	for _, s := range starts {
+		b.reply(s, fleet.Accepted)
+	}
+	b.tick(ms)
+	for i, h := range take[fleet.Hold](b) {
+		var ends []fleet.End
+		for k, s := range starts {
+			if s.Target.ID == h.Target.ID {
+				ends = append(ends, fleet.End{Number: int64(i*10 + k + 1), Task: s.Task, Run: s.Run, Kind: fleet.EndDone})
+			}
+		}
+		b.hold(h, nil, ends)
+	}
+	assert.Equal(t, b.outcomes()["j"].Verdict, verdict.Completed)
+}
+
+// Targets don't guard their capacity: two tasks of 20 cores must not share 32.
+func TestRoomIsNeverExceeded(t *testing.T) {
+	b := newBench(t, 1)
+	b.submit(jobOf("j", queue("q", 0), 2, 20000, 60*ms))
+	b.tick(ms)
+	starts := take[fleet.Start](b)
+	assert.Equal(t, len(starts), 1)
+
+	// Without an answer the place stays taken, and so it does while the stop
+	// is not proved by a list.
+	b.reply(starts[0], fleet.Unanswered)
+	b.tick(ms)
+	assert.Equal(t, len(take[fleet.Start](b)), 0)
+	for _, h := range take[fleet.Hold](b) {
+		b.now += ms
+		b.hold(h, nil, nil)
+	}
+	b.tick(ms)
+	assert.Equal(t, len(take[fleet.Start](b)), 0)
+	stops := take[fleet.Stop](b)
+	assert.Equal(t, len(stops), 1, "a start without an answer that is not listed is stopped")
+	b.p.StopDone(b.now, stops[0], fleet.Reply{Answer: fleet.Accepted, Clock: b.clock(), Born: 1})
+	b.tick(ms)
+	assert.Equal(t, len(take[fleet.Start](b)), 0)
+	b.tick(ms)
+	for _, h := range take[fleet.Hold](b) {
+		b.p.HoldDone(b.now, b.now, h, fleet.Report{Answer: fleet.Accepted, Clock: b.clock(), Born: 1})
+	}
+	b.tick(ms)
+	again := take[fleet.Start](b)
+	assert.Equal(t, len(again), 1)
+	assert.Assert(t, again[0].Run > starts[0].Run)
+}
+
+func TestOutOfReachTargetKeepsItsRunsUntilTheLeaseLapsed(t *testing.T) {
+	b := newBench(t, 2)
+	b.submit(jobOf("j", queue("q", 0), 1, 20000, 60*ms))
+	b.tick(ms)
+	start := take[fleet.Start](b)[0]
+	b.reply(start, fleet.Accepted)
+	lease := start.LeaseUntil
+	for range 60 {
+		b.tick(20 * ms)
+		for _, h := range take[fleet.Hold](b) {
+			lease = max(lease, h.LeaseUntil)
+			b.p.HoldDone(b.now, b.now, h, fleet.Report{Answer: fleet.Unanswered})
+		}
+		again := take[fleet.Start](b)
+		if len(again) > 0 {
+			assert.Assert(t, b.clock() > lease, "at %v, lease until %d", b.now, lease)
+			assert.Assert(t, again[0].Target.ID != start.Target.ID)
+			return
+		}
+	}
+	t.Fatalf("not started elsewhere by %v, lease until %d", b.now, lease)
+}
+
+// When a cut between data centres heals, two leaders meet, and each takes targets
+// from the other without noticing at once: that all lists were read does not
+// prove that the other one's runs are over. Their leases do.
+func TestResubmittedJobWaitsUntilTheFormerOwnersLeasesLapsed(t *testing.T) {
+	b := newBench(t, 3)
+	b.p.Submit(b.now, Submit{Coordinator: "e2", Job: jobOf("j", queue("q", 0), 1, 14000, 60*ms), MayHaveRun: true, LostAgo: 100 * ms})
+	b.tick(DefaultLease - 100*ms)
+	assert.Equal(t, len(take[fleet.Start](b)), 0)
+	b.tick(DefaultSafe - DefaultLease)
+	assert.Equal(t, len(take[fleet.Start](b)), 1)
+}
+
+func TestTakeoverAdoptsWhatRunsAndStopsWhatNobodyClaims(t *testing.T) {
+	p := New(DefaultSettings(), nil)
+	b := &bench{t: t, p: p, now: time.Second, ended: map[string]fleet.Outcome{}}
+	p.SetTargets(b.now, targetList(1))
+	p.Lead(b.now, 7)
+	patient := queue("patient", 1)
+	patient.Slack = time.Second
+	h := take[fleet.Hold](b)[0]
+	b.hold(h, []fleet.Running{
+		{Task: fleet.TaskID{Job: "known"}, Run: 3},
+		{Task: fleet.TaskID{Job: "gone"}, Run: 1},
+	}, nil)
+	p.Submit(b.now, Submit{Coordinator: "e2", Job: jobOf("known", queue("q", 0), 1, 14000, 60*ms), MayHaveRun: true})
+	p.Submit(b.now, Submit{Coordinator: "e2", Job: jobOf("new", patient, 1, 9000, 60*ms)})
+	b.tick(ms)
+	assert.Equal(t, len(take[fleet.Start](b)), 0, "a run of unknown size takes all the room")
+	b.tick(adoptWithin)
+	stops := take[fleet.Stop](b)
+	assert.Equal(t, len(stops), 1)
+	assert.Equal(t, stops[0].Task.Job, "gone")
+	for _, h := range take[fleet.Hold](b) {
+		b.hold(h, nil, []fleet.End{
+			{Number: 1, Task: fleet.TaskID{Job: "known"}, Run: 3, Kind: fleet.EndDone},
+			{Number: 2, Task: fleet.TaskID{Job: "gone"}, Run: 1, Kind: fleet.EndOther},
+		})
+	}
+	b.tick(ms)
+	assert.Equal(t, b.outcomes()["known"].Verdict, verdict.Completed)
+	assert.Equal(t, len(take[fleet.Start](b)), 1)
+}
+
+func TestRefusedOnlyWhileNothingWasStarted(t *testing.T) {
+	b := newBench(t, 1)
+	b.submit(jobOf("begun", queue("q", 0), 2, 20000, 60*ms))
+	b.submit(jobOf("waits", queue("q", 0), 1, 20000, 60*ms))
+	b.tick(ms)
+	b.reply(take[fleet.Start](b)[0], fleet.Accepted)
+	b.tick(500 * ms)
+	out := b.outcomes()
+	assert.Equal(t, out["waits"].Verdict, verdict.NotRun)
+	assert.Assert(t, out["waits"].RetryAfter >= time.Second)
+	_, ended := out["begun"]
+	assert.Assert(t, !ended)
+}
+
+func TestLeavingTargetGetsNothingNew(t *testing.T) {
+	b := newBench(t, 1)
+	list := targetList(1)
+	list[0].Leaving = true
+	b.p.SetTargets(b.now, list)
+	b.submit(jobOf("j", queue("q", 0), 1, 9000, 60*ms))
+	b.tick(ms)
+	assert.Equal(t, len(take[fleet.Start](b)), 0)
+}
+
+func TestRebornTargetIsOwnedAnewBeforeItGetsWork(t *testing.T) {
+	b := newBench(t, 1)
+	b.submit(jobOf("j", queue("q", 0), 1, 20000, 60*ms))
+	b.tick(ms)
+	start := take[fleet.Start](b)[0]
+	list := targetList(1)
+	list[0].Born = 2
+	b.p.SetTargets(b.now, list)
+	b.tick(ms)
+	assert.Equal(t, len(take[fleet.Start](b)), 0)
+	h := take[fleet.Hold](b)[0]
+	assert.Assert(t, h.Fence > start.Fence, "an order to the earlier incarnation may arrive late")
+	b.p.HoldDone(b.now, b.now, h, fleet.Report{Answer: fleet.Accepted, Clock: 5, Born: 2})
+	b.tick(ms)
+	assert.Equal(t, len(take[fleet.Start](b)), 1)
+}
--- a/internal/pool/target.go
+++ b/internal/pool/target.go
@@ -101,9 +101,9 @@
 		p.update(now, t, info)
 	}
 	for _, t := range slices.Clone(p.order) {
-		if !present[t.ID] {
+		if !present[t.ID] && t.listed {
 			t.listed = false
-			p.dropIfDone(t)
+			p.log("target", "target", t.ID, "outcome", "not listed", "owned", t.owned, "runs", len(t.runs))
 		}
 	}
 }
@@ -138,15 +138,17 @@
 	}
 }
 
-// dropIfDone forgets a target that is not listed any more once nothing that was
-// ordered there can still be running.
-func (p *Pool) dropIfDone(t *target) {
-	if t.listed || len(t.runs) > 0 {
-		return
+// forgetGone forgets the targets that are not listed any more once nothing that
+// was ordered there can still be running.
+func (p *Pool) forgetGone(now time.Duration) {
+	for _, t := range slices.Clone(p.order) {
+		if t.listed || len(t.runs) > 0 {
+			continue
+		}
+		delete(p.targets, t.ID)
+		p.order = slices.DeleteFunc(p.order, func(o *target) bool { return o == t })
+		p.log("target", "target", t.ID, "outcome", "forgotten")
 	}
-	delete(p.targets, t.ID)
-	p.order = slices.DeleteFunc(p.order, func(o *target) bool { return o == t })
-	p.log("target", "target", t.ID, "outcome", "gone")
 }
 
 // reborn drops all that ran on an earlier incarnation. The next fence is
