Pool: refuse at once what can't be begun in time; a minority leaves served targets alone

A lead also claimed all targets at once, whatever the claim's pause. Ruled out: redial of the links as the cause (0.5 to 1.2 s after the heal). Entries wait 0.5 s in place of 1.2 s before the first lead.

--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -37,8 +37,8 @@
 
 // Defaults of Settings.
 const (
-	DefaultQuiet = 1200 * time.Millisecond
-	DefaultStep  = 400 * time.Millisecond
+	DefaultQuiet = 500 * time.Millisecond
+	DefaultStep  = 200 * time.Millisecond
 )
 
 // relayAfter is how long a peer may take to notice that a leader is lost before
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -212,8 +212,8 @@
 	d := n.election.Decide(now)
 	if d.Lead != n.pool.Leading() {
 		if d.Lead {
-			n.pool.Lead(now, fenceBase())
 			n.claim(now)
+			n.pool.Lead(now, fenceBase())
 		} else {
 			n.pool.Yield()
 		}
--- /dev/null
+++ b/internal/pool/flood_test.go
@@ -0,0 +1,153 @@
+package pool
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"currantstall/internal/fleet"
+	"currantstall/internal/verdict"
+)
+
+// plant runs what a pool starts, each task for its declared time, and answers
+// holds as targets do.
+type plant struct {
+	*bench
+	runs    map[string]map[fleet.TaskID]liveRun
+	ends    map[string][]fleet.End
+	number  map[string]int64
+	waiting map[string]fleet.Hold
+	takes   map[string]time.Duration // by job
+	most    int64                    // thousandths of a core in use on a target at one time
+	cpu     map[string]int64         // by job
+}
+
+type liveRun struct {
+	run int
+	at  time.Duration
+	end time.Duration
+}
+
+func newPlant(t *testing.T, targets int) *plant {
+	return &plant{
+		bench: newBench(t, targets), runs: map[string]map[fleet.TaskID]liveRun{}, ends: map[string][]fleet.End{},
+		number: map[string]int64{}, waiting: map[string]fleet.Hold{}, takes: map[string]time.Duration{}, cpu: map[string]int64{},
+	}
+}
+
+func (p *plant) offer(j fleet.Job) {
+	p.takes[j.ID], p.cpu[j.ID] = j.Steps[0].Estimate, j.Steps[0].Needs.MilliCPU
+	p.submit(j)
+}
+
+// step advances the plant by one ms.
+func (p *plant) step() {
+	p.tick(ms)
+	for _, s := range take[fleet.Start](p.bench) {
+		live := p.runs[s.Target.ID]
+		if live == nil {
+			live = map[fleet.TaskID]liveRun{}
+			p.runs[s.Target.ID] = live
+		}
+		live[s.Task] = liveRun{s.Run, p.now, p.now + p.takes[s.Task.Job]}
+		var used int64
+		for task := range live {
+			used += p.cpu[task.Job]
+		}
+		p.most = max(p.most, used)
+		p.reply(s, fleet.Accepted)
+	}
+	for id, live := range p.runs {
+		for task, r := range live {
+			if p.now >= r.end {
+				delete(live, task)
+				p.number[id]++
+				p.ends[id] = append(p.ends[id], fleet.End{Number: p.number[id], Task: task, Run: r.run, Kind: fleet.EndDone})
+			}
+		}
+	}
+	for _, h := range take[fleet.Hold](p.bench) {
+		p.waiting[h.Target.ID] = h
+	}
+	for id, h := range p.waiting {
+		if len(p.ends[id]) > 0 || h.Wait == 0 {
+			delete(p.waiting, id)
+			var running []fleet.Running
+			for task, r := range p.runs[id] {
+				running = append(running, fleet.Running{Task: task, Run: r.run, Percent: 50})
+			}
+			ends := p.ends[id]
+			p.ends[id] = nil
+			p.hold(h, running, ends)
+		}
+	}
+	p.outcomes()
+}
+
+// A flood of the least urgent kind, twice what the targets can take, must leave
+// the urgent kind its service, use the room, and refuse the rest early.
+func TestFloodOfTheLeastUrgentKindLeavesTheOthersTheirService(t *testing.T) {
+	p := newPlant(t, 12)
+	urgent, usual, least := queue("urgent", 0), queue("usual", 1), queue("least", 2)
+	asked := map[string]int{}
+	for i := range 2500 {
+		if i%40 == 0 {
+			p.offer(jobOf(fmt.Sprintf("u%d", i), urgent, 6, 14000, 60*ms))
+			asked["u"]++
+		}
+		if i%30 == 0 {
+			p.offer(jobOf(fmt.Sprintf("n%d", i), usual, 2, 14000, 200*ms))
+			asked["n"]++
+		}
+		if i%80 == 0 {
+			p.offer(jobOf(fmt.Sprintf("l%d", i), least, 4, 14000, 900*ms))
+			asked["l"]++
+		}
+		p.step()
+	}
+	for range 3000 {
+		p.step()
+	}
+	done, early := map[string]int{}, 0
+	for id, o := range p.ended {
+		switch o.Verdict {
+		case verdict.Completed:
+			done[id[:1]]++
+		case verdict.NotRun:
+			if o.Reason == verdict.QueueFull {
+				early++
+			}
+		}
+	}
+	assert.Equal(t, len(p.ended), asked["u"]+asked["n"]+asked["l"], "each job is answered")
+	assert.Assert(t, p.most <= 32000, "%d in use", p.most)
+	assert.Assert(t, done["u"] >= asked["u"]*95/100, "urgent: %d of %d", done["u"], asked["u"])
+	// A quarter of the room is guaranteed to it, which is 45% of what it asks.
+	assert.Assert(t, done["n"] >= asked["n"]*45/100, "usual: %d of %d", done["n"], asked["n"])
+	assert.Assert(t, done["l"] >= 1, "least: %d of %d", done["l"], asked["l"])
+	assert.Assert(t, early > 0, "what can't be served is refused before its time is over")
+}
+
+func TestMinorityLeavesServedTargetsToTheirOwner(t *testing.T) {
+	p := New(DefaultSettings(), nil)
+	b := &bench{t: t, p: p, now: time.Second, ended: map[string]fleet.Outcome{}}
+	p.SetTargets(b.now, targetList(2))
+	p.SetClaim(b.now, func(id string) time.Duration {
+		if id == "t00" {
+			return 0
+		}
+		return time.Second
+	})
+	p.Lead(b.now, 1)
+	b.own()
+	assert.Equal(t, p.Owned(), 1)
+	b.tick(3 * time.Second)
+	h := take[fleet.Hold](b)
+	assert.Equal(t, h[len(h)-1].Target.ID, "t01")
+	b.hold(h[len(h)-1], []fleet.Running{{Task: fleet.TaskID{Job: "other"}, Run: 1}}, nil)
+	assert.Equal(t, p.Owned(), 1, "another owner serves it")
+	b.tick(200 * ms)
+	assert.Equal(t, len(take[fleet.Stop](b)), 0)
+}
--- a/internal/pool/job.go
+++ b/internal/pool/job.go
@@ -82,6 +82,8 @@
 	switch reason := p.neverFits(j); {
 	case reason != "" && !j.mayHaveRun:
 		p.end(now, j, fleet.Outcome{Verdict: verdict.Failed, Reason: reason})
+	case j.class.hopeless(now, j):
+		p.end(now, j, fleet.Outcome{Verdict: verdict.NotRun, Reason: verdict.QueueFull, RetryAfter: p.retryAfter()})
 	default:
 		p.enqueue(j)
 	}
--- a/internal/pool/ownership.go
+++ b/internal/pool/ownership.go
@@ -54,7 +54,13 @@
 
 // acquired takes in the first list under a new fence.
 func (p *Pool) acquired(now time.Duration, t *target, rep fleet.Report) {
-	t.asking, t.owned, t.lostTo = false, true, 0
+	t.asking = false
+	if t.claimAfter > 0 && t.servesOther(rep.Running) {
+		t.askAt = now + maxBackoff
+		p.log("ownership", "target", t.ID, "outcome", "left to its owner", "fence", t.fence, "running", len(rep.Running))
+		return
+	}
+	t.owned, t.lostTo = true, 0
 	p.log("ownership", "target", t.ID, "outcome", "acquired", "fence", t.fence, "running", len(rep.Running))
 	listed := make(map[runKey]bool, len(rep.Running))
 	for _, row := range rep.Running {
@@ -70,6 +76,18 @@
 	}
 }
 
+// servesOther reports whether something runs that this owner did not order.
+// Where the former owner is dead, all of its work has lapsed by the time that a
+// target is claimed which has its home elsewhere.
+func (t *target) servesOther(rows []fleet.Running) bool {
+	for _, row := range rows {
+		if t.runs[runKey{row.Task, row.Run}] == nil {
+			return true
+		}
+	}
+	return false
+}
+
 // lose notes that another owner has used a higher fence.
 func (p *Pool) lose(now time.Duration, t *target) {
 	t.owned, t.asking = false, false
--- a/internal/pool/place.go
+++ b/internal/pool/place.go
@@ -16,6 +16,7 @@
 	}
 	for _, c := range p.ranked {
 		c.full = false
+		c.pace.note(now, 0)
 	}
 	for {
 		c := p.neediest()
@@ -146,6 +147,7 @@
 	t.runs[r.key()] = r
 	t.used = t.used.Plus(r.needs)
 	tk.job.class.inUse += r.needs.MilliCPU
+	tk.job.class.pace.note(now, 1)
 	p.placed(tk, r)
 	p.emit(fleet.Start{Target: t.Target, Task: tk.id, Run: r.n, Spec: tk.job.Spec, LeaseUntil: t.lease(now, p.cfg.Lease), Fence: t.fence})
 }
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -150,7 +150,7 @@
 	}
 	for _, t := range p.order {
 		t.forget()
-		t.askAt = now
+		t.askAt = now + t.claimAfter
 	}
 	p.acquireDue(now)
 }
--- a/internal/pool/queue.go
+++ b/internal/pool/queue.go
@@ -28,7 +28,8 @@
 	waiting []*job  // the begun ones first, then by the latest useful start
 	inUse   int64   // thousandths of a core
 	logMean float64 // of the run times in ns
-	full    bool    // found no place in this round
+	pace    pace
+	full    bool // found no place in this round
 }
 
 func (p *Pool) class(q *fleet.Queue) *class {
@@ -110,6 +111,65 @@
 	}
 }
 
+// pace measures how many tasks of a queue find a place in a second, as a mean
+// that forgets.
+type pace struct {
+	perSecond float64
+	at        time.Duration
+	count     int
+}
+
+const (
+	// paceWindow is the time over which placements are counted, and paceMemory
+	// the weight of what was counted before.
+	paceWindow = 100 * time.Millisecond
+	paceMemory = 0.6
+	// hopelessFactor is how much longer than a job may wait its expected wait
+	// has to be for it to be refused at once.
+	hopelessFactor = 1.3
+)
+
+// note counts placed tasks.
+func (c *pace) note(now time.Duration, n int) {
+	c.count += n
+	if now < c.at+paceWindow {
+		return
+	}
+	rate := float64(c.count) / (now - c.at).Seconds()
+	c.perSecond = paceMemory*c.perSecond + (1-paceMemory)*rate
+	c.at, c.count = now, 0
+}
+
+// expectedWait returns how long a job that joins the queue now is likely to
+// wait, by what waits ahead of it and how fast that finds places.
+func (c *class) expectedWait(j *job) time.Duration {
+	ahead := 0
+	for _, o := range c.waiting {
+		if o == j || !o.begun && o.latest > j.latest {
+			break
+		}
+		ahead += o.waiting
+	}
+	if ahead == 0 {
+		return 0
+	}
+	if c.pace.perSecond < 1 {
+		return time.Hour
+	}
+	return time.Duration(float64(ahead+j.waiting) / c.pace.perSecond * float64(time.Second))
+}
+
+// hopeless reports whether a job that has just come can't be begun in time.
+func (c *class) hopeless(now time.Duration, j *job) bool {
+	if j.begun || len(c.waiting) < minQueue {
+		return false
+	}
+	return float64(c.expectedWait(j)) > hopelessFactor*float64(j.latest-now)
+}
+
+// minQueue is the length below which a queue is too short to predict from.
+const minQueue = 4
+
 // refuseHopeless refuses the jobs that were not begun in time.
 func (p *Pool) refuseHopeless(now time.Duration) {
 	for _, c := range p.ranked {
--- a/internal/pool/report.go
+++ b/internal/pool/report.go
@@ -53,6 +53,9 @@
 		if t.asking {
 			p.acquired(now, t, rep)
 		}
+		if !t.owned {
+			return
+		}
 		p.takeEnds(now, t, rep.Ended)
 		p.takeRunning(now, sent, t, rep)
 	case fleet.Fenced:
