--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -118,6 +119,11 @@
 	Index int
 }
 
+// String returns JOB.STEP.INDEX, as in logs.
+func (t TaskID) String() string {
+	return t.Job + "." + strconv.Itoa(t.Step) + "." + strconv.Itoa(t.Index)
+}
+
 // Outcome is what the caller of a job is told.
 type Outcome struct {
 	Verdict verdict.Verdict `cbor:"1,keyasint"`
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -285,3 +285,15 @@
 
 // logDecision writes one line of the pool.
 func (n *Node) logDecision(event string, args ...any) { n.log.Info(event, args...) }
+
+// Owned returns how many targets this entry owns.
+func (n *Node) Owned() int {
+	got := make(chan int, 1)
+	n.post(func(time.Duration) { got <- n.pool.Owned() })
+	select {
+	case v := <-got:
+		return v
+	case <-n.ctx.Done():
+		return 0
+	}
+}
--- a/internal/pool/job.go
+++ b/internal/pool/job.go
@@ -82,7 +82,7 @@
 	switch reason := p.neverFits(j); {
 	case reason != "" && !j.mayHaveRun:
 		p.end(now, j, fleet.Outcome{Verdict: verdict.Failed, Reason: reason})
-	case j.class.hopeless(now, j):
+	case p.hopeless(now, j):
 		p.end(now, j, fleet.Outcome{Verdict: verdict.NotRun, Reason: verdict.QueueFull, RetryAfter: p.retryAfter()})
 	default:
 		p.enqueue(j)
@@ -232,7 +232,7 @@
 
 func (p *Pool) taskFailed(now time.Duration, tk *task, r *run) {
 	tk.failures++
-	p.log("run", "task", tk.id, "run", r.n, "target", r.target.ID, "outcome", "failed", "failures", tk.failures)
+	p.log("run", "task", tk.id.String(), "run", r.n, "target", r.target.ID, "outcome", "failed", "failures", tk.failures)
 	if tk.failures >= max(tk.job.Queue.Attempts, 1) {
 		p.end(now, tk.job, fleet.Outcome{Verdict: verdict.Failed, Reason: verdict.TaskFailed})
 		return
--- a/internal/pool/place.go
+++ b/internal/pool/place.go
@@ -149,6 +149,8 @@
 	tk.job.class.inUse += r.needs.MilliCPU
 	tk.job.class.pace.note(now, 1)
 	p.placed(tk, r)
+	p.log("start", "task", tk.id.String(), "run", r.n, "target", t.ID, "fence", t.fence, "needs", tk.needs.MilliCPU,
+		"free_after", t.free().MilliCPU, "waited_ms", (now - tk.job.arrived).Milliseconds())
 	p.emit(fleet.Start{Target: t.Target, Task: tk.id, Run: r.n, Spec: tk.job.Spec, LeaseUntil: t.lease(now, p.cfg.Lease), Fence: t.fence})
 }
 
--- a/internal/pool/queue.go
+++ b/internal/pool/queue.go
@@ -141,30 +141,63 @@
 }
 
 // expectedWait returns how long a job that joins the queue now is likely to
-// wait, by what waits ahead of it and how fast that finds places.
-func (c *class) expectedWait(j *job) time.Duration {
-	ahead := 0
+// wait, by the work ahead of it and how fast the queue finds places: as fast as
+// lately, and at least by its share of the room.
+func (p *Pool) expectedWait(c *class, j *job) time.Duration {
+	tasks, work := 0, 0.0 // work in thousandths of a core times s
+	ahead := func(o *job) {
+		for i := range o.Steps {
+			n := min(o.left[i], o.waiting)
+			tasks += n
+			work += float64(n) * float64(o.Steps[i].Needs.MilliCPU) * o.steps[i][0].expect.Seconds()
+		}
+	}
 	for _, o := range c.waiting {
 		if o == j || !o.begun && o.latest > j.latest {
 			break
 		}
-		ahead += o.waiting
+		ahead(o)
 	}
-	if ahead == 0 {
+	if tasks == 0 {
 		return 0
 	}
-	if c.pace.perSecond < 1 {
-		return time.Hour
+	ahead(j)
+	wait := time.Hour
+	if room := p.shareOf(c); room > 0 {
+		wait = time.Duration(work / room * float64(time.Second))
+	}
+	if c.pace.perSecond > 1 {
+		wait = min(wait, time.Duration(float64(tasks)/c.pace.perSecond*float64(time.Second)))
+	}
+	return wait
+}
+
+// shareOf returns the room that is guaranteed to a queue among those that have
+// work, in thousandths of a core.
+func (p *Pool) shareOf(c *class) float64 {
+	var room, weights float64
+	for _, t := range p.order {
+		if t.owned && t.listed && !t.Leaving {
+			room += float64(t.Capacity.MilliCPU)
+		}
+	}
+	for _, o := range p.ranked {
+		if o == c || o.inUse > 0 || len(o.waiting) > 0 {
+			weights += o.weight
+		}
 	}
-	return time.Duration(float64(ahead+j.waiting) / c.pace.perSecond * float64(time.Second))
+	return room * packing * c.weight / weights
 }
 
+// packing is the share of the targets' room that tasks of mixed sizes fill.
+const packing = 0.8
+
 // hopeless reports whether a job that has just come can't be begun in time.
-func (c *class) hopeless(now time.Duration, j *job) bool {
-	if j.begun || len(c.waiting) < minQueue {
+func (p *Pool) hopeless(now time.Duration, j *job) bool {
+	if j.begun || len(j.class.waiting) < minQueue {
 		return false
 	}
-	return float64(c.expectedWait(j)) > hopelessFactor*float64(j.latest-now)
+	return float64(p.expectedWait(j.class, j)) > hopelessFactor*float64(j.latest-now)
 }
 
 // minQueue is the length below which a queue is too short to predict from.
--- a/internal/pool/report.go
+++ b/internal/pool/report.go
@@ -153,7 +153,7 @@
 		case r.state == runDoubtful && r.at < sent:
 			p.stop(now, r, "its start was not answered")
 		case r.state == runTombstone && r.stopAt < sent, r.state == runRunning && r.began < sent:
-			p.log("run", "task", r.task, "run", r.n, "target", t.ID, "outcome", "gone from the list")
+			p.log("run", "task", r.task.String(), "run", r.n, "target", t.ID, "outcome", "gone from the list")
 			p.runGone(now, r)
 		case r.state == runStopping:
 			p.stop(now, r, "not stopped yet")
@@ -194,7 +194,7 @@
 			p.stop(now, r, "its task runs elsewhere or is done")
 			continue
 		}
-		p.log("run", "task", r.task, "run", r.n, "target", r.target.ID, "outcome", "adopted")
+		p.log("run", "task", r.task.String(), "run", r.n, "target", r.target.ID, "outcome", "adopted")
 		p.placed(tk, r)
 	}
 }
--- a/internal/pool/run.go
+++ b/internal/pool/run.go
@@ -59,7 +59,7 @@
 		return
 	}
 	if rep.Answer != fleet.Accepted {
-		p.log("start", "task", o.Task, "run", o.Run, "target", t.ID, "outcome", rep.Answer.String())
+		p.log("start", "task", o.Task.String(), "run", o.Run, "target", t.ID, "outcome", rep.Answer.String())
 	}
 	switch rep.Answer {
 	case fleet.Accepted:
@@ -112,7 +112,7 @@
 		return
 	}
 	if r.state != runStopping {
-		p.log("stop", "task", r.task, "run", r.n, "target", r.target.ID, "reason", why)
+		p.log("stop", "task", r.task.String(), "run", r.n, "target", r.target.ID, "reason", why)
 	}
 	r.state, r.stopAt = runStopping, now
 	p.emit(fleet.Stop{Target: r.target.Target, Task: r.task, Run: r.n, Fence: r.target.fence})
@@ -137,7 +137,7 @@
 			p.lose(now, t)
 		}
 	default:
-		p.log("stop", "task", o.Task, "run", o.Run, "target", t.ID, "outcome", rep.Answer.String())
+		p.log("stop", "task", o.Task.String(), "run", o.Run, "target", t.ID, "outcome", rep.Answer.String())
 	}
 }
 
