--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -20,12 +20,23 @@
 	Owned   int    `cbor:"4,keyasint,omitempty"`
 	// Leader is whom the entry follows, if it does not lead.
 	Leader string `cbor:"5,keyasint,omitempty"`
-	// Stopping entries must not be followed.
+	// Stopping entries lead only if no other can.
 	Stopping bool `cbor:"6,keyasint,omitempty"`
 	// Strained entries lead only if no other can.
 	Strained bool `cbor:"7,keyasint,omitempty"`
 }
 
+// handicap orders the entries by how little they should lead.
+func (b *Beat) handicap() int {
+	switch {
+	case b.Stopping:
+		return 2
+	case b.Strained:
+		return 1
+	}
+	return 0
+}
+
 // Settings of an Election.
 type Settings struct {
 	// Quiet is how long a new entry listens before it may lead.
@@ -83,7 +94,7 @@
 // SetOwned, SetStopping and SetStrained change what this entry says of itself.
 func (e *Election) SetOwned(n int) { e.own.Owned = n }
 
-// SetStopping marks this entry as one that must not be followed.
+// SetStopping marks this entry as one that is about to end.
 func (e *Election) SetStopping() { e.own.Stopping = true }
 
 // SetStrained marks this entry as one that should not lead.
@@ -108,7 +119,7 @@
 		return e.follow(relay)
 	}
 	rank := e.rank()
-	if rank >= 0 && now >= max(e.open, e.since)+time.Duration(rank)*e.cfg.Step {
+	if now >= max(e.open, e.since)+time.Duration(rank)*e.cfg.Step {
 		return e.lead()
 	}
 	return e.follow("")
@@ -144,7 +155,7 @@
 	var best string
 	var bestBeat Beat
 	consider := func(name string, b Beat) {
-		if !b.Leading || b.Stopping || b.Strained && e.healthyOther(name) {
+		if !b.Leading || (b.Stopping || b.Strained) && e.healthyOther(name) {
 			return
 		}
 		if best == "" || stronger(b, name, bestBeat, best) {
@@ -190,29 +201,19 @@
 	return best, best != ""
 }
 
-// rank returns this entry's place in the order of succession, -1 if it stops.
+// rank returns this entry's place in the order of succession: strained entries
+// come late, and those that stop last, so that even they serve what is left.
 func (e *Election) rank() int {
-	if e.own.Stopping {
-		return -1
-	}
 	type candidate struct {
 		name string
 		b    Beat
 	}
 	all := []candidate{{e.self, e.own}}
 	for name, b := range e.peers {
-		if !b.Stopping {
-			all = append(all, candidate{name, b})
-		}
+		all = append(all, candidate{name, b})
 	}
 	slices.SortFunc(all, func(a, b candidate) int {
-		if a.b.Strained != b.b.Strained {
-			if a.b.Strained {
-				return 1
-			}
-			return -1
-		}
-		return cmp.Or(cmp.Compare(a.b.Joined, b.b.Joined), cmp.Compare(a.name, b.name))
+		return cmp.Or(cmp.Compare(a.b.handicap(), b.b.handicap()), cmp.Compare(a.b.Joined, b.b.Joined), cmp.Compare(a.name, b.name))
 	})
 	return slices.IndexFunc(all, func(c candidate) bool { return c.name == e.self })
 }
--- a/internal/election/election_test.go
+++ b/internal/election/election_test.go
@@ -111,3 +111,15 @@
 	got = g.run(2 * time.Second)
 	assert.Assert(t, got["e2"].Lead)
 }
+
+// Entries that are replaced one after the other overlap: behind a cut all that
+// is left may be stopping.
+func TestStoppingEntriesServeIfNoOtherIsLeft(t *testing.T) {
+	g := newGroup(2)
+	g.run(3 * time.Second)
+	g.all["e0"].SetStopping()
+	g.all["e1"].SetStopping()
+	got := g.run(2 * time.Second)
+	assert.Equal(t, leaders(got), 1)
+	assert.Assert(t, got["e1"].Leader != "")
+}
--- a/internal/node/directory.go
+++ b/internal/node/directory.go
@@ -42,6 +42,7 @@
 	hasList   bool
 	members   map[string]fleet.Member
 	live      []string // members that the platform's store has heard of lately
+	liveAt    time.Duration
 	shared    map[string]time.Duration
 }
 
@@ -123,7 +124,7 @@
 		for _, m := range list {
 			n.dir.members[m.Name] = m
 		}
-		n.dir.live = live
+		n.dir.live, n.dir.liveAt = live, now
 		n.dial()
 	})
 }
@@ -178,15 +179,7 @@
 // the live members claims all at once; a smaller part claims the targets whose
 // home is in it, and the others after a pause.
 func (n *Node) claim(now time.Duration) {
-	known := slices.Clone(n.dir.live)
-	for name := range n.linked {
-		if !slices.Contains(known, name) {
-			known = append(known, name)
-		}
-	}
-	if !slices.Contains(known, n.cfg.Self.Name) {
-		known = append(known, n.cfg.Self.Name)
-	}
+	known := n.knownMembers(now)
 	slices.Sort(known)
 	inReach := func(name string) bool {
 		_, linked := n.linked[name]
@@ -210,6 +203,35 @@
 	})
 }
 
+// knownMembers returns the members that are thought to live: those that the
+// store has heard of lately, or all that are known while the store is out of
+// reach.
+func (n *Node) knownMembers(now time.Duration) []string {
+	var known []string
+	add := func(name string) {
+		if !slices.Contains(known, name) {
+			known = append(known, name)
+		}
+	}
+	add(n.cfg.Self.Name)
+	for name := range n.linked {
+		add(name)
+	}
+	if n.dir.liveAt > 0 && now < n.dir.liveAt+staleLive {
+		for _, name := range n.dir.live {
+			add(name)
+		}
+		return known
+	}
+	for name := range n.dir.members {
+		add(name)
+	}
+	return known
+}
+
+// staleLive is the age from which the store's word on who lives is not used.
+const staleLive = 5 * time.Second
+
 func (n *Node) serveDirectory(w http.ResponseWriter, _ *http.Request) {
 	got := make(chan directoryBody, 1)
 	n.post(func(now time.Duration) { got <- n.body(now) })
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -71,6 +71,7 @@
 type Pool struct {
 	cfg     Settings
 	leading bool
+	ledAt   time.Duration
 	fence   uint64 // last one used
 
 	targets map[string]*target
@@ -144,7 +145,7 @@
 	if p.leading {
 		return
 	}
-	p.leading = true
+	p.leading, p.ledAt = true, now
 	if base > p.fence {
 		p.fence = base
 	}
--- a/internal/pool/queue.go
+++ b/internal/pool/queue.go
@@ -194,12 +194,16 @@
 
 // hopeless reports whether a job that has just come can't be begun in time.
 func (p *Pool) hopeless(now time.Duration, j *job) bool {
-	if j.begun || len(j.class.waiting) < minQueue {
+	if j.begun || len(j.class.waiting) < minQueue || now < p.ledAt+takeover {
 		return false
 	}
 	return float64(p.expectedWait(j.class, j)) > hopelessFactor*float64(j.latest-now)
 }
 
+// takeover is how long after the start of a lead nothing is predicted: the room
+// is not known yet.
+const takeover = 500 * time.Millisecond
+
 // minQueue is the length below which a queue is too short to predict from.
 const minQueue = 4
 
