Jobs that waited for a takeover are served; a stopping entry stays linked until it ends

Cause: after the loss of all entries jobs waited for a leader, then were refused as too late in the round that took the targets over, with all of them idle; an entry that stopped took its entry out of the store first, and the others closed their links to it while callers' jobs still went through them.

--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -48,7 +48,7 @@
 
 // Defaults of Settings.
 const (
-	DefaultQuiet = 500 * time.Millisecond
+	DefaultQuiet = 300 * time.Millisecond
 	DefaultStep  = 200 * time.Millisecond
 )
 
--- a/internal/node/directory.go
+++ b/internal/node/directory.go
@@ -120,7 +120,11 @@
 // renewed their entry lately.
 func (n *Node) SetMembers(list []fleet.Member, live []string) {
 	n.post(func(now time.Duration) {
-		clear(n.dir.members)
+		for name := range n.dir.members {
+			if _, linked := n.linked[name]; !linked { // a link says more than the store
+				delete(n.dir.members, name)
+			}
+		}
 		for _, m := range list {
 			n.dir.members[m.Name] = m
 		}
--- a/internal/pool/flood_test.go
+++ b/internal/pool/flood_test.go
@@ -151,3 +151,20 @@
 	b.tick(200 * ms)
 	assert.Equal(t, len(take[fleet.Stop](b)), 0)
 }
+
+// After the loss of all entries callers' jobs wait while the targets are taken
+// over; they are late, but there is room for them.
+func TestJobsThatWaitedForATakeoverAreServed(t *testing.T) {
+	p := New(DefaultSettings(), nil)
+	b := &bench{t: t, p: p, now: time.Second, ended: map[string]fleet.Outcome{}}
+	p.SetTargets(b.now, targetList(8))
+	p.Lead(b.now, 1)
+	for i := range 8 {
+		p.Submit(b.now, Submit{Coordinator: "e1", Job: jobOf(fmt.Sprint(i), queue("q", 0), 2, 14000, 60*ms), Waited: 300 * ms})
+	}
+	b.tick(5 * ms)
+	b.own()
+	b.tick(ms)
+	assert.Equal(t, len(b.outcomes()), 0)
+	assert.Equal(t, len(take[fleet.Start](b)), 16)
+}
--- a/internal/pool/queue.go
+++ b/internal/pool/queue.go
@@ -200,8 +200,8 @@
 	return float64(p.expectedWait(j.class, j)) > hopelessFactor*float64(j.latest-now)
 }
 
-// takeover is how long after the start of a lead nothing is predicted: the room
-// is not known yet.
+// takeover is how long after the start of a lead nothing is refused for want of
+// room: the room is not known yet.
 const takeover = 500 * time.Millisecond
 
 // minQueue is the length below which a queue is too short to predict from.
@@ -214,7 +214,7 @@
 			switch {
 			case now >= j.arrived+j.Patience && j.Patience > 0:
 				p.end(now, j, fleet.Outcome{Verdict: notRun(j.begun), Reason: verdict.DeadlinePassed})
-			case !j.begun && now > j.latest:
+			case !j.begun && now > j.latest && now >= p.ledAt+takeover:
 				p.end(now, j, fleet.Outcome{Verdict: verdict.NotRun, Reason: verdict.DeadlineUnmeetable, RetryAfter: p.retryAfter()})
 			}
 		}
