Pool: orders without an answer survive a target's rebirth; property under drawn faults

Cause: the new property (two owners, lost and late answers, cuts, crashes) found a task running twice: an order without an answer had reached the new incarnation of a target, while its place was given back as that of the old one. Ruled out: the late order itself, which names its incarnation.

--- /dev/null
+++ b/internal/pool/bench_test.go
@@ -0,0 +1,61 @@
+package pool
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"currantstall/internal/fleet"
+)
+
+func benchPool(targets int) (*Pool, time.Duration) {
+	p := New(DefaultSettings(), nil)
+	now := time.Second
+	p.SetTargets(now, targetList(targets))
+	p.Lead(now, 1)
+	for _, e := range p.Effects() {
+		h := e.(fleet.Hold)
+		p.HoldDone(now, now, h, fleet.Report{Answer: fleet.Accepted, Clock: 1000, Born: 1})
+	}
+	return p, now
+}
+
+func BenchmarkChoose(b *testing.B) {
+	for _, n := range []int{48, 350} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			p, now := benchPool(n)
+			j := p.newJob(now, Submit{Coordinator: "e", Job: jobOf("j", queue("q", 0), 1, 14000, 60*ms)})
+			b.ReportAllocs()
+			for b.Loop() {
+				if p.choose(j.steps[0][0]) == nil {
+					b.Fatal("no target")
+				}
+			}
+		})
+	}
+}
+
+func BenchmarkSubmitAndAbandon(b *testing.B) {
+	p, now := benchPool(48)
+	s := Submit{Coordinator: "e", Job: jobOf("j", queue("q", 0), 8, 14000, 60*ms)}
+	b.ReportAllocs()
+	for b.Loop() {
+		p.Submit(now, s)
+		p.Abandon(now, "e", "j")
+	}
+}
+
+func BenchmarkRefuse(b *testing.B) {
+	p, now := benchPool(1)
+	for i := range 20 {
+		p.Submit(now, Submit{Coordinator: "e", Job: jobOf(fmt.Sprint("w", i), queue("q", 0), 8, 14000, 60*ms)})
+	}
+	s := Submit{Coordinator: "e", Job: jobOf("j", queue("q", 0), 8, 14000, 60*ms)}
+	now += time.Second
+	s.Waited = time.Second
+	b.ReportAllocs()
+	for b.Loop() {
+		p.Submit(now, s)
+		p.effects = p.effects[:0]
+	}
+}
--- /dev/null
+++ b/internal/pool/property_test.go
@@ -0,0 +1,321 @@
+package pool
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"currantstall/internal/fleet"
+	"currantstall/internal/rapidtest"
+	"currantstall/internal/structs"
+	"currantstall/internal/verdict"
+)
+
+func TestMain(m *testing.M) { rapidtest.Main(m, 20261204, 300) }
+
+// site is a set of targets that obey orders from two owners, lose answers, carry
+// orders out late and crash. It notes broken promises.
+type site struct {
+	t       *rapid.T
+	now     time.Duration
+	pools   []*Pool
+	targets []*simTarget
+	list    []fleet.Target
+	late    []func()
+	lateAt  []time.Duration
+	holds   []heldHold
+	ended   []map[string]fleet.Outcome
+	started map[string]bool
+	needs   map[string]int64
+	refused map[string]int
+	jobs    map[string]fleet.Job
+}
+
+type heldHold struct {
+	owner int
+	sent  time.Duration
+	o     fleet.Hold
+	due   time.Duration
+}
+
+type simTarget struct {
+	info  fleet.Target
+	base  time.Duration // when its clock began
+	fence uint64
+	lease int64
+	runs  map[fleet.TaskID]simRun
+	dead  map[fleet.TaskID]int
+	ends  []fleet.End
+	cut   [2]bool // from each owner
+}
+
+type simRun struct {
+	n   int
+	end time.Duration
+}
+
+func newSite(t *rapid.T, targets int) *site {
+	s := &site{
+		t: t, now: 5 * time.Second, started: map[string]bool{}, needs: map[string]int64{}, refused: map[string]int{}, jobs: map[string]fleet.Job{},
+		ended: []map[string]fleet.Outcome{{}, {}},
+	}
+	for i := range targets {
+		info := fleet.Target{ID: fmt.Sprintf("t%d", i), Service: "s", Addr: "a", Born: 1, Capacity: structs.Resources{MilliCPU: 32000, MemoryMB: 1 << 17}}
+		s.targets = append(s.targets, &simTarget{info: info, runs: map[fleet.TaskID]simRun{}, dead: map[fleet.TaskID]int{}})
+		s.list = append(s.list, info)
+	}
+	for range 2 {
+		p := New(DefaultSettings(), nil)
+		p.SetTargets(s.now, s.list)
+		s.pools = append(s.pools, p)
+	}
+	return s
+}
+
+func (s *site) target(id string) *simTarget {
+	for _, t := range s.targets {
+		if t.info.ID == id {
+			return t
+		}
+	}
+	return nil
+}
+
+func (x *simTarget) clock(now time.Duration) int64 { return (now - x.base).Milliseconds() }
+
+// advance passes time in steps of 5 ms.
+func (s *site) advance(d time.Duration) {
+	for end := s.now + d; s.now < end; {
+		s.now += 5 * time.Millisecond
+		s.runTargets()
+		for i := 0; i < len(s.late); {
+			if s.now >= s.lateAt[i] {
+				f := s.late[i]
+				s.late = append(s.late[:i:i], s.late[i+1:]...)
+				s.lateAt = append(s.lateAt[:i:i], s.lateAt[i+1:]...)
+				f()
+				continue
+			}
+			i++
+		}
+		for owner, p := range s.pools {
+			p.Tick(s.now)
+			s.perform(owner)
+		}
+		s.answerHolds()
+	}
+}
+
+func (s *site) runTargets() {
+	for _, x := range s.targets {
+		for task, r := range x.runs {
+			kind := fleet.EndKind(0)
+			if s.now >= r.end {
+				kind = fleet.EndDone
+			} else if x.clock(s.now) > x.lease {
+				kind = fleet.EndOther
+			}
+			if kind != 0 {
+				x.finish(task, r.n, kind)
+			}
+		}
+	}
+}
+
+func (x *simTarget) finish(task fleet.TaskID, n int, kind fleet.EndKind) {
+	delete(x.runs, task)
+	x.dead[task] = max(x.dead[task], n)
+	x.ends = append(x.ends, fleet.End{Number: int64(len(x.ends) + 1), Task: task, Run: n, Kind: kind})
+}
+
+func (s *site) perform(owner int) {
+	p := s.pools[owner]
+	for _, e := range p.Effects() {
+		switch e := e.(type) {
+		case fleet.Start:
+			s.start(owner, e)
+		case fleet.Stop:
+			x := s.target(e.Target.ID)
+			rep := fleet.Reply{Answer: fleet.Unanswered}
+			if !x.cut[owner] {
+				rep = fleet.Reply{Answer: s.doStop(x, e), Clock: x.clock(s.now), Born: x.info.Born}
+			}
+			p.StopDone(s.now, e, rep)
+		case fleet.Hold:
+			s.holds = append(s.holds, heldHold{owner, s.now, e, s.now + e.Wait})
+		case Ended:
+			if e.Outcome.Verdict == verdict.NotRun {
+				s.refused[e.Job]++
+				assert.Assert(s.t, !s.started[e.Job], "%s was refused and had run", e.Job)
+			}
+			s.ended[owner][e.Job] = e.Outcome
+		}
+	}
+}
+
+func (s *site) start(owner int, o fleet.Start) {
+	x := s.target(o.Target.ID)
+	p := s.pools[owner]
+	fate := rapid.IntRange(0, 19).Draw(s.t, "fate of a start")
+	unanswered := fleet.Reply{Answer: fleet.Unanswered}
+	switch {
+	case x.cut[owner]:
+		p.StartDone(s.now, o, unanswered)
+	case fate == 0: // done, its answer lost
+		s.doStart(x, o)
+		p.StartDone(s.now, o, unanswered)
+	case fate == 1: // carried out late
+		s.late = append(s.late, func() {
+			if o.Target.Born == x.info.Born { // the order names the incarnation it is for
+				s.doStart(x, o)
+			}
+		})
+		s.lateAt = append(s.lateAt, s.now+time.Duration(rapid.IntRange(50, 4000).Draw(s.t, "late by"))*time.Millisecond)
+		p.StartDone(s.now, o, unanswered)
+	default:
+		p.StartDone(s.now, o, fleet.Reply{Answer: s.doStart(x, o), Clock: x.clock(s.now), Born: x.info.Born})
+	}
+}
+
+func (s *site) doStart(x *simTarget, o fleet.Start) fleet.Answer {
+	if o.Fence < x.fence {
+		return fleet.Fenced
+	}
+	x.fence = o.Fence
+	if o.LeaseUntil <= x.clock(s.now) {
+		return fleet.TooLate
+	}
+	x.lease = max(x.lease, min(o.LeaseUntil, x.clock(s.now)+1000))
+	if r, ok := x.runs[o.Task]; ok && r.n == o.Run {
+		return fleet.Accepted
+	}
+	if o.Run <= x.dead[o.Task] {
+		return fleet.StaleRun
+	}
+	used := s.needs[o.Task.Job]
+	for task := range x.runs {
+		used += s.needs[task.Job]
+	}
+	assert.Assert(s.t, used <= x.info.Capacity.MilliCPU, "%s over its capacity", x.info.ID)
+	for _, other := range s.targets {
+		_, twice := other.runs[o.Task]
+		assert.Assert(s.t, !twice, "%v runs on %s and %s at %v", o.Task, other.info.ID, x.info.ID, s.now)
+	}
+	s.started[o.Task.Job] = true
+	takes := time.Duration(rapid.IntRange(20, 600).Draw(s.t, "takes")) * time.Millisecond
+	x.runs[o.Task] = simRun{o.Run, s.now + takes}
+	return fleet.Accepted
+}
+
+func (s *site) doStop(x *simTarget, o fleet.Stop) fleet.Answer {
+	if o.Fence < x.fence {
+		return fleet.Fenced
+	}
+	x.fence = o.Fence
+	x.dead[o.Task] = max(x.dead[o.Task], o.Run)
+	if r, ok := x.runs[o.Task]; ok && r.n <= o.Run {
+		x.finish(o.Task, r.n, fleet.EndOther)
+	}
+	return fleet.Accepted
+}
+
+func (s *site) answerHolds() {
+	var rest []heldHold
+	for _, h := range s.holds {
+		x := s.target(h.o.Target.ID)
+		p := s.pools[h.owner]
+		unread := len(x.ends) > int(h.o.Seen)
+		switch {
+		case x.cut[h.owner]:
+			if s.now < h.due+200*time.Millisecond {
+				rest = append(rest, h)
+				continue
+			}
+			p.HoldDone(s.now, h.sent, h.o, fleet.Report{Answer: fleet.Unanswered})
+		case h.o.Fence < x.fence:
+			p.HoldDone(s.now, h.sent, h.o, fleet.Report{Answer: fleet.Fenced, Clock: x.clock(s.now), Born: x.info.Born})
+		default:
+			x.fence = h.o.Fence
+			x.lease = max(x.lease, min(h.o.LeaseUntil, x.clock(s.now)+1000))
+			if !unread && s.now < h.due {
+				rest = append(rest, h)
+				continue
+			}
+			rep := fleet.Report{Answer: fleet.Accepted, Clock: x.clock(s.now), Born: x.info.Born}
+			for task, r := range x.runs {
+				rep.Running = append(rep.Running, fleet.Running{Task: task, Run: r.n, Percent: 50})
+			}
+			if unread {
+				rep.Ended = x.ends[h.o.Seen:]
+			}
+			p.HoldDone(s.now, h.sent, h.o, rep)
+		}
+	}
+	s.holds = rest
+}
+
+func (s *site) crash(x *simTarget) {
+	x.info.Born++
+	x.base, x.fence, x.lease, x.ends = s.now, 0, 0, nil
+	x.runs, x.dead = map[fleet.TaskID]simRun{}, map[fleet.TaskID]int{}
+	for i := range s.list {
+		if s.list[i].ID == x.info.ID {
+			s.list[i] = x.info
+		}
+	}
+}
+
+// Whatever is lost, late, cut or taken over: no target is over its capacity, no
+// task runs twice at one time, and what was refused never ran.
+func TestPromisesHoldUnderDrawnFaults(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := newSite(t, rapid.IntRange(1, 4).Draw(t, "targets"))
+		s.pools[0].Lead(s.now, 1)
+		leader := 0
+		for i := range rapid.IntRange(5, 40).Draw(t, "events") {
+			switch rapid.IntRange(0, 9).Draw(t, "event") {
+			case 0, 1, 2, 3, 4:
+				id := fmt.Sprintf("j%d", i)
+				j := jobOf(id, queue("q", 0), rapid.IntRange(1, 4).Draw(t, "tasks"), int64(rapid.IntRange(8000, 20000).Draw(t, "cpu")), 100*ms)
+				j.Queue.Slack = time.Second
+				s.needs[id], s.jobs[id] = j.Steps[0].Needs.MilliCPU, j
+				s.pools[leader].Submit(s.now, Submit{Coordinator: "e", Job: j})
+			case 5:
+				x := s.targets[rapid.IntRange(0, len(s.targets)-1).Draw(t, "target")]
+				x.cut[0], x.cut[1] = !x.cut[0], !x.cut[1]
+			case 6:
+				s.crash(s.targets[rapid.IntRange(0, len(s.targets)-1).Draw(t, "target")])
+			case 7:
+				s.changeLeader(leader)
+				leader = 1 - leader
+			case 8:
+				for _, p := range s.pools {
+					p.SetTargets(s.now, s.list)
+				}
+			case 9:
+				s.pools[leader].Abandon(s.now, "e", fmt.Sprintf("j%d", i-1))
+			}
+			s.advance(time.Duration(rapid.IntRange(1, 60).Draw(t, "pause")) * 5 * time.Millisecond)
+		}
+		s.advance(2 * time.Second)
+	})
+}
+
+// changeLeader moves the lead and hands the jobs that have not ended over.
+func (s *site) changeLeader(from int) {
+	to := 1 - from
+	s.pools[from].Yield()
+	s.pools[to].Lead(s.now, s.pools[from].fence)
+	for i := range 50 {
+		id := fmt.Sprintf("j%d", i)
+		j, known := s.jobs[id]
+		if _, over := s.ended[from][id]; !known || over {
+			continue
+		}
+		delete(s.ended[to], id)
+		s.pools[to].Submit(s.now, Submit{Coordinator: "e", Job: j, MayHaveRun: true})
+	}
+}
--- a/internal/pool/target.go
+++ b/internal/pool/target.go
@@ -36,6 +36,9 @@
 	clock    int64         // of the target, in ms
 	clockAt  time.Duration // when it was read
 	leaseMax int64         // the latest lease handed out, in ms of its clock
+	// lapseAfter is when all has lapsed that an incarnation runs whose clock is
+	// not known.
+	lapseAfter time.Duration
 
 	health
 }
@@ -75,6 +78,9 @@
 // lapsed reports whether every lease that was handed out has passed for sure,
 // also on a clock that is slow.
 func (t *target) lapsed(now time.Duration) bool {
+	if now < t.lapseAfter {
+		return false
+	}
 	if t.leaseMax == 0 {
 		return true
 	}
@@ -151,16 +157,34 @@
 	}
 }
 
-// reborn drops all that ran on an earlier incarnation. The next fence is
-// higher, so that orders to the earlier one that arrive late are refused.
+// reborn drops what ran on an earlier incarnation. The next fence is higher, so
+// that orders to the earlier one that arrive late are refused. Orders without an
+// answer may have reached the new incarnation: its first list shows which did.
 func (p *Pool) reborn(now time.Duration, t *target, born int64) {
 	p.log("target", "target", t.ID, "outcome", "reborn", "runs", len(t.runs))
-	lost := t.runs
+	before := t.runs
 	t.forget()
 	t.health = newHealth()
 	t.Born, t.clock, t.clockAt, t.seen = born, 0, 0, 0
-	t.askAt = now
-	for _, r := range sortedRuns(lost) {
-		p.runGone(now, r)
+	t.askAt, t.lapseAfter = now, now+longestLease
+	for _, r := range sortedRuns(before) {
+		t.restore(r)
+		if r.state == runRunning {
+			p.runGone(now, r)
+		}
+	}
+}
+
+// longestLease is the longest lease that a target grants, with the rate of its
+// clock and room for a call.
+const longestLease = 1300 * time.Millisecond
+
+// restore takes a run of an earlier incarnation over.
+func (t *target) restore(r *run) {
+	t.runs[r.key()] = r
+	if r.owner == nil {
+		t.unknown++
+		return
 	}
+	t.used = t.used.Plus(r.needs)
 }
