Links count as silent after 350 ms; jobs that may not begin yet refuse no others

Cause: an incident (a frozen leader): by the time that the next one led, leases had lapsed, and the backlog that waited for them made new jobs look hopeless while all targets were idle.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -33,9 +33,12 @@
 }
 
 const (
-	// silentAfter closes a link on which nothing arrives. With the pool's grace
-	// it stays below the 1.3 s after which a caller comes back.
-	silentAfter = 500 * time.Millisecond
+	// silentAfter closes a link on which nothing arrives. It is short against the
+	// pool's lease, so that the next leader finds what runs still running, and
+	// long against the 60 ms for which a VM on a quota stands still.
+	silentAfter = 350 * time.Millisecond
+	// dialTimeout bounds a dial of a peer.
+	dialTimeout = 500 * time.Millisecond
 	// retain is the least that a link takes: a message that a lost link did not
 	// deliver is sent anew by whoever still wants it.
 	retain = time.Nanosecond
@@ -99,7 +102,7 @@
 		DC:          cfg.Self.DC,
 		Secret:      cfg.Secret,
 		SilentAfter: silentAfter,
-		DialTimeout: silentAfter,
+		DialTimeout: dialTimeout,
 		Retain:      retain,
 		QueueBytes:  queueBytes,
 		Metrics:     cfg.Metrics,
--- a/internal/pool/flood_test.go
+++ b/internal/pool/flood_test.go
@@ -168,3 +168,19 @@
 	assert.Equal(t, len(b.outcomes()), 0)
 	assert.Equal(t, len(take[fleet.Start](b)), 16)
 }
+
+// After a silent loss of a leader many resubmitted jobs wait for its leases; the
+// room is free meanwhile, and new jobs must not be refused for their sake.
+func TestJobsThatMayNotBeginYetRefuseNoOthers(t *testing.T) {
+	b := newBench(t, 4)
+	b.tick(time.Second)
+	for i := range 30 {
+		b.p.Submit(b.now, Submit{Coordinator: "e", Job: jobOf(fmt.Sprint("lost", i), queue("q", 0), 4, 14000, 200*ms), MayHaveRun: true})
+	}
+	for i := range 6 {
+		b.submit(jobOf(fmt.Sprint("new", i), queue("q", 0), 1, 14000, 200*ms))
+	}
+	b.tick(ms)
+	assert.Equal(t, len(b.outcomes()), 0)
+	assert.Equal(t, len(take[fleet.Start](b)), 6)
+}
--- a/internal/pool/queue.go
+++ b/internal/pool/queue.go
@@ -143,7 +143,7 @@
 // expectedWait returns how long a job that joins the queue now is likely to
 // wait, by the work ahead of it and how fast the queue finds places: as fast as
 // lately, and at least by its share of the room.
-func (p *Pool) expectedWait(c *class, j *job) time.Duration {
+func (p *Pool) expectedWait(now time.Duration, c *class, j *job) time.Duration {
 	tasks, work := 0, 0.0 // work in thousandths of a core times s
 	ahead := func(o *job) {
 		for i := range o.Steps {
@@ -156,6 +156,9 @@
 		if o == j || !o.begun && o.latest > j.latest {
 			break
 		}
+		if now < o.safeAt {
+			continue // it may not be begun yet, and leaves the room to others
+		}
 		ahead(o)
 	}
 	if tasks == 0 {
@@ -197,7 +200,7 @@
 	if j.begun || len(j.class.waiting) < minQueue || now < p.ledAt+takeover {
 		return false
 	}
-	return float64(p.expectedWait(j.class, j)) > hopelessFactor*float64(j.latest-now)
+	return float64(p.expectedWait(now, j.class, j)) > hopelessFactor*float64(j.latest-now)
 }
 
 // takeover is how long after the start of a lead nothing is refused for want of
