Fences follow the time; a target that serves another owner is left to it

Cause: after the heal of a cut a leader of some standing had fences 35 s older than the other one's, and gave targets up for 4 s after eight tries; the larger side also took back targets that the other side still served, before the links were up. Ruled out: the redial of links (0.5 s). Test first: TestFenceFollowsTheTime.

--- a/internal/node/directory.go
+++ b/internal/node/directory.go
@@ -12,6 +12,7 @@
 
 	"currantstall/internal/fleet"
 	"currantstall/internal/peer"
+	"currantstall/internal/pool"
 	"currantstall/internal/rendezvous"
 	"currantstall/internal/structs"
 	"currantstall/internal/wire"
@@ -196,14 +197,13 @@
 		}
 	}
 	majority := 2*reached > len(known)
-	n.pool.SetClaim(now, func(id string) time.Duration {
-		if majority {
-			return 0
+	n.pool.SetClaim(now, func(id string) pool.Claim {
+		home, _ := rendezvous.Top(rendezvous.Hash(id), known)
+		c := pool.Claim{Home: inReach(known[home])}
+		if !majority && !c.Home {
+			c.Pause = minorityPause
 		}
-		if home, _ := rendezvous.Top(rendezvous.Hash(id), known); inReach(known[home]) {
-			return 0
-		}
-		return minorityPause
+		return c
 	})
 }
 
--- a/internal/pool/flood_test.go
+++ b/internal/pool/flood_test.go
@@ -134,11 +134,11 @@
 	p := New(DefaultSettings(), nil)
 	b := &bench{t: t, p: p, now: time.Second, ended: map[string]fleet.Outcome{}}
 	p.SetTargets(b.now, targetList(2))
-	p.SetClaim(b.now, func(id string) time.Duration {
+	p.SetClaim(b.now, func(id string) Claim {
 		if id == "t00" {
-			return 0
+			return Claim{Home: true}
 		}
-		return time.Second
+		return Claim{Pause: time.Second}
 	})
 	p.Lead(b.now, 1)
 	b.own()
@@ -184,3 +184,27 @@
 	assert.Equal(t, len(b.outcomes()), 0)
 	assert.Equal(t, len(take[fleet.Start](b)), 6)
 }
+
+// A leader of some standing has used fences from long ago; the one that it meets
+// after a cut has used newer ones. It must not take many tries to get above them.
+func TestFenceFollowsTheTime(t *testing.T) {
+	b := newBench(t, 1)
+	b.tick(time.Minute)
+	b.submit(jobOf("j", queue("q", 0), 1, 14000, 60*ms))
+	b.tick(ms)
+	other := uint64(b.now.Milliseconds()) * fenceStep
+	s := take[fleet.Start](b)[0]
+	b.reply(s, fleet.Fenced)
+	b.tick(ms)
+	h := take[fleet.Hold](b)
+	assert.Assert(t, h[len(h)-1].Fence+11*fenceStep*1000 > other, "%d, want about %d", h[len(h)-1].Fence, other)
+	// Clocks that are hours apart take a few tries more.
+	tries := 0
+	for ; tries < quickClaims && h[len(h)-1].Fence < other+3600*1000*fenceStep; tries++ {
+		b.p.HoldDone(b.now, b.now, h[len(h)-1], fleet.Report{Answer: fleet.Fenced, Born: 1})
+		b.tick(ms)
+		h = take[fleet.Hold](b)
+		assert.Assert(t, len(h) > 0)
+	}
+	assert.Assert(t, tries < quickClaims, "%d tries", tries)
+}
--- a/internal/pool/ownership.go
+++ b/internal/pool/ownership.go
@@ -13,22 +13,30 @@
 	// is claimed again; it doubles up to maxBackoff.
 	firstBackoff = 400 * time.Millisecond
 	maxBackoff   = 4 * time.Second
-	// fenceProbes bounds the tries to find a fence above all earlier ones.
-	fenceProbes = 30
+	// quickClaims is how often a target is claimed again at once, each time with
+	// a larger step of the fence; the last step covers a clock that is hours back.
+	quickClaims   = 7
+	fenceShift    = 4 // bits by which the step grows with each claim
+	maxFenceShift = 24
+	// leaveFor is how long a target is left to another owner that serves it.
+	leaveFor = time.Second
 )
 
-// SetClaim says how soon each target may be claimed: pause returns the wait
-// since the start of the lead for a target's ID.
-func (p *Pool) SetClaim(now time.Duration, pause func(id string) time.Duration) {
+// Claim is how soon a target may be claimed.
+type Claim struct {
+	Pause time.Duration // since the start of the lead
+	// Home targets are taken even from an owner that serves them.
+	Home bool
+}
+
+// SetClaim says how soon each target may be claimed, by its ID.
+func (p *Pool) SetClaim(now time.Duration, claim func(id string) Claim) {
 	for _, t := range p.order {
-		wait := pause(t.ID)
-		if wait == t.claimAfter {
-			continue
-		}
-		t.claimAfter = wait
-		if !t.owned && !t.asking {
-			t.askAt = now + wait
+		c := claim(t.ID)
+		if c.Pause != t.claim.Pause && !t.owned && !t.asking {
+			t.askAt = now + c.Pause
 		}
+		t.claim = c
 	}
 }
 
@@ -44,7 +52,8 @@
 // acquire sends a hold under a new fence. Whatever was ordered before under a
 // lower one can't begin once it is answered.
 func (p *Pool) acquire(now time.Duration, t *target) {
-	p.fence += fenceStep << min(t.lostTo, fenceProbes)
+	elapsed := uint64((now - p.ledAt).Milliseconds()) * fenceStep
+	p.fence = max(p.fence+fenceStep<<min(t.lostTo*fenceShift, maxFenceShift), p.base+elapsed)
 	t.fence = p.fence
 	t.asking, t.holding, t.holdAt = true, true, now
 	t.owned = false
@@ -55,12 +64,12 @@
 // acquired takes in the first list under a new fence.
 func (p *Pool) acquired(now time.Duration, t *target, rep fleet.Report) {
 	t.asking = false
-	if t.claimAfter > 0 && t.servesOther(rep.Running) {
-		t.askAt = now + maxBackoff
+	if !t.claim.Home && (t.claim.Pause > 0 || t.wasOut) && t.servesOther(rep.Running) {
+		t.askAt = now + leaveFor
 		p.log("ownership", "target", t.ID, "outcome", "left to its owner", "fence", t.fence, "running", len(rep.Running))
 		return
 	}
-	t.owned, t.lostTo = true, 0
+	t.owned, t.wasOut, t.lostTo = true, false, 0
 	p.log("ownership", "target", t.ID, "outcome", "acquired", "fence", t.fence, "running", len(rep.Running))
 	listed := make(map[runKey]bool, len(rep.Running))
 	for _, row := range rep.Running {
@@ -76,9 +85,9 @@
 	}
 }
 
-// servesOther reports whether something runs that this owner did not order.
-// Where the former owner is dead, all of its work has lapsed by the time that a
-// target is claimed which has its home elsewhere.
+// servesOther reports whether something runs that this owner did not order. On
+// a target that was out of reach, or is claimed after a pause, the work of a dead
+// owner has lapsed: what runs has an owner that lives.
 func (t *target) servesOther(rows []fleet.Running) bool {
 	for _, row := range rows {
 		if t.runs[runKey{row.Task, row.Run}] == nil {
@@ -92,8 +101,8 @@
 func (p *Pool) lose(now time.Duration, t *target) {
 	t.owned, t.asking = false, false
 	back := min(firstBackoff<<min(t.lostTo, 4), maxBackoff)
-	if t.claimAfter == 0 && t.lostTo < 8 {
-		back = 0 // ours by the placement of homes, or the fence was too low
+	if t.claim.Pause == 0 && t.lostTo < quickClaims {
+		back = 0 // the fence may have been too low
 	}
 	t.lostTo++
 	t.askAt = now + back
@@ -105,7 +114,7 @@
 	if t.owned || t.misses == 1 {
 		p.log("ownership", "target", t.ID, "outcome", "unreachable", "misses", t.misses, "runs", len(t.runs))
 	}
-	t.owned, t.asking = false, false
+	t.owned, t.asking, t.wasOut = false, false, true
 	t.askAt = now + reacquireAfter
 }
 
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -52,7 +52,8 @@
 	keepOutcome = 4 * time.Second
 	// clockRate is how far a target's clock may lag behind ours, as a share.
 	clockRate = 0.02
-	// fenceStep separates fencing tokens; the bits below tell owners apart.
+	// fenceStep separates fencing tokens, one for each ms; the bits below tell
+	// owners apart.
 	fenceStep = 1 << 12
 )
 
@@ -72,6 +73,7 @@
 	cfg     Settings
 	leading bool
 	ledAt   time.Duration
+	base    uint64 // fence at the start of the lead; it grows with time
 	fence   uint64 // last one used
 
 	targets map[string]*target
@@ -146,12 +148,10 @@
 		return
 	}
 	p.leading, p.ledAt = true, now
-	if base > p.fence {
-		p.fence = base
-	}
+	p.base, p.fence = base, max(p.fence, base)
 	for _, t := range p.order {
 		t.forget()
-		t.askAt = now + t.claimAfter
+		t.askAt = now + t.claim.Pause
 	}
 	p.acquireDue(now)
 }
--- a/internal/pool/target.go
+++ b/internal/pool/target.go
@@ -14,9 +14,8 @@
 type target struct {
 	fleet.Target
 	listed bool // by discovery
-	// home targets are claimed at once; others only after a pause while the
-	// owner can't tell whether others serve them.
-	claimAfter time.Duration
+	claim  Claim
+	wasOut bool // out of reach since it was owned last
 
 	fence    uint64
 	owned    bool // a list was read under the fence
@@ -62,7 +61,7 @@
 	t.fence, t.misses, t.unknown, t.lostTo = 0, 0, 0, 0
 	t.used = structs.Resources{}
 	t.runs = make(map[runKey]*run)
-	t.leaseMax = 0
+	t.leaseMax, t.wasOut = 0, false
 }
 
 // lease returns a lease from now, in ms of the target's clock.
@@ -94,8 +93,7 @@
 	}
 }
 
-// SetTargets replaces what discovery lists. claimAfter is the pause before a
-// target is claimed, by ID; absent means none.
+// SetTargets replaces what discovery lists.
 func (p *Pool) SetTargets(now time.Duration, list []fleet.Target) {
 	present := make(map[string]bool, len(list))
 	for _, info := range list {
