--- a/internal/logs/logs.go
+++ b/internal/logs/logs.go
@@ -3,6 +3,7 @@
 package logs
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"sync"
@@ -12,6 +13,8 @@
 const (
 	// bufferBytes bounds what waits to be written.
 	bufferBytes = 512 << 10
+	// writeBytes is the size of one write, which a pipe of 4 KiB takes whole.
+	writeBytes = 4 << 10
 	// flushEvery is the pause between two writes.
 	flushEvery = 50 * time.Millisecond
 )
@@ -79,6 +82,20 @@
 	}
 }
 
+// chunk returns the length of the whole lines that go into one write.
+func chunk(b []byte) int {
+	if len(b) <= writeBytes {
+		return len(b)
+	}
+	if end := bytes.LastIndexByte(b[:writeBytes], '\n'); end >= 0 {
+		return end + 1
+	}
+	if end := bytes.IndexByte(b, '\n'); end >= 0 {
+		return end + 1
+	}
+	return len(b)
+}
+
 // flush writes what waits, with a line on what was dropped, and reports whether
 // the writer is closed.
 func (w *Writer) flush() bool {
@@ -89,8 +106,10 @@
 	if dropped > 0 {
 		batch = fmt.Appendf(batch, `{"level":"WARN","msg":"log lines dropped","lines":%d}`+"\n", dropped)
 	}
-	if len(batch) > 0 {
-		_, _ = w.out.Write(batch) // there is nowhere to report a failure to log
+	for rest := batch; len(rest) > 0; {
+		n := chunk(rest)
+		_, _ = w.out.Write(rest[:n]) // there is nowhere to report a failure to log
+		rest = rest[n:]
 	}
 	w.mu.Lock()
 	w.spare = batch[:0]
--- /dev/null
+++ b/internal/logs/logs_test.go
@@ -0,0 +1,58 @@
+package logs
+
+import (
+	"bytes"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// gate is a writer that blocks until it is opened.
+type gate struct {
+	mu   sync.Mutex
+	buf  bytes.Buffer
+	most int
+	open chan struct{}
+}
+
+func (g *gate) Write(b []byte) (int, error) {
+	<-g.open
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.most = max(g.most, len(b))
+	return g.buf.Write(b)
+}
+
+func TestLinesArriveWholeAndInOrder(t *testing.T) {
+	g := &gate{open: make(chan struct{})}
+	close(g.open)
+	w := NewWriter(g)
+	for i := range 1000 {
+		_, err := fmt.Fprintf(w, "line %d of a log\n", i)
+		assert.NilError(t, err)
+	}
+	w.Close()
+	lines := strings.Split(strings.TrimSpace(g.buf.String()), "\n")
+	assert.Equal(t, len(lines), 1000)
+	for i, l := range lines {
+		assert.Equal(t, l, fmt.Sprintf("line %d of a log", i))
+	}
+	assert.Assert(t, g.most <= writeBytes, "%d bytes at once", g.most)
+}
+
+func TestBlockedOutputDropsLinesAndSaysHowMany(t *testing.T) {
+	g := &gate{open: make(chan struct{})}
+	w := NewWriter(g)
+	line := strings.Repeat("x", 1023) + "\n"
+	for range 3 * bufferBytes / 1024 {
+		_, err := w.Write([]byte(line))
+		assert.NilError(t, err)
+	}
+	close(g.open)
+	w.Close()
+	assert.Assert(t, strings.Contains(g.buf.String(), "log lines dropped"))
+	assert.Assert(t, g.buf.Len() < 3*bufferBytes)
+}
--- a/internal/pool/health.go
+++ b/internal/pool/health.go
@@ -65,6 +65,9 @@
 
 // penalty makes slow targets less wanted, in thousandths of a core.
 func (h *health) penalty() int64 {
+	if h.logPace == 0 {
+		return 0
+	}
 	return int64(h.logPace * slowPenalty)
 }
 
@@ -108,6 +111,7 @@
 		t := r.target
 		t.failed = failuresToEject
 		p.judgeFailure(now, t, "stands still")
+		r.owner.failedOn = append(r.owner.failedOn, t)
 		p.stop(now, r, "it stands still")
 		return
 	}
--- a/internal/pool/job.go
+++ b/internal/pool/job.go
@@ -27,6 +27,7 @@
 	state    taskState
 	run      int // number of the last run
 	failures int
+	failedOn []*target // where it failed or stood still
 	current  *run
 }
 
@@ -232,6 +233,7 @@
 
 func (p *Pool) taskFailed(now time.Duration, tk *task, r *run) {
 	tk.failures++
+	tk.failedOn = append(tk.failedOn, r.target)
 	p.log("run", "task", tk.id.String(), "run", r.n, "target", r.target.ID, "outcome", "failed", "failures", tk.failures)
 	if tk.failures >= max(tk.job.Queue.Attempts, 1) {
 		p.end(now, tk.job, fleet.Outcome{Verdict: verdict.Failed, Reason: verdict.TaskFailed})
--- a/internal/pool/place.go
+++ b/internal/pool/place.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"slices"
 	"time"
 
 	"currantstall/internal/fleet"
@@ -100,15 +101,17 @@
 }
 
 // choose returns the target for a task: of those with room the one that is left
-// with the least, so that larger tasks find theirs.
+// with the least, so that larger tasks find theirs. A target on which the task
+// has failed is taken only where there is no other.
 func (p *Pool) choose(tk *task) *target {
 	var best *target
 	var bestScore int64
 	for _, t := range p.order {
-		if !t.feasible(tk) {
+		left := t.Capacity.MilliCPU - t.used.MilliCPU - tk.needs.MilliCPU
+		if left < 0 || !t.hasRoom(tk) || !t.eligible(tk) || slices.Contains(tk.failedOn, t) {
 			continue
 		}
-		score := t.free().MilliCPU - tk.needs.MilliCPU + t.penalty()
+		score := left + t.penalty()
 		if tk.step.NearRack != "" && !t.Has(tk.step.NearRack) {
 			score += t.Capacity.MilliCPU
 		}
@@ -116,15 +119,38 @@
 			best, bestScore = t, score
 		}
 	}
+	if best == nil && len(tk.failedOn) > 0 {
+		return p.chooseAgain(tk)
+	}
 	return best
 }
 
-// feasible reports whether the target may run the task now.
-func (t *target) feasible(tk *task) bool {
-	if !t.owned || !t.listed || t.Leaving || !t.takesNew(len(t.runs)) {
-		return false
+// chooseAgain returns a target on which the task has failed, if there is none on
+// which it could be tried else, now or later.
+func (p *Pool) chooseAgain(tk *task) *target {
+	var again *target
+	for _, t := range p.order {
+		if !t.eligible(tk) {
+			continue
+		}
+		if !slices.Contains(tk.failedOn, t) {
+			return nil
+		}
+		if t.hasRoom(tk) {
+			again = t
+		}
 	}
-	if !tk.needs.Fits(t.free()) || t.Service != tk.job.Queue.Service || !t.Has(tk.step.Label) {
+	return again
+}
+
+// eligible reports whether the target may run the task, leaving its room aside.
+func (t *target) eligible(tk *task) bool {
+	return t.owned && t.listed && !t.Leaving && t.Service == tk.job.Queue.Service && t.Has(tk.step.Label)
+}
+
+// hasRoom reports whether the target has room for the task now.
+func (t *target) hasRoom(tk *task) bool {
+	if !tk.needs.Fits(t.free()) || !t.takesNew(len(t.runs)) {
 		return false
 	}
 	return tk.step.MaxPerTarget == 0 || t.countStep(tk.id) < tk.step.MaxPerTarget
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -266,3 +266,47 @@
 	b.tick(ms)
 	assert.Equal(t, len(take[fleet.Start](b)), 1)
 }
+
+// A target that fails all it runs has room at once, and would get the same task
+// again until its attempts are used.
+func TestFailedTaskIsTriedElsewhere(t *testing.T) {
+	b := newBench(t, 2)
+	b.submit(jobOf("j", queue("q", 0), 1, 20000, 60*ms))
+	b.submit(jobOf("other", queue("q", 0), 1, 20000, 600*ms))
+	b.tick(ms)
+	starts := take[fleet.Start](b)
+	assert.Equal(t, len(starts), 2)
+	for _, s := range starts {
+		b.reply(s, fleet.Accepted)
+	}
+	b.tick(ms)
+	for _, h := range take[fleet.Hold](b) {
+		var ends []fleet.End
+		var running []fleet.Running
+		for _, s := range starts {
+			switch {
+			case s.Target.ID != h.Target.ID:
+			case s.Task.Job == "j":
+				ends = []fleet.End{{Number: 1, Task: s.Task, Run: 1, Kind: fleet.EndFailed}}
+			default:
+				running = []fleet.Running{{Task: s.Task, Run: 1, Percent: 1}}
+			}
+		}
+		b.hold(h, running, ends)
+	}
+	b.tick(ms)
+	assert.Equal(t, len(take[fleet.Start](b)), 0, "only the target that failed it has room")
+}
+
+// A deployment with one target must try there again.
+func TestFailedTaskIsTriedAgainWhereThereIsNoOtherTarget(t *testing.T) {
+	b := newBench(t, 1)
+	b.submit(jobOf("j", queue("q", 0), 1, 20000, 60*ms))
+	b.tick(ms)
+	s := take[fleet.Start](b)[0]
+	b.reply(s, fleet.Accepted)
+	b.tick(ms)
+	b.hold(take[fleet.Hold](b)[0], nil, []fleet.End{{Number: 1, Task: s.Task, Run: 1, Kind: fleet.EndFailed}})
+	b.tick(ms)
+	assert.Equal(t, len(take[fleet.Start](b)), 1)
+}
