--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -310,3 +310,23 @@
 	b.tick(ms)
 	assert.Equal(t, len(take[fleet.Start](b)), 1)
 }
+
+func TestStopIsOrderedOnceAndRepeatedAfterAPause(t *testing.T) {
+	b := newBench(t, 1)
+	b.submit(jobOf("j", queue("q", 0), 1, 20000, 900*ms))
+	b.tick(ms)
+	b.reply(take[fleet.Start](b)[0], fleet.Accepted)
+	b.p.Withdraw(b.now, "e1", "j")
+	for range 5 {
+		b.tick(ms)
+	}
+	stops := take[fleet.Stop](b)
+	assert.Equal(t, len(stops), 1)
+	b.p.StopDone(b.now, stops[0], fleet.Reply{Answer: fleet.Accepted, Clock: b.clock(), Born: 1})
+	for range 5 {
+		b.tick(ms)
+	}
+	assert.Equal(t, len(take[fleet.Stop](b)), 0)
+	b.tick(stopAgain)
+	assert.Equal(t, len(take[fleet.Stop](b)), 1, "it is still not listed as over")
+}
--- a/internal/pool/run.go
+++ b/internal/pool/run.go
@@ -108,10 +108,11 @@
 
 // stop orders the end of a run.
 func (p *Pool) stop(now time.Duration, r *run, why string) {
-	if r.state == runStopping && now < r.stopAt+stopAgain {
+	stopped := r.state == runStopping || r.state == runTombstone
+	if stopped && now < r.stopAt+stopAgain {
 		return
 	}
-	if r.state != runStopping {
+	if !stopped {
 		p.log("stop", "task", r.task.String(), "run", r.n, "target", r.target.ID, "reason", why)
 	}
 	r.state, r.stopAt = runStopping, now
