--- a/internal/pool/flood_test.go
+++ b/internal/pool/flood_test.go
@@ -208,3 +208,25 @@
 	}
 	assert.Assert(t, tries < quickClaims, "%d tries", tries)
 }
+
+// What waited too long during a takeover must not keep those from their places
+// that can still be in time.
+func TestJobsInTimeGoBeforeLateOnes(t *testing.T) {
+	p := New(DefaultSettings(), nil)
+	b := &bench{t: t, p: p, now: time.Second, ended: map[string]fleet.Outcome{}}
+	p.SetTargets(b.now, targetList(3))
+	p.Lead(b.now, 1)
+	for i := range 6 {
+		p.Submit(b.now, Submit{Coordinator: "e1", Job: jobOf(fmt.Sprint("late", i), queue("q", 0), 2, 14000, 60*ms), Waited: 300 * ms})
+		p.Submit(b.now, Submit{Coordinator: "e1", Job: jobOf(fmt.Sprint("new", i), queue("q", 0), 1, 14000, 60*ms)})
+	}
+	b.tick(5 * ms)
+	assert.Equal(t, len(b.outcomes()), 0, "the room is not known yet")
+	b.own()
+	b.tick(ms)
+	starts := take[fleet.Start](b)
+	assert.Equal(t, len(starts), 6)
+	for _, s := range starts {
+		assert.Assert(t, s.Task.Job[:3] == "new", s.Task.Job)
+	}
+}
--- a/internal/pool/place.go
+++ b/internal/pool/place.go
@@ -63,10 +63,21 @@
 // maxTried bounds how many waiting jobs of a queue are tried for one place.
 const maxTried = 6
 
-// placeNext begins the first job of the queue that finds a place.
+// placeNext begins the first job of the queue that finds a place: one that can
+// still be in time, else one that is late.
 func (p *Pool) placeNext(now time.Duration, c *class) bool {
+	late, _ := slices.BinarySearchFunc(c.waiting, now, func(j *job, now time.Duration) int {
+		if j.begun || j.latest < now {
+			return -1
+		}
+		return 1
+	})
+	return p.placeFirst(now, c.waiting[late:]) || p.placeFirst(now, c.waiting[:late])
+}
+
+func (p *Pool) placeFirst(now time.Duration, jobs []*job) bool {
 	tried := 0
-	for _, j := range c.waiting {
+	for _, j := range jobs {
 		if j.begun {
 			continue
 		}
--- a/internal/pool/queue.go
+++ b/internal/pool/queue.go
@@ -203,21 +203,32 @@
 	return float64(p.expectedWait(now, j.class, j)) > hopelessFactor*float64(j.latest-now)
 }
 
-// takeover is how long after the start of a lead nothing is refused for want of
-// room: the room is not known yet.
+// takeover is how long after the start of a lead the room may not be known yet.
 const takeover = 500 * time.Millisecond
 
+// takingOver reports whether the room is still being found out. Nothing is
+// refused for want of room until then.
+func (p *Pool) takingOver(now time.Duration) bool {
+	if now >= p.ledAt+takeover {
+		return false
+	}
+	return slices.ContainsFunc(p.order, func(t *target) bool { return t.listed && !t.owned })
+}
+
 // minQueue is the length below which a queue is too short to predict from.
 const minQueue = 4
 
 // refuseHopeless refuses the jobs that were not begun in time.
 func (p *Pool) refuseHopeless(now time.Duration) {
+	if p.takingOver(now) {
+		return
+	}
 	for _, c := range p.ranked {
 		for _, j := range slices.Clone(c.waiting) {
 			switch {
 			case now >= j.arrived+j.Patience && j.Patience > 0:
 				p.end(now, j, fleet.Outcome{Verdict: notRun(j.begun), Reason: verdict.DeadlinePassed})
-			case !j.begun && now > j.latest && now >= p.ledAt+takeover:
+			case !j.begun && now > j.latest:
 				p.end(now, j, fleet.Outcome{Verdict: verdict.NotRun, Reason: verdict.DeadlineUnmeetable, RetryAfter: p.retryAfter()})
 			}
 		}
