--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -330,3 +330,35 @@
 	b.tick(stopAgain)
 	assert.Equal(t, len(take[fleet.Stop](b)), 1, "it is still not listed as over")
 }
+
+// A list that was asked for before a stop may lack a run that began after it was
+// drawn up, on another connection.
+func TestListFromBeforeAStopProvesNothing(t *testing.T) {
+	b := newBench(t, 1)
+	b.submit(jobOf("j", queue("q", 0), 1, 20000, 60*ms))
+	b.tick(ms)
+	start := take[fleet.Start](b)[0]
+	b.tick(ms)
+	early := take[fleet.Hold](b)
+	sent := b.now
+	b.tick(ms)
+	b.reply(start, fleet.Unanswered)
+	b.tick(ms)
+	look := take[fleet.Hold](b)
+	b.now += ms
+	b.hold(look[0], nil, nil)
+	b.tick(ms)
+	stop := take[fleet.Stop](b)[0]
+	b.p.StopDone(b.now, stop, fleet.Reply{Answer: fleet.Accepted, Clock: b.clock(), Born: 1})
+	b.tick(ms)
+	b.p.HoldDone(b.now, sent, early[0], fleet.Report{Answer: fleet.Accepted, Clock: b.clock(), Born: 1})
+	b.tick(ms)
+	assert.Equal(t, len(take[fleet.Start](b)), 0)
+}
+
+func TestLeaseOnASlowClockLapsesLater(t *testing.T) {
+	x := &target{clock: 1000, clockAt: 10 * time.Second, leaseMax: 2000}
+	assert.Assert(t, !x.lapsed(11*time.Second))
+	assert.Assert(t, !x.lapsed(11*time.Second+20*ms), "its clock may be 2%% slow")
+	assert.Assert(t, x.lapsed(11*time.Second+30*ms))
+}
