--- /dev/null
+++ b/internal/watch/watch_test.go
@@ -0,0 +1,93 @@
+package watch
+
+import (
+	"context"
+	"errors"
+	"io"
+	"log/slog"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+func keys(t *Table) map[string]string {
+	got := map[string]string{}
+	for k, r := range t.Rows() {
+		got[k] = string(r.Value)
+	}
+	return got
+}
+
+func TestRowThatVanishedIsShownForAWhile(t *testing.T) {
+	tab := NewTable()
+	tab.Reset(0, []Row{{Key: "a", Value: []byte("1"), Version: 1}, {Key: "b", Value: []byte("1"), Version: 2}})
+	tab.Apply(time.Second, []Row{{Key: "a", Version: 3, Removed: true}})
+	assert.Assert(t, !tab.Sweep(2*time.Second, 2*time.Second))
+	assert.Equal(t, len(keys(tab)), 2)
+	assert.Assert(t, tab.Sweep(3*time.Second, 2*time.Second))
+	assert.DeepEqual(t, keys(tab), map[string]string{"b": "1"})
+}
+
+func TestRowThatComesBackStays(t *testing.T) {
+	tab := NewTable()
+	tab.Reset(0, []Row{{Key: "a", Value: []byte("1"), Version: 1}})
+	tab.Reset(time.Second, nil)
+	tab.Apply(2*time.Second, []Row{{Key: "a", Value: []byte("2"), Version: 5}})
+	assert.Assert(t, !tab.Sweep(time.Minute, time.Second))
+	assert.DeepEqual(t, keys(tab), map[string]string{"a": "2"})
+}
+
+func TestOlderVersionOfARowIsDropped(t *testing.T) {
+	tab := NewTable()
+	tab.Apply(0, []Row{{Key: "a", Value: []byte("new"), Version: 7}})
+	tab.Apply(0, []Row{{Key: "a", Value: []byte("old"), Version: 6}, {Key: "a", Version: 5, Removed: true}})
+	assert.Assert(t, !tab.Sweep(time.Hour, 0))
+	assert.DeepEqual(t, keys(tab), map[string]string{"a": "new"})
+}
+
+// script is a source that answers from a list.
+type script struct {
+	calls   []string
+	answers []func() ([]Row, uint64, error)
+}
+
+func (s *script) next(call string) ([]Row, uint64, error) {
+	s.calls = append(s.calls, call)
+	if len(s.answers) == 0 {
+		return nil, 0, errors.New("over")
+	}
+	a := s.answers[0]
+	s.answers = s.answers[1:]
+	return a()
+}
+
+func (s *script) Snapshot(context.Context) ([]Row, uint64, error) { return s.next("snapshot") }
+func (s *script) Changes(_ context.Context, after uint64, _ time.Duration) ([]Row, uint64, error) {
+	return s.next("changes")
+}
+
+func TestTableIsReadAnewWhereTheHistoryIsGone(t *testing.T) {
+	rows := func(v string, version uint64, err error) func() ([]Row, uint64, error) {
+		return func() ([]Row, uint64, error) {
+			if err != nil {
+				return nil, 0, err
+			}
+			return []Row{{Key: "a", Value: []byte(v), Version: version}}, version, nil
+		}
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	s := &script{answers: []func() ([]Row, uint64, error){
+		rows("1", 1, nil), rows("", 0, ErrHistoryGone), rows("", 0, errors.New("down")), rows("3", 3, nil), rows("4", 4, nil),
+	}}
+	var seen []string
+	Follow(ctx, s, Options{Name: "t", Log: slog.New(slog.NewTextHandler(io.Discard, nil))}, func(got map[string]Row, _ bool, _ time.Time) {
+		seen = append(seen, string(got["a"].Value))
+		if len(seen) == 3 {
+			cancel()
+		}
+	})
+	assert.DeepEqual(t, seen, []string{"1", "3", "4"})
+	assert.DeepEqual(t, s.calls, []string{"snapshot", "changes", "snapshot", "snapshot", "changes"})
+}
