--- a/internal/pool/flood_test.go
+++ b/internal/pool/flood_test.go
@@ -230,3 +230,30 @@
 		assert.Assert(t, s.Task.Job[:3] == "new", s.Task.Job)
 	}
 }
+
+// While answers are lost, ends are heard of late. That says nothing of the speed
+// of the targets, of which all are needed.
+func TestLateReportsMakeNoTargetSlow(t *testing.T) {
+	b := newBench(t, 5)
+	x := b.p.targets["t00"]
+	for i := range int64(8) {
+		b.submit(jobOf(fmt.Sprint("j", i), queue("q", 0), 1, 20000, 60*ms))
+		b.tick(ms)
+		start := take[fleet.Start](b)[0]
+		b.reply(start, fleet.Accepted)
+		b.tick(ms)
+		for _, h := range take[fleet.Hold](b) { // its answer is lost
+			b.p.HoldDone(b.now+450*ms, b.now, h, fleet.Report{Answer: fleet.Unanswered})
+		}
+		b.tick(450 * ms)
+		for _, h := range take[fleet.Hold](b) {
+			b.hold(h, nil, []fleet.End{{Number: i + 1, Task: start.Task, Run: start.Run, Kind: fleet.EndDone}})
+		}
+		b.tick(ms)
+		for _, h := range take[fleet.Hold](b) {
+			b.hold(h, nil, nil)
+		}
+		assert.Equal(t, x.state.String(), "healthy", "after job %d", i)
+	}
+	assert.Equal(t, len(b.outcomes()), 8)
+}
--- a/internal/pool/health.go
+++ b/internal/pool/health.go
@@ -76,16 +76,16 @@
 const slowPenalty = 4000
 
 // judgeEnd learns from the end of a run.
-func (p *Pool) judgeEnd(now time.Duration, r *run, kind fleet.EndKind) {
+func (p *Pool) judgeEnd(now time.Duration, r *run, kind fleet.EndKind, prompt bool) {
 	t := r.target
 	switch kind {
 	case fleet.EndDone:
-		took := now - r.began
-		if r.began == 0 {
-			took = now - r.at
-		}
 		t.failed, t.ejections = 0, 0
 		t.step(statechart.TargetHealthOnTrialPassed)
+		if !prompt || !r.timed {
+			return
+		}
+		took := now - r.began
 		r.owner.job.class.learn(time.Duration(float64(took) / math.Exp(t.logPace)))
 		p.judgePace(now, t, took, r.expect)
 	case fleet.EndFailed:
--- a/internal/pool/report.go
+++ b/internal/pool/report.go
@@ -48,6 +48,9 @@
 	}
 	switch rep.Answer {
 	case fleet.Accepted:
+		// After a call without an answer, or a slow one, an end may be older than
+		// its report.
+		prompt := t.misses == 0 && now-sent <= o.Wait+promptSlack
 		t.misses = 0
 		t.readClock(now, rep.Clock)
 		if t.asking {
@@ -56,7 +59,7 @@
 		if !t.owned {
 			return
 		}
-		p.takeEnds(now, t, rep.Ended)
+		p.takeEnds(now, t, rep.Ended, prompt)
 		p.takeRunning(now, sent, t, rep)
 	case fleet.Fenced:
 		p.lose(now, t)
@@ -71,7 +74,7 @@
 }
 
 // takeEnds takes in the ends that are new.
-func (p *Pool) takeEnds(now time.Duration, t *target, ends []fleet.End) {
+func (p *Pool) takeEnds(now time.Duration, t *target, ends []fleet.End, prompt bool) {
 	for _, e := range ends {
 		if e.Number <= t.seen {
 			continue
@@ -82,18 +85,22 @@
 			p.foreignEnd(now, e)
 			continue
 		}
-		p.runEnded(now, r, e.Kind)
+		p.runEnded(now, r, e.Kind, prompt)
 	}
 }
 
-// runEnded takes in the end of a run.
-func (p *Pool) runEnded(now time.Duration, r *run, kind fleet.EndKind) {
+// promptSlack is how long after its wait a hold may be answered for its ends to
+// count as fresh.
+const promptSlack = 60 * time.Millisecond
+
+// runEnded takes in the end of a run. Only a prompt report tells how long it took.
+func (p *Pool) runEnded(now time.Duration, r *run, kind fleet.EndKind, prompt bool) {
 	p.release(r)
 	tk := r.owner
 	if tk == nil {
 		return
 	}
-	p.judgeEnd(now, r, kind)
+	p.judgeEnd(now, r, kind, prompt)
 	if tk.current != r {
 		return
 	}
--- a/internal/pool/run.go
+++ b/internal/pool/run.go
@@ -28,6 +28,7 @@
 	state   runState
 	at      time.Duration // when the order was sent or the run adopted
 	began   time.Duration // when it was confirmed
+	timed   bool          // began is when it was started, not when it was met
 	expect  time.Duration
 	percent int
 	stopAt  time.Duration // when a stop was sent last
@@ -64,7 +65,7 @@
 	switch rep.Answer {
 	case fleet.Accepted:
 		if r.state == runOrdered || r.state == runDoubtful {
-			r.state, r.began = runRunning, now
+			r.state, r.began, r.timed = runRunning, now, true
 		}
 	case fleet.Unanswered:
 		if r.state == runOrdered {
