--- a/internal/pool/flood_test.go
+++ b/internal/pool/flood_test.go
@@ -185,6 +185,30 @@
 	assert.Equal(t, len(take[fleet.Start](b)), 6)
 }
 
+// After the loss of all owners nobody knows the fences in force. If clocks were
+// ahead before, they are far above the time of day, and all targets still have to be
+// owned within seconds.
+func TestFencesFromAClockHoursAheadAreFound(t *testing.T) {
+	p := New(DefaultSettings(), nil)
+	b := &bench{t: t, p: p, now: time.Second, ended: map[string]fleet.Outcome{}}
+	const ahead = uint64(12 * 3600 * 1000 * fenceStep)
+	highest := map[string]uint64{}
+	p.SetTargets(b.now, targetList(6))
+	p.Lead(b.now, 1<<50)
+	for b.now < 5*time.Second && p.Owned() < 6 {
+		for _, h := range take[fleet.Hold](b) {
+			answer := fleet.Fenced
+			if h.Fence >= max(highest[h.Target.ID], 1<<50+ahead) {
+				answer, highest[h.Target.ID] = fleet.Accepted, h.Fence
+			}
+			p.HoldDone(b.now, b.now, h, fleet.Report{Answer: answer, Clock: b.clock(), Born: 1})
+		}
+		b.tick(5 * ms)
+	}
+	assert.Equal(t, p.Owned(), 6, "at %v", b.now)
+	assert.Assert(t, p.fence < 1<<53)
+}
+
 // A leader of some standing has used fences from long ago; the one that it meets
 // after a cut has used newer ones. It must not take many tries to get above them.
 func TestFenceFollowsTheTime(t *testing.T) {
@@ -253,6 +277,7 @@
 		for _, h := range take[fleet.Hold](b) {
 			b.hold(h, nil, nil)
 		}
+		assert.Equal(t, x.logPace, 0.0, "after job %d", i)
 		assert.Equal(t, x.state.String(), "healthy", "after job %d", i)
 	}
 	assert.Equal(t, len(b.outcomes()), 8)
--- a/internal/pool/ownership.go
+++ b/internal/pool/ownership.go
@@ -11,8 +11,8 @@
 const (
 	// firstBackoff is the pause before a target that was lost to another owner
 	// is claimed again; it doubles up to maxBackoff.
-	firstBackoff = 400 * time.Millisecond
-	maxBackoff   = 4 * time.Second
+	firstBackoff = 300 * time.Millisecond
+	maxBackoff   = time.Second
 	// quickClaims is how often a target is claimed again at once, each time with
 	// a larger step of the fence; the last step covers a clock that is hours back.
 	quickClaims   = 7
