--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -91,7 +91,7 @@
 // Own returns what this entry says of itself.
 func (e *Election) Own() Beat { return e.own }
 
-// SetOwned, SetStopping and SetStrained change what this entry says of itself.
+// SetOwned says how many targets this entry owns.
 func (e *Election) SetOwned(n int) { e.own.Owned = n }
 
 // SetStopping marks this entry as one that is about to end.
--- a/internal/node/directory.go
+++ b/internal/node/directory.go
@@ -122,7 +122,7 @@
 func (n *Node) SetMembers(list []fleet.Member, live []string) {
 	n.post(func(now time.Duration) {
 		for name := range n.dir.members {
-			if _, linked := n.linked[name]; !linked { // a link says more than the store
+			if !n.linked[name] { // a link says more than the store
 				delete(n.dir.members, name)
 			}
 		}
@@ -187,8 +187,7 @@
 	known := n.knownMembers(now)
 	slices.Sort(known)
 	inReach := func(name string) bool {
-		_, linked := n.linked[name]
-		return linked || name == n.cfg.Self.Name
+		return n.linked[name] || name == n.cfg.Self.Name
 	}
 	reached := 0
 	for _, name := range known {
--- a/internal/node/jobs.go
+++ b/internal/node/jobs.go
@@ -179,7 +179,7 @@
 func (n *Node) leaderLost(now time.Duration, name string) {
 	for _, p := range n.pending {
 		if p.sentTo == name && name != "" {
-			if _, linked := n.linked[name]; linked {
+			if n.linked[name] {
 				n.tellLeader(now, p, abandonBody{p.job.ID, otherLeader})
 			}
 			p.sentTo, p.mayHaveRun, p.lostAt = "", true, now
--- a/internal/node/links.go
+++ b/internal/node/links.go
@@ -15,7 +15,7 @@
 func (l *links) LinkUp(p peer.Peer) {
 	n := (*Node)(l)
 	n.post(func(now time.Duration) {
-		n.linked[p.Name] = time.Now()
+		n.linked[p.Name] = true
 		n.log.Info("link", "peer", p.Name, "outcome", "up")
 		n.lastBeat = now - beatEvery
 		n.share(p.Name)
@@ -121,7 +121,7 @@
 
 // heard takes in a peer's beat, and tells it what it lacks.
 func (n *Node) heard(now time.Duration, from string, b beatBody) {
-	if _, linked := n.linked[from]; !linked {
+	if !n.linked[from] {
 		return
 	}
 	n.election.Hear(from, b.Beat)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -75,7 +75,7 @@
 	pool     *pool.Pool
 	election *election.Election
 	decision election.Decision
-	linked   map[string]time.Time
+	linked   map[string]bool
 	pending  map[string]*pending
 	dir      directory
 	stopping bool
@@ -91,7 +91,7 @@
 		cfg: cfg, log: cfg.Log, counts: newCounts(cfg.Metrics), began: time.Now(),
 		events: make(chan event, eventQueue), stopped: make(chan struct{}),
 		ctx: ctx, cancel: cancel,
-		linked: make(map[string]time.Time), pending: make(map[string]*pending),
+		linked: make(map[string]bool), pending: make(map[string]*pending),
 		dir: newDirectory(),
 	}
 	n.pool = pool.New(pool.DefaultSettings(), n.logDecision)
--- a/internal/pool/ownership.go
+++ b/internal/pool/ownership.go
@@ -55,7 +55,7 @@
 	elapsed := uint64((now - p.ledAt).Milliseconds()) * fenceStep
 	p.fence = max(p.fence+fenceStep<<min(t.lostTo*fenceShift, maxFenceShift), p.base+elapsed)
 	t.fence = p.fence
-	t.asking, t.holding, t.holdAt = true, true, now
+	t.asking, t.holding = true, true
 	t.owned = false
 	// No lease goes with it: a target that stays out of reach must lapse.
 	p.emit(fleet.Hold{Target: t.Target, Fence: t.fence})
--- a/internal/pool/report.go
+++ b/internal/pool/report.go
@@ -18,7 +18,7 @@
 			p.emit(fleet.Hold{Target: t.Target, Fence: t.fence, Seen: t.seen, LeaseUntil: t.lease(now, p.cfg.Lease)})
 		}
 		if !t.holding && (len(t.runs) > 0 || t.unacked) {
-			t.holding, t.holdAt, t.unacked = true, now, false
+			t.holding, t.unacked = true, false
 			p.emit(fleet.Hold{Target: t.Target, Fence: t.fence, Seen: t.seen, LeaseUntil: t.lease(now, p.cfg.Lease), Wait: p.holdWait(t)})
 		}
 	}
--- a/internal/pool/target.go
+++ b/internal/pool/target.go
@@ -23,8 +23,7 @@
 	askAt    time.Duration
 	lostTo   int // fences lost in a row to another owner
 	holding  bool
-	holdAt   time.Duration // when the last hold was sent
-	misses   int           // holds without an answer in a row
+	misses   int // holds without an answer in a row
 	lookDue  bool
 	looking  bool
 	seen     int64 // number of the last end that was taken in
