Membership: a member that was cut off alone gives the view back

If the two others stand still for long enough, it removes them first (it waits 2 s where they wait 1 s), holds the view alone and objects to every challenge, so they can't enter for as long as it lives. The row never tells it that it is the one that is cut off. Change: a challenge tells how many entries its sender hears; a member that hears fewer drops its leases, removes itself and leaves the empty view to the challenger.

--- /dev/null
+++ b/internal/claims/starved_test.go
@@ -0,0 +1,22 @@
+package claims
+
+import (
+	"testing"
+	"time"
+)
+
+// TestStarvedMembersComeBack holds two members back for so long that a third
+// one, which reaches the table alone, removes them from the view.
+func TestStarvedMembersComeBack(t *testing.T) {
+	n := newNetwork()
+	rts := n.startThree(t)
+	n.kill("vm0")
+	for _, rt := range rts[1:] {
+		rt.mu.Lock()
+	}
+	time.Sleep(2500 * time.Millisecond)
+	for _, rt := range rts[1:] {
+		rt.mu.Unlock()
+	}
+	waitMembers(t, 2, rts[1], rts[2])
+}
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -119,6 +119,7 @@
 	lastStep   time.Time
 	out        bool // removed or left; for good
 	leaving    bool
+	yielding   bool   // gives its view up to a challenger; starts nothing any more
 	entering   bool   // a put that adds this run has no clear answer
 	vacated    uint64 // the view whose others have the claims of a leaving member
 	actions    []Action
@@ -150,7 +151,7 @@
 // LeaseEnd returns the time up to which this member may start work that must
 // not be repeated. The zero time stands for no lease.
 func (s *State) LeaseEnd() time.Time {
-	if s.out || !s.view.Has(s.self) {
+	if s.out || s.yielding || !s.view.Has(s.self) {
 		return time.Time{}
 	}
 	if p := s.promiseEnd(); p.After(s.tableEnd) {
@@ -201,6 +202,17 @@
 	return end
 }
 
+// reach returns the number of other entries that are heard.
+func (s *State) reach(now time.Time) int {
+	n := 0
+	for _, p := range s.order {
+		if p.beaten && now.Sub(p.heard) <= s.cfg.FailAfter {
+			n++
+		}
+	}
+	return n
+}
+
 // promises reports whether this member, as of now, doesn't act on a removal
 // of m and so may promise not to for the length of a lease.
 func (s *State) promises(m structs.Member) bool {
--- a/internal/membership/propose.go
+++ b/internal/membership/propose.go
@@ -13,6 +13,7 @@
 	add    *structs.Member
 	remove []structs.Removal // without versions
 	object bool              // to a challenge
+	yield  bool              // to a challenge: this member removes itself
 }
 
 func (c *change) empty() bool { return c.add == nil && len(c.remove) == 0 && !c.object }
@@ -40,7 +41,7 @@
 
 func (s *State) changed(prev structs.View, c change) *structs.View {
 	if c.add == nil && len(c.remove) == 0 {
-		prev.Challenge = nil
+		prev.Challenge, prev.ChallengeReach = nil, 0
 		return &prev
 	}
 	v := &structs.View{
@@ -70,6 +71,9 @@
 	for i, r := range v.Removed {
 		v.Removed[i].Dead = r.Dead || s.dead[runOf(r.Member)]
 	}
+	if c.yield {
+		v.Challenge, v.ChallengeReach = prev.Challenge, prev.ChallengeReach
+	}
 	for _, m := range prev.Members {
 		if !removes(c.remove, m) {
 			v.Members = append(v.Members, m)
@@ -105,7 +109,7 @@
 		return nil
 	}
 	s.challenged = now
-	prev.Challenge = &s.self
+	prev.Challenge, prev.ChallengeReach = &s.self, s.reach(now)
 	return &prev
 }
 
@@ -193,6 +197,8 @@
 		return change{remove: []structs.Removal{{Member: s.self, Left: !last, Dead: last}}}
 	case s.leaving:
 		return change{}
+	case v.Has(s.self) && s.givesWay(now, v):
+		return change{remove: []structs.Removal{{Member: s.self, Dead: true}}, yield: true}
 	case v.Has(s.self):
 		c := change{remove: s.failed(now, v)}
 		c.object = v.Challenge != nil && !v.Challenge.Same(s.self)
@@ -201,6 +207,23 @@
 	return s.join(v, now)
 }
 
+// givesWay reports whether this member leaves the view to its challenger, which
+// hears more entries: a member that was cut off alone must not keep the rest out.
+// Once it has begun to, a put of its own may stand in the row at any time.
+func (s *State) givesWay(now time.Time, v *structs.View) bool {
+	outnumbered := v.Challenge != nil && !v.Challenge.Same(s.self) && v.ChallengeReach > s.reach(now)
+	return s.yielding || outnumbered
+}
+
+// reserved reports whether a view without members is left to the challenger for
+// which it was given up.
+func (s *State) reserved(now time.Time, v *structs.View) bool {
+	if len(v.Members) > 0 || v.Challenge == nil || v.Challenge.Same(s.self) || s.replaced(*v.Challenge) {
+		return false
+	}
+	return v.ChallengeReach > s.reach(now) && now.Before(s.rowSince.Add(s.cfg.ChallengeEvery))
+}
+
 // failed returns the members to be removed. A member that misses many others
 // waits longer: it is rather its own links that are cut.
 func (s *State) failed(now time.Time, v *structs.View) []structs.Removal {
@@ -238,6 +261,9 @@
 // join returns the change by which this entry enters the view: it needs live
 // links to all members. If it reaches none, it may take the view over.
 func (s *State) join(v *structs.View, now time.Time) change {
+	if s.reserved(now, v) {
+		return change{}
+	}
 	c := change{add: &s.self}
 	missing, live := 0, 0
 	for _, m := range v.Members {
--- a/internal/membership/step.go
+++ b/internal/membership/step.go
@@ -234,6 +234,10 @@
 	if v == nil {
 		return
 	}
+	if c.yield && !s.yielding {
+		s.yielding = true
+		s.DropLeases(now)
+	}
 	s.proposed = v
 	s.busy = true
 	s.act(PutRow{RowVersion: e.RowVersion, View: *v})
@@ -250,6 +254,7 @@
 	}
 	if e.Result == PutRefused {
 		s.proposed = nil
+		s.yielding = s.yielding && now.Before(s.unclear)
 		s.nextRead = now.Add(s.cfg.Beat)
 	}
 	if e.Result == PutDone && s.proposed != nil {
--- a/internal/structs/structs.go
+++ b/internal/structs/structs.go
@@ -154,6 +154,8 @@
 	// Challenge is an entry that reaches none of the members and takes the
 	// view over unless one of them objects by another put.
 	Challenge *Member `cbor:"8,keyasint,omitempty" json:"challenge,omitempty"`
+	// ChallengeReach is the number of other entries that the challenger hears.
+	ChallengeReach int `cbor:"9,keyasint,omitempty" json:"challenge_reach,omitempty"`
 }
 
 // Removal is the removal of a member from a view.
