One client of the platform's store, one stand-in of it

Change: platform/store speaks the published calls for both; internal/platform keeps what the product asks for, with the write budget, the outage circuit and reading back, around any implementation. platform/platformd serves the published calls (rows, feed, transactions, objects) with the fault switches; the fake store of the tests is gone. Ruled out: a second table for entries' rows of the product's own interface; keeping the made-up calls behind the same interface, which would leave two stand-ins. Tests: moved with the client; two expectations follow the counter of versions, which is one for the whole store: the row written by the second transaction has version 2, and 'written exactly once' is now checked by the stand-in's count of writes instead of version 1. Registration of targets is checked beside that of entries, since entries may not write their table.

--- a/cmd/currantstall/standin.go
+++ b/cmd/currantstall/standin.go
@@ -9,11 +9,11 @@
 	"time"
 
 	"currantstall/internal/platform"
-	"currantstall/internal/standin/platformd"
 	"currantstall/internal/standin/runner"
 	"currantstall/internal/standin/taskserver"
 	"currantstall/internal/standin/worker"
 	"currantstall/internal/structs"
+	"currantstall/platform/platformd"
 )
 
 // standinCmd holds small stand-ins for what surrounds the entries.
@@ -71,7 +71,7 @@
 
 // serve starts a target, and on a signal lets it leave and finish.
 func (f *targetFlags) serve(role platform.Role, start func(taskserver.Config) (*taskserver.Server, error), change func(*taskserver.Config)) error {
-	list, err := platform.NewClient(platform.Config{URL: f.Platform})
+	list, err := platformd.NewRegistrar(f.Platform)
 	if err != nil {
 		return err
 	}
--- a/internal/demo/cluster.go
+++ b/internal/demo/cluster.go
@@ -13,10 +13,10 @@
 	"currantstall/internal/entry"
 	"currantstall/internal/platform"
 	"currantstall/internal/sleep"
-	"currantstall/internal/standin/platformd"
 	"currantstall/internal/standin/runner"
 	"currantstall/internal/standin/taskserver"
 	"currantstall/internal/standin/worker"
+	"currantstall/platform/platformd"
 )
 
 // The size of the deployment.
@@ -39,7 +39,7 @@
 // cluster is a running deployment.
 type cluster struct {
 	platform *platformd.Server
-	list     *platform.Client
+	list     *platformd.Registrar
 	entries  []*entry.Process
 	targets  []*taskserver.Server
 }
@@ -62,7 +62,7 @@
 	faults := platformd.DefaultFaults()
 	faults.ListLagMS = listLagMS
 	c.platform.Store.SetFaults(faults)
-	if c.list, err = platform.NewClient(platform.Config{URL: c.platform.URL()}); err != nil {
+	if c.list, err = platformd.NewRegistrar(c.platform.URL()); err != nil {
 		return err
 	}
 	for _, dc := range dataCentres {
--- a/internal/entry/provision.go
+++ b/internal/entry/provision.go
@@ -14,6 +14,7 @@
 	"currantstall/internal/peer"
 	"currantstall/internal/platform"
 	"currantstall/internal/target"
+	"currantstall/platform/store"
 )
 
 // provision builds the parts and connects them. Nothing runs yet.
@@ -35,8 +36,7 @@
 }
 
 func (p *Process) provisionPlatform() error {
-	client, err := platform.NewClient(platform.Config{
-		URL:             p.cfg.PlatformURL,
+	client, err := store.Connect(p.cfg.PlatformURL, platform.Config{
 		WritesPerSecond: p.cfg.WritesPerSecond,
 		Metrics:         p.metrics,
 	})
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -85,7 +85,7 @@
 	DefaultInterval        = 500 * time.Millisecond
 	DefaultWritesPerSecond = 100
 	DefaultMaxPending      = 100_000
-	DefaultInlineBytes     = 64 << 10
+	DefaultInlineBytes     = 48 << 10
 	DefaultSettleWindow    = time.Hour
 )
 
--- a/internal/measure/cluster.go
+++ b/internal/measure/cluster.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"currantstall/platform/store"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -222,7 +223,7 @@
 
 // vms returns the platform's list.
 func (c *cluster) vms(ctx context.Context) ([]platform.VM, error) {
-	client, err := platform.NewClient(platform.Config{URL: c.platform})
+	client, err := store.Connect(c.platform, platform.Config{})
 	if err != nil {
 		return nil, err
 	}
--- a/internal/measure/slopes.go
+++ b/internal/measure/slopes.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"currantstall/platform/platformd"
 	"encoding/json"
 	"fmt"
 	"net"
@@ -184,7 +185,7 @@
 	}
 	defer fakes.stop()
 	return withEntries(ctx, binary, dir, 2, func(m *measurement) error {
-		client, err := platform.NewClient(platform.Config{URL: m.platform, WritesPerSecond: 1000})
+		client, err := platformd.NewRegistrar(m.platform)
 		if err != nil {
 			return err
 		}
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -1,10 +1,12 @@
-// Package platform is the client of the platform's services: the
-// transactional table, the object store and the lagging list of VMs.
+// Package platform is what the product asks of the platform's services: the
+// transactional table, the object store and the lagging list of VMs. An adapter
+// implements them; Client guards it.
 package platform
 
 import (
 	"context"
 	"errors"
+	"fmt"
 
 	"currantstall/internal/structs"
 )
@@ -22,31 +24,44 @@
 	ErrRejected = errors.New("platform: request rejected, nothing was written")
 )
 
-// Row is one row of the table. Version grows by one with each write of the
-// row; a row that does not exist has version 0.
+// ErrLimited is an ErrUnavailable of a platform that is at work: the request was
+// over its rates.
+var ErrLimited = fmt.Errorf("rate limit: %w", ErrUnavailable)
+
+// Limits of the platform, for each request.
+const (
+	MaxTxnPuts     = 96      // rows that a transaction may write
+	MaxTxnBytes    = 700_000 // bytes of keys and values in a transaction
+	MaxRowBytes    = 65536   // bytes of a value
+	MaxScanRows    = 500     // rows in an answer to a scan
+	MaxObjectBytes = 8 << 20 // bytes of an object
+)
+
+// Row is one row of the table. Version grows with each write of the row; a row
+// that does not exist has version 0.
 type Row struct {
-	Key     string `json:"key"`
-	Version uint64 `json:"version"`
-	Value   []byte `json:"value"`
+	Key     string
+	Version uint64
+	Value   []byte
 }
 
 // Condition demands that a row has exactly this version.
 type Condition struct {
-	Key     string `json:"key"`
-	Version uint64 `json:"version"`
+	Key     string
+	Version uint64
 }
 
 // Put writes a row; a nil Value deletes it.
 type Put struct {
-	Key   string `json:"key"`
-	Value []byte `json:"value"`
+	Key   string
+	Value []byte
 }
 
 // Txn is a set of writes that take effect together if every condition holds.
-// Without writes it checks the conditions, and counts and fails as a read.
+// Without writes it checks its one condition, and counts and fails as a read.
 type Txn struct {
-	Conditions []Condition `json:"conditions,omitempty"`
-	Puts       []Put       `json:"puts"`
+	Conditions []Condition
+	Puts       []Put
 }
 
 // Table is the platform's transactional table.
