--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -101,6 +101,9 @@
 	Steps []Step `cbor:"4,keyasint"`
 	// Patience is how long the caller waits for the answer, from the arrival.
 	Patience time.Duration `cbor:"5,keyasint"`
+	// Stored jobs are accepted by storing them, and run to their end whoever is
+	// lost; callers ask for their state.
+	Stored bool `cbor:"6,keyasint,omitempty"`
 }
 
 // Tasks returns the number of tasks of the job.
--- /dev/null
+++ b/internal/jobstore/accept.go
@@ -0,0 +1,172 @@
+package jobstore
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"sync"
+	"time"
+
+	"currantstall/internal/fleet"
+	"currantstall/internal/platform"
+	"currantstall/internal/sleep"
+	"currantstall/internal/wire"
+)
+
+const (
+	// maxBatch is the most jobs that are accepted by one transaction: two
+	// conditions and a row each, below the store's bound of 100.
+	maxBatch = 30
+	// maxBatchBytes bounds their rows, below 1 MB with their encoding.
+	maxBatchBytes = 600_000
+	// acceptWithin bounds how long an acceptance is tried.
+	acceptWithin = 1200 * time.Millisecond
+	// firstRetry and lastRetry are the pauses after a call that failed.
+	firstRetry = 20 * time.Millisecond
+	lastRetry  = 300 * time.Millisecond
+)
+
+// Accepter accepts jobs by storing them. Jobs of one part that arrive while a
+// transaction is under way share the next one.
+type Accepter struct {
+	rows Rows
+	log  *slog.Logger
+
+	mu      sync.Mutex
+	waiting map[string][]*acceptance // by part
+	busy    map[string]bool
+}
+
+type acceptance struct {
+	id     string
+	value  []byte
+	until  time.Time
+	result chan error
+}
+
+// NewAccepter returns an Accepter.
+func NewAccepter(rows Rows, log *slog.Logger) *Accepter {
+	return &Accepter{rows: rows, log: log, waiting: make(map[string][]*acceptance), busy: make(map[string]bool)}
+}
+
+// Accept stores a job. It returns nil once the job is stored, also by an earlier
+// copy, ErrUnknown if it may be, and another error if it is not and won't be.
+func (a *Accepter) Accept(j fleet.Job) error {
+	value, err := wire.Encode(openRow{Job: j, AcceptedMS: time.Now().UnixMilli()})
+	if err != nil {
+		return fmt.Errorf("store job %s: %w", j.ID, err)
+	}
+	acc := &acceptance{id: j.ID, value: value, until: time.Now().Add(acceptWithin), result: make(chan error, 1)}
+	part := partOf(j.ID)
+	a.mu.Lock()
+	a.waiting[part] = append(a.waiting[part], acc)
+	idle := !a.busy[part]
+	a.busy[part] = true
+	a.mu.Unlock()
+	if idle {
+		go a.drain(part)
+	}
+	return <-acc.result
+}
+
+// drain stores what waits for a part, batch by batch, until nothing does.
+func (a *Accepter) drain(part string) {
+	for {
+		a.mu.Lock()
+		batch := cut(a.waiting[part])
+		a.waiting[part] = a.waiting[part][len(batch):]
+		a.busy[part] = len(batch) > 0
+		a.mu.Unlock()
+		if len(batch) == 0 {
+			return
+		}
+		a.store(part, batch)
+	}
+}
+
+func cut(waiting []*acceptance) []*acceptance {
+	size := 0
+	for i, acc := range waiting {
+		size += len(acc.value)
+		if i == maxBatch || i > 0 && size > maxBatchBytes {
+			return waiting[:i]
+		}
+	}
+	return waiting
+}
+
+// store tries one batch until each of its jobs is settled.
+func (a *Accepter) store(part string, batch []*acceptance) {
+	maybe := false // an earlier try may have taken effect, or may yet
+	pause := firstRetry
+	for len(batch) > 0 {
+		ctx, cancel := context.WithDeadline(context.Background(), batch[0].until)
+		_, err := a.rows.Apply(ctx, acceptTx(part, batch))
+		cancel()
+		var conflict *ConflictError
+		switch {
+		case err == nil:
+			settle(batch, nil)
+			return
+		case errors.As(err, &conflict):
+			rest := withoutKnown(batch, conflict.Current)
+			if len(rest) == len(batch) {
+				// The row that stood in the way is gone again: its job has ended.
+				sleep.For(context.Background(), firstRetry) //nolint:errcheck // never ends early
+			}
+			batch = rest
+			continue
+		case errors.Is(err, platform.ErrUnknown):
+			maybe = true
+		case errors.Is(err, platform.ErrRejected):
+			a.log.Error("jobs not stored", "part", part, "jobs", len(batch), "err", err)
+			settle(batch, err)
+			return
+		}
+		if time.Now().After(batch[0].until) {
+			a.log.Warn("jobs not stored in time", "part", part, "jobs", len(batch), "may_be_stored", maybe, "err", err)
+			if maybe {
+				err = ErrUnknown
+			}
+			settle(batch, err)
+			return
+		}
+		sleep.For(context.Background(), pause) //nolint:errcheck // never ends early
+		pause = min(2*pause, lastRetry)
+	}
+}
+
+func acceptTx(part string, batch []*acceptance) Tx {
+	var tx Tx
+	for _, acc := range batch {
+		open := Row{Table: tableOpen, Part: part, Key: acc.id}
+		tx.Conditions = append(tx.Conditions, open, Row{Table: tableUsed, Part: part, Key: acc.id})
+		open.Value = acc.value
+		tx.Puts = append(tx.Puts, open)
+	}
+	return tx
+}
+
+// withoutKnown settles the jobs that are stored already, and returns the others.
+func withoutKnown(batch []*acceptance, current []Row) []*acceptance {
+	known := make(map[string]bool, len(current))
+	for _, r := range current {
+		known[r.Key] = r.Version > 0
+	}
+	var rest []*acceptance
+	for _, acc := range batch {
+		if known[acc.id] {
+			acc.result <- nil
+		} else {
+			rest = append(rest, acc)
+		}
+	}
+	return rest
+}
+
+func settle(batch []*acceptance, err error) {
+	for _, acc := range batch {
+		acc.result <- err
+	}
+}
--- /dev/null
+++ b/internal/jobstore/clean.go
@@ -0,0 +1,151 @@
+package jobstore
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"time"
+
+	"currantstall/internal/fleet"
+	"currantstall/internal/sleep"
+	"currantstall/internal/wire"
+)
+
+// keepEnded is how long the state of an ended job can be asked for; the users ask for
+// 120 s.
+const keepEnded = 150 * time.Second
+
+// taken is the value of a row that only says that it is there.
+var taken = []byte{1}
+
+// endedRow is the value of a job that has ended.
+type endedRow struct {
+	State fleet.JobState `cbor:"1,keyasint"`
+	// EndedMS is the time of day of the end, Unix time in ms.
+	EndedMS int64 `cbor:"2,keyasint"`
+}
+
+// State reads a job's state. Of a job that has not ended it is JobQueued.
+func State(ctx context.Context, rows Rows, id string) (state fleet.JobState, known bool, err error) {
+	if r, ok, err := get(ctx, rows, tableEnded, ownerPart, id); err != nil {
+		return 0, false, err
+	} else if ok {
+		var e endedRow
+		if err := wire.Decode(r.Value, &e); err != nil {
+			return 0, false, err
+		}
+		return e.State, true, nil
+	}
+	for _, table := range []string{tableOpen, tableUsed} {
+		if _, ok, err := get(ctx, rows, table, partOf(id), id); err != nil || ok {
+			return fleet.JobQueued, ok, err
+		}
+	}
+	return 0, false, nil
+}
+
+func get(ctx context.Context, rows Rows, table, part, key string) (Row, bool, error) {
+	page, err := rows.Read(ctx, table, part, key)
+	if err != nil || len(page.Rows) == 0 || page.Rows[0].Key != key {
+		return Row{}, false, err
+	}
+	return page.Rows[0], true, nil
+}
+
+// cleanUp puts the rows of ended jobs away: what stays for a while is that their IDs
+// are taken, and their states.
+func (o *Owner) cleanUp(ctx context.Context) {
+	o.findEnded(ctx)
+	for sleep.For(ctx, cleanEvery) == nil {
+		o.mu.Lock()
+		parts := slices.Sorted(maps.Keys(o.clean))
+		o.mu.Unlock()
+		for _, part := range parts {
+			o.cleanPart(ctx, part)
+		}
+		o.forgetEnded(ctx)
+	}
+}
+
+// findEnded notes the jobs that ended under earlier owners, so that they are
+// forgotten in time.
+func (o *Owner) findEnded(ctx context.Context) {
+	rows, _, err := readAll(ctx, o.rows, tableEnded, ownerPart)
+	if err != nil {
+		o.log.Info("states of ended jobs not read", "err", err)
+		return
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, r := range rows {
+		if _, known := o.ended[r.Key]; !known {
+			o.ended[r.Key] = o.clock()
+		}
+	}
+}
+
+// forgetEnded drops what is left of jobs that ended long ago.
+func (o *Owner) forgetEnded(ctx context.Context) {
+	due := make(map[string][]string)
+	var ended Tx
+	o.mu.Lock()
+	for id, at := range o.ended {
+		if o.clock() > at+keepEnded && len(ended.Remove) < maxClean {
+			due[partOf(id)] = append(due[partOf(id)], id)
+			ended.Remove = append(ended.Remove, Row{Table: tableEnded, Part: ownerPart, Key: id})
+		}
+	}
+	o.mu.Unlock()
+	for part, ids := range due {
+		var used Tx
+		for _, id := range ids {
+			used.Remove = append(used.Remove, Row{Table: tableUsed, Part: part, Key: id})
+		}
+		if _, err := o.rows.Apply(ctx, used); err != nil {
+			o.log.Info("ended jobs not forgotten", "part", part, "jobs", len(ids), "err", err)
+			return
+		}
+	}
+	if len(ended.Remove) == 0 {
+		return
+	}
+	if _, err := o.rows.Apply(ctx, ended); err != nil {
+		o.log.Info("states of ended jobs not forgotten", "jobs", len(ended.Remove), "err", err)
+		return
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, r := range ended.Remove {
+		delete(o.ended, r.Key)
+	}
+}
+
+func (o *Owner) cleanPart(ctx context.Context, part string) {
+	o.mu.Lock()
+	ids := o.clean[part]
+	ids = ids[:min(len(ids), maxClean)]
+	o.mu.Unlock()
+	if len(ids) == 0 {
+		return
+	}
+	var tx, records Tx
+	for _, id := range ids {
+		tx.Remove = append(tx.Remove, Row{Table: tableOpen, Part: part, Key: id})
+		tx.Puts = append(tx.Puts, Row{Table: tableUsed, Part: part, Key: id, Value: taken})
+		records.Remove = append(records.Remove, Row{Table: tableProgress, Part: ownerPart, Key: id})
+	}
+	if _, err := o.rows.Apply(ctx, tx); err != nil {
+		o.log.Info("ended jobs not put away", "part", part, "jobs", len(ids), "err", err)
+		return
+	}
+	// A record without its job is harmless, so this one needs no ownership.
+	if _, err := o.rows.Apply(ctx, records); err != nil {
+		o.log.Info("records not put away", "part", part, "jobs", len(ids), "err", err)
+	}
+	o.mu.Lock()
+	o.clean[part] = o.clean[part][len(ids):]
+	if len(o.clean[part]) == 0 {
+		delete(o.clean, part)
+	}
+	o.mu.Unlock()
+}
--- a/internal/node/jobs.go
+++ b/internal/node/jobs.go
@@ -246,6 +246,10 @@
 
 // submitted takes in a job of another entry.
 func (n *Node) submitted(now time.Duration, from string, b submitBody) {
+	if b.Job.Stored {
+		n.storedArrived(now, b.Job, b.Waited)
+		return
+	}
 	if n.pool.Leading() {
 		n.pool.Submit(now, pool.Submit{
 			Coordinator: from, Job: b.Job, Waited: b.Waited, MayHaveRun: b.MayHaveRun, LostAgo: b.LostAgo,
--- a/internal/node/links.go
+++ b/internal/node/links.go
@@ -51,6 +51,10 @@
 		err = receive(n, m, func(now time.Duration, b endedBody) { n.outcome(now, from.Name, b.Job, b.Outcome) })
 	case wire.PoolAbandon:
 		err = receive(n, m, func(now time.Duration, b abandonBody) { n.abandoned(now, from.Name, b) })
+	case wire.JobAsk:
+		err = receive(n, m, func(now time.Duration, a jobAsk) { n.asked(now, from.Name, a) })
+	case wire.JobTold:
+		err = receive(n, m, func(_ time.Duration, t jobTold) { n.told(t) })
 	case wire.Directory:
 		err = receive(n, m, func(now time.Duration, b directoryBody) { n.learn(now, b) })
 	default:
@@ -101,6 +105,11 @@
 	Config int64         `cbor:"2,keyasint"` // version in force at the sender
 	// TargetsAge is the age of the sender's list of targets.
 	TargetsAge time.Duration `cbor:"3,keyasint"`
+	// Stored says that stored jobs exist.
+	Stored bool `cbor:"4,keyasint,omitempty"`
+	// Pending counts the stored jobs of each queue that have not begun, if the sender
+	// owns them.
+	Pending map[string]int `cbor:"5,keyasint,omitempty"`
 }
 
 // beat tells the peers what this entry thinks, at intervals and on a change.
@@ -111,7 +120,7 @@
 		return
 	}
 	n.lastBeat, n.lastSaid = now, own
-	m, err := wire.NewMessage(wire.PoolBeat, beatBody{own, n.configVersion(), n.dir.targetsAge(now)})
+	m, err := wire.NewMessage(wire.PoolBeat, n.beatNow(now, own))
 	if err != nil {
 		n.log.Error("message that can't be encoded", "type", wire.PoolBeat.String(), "err", err)
 		return
@@ -119,12 +128,27 @@
 	n.peers.Broadcast(m)
 }
 
+func (n *Node) beatNow(now time.Duration, own election.Beat) beatBody {
+	b := beatBody{Beat: own, Config: n.configVersion(), TargetsAge: n.dir.targetsAge(now), Stored: n.stored.expected}
+	if n.pool.OwnsStored() {
+		b.Pending = n.pool.Pending()
+	}
+	return b
+}
+
 // heard takes in a peer's beat, and tells it what it lacks.
 func (n *Node) heard(now time.Duration, from string, b beatBody) {
 	if !n.linked[from] {
 		return
 	}
 	n.election.Hear(from, b.Beat)
+	if b.Stored && !n.stored.expected {
+		n.stored.expected = true
+		n.pool.ExpectStored()
+	}
+	if from == n.decision.Leader {
+		n.stored.pending = b.Pending
+	}
 	if n.dir.lacks(now, from, b, n.configVersion()) {
 		n.share(from)
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -10,11 +10,13 @@
 	"log/slog"
 	"math/rand/v2"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"currantstall/internal/election"
 	"currantstall/internal/fleet"
+	"currantstall/internal/jobstore"
 	"currantstall/internal/metrics"
 	"currantstall/internal/peer"
 	"currantstall/internal/pool"
@@ -26,6 +28,8 @@
 	Self    fleet.Member
 	Secret  []byte // shared by all entries
 	Targets fleet.Targets
+	// Jobs are the tables of stored jobs; nil if there are none.
+	Jobs jobstore.Rows
 	// Seeds are addresses of entries that may know the others.
 	Seeds   []string
 	Metrics *metrics.Metrics
@@ -82,6 +86,8 @@
 	lastBeat time.Duration
 	lastSaid election.Beat
 	lag      lagMeter
+	stored   storedJobs
+	owners   sync.WaitGroup // owners of stored jobs that run
 }
 
 // Start runs a node until Close.
@@ -92,7 +98,7 @@
 		events: make(chan event, eventQueue), stopped: make(chan struct{}),
 		ctx: ctx, cancel: cancel,
 		linked: make(map[string]bool), pending: make(map[string]*pending),
-		dir: newDirectory(),
+		dir: newDirectory(), stored: newStoredJobs(&cfg),
 	}
 	n.pool = pool.New(pool.DefaultSettings(), n.logDecision)
 	n.election = election.New(election.Settings{Quiet: election.DefaultQuiet, Step: election.DefaultStep},
@@ -151,6 +157,7 @@
 func (n *Node) Close() {
 	n.cancel()
 	<-n.stopped
+	n.owners.Wait()
 	if err := n.peers.Close(); err != nil {
 		n.log.Warn("close links", "err", err)
 	}
@@ -217,7 +224,9 @@
 		if d.Lead {
 			n.claim(now)
 			n.pool.Lead(now, fenceBase())
+			n.ownStored()
 		} else {
+			n.disownStored()
 			n.pool.Yield()
 		}
 	}
@@ -251,6 +260,10 @@
 			go n.hold(now, e)
 		case pool.Ended:
 			n.ended(now, e)
+		case jobstore.Save:
+			if n.stored.owner != nil {
+				n.stored.owner.Save(e)
+			}
 		}
 	}
 }
--- /dev/null
+++ b/internal/node/stored.go
@@ -0,0 +1,323 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"currantstall/internal/fleet"
+	"currantstall/internal/jobstore"
+	"currantstall/internal/pool"
+	"currantstall/internal/sleep"
+	"currantstall/internal/verdict"
+	"currantstall/internal/wire"
+)
+
+const (
+	// askTimeout bounds a question to the leader about a stored job.
+	askTimeout = 250 * time.Millisecond
+	// cancelWithin is how long a cancellation is tried: the users ask for an answer
+	// within 4 s.
+	cancelWithin = 3500 * time.Millisecond
+	// cancelPause is the pause between two tries.
+	cancelPause = 150 * time.Millisecond
+)
+
+// storedJobs is a node's part in keeping stored jobs.
+type storedJobs struct {
+	rows     jobstore.Rows
+	accepter *jobstore.Accepter
+	owner    *jobstore.Owner // while this entry leads
+	stop     context.CancelFunc
+	expected bool // stored jobs exist
+	asks     map[uint64]chan jobTold
+	lastAsk  uint64
+	cancels  map[string][]cancelAsk // of this leader, until they are saved
+	pending  map[string]int         // by queue, as the leader said last
+}
+
+type cancelAsk struct {
+	from string // entry that asks
+	n    uint64
+}
+
+// jobAsk is the body of wire.JobAsk.
+type jobAsk struct {
+	N      uint64 `cbor:"1,keyasint"`
+	Job    string `cbor:"2,keyasint"`
+	Cancel bool   `cbor:"3,keyasint,omitempty"`
+}
+
+// jobTold is the body of wire.JobTold.
+type jobTold struct {
+	N uint64 `cbor:"1,keyasint"`
+	// Ready says that the sender knows all stored jobs; Known that this is one.
+	Ready bool           `cbor:"2,keyasint,omitempty"`
+	Known bool           `cbor:"3,keyasint,omitempty"`
+	State fleet.JobState `cbor:"4,keyasint,omitempty"`
+}
+
+func newStoredJobs(cfg *Config) storedJobs {
+	s := storedJobs{asks: make(map[uint64]chan jobTold), cancels: make(map[string][]cancelAsk), pending: make(map[string]int)}
+	if cfg.Jobs != nil {
+		s.rows, s.accepter = cfg.Jobs, jobstore.NewAccepter(cfg.Jobs, cfg.Log)
+	}
+	return s
+}
+
+// bootClock goes on while the VM is suspended, unlike the steady clock.
+func bootClock() time.Duration {
+	var t unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &t); err != nil {
+		return time.Duration(time.Now().UnixNano())
+	}
+	return time.Duration(t.Nano())
+}
+
+// ownStored starts to take the stored jobs over, once this entry leads.
+func (n *Node) ownStored() {
+	if n.stored.rows == nil {
+		return
+	}
+	ctx, cancel := context.WithCancel(n.ctx)
+	owner := jobstore.NewOwner(n.stored.rows, n.cfg.Self.Name, bootClock, &ownerEvents{n: n, ctx: ctx}, n.log)
+	n.stored.owner, n.stored.stop = owner, cancel
+	if n.stored.expected {
+		n.pool.ExpectStored()
+		owner.Expect()
+	}
+	n.owners.Go(func() { owner.Run(ctx) })
+}
+
+// disownStored gives the stored jobs up, once this entry does not lead any more.
+func (n *Node) disownStored() {
+	if n.stored.owner != nil {
+		n.stored.stop()
+		n.stored.owner, n.stored.stop = nil, nil
+	}
+	for id, asks := range n.stored.cancels {
+		for _, a := range asks {
+			n.tell(a, jobTold{})
+		}
+		delete(n.stored.cancels, id)
+	}
+}
+
+// ownerEvents passes the events of one ownership on to the loop.
+type ownerEvents struct {
+	n   *Node
+	ctx context.Context
+}
+
+// post runs f in the loop, unless the ownership is over by then.
+func (e *ownerEvents) post(f func(now time.Duration)) {
+	e.n.post(func(now time.Duration) {
+		if e.ctx.Err() == nil {
+			f(now)
+		}
+	})
+}
+
+// steady converts a time of the boot clock to one of the loop's.
+func steady(now, boot time.Duration) time.Duration { return now + boot - bootClock() }
+
+// Expected implements jobstore.Events.
+func (e *ownerEvents) Expected() {
+	e.post(func(time.Duration) {
+		e.n.stored.expected = true
+		e.n.pool.ExpectStored()
+	})
+}
+
+// Owned implements jobstore.Events.
+func (e *ownerEvents) Owned(epoch int, lastSeen time.Duration, jobs []jobstore.Stored) {
+	e.post(func(now time.Duration) { e.n.pool.OwnStored(now, steady(now, lastSeen), epoch, jobs) })
+}
+
+// Renewed implements jobstore.Events.
+func (e *ownerEvents) Renewed(renewed, until time.Duration) {
+	e.post(func(now time.Duration) { e.n.pool.RenewStored(steady(now, renewed), steady(now, until)) })
+}
+
+// Arrived implements jobstore.Events.
+func (e *ownerEvents) Arrived(a jobstore.Accepted) {
+	e.post(func(now time.Duration) { e.n.pool.Submit(now, pool.Submit{Job: a.Job, Waited: a.Waited}) })
+}
+
+// Saved implements jobstore.Events.
+func (e *ownerEvents) Saved(job string, seq int) {
+	e.post(func(time.Duration) {
+		e.n.pool.Saved(job, seq)
+		e.n.answerCancels(job)
+	})
+}
+
+// Lost implements jobstore.Events.
+func (e *ownerEvents) Lost() {
+	e.post(func(now time.Duration) { e.n.pool.DropStored(now, "another owner") })
+}
+
+// StoreJob accepts a job by storing it. The outcome says completed if it is
+// accepted, and else whether it may be.
+func (n *Node) StoreJob(j fleet.Job) fleet.Outcome {
+	if n.stored.accepter == nil {
+		return fleet.Outcome{Verdict: verdict.NotRun, Reason: verdict.NotReady, RetryAfter: time.Second}
+	}
+	err := n.stored.accepter.Accept(j)
+	switch {
+	case err == nil:
+		n.post(func(now time.Duration) { n.handToLeader(now, j) })
+		return fleet.Outcome{Verdict: verdict.Completed}
+	case errors.Is(err, jobstore.ErrUnknown):
+		return fleet.Outcome{Verdict: verdict.MayHaveRun, Reason: verdict.PlatformUnavailable}
+	}
+	return fleet.Outcome{Verdict: verdict.NotRun, Reason: verdict.PlatformUnavailable, RetryAfter: time.Second}
+}
+
+// handToLeader hands a job that was just accepted to the leader. If that fails, whoever
+// owns the stored jobs finds it in the store.
+func (n *Node) handToLeader(now time.Duration, j fleet.Job) {
+	n.log.Info("job", "job", j.ID, "queue", j.Queue.Name, "tasks", j.Tasks(), "outcome", "stored", "leader", n.decision.Leader,
+		"config", n.configVersion())
+	n.stored.expected = true
+	switch leader := n.decision.Leader; leader {
+	case "":
+	case n.cfg.Self.Name:
+		n.storedArrived(now, j, 0)
+	default:
+		n.send(leader, wire.PoolSubmit, submitBody{Job: j})
+	}
+}
+
+// storedArrived takes in a stored job as the leader.
+func (n *Node) storedArrived(now time.Duration, j fleet.Job, waited time.Duration) {
+	n.stored.expected = true
+	n.pool.ExpectStored()
+	if n.stored.owner != nil {
+		n.stored.owner.Expect()
+	}
+	n.pool.Submit(now, pool.Submit{Job: j, Waited: waited})
+}
+
+// JobState returns the state of a stored job, asked of the leader, else read from
+// the store.
+func (n *Node) JobState(ctx context.Context, id string) (state fleet.JobState, known bool, err error) {
+	if t, ok := n.ask(ctx, jobAsk{Job: id}, askTimeout); ok && t.Known {
+		return t.State, true, nil
+	}
+	if n.stored.rows == nil {
+		return 0, false, nil
+	}
+	return jobstore.State(ctx, n.stored.rows, id)
+}
+
+// CancelJob cancels a stored job and reports whether there is one. It returns once
+// the end is saved.
+func (n *Node) CancelJob(ctx context.Context, id string) (known bool, err error) {
+	ctx, cancel := context.WithTimeout(ctx, cancelWithin)
+	defer cancel()
+	for {
+		t, ok := n.ask(ctx, jobAsk{Job: id, Cancel: true}, cancelWithin)
+		switch {
+		case ok && t.Known:
+			return true, nil
+		case n.stored.rows == nil:
+			return false, nil
+		case ok && t.Ready:
+			state, known, err := jobstore.State(ctx, n.stored.rows, id)
+			if err == nil && (!known || state.Ended()) {
+				return known, nil
+			}
+		}
+		if sleep.For(ctx, cancelPause) != nil {
+			return false, ctx.Err()
+		}
+	}
+}
+
+// Pending returns how many stored jobs of a queue had not begun lately.
+func (n *Node) Pending(ctx context.Context, queue string) int {
+	got := make(chan int, 1)
+	n.post(func(time.Duration) {
+		if n.pool.OwnsStored() {
+			n.stored.pending = n.pool.Pending()
+		}
+		got <- n.stored.pending[queue]
+	})
+	select {
+	case c := <-got:
+		return c
+	case <-ctx.Done():
+		return 0
+	}
+}
+
+// ask asks the leader about a stored job.
+func (n *Node) ask(ctx context.Context, a jobAsk, timeout time.Duration) (jobTold, bool) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	answer := make(chan jobTold, 1)
+	n.post(func(now time.Duration) {
+		n.stored.lastAsk++
+		a.N = n.stored.lastAsk
+		n.stored.asks[a.N] = answer
+		switch leader := n.decision.Leader; {
+		case leader == n.cfg.Self.Name:
+			n.asked(now, leader, a)
+		case leader == "" || !n.send(leader, wire.JobAsk, a):
+			delete(n.stored.asks, a.N)
+		}
+	})
+	select {
+	case t := <-answer:
+		return t, true
+	case <-ctx.Done():
+		n.post(func(time.Duration) { delete(n.stored.asks, a.N) })
+		return jobTold{}, false
+	}
+}
+
+// asked answers a question about a stored job.
+func (n *Node) asked(now time.Duration, from string, a jobAsk) {
+	to := cancelAsk{from, a.N}
+	t := jobTold{Ready: n.pool.OwnsStored()}
+	t.State, t.Known = n.pool.JobState(a.Job)
+	if a.Cancel && t.Known && !t.State.Ended() {
+		n.log.Info("job", "job", a.Job, "outcome", "cancelling", "asked_by", from)
+		n.pool.Cancel(now, a.Job)
+		n.stored.cancels[a.Job] = append(n.stored.cancels[a.Job], to)
+		return
+	}
+	n.tell(to, t)
+}
+
+// answerCancels answers those who asked for a job's end, once it is saved.
+func (n *Node) answerCancels(id string) {
+	state, known := n.pool.JobState(id)
+	if !known || !state.Ended() {
+		return
+	}
+	for _, a := range n.stored.cancels[id] {
+		n.tell(a, jobTold{Ready: true, Known: true, State: state})
+	}
+	delete(n.stored.cancels, id)
+}
+
+func (n *Node) tell(to cancelAsk, t jobTold) {
+	t.N = to.n
+	if to.from == n.cfg.Self.Name {
+		n.told(t)
+		return
+	}
+	n.send(to.from, wire.JobTold, t)
+}
+
+// told takes in an answer about a stored job.
+func (n *Node) told(t jobTold) {
+	if c := n.stored.asks[t.N]; c != nil {
+		delete(n.stored.asks, t.N)
+		c <- t
+	}
+}
--- a/internal/pool/job.go
+++ b/internal/pool/job.go
@@ -26,6 +26,7 @@
 	expect   time.Duration
 	state    taskState
 	run      int // number of the last run
+	place    int // among the tasks of all steps
 	failures int
 	failedOn []*target // where it failed or stood still
 	current  *run
@@ -44,6 +45,9 @@
 	begun       bool  // a task was ordered, or may have been by an earlier owner
 	mayHaveRun  bool
 	safeAt      time.Duration // when nothing of an earlier owner can run any more
+	restored    bool          // from an owner before
+	seq         int           // of the last record that was to be saved
+	savedSeq    int
 	orphan      bool
 	orphanUntil time.Duration
 }
@@ -62,6 +66,10 @@
 
 // Submit takes a job in, or a copy of one that is known.
 func (p *Pool) Submit(now time.Duration, s Submit) {
+	if s.Job.Stored {
+		p.submitStored(now, s)
+		return
+	}
 	if !p.leading {
 		p.emit(Ended{s.Coordinator, s.Job.ID, fleet.Outcome{Verdict: notRun(s.MayHaveRun), Reason: verdict.NotReady}})
 		return
@@ -107,6 +115,7 @@
 	if s.MayHaveRun {
 		j.safeAt = now + p.cfg.Safe - s.LostAgo
 	}
+	place := 0
 	for i := range j.Steps {
 		st := &j.Steps[i]
 		expect := c.expect(st.Estimate)
@@ -115,7 +124,11 @@
 		j.left[i] = st.Count
 		j.steps[i] = make([]*task, st.Count)
 		for k := range tasks {
-			tasks[k] = task{job: j, id: fleet.TaskID{Job: j.ID, Step: i, Index: k}, step: st, needs: st.Needs, expect: expect}
+			tasks[k] = task{
+				job: j, id: fleet.TaskID{Job: j.ID, Step: i, Index: k}, place: place,
+				step: st, needs: st.Needs, expect: expect,
+			}
+			place++
 			j.steps[i][k] = &tasks[k]
 			if ready {
 				tasks[k].state = taskWaiting
@@ -208,12 +221,14 @@
 	tk.state = taskDone
 	j.left[tk.id.Step]--
 	if j.left[tk.id.Step] > 0 {
+		p.save(j, fleet.JobRunning)
 		return
 	}
 	if !slices.ContainsFunc(j.left, func(n int) bool { return n > 0 }) {
 		p.end(now, j, fleet.Outcome{Verdict: verdict.Completed})
 		return
 	}
+	p.save(j, fleet.JobRunning)
 	p.unblock(j)
 }
 
@@ -239,6 +254,7 @@
 		p.end(now, tk.job, fleet.Outcome{Verdict: verdict.Failed, Reason: verdict.TaskFailed})
 		return
 	}
+	p.save(tk.job, fleet.JobRunning)
 	p.requeue(now, tk)
 }
 
@@ -254,6 +270,10 @@
 	}
 	p.log("job", "job", j.ID, "queue", j.Queue.Name, "outcome", o.Verdict.String(), "reason", o.Reason,
 		"ms", (now - j.arrived).Milliseconds(), "slack_ms", (j.latest - now).Milliseconds())
+	if j.Stored {
+		p.endStored(now, j, o)
+		return
+	}
 	if o.Verdict == verdict.Completed || o.Verdict == verdict.Failed {
 		p.kept[j.ID] = keptOutcome{o, now + keepOutcome}
 	}
@@ -279,7 +299,7 @@
 // runs may go on for a moment, in case the caller comes back.
 func (p *Pool) Abandon(now time.Duration, coordinator, id string) {
 	j := p.jobs[id]
-	if j == nil || j.coordinator != coordinator {
+	if j == nil || j.Stored || j.coordinator != coordinator {
 		return
 	}
 	p.orphan(now, j, now+p.cfg.OrphanGrace)
@@ -289,7 +309,7 @@
 // here has to end at once.
 func (p *Pool) Withdraw(now time.Duration, coordinator, id string) {
 	j := p.jobs[id]
-	if j == nil || j.coordinator != coordinator {
+	if j == nil || j.Stored || j.coordinator != coordinator {
 		return
 	}
 	p.orphan(now, j, now)
@@ -307,7 +327,7 @@
 // unless the entry comes back at once.
 func (p *Pool) CoordinatorLost(now time.Duration, name string) {
 	for _, j := range p.jobs {
-		if j.coordinator == name && !j.orphan {
+		if j.coordinator == name && !j.orphan && !j.Stored {
 			p.orphan(now, j, now+p.cfg.LinkGrace)
 		}
 	}
--- a/internal/pool/place.go
+++ b/internal/pool/place.go
@@ -36,7 +36,7 @@
 		if !j.begun {
 			return
 		}
-		if now >= j.safeAt {
+		if p.mayStart(now, j) {
 			p.placeJob(now, j)
 		}
 		if i < len(c.waiting) && c.waiting[i] == j {
@@ -78,7 +78,7 @@
 func (p *Pool) placeFirst(now time.Duration, jobs []*job) bool {
 	tried := 0
 	for _, j := range jobs {
-		if j.begun {
+		if j.begun || !p.mayStart(now, j) {
 			continue
 		}
 		if p.placeJob(now, j) > 0 {
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -44,6 +44,8 @@
 	// adoptWithin is how long a run without a known job may wait for its job to
 	// be handed in again after a takeover.
 	adoptWithin = 150 * time.Millisecond
+	// restoreWithin is the same where stored jobs are to be restored.
+	restoreWithin = 5 * time.Second
 	// reacquireAfter is the pause before a target that did not answer is asked
 	// again.
 	reacquireAfter = 300 * time.Millisecond
@@ -58,7 +60,7 @@
 )
 
 // Effect is something that the pool wants done: a fleet.Start, fleet.Stop,
-// fleet.Hold, or an Ended.
+// fleet.Hold, an Ended, or a jobstore.Save.
 type Effect any
 
 // Ended tells the entry that keeps a job's connection how the job ended.
@@ -83,6 +85,10 @@
 	ranked  []*class
 	kept    map[string]keptOutcome
 	foreign map[string][]*run // runs of jobs that are not known, by job
+	stored  storedState
+	// firstListed is when targets were listed first, and lastVanished when one
+	// was not listed any more.
+	firstListed, lastVanished time.Duration
 
 	effects []Effect
 	log     Log
@@ -117,6 +123,7 @@
 	p.ranked = nil
 	p.kept = make(map[string]keptOutcome)
 	p.foreign = make(map[string][]*run)
+	p.stored.reset()
 }
 
 // Effects returns what is to be done, and forgets it.
@@ -181,6 +188,7 @@
 	p.expireOrphans(now)
 	p.coolTargets(now)
 	p.forgetGone(now)
+	p.tickStored(now)
 	p.place(now)
 	p.refuseHopeless(now)
 	for id, k := range p.kept {
--- a/internal/pool/queue.go
+++ b/internal/pool/queue.go
@@ -156,7 +156,7 @@
 		if o == j || !o.begun && o.latest > j.latest {
 			break
 		}
-		if now < o.safeAt {
+		if !p.mayStart(now, o) {
 			continue // it may not be begun yet, and leaves the room to others
 		}
 		ahead(o)
@@ -226,6 +226,7 @@
 	for _, c := range p.ranked {
 		for _, j := range slices.Clone(c.waiting) {
 			switch {
+			case j.Stored:
 			case now >= j.arrived+j.Patience && j.Patience > 0:
 				p.end(now, j, fleet.Outcome{Verdict: notRun(j.begun), Reason: verdict.DeadlinePassed})
 			case !j.begun && now > j.latest:
--- a/internal/pool/report.go
+++ b/internal/pool/report.go
@@ -15,19 +15,19 @@
 		}
 		if t.lookDue && !t.looking {
 			t.lookDue, t.looking = false, true
-			p.emit(fleet.Hold{Target: t.Target, Fence: t.fence, Seen: t.seen, LeaseUntil: t.lease(now, p.cfg.Lease)})
+			p.emit(fleet.Hold{Target: t.Target, Fence: t.fence, Seen: t.acknowledged(), LeaseUntil: t.lease(now, p.cfg.Lease)})
 		}
-		if !t.holding && (len(t.runs) > 0 || t.unacked) {
+		if !t.holding && now >= t.holdAt && (len(t.runs) > 0 || t.unacked || len(t.held) > 0) {
 			t.holding, t.unacked = true, false
-			p.emit(fleet.Hold{Target: t.Target, Fence: t.fence, Seen: t.seen, LeaseUntil: t.lease(now, p.cfg.Lease), Wait: p.holdWait(t)})
+			p.emit(fleet.Hold{Target: t.Target, Fence: t.fence, Seen: t.acknowledged(), LeaseUntil: t.lease(now, p.cfg.Lease), Wait: p.holdWait(t)})
 		}
 	}
 }
 
 // holdWait returns how long a target may wait for an end.
 func (p *Pool) holdWait(t *target) time.Duration {
-	if len(t.runs) == 0 {
-		return 0
+	if len(t.runs) == 0 || len(t.held) > 0 {
+		return 0 // ends that are held back would be answered at once
 	}
 	return p.cfg.Renew
 }
@@ -60,6 +60,9 @@
 			return
 		}
 		p.takeEnds(now, t, rep.Ended, prompt)
+		if len(t.held) > 0 {
+			t.holdAt = now + heldPause
+		}
 		p.takeRunning(now, sent, t, rep)
 	case fleet.Fenced:
 		p.lose(now, t)
@@ -83,12 +86,17 @@
 		r := t.runs[runKey{e.Task, e.Run}]
 		if r == nil {
 			p.foreignEnd(now, e)
-			continue
+		} else {
+			p.runEnded(now, r, e.Kind, prompt)
 		}
-		p.runEnded(now, r, e.Kind, prompt)
+		p.holdBack(t, e)
 	}
 }
 
+// heldPause is the pause between two looks at a target while ends wait for records
+// to be saved.
+const heldPause = 15 * time.Millisecond
+
 // promptSlack is how long after its wait a hold may be answered for its ends to
 // count as fresh.
 const promptSlack = 60 * time.Millisecond
@@ -218,6 +226,15 @@
 	}
 }
 
+// adoptWithin is how long a run without a known job may wait for its job: to be
+// handed in again, or to be restored.
+func (p *Pool) adoptWithin() time.Duration {
+	if p.stored.expected && !p.stored.owned {
+		return restoreWithin
+	}
+	return adoptWithin
+}
+
 // stopUnclaimed stops the runs whose job nobody handed in again.
 func (p *Pool) stopUnclaimed(now time.Duration) {
 	if len(p.foreign) == 0 {
@@ -228,7 +245,7 @@
 			continue
 		}
 		for _, r := range sortedRuns(t.runs) {
-			if r.owner == nil && now >= r.at+adoptWithin && r.state != runTombstone {
+			if r.owner == nil && now >= r.at+p.adoptWithin() && r.state != runTombstone {
 				p.stop(now, r, "its job is not known")
 			}
 		}
--- /dev/null
+++ b/internal/pool/stored.go
@@ -0,0 +1,369 @@
+package pool
+
+import (
+	"math"
+	"time"
+
+	"currantstall/internal/fleet"
+	"currantstall/internal/jobstore"
+	"currantstall/internal/verdict"
+)
+
+// Stored jobs outlast their owner. What has to last of their course is saved
+// before it is acted on where it can't be undone: an end that a target lists is
+// acknowledged, and a job is shown as ended, only once its record is saved.
+
+const (
+	// successorWaits is the time after which nothing of a former owner runs, with
+	// the leases of its last orders and room for clock rates.
+	successorWaits = jobstore.RunsFor + 1100*time.Millisecond
+	// settledFor is how long the list of targets must have lost none, so that
+	// owning all that are listed proves that nothing runs elsewhere.
+	settledFor = 4 * time.Second
+	// showEnded is how long the state of a job that has ended is kept in memory.
+	showEnded = 30 * time.Second
+	// runsAnEpoch separates the numbers of runs that successive owners use.
+	runsAnEpoch = 1 << 12
+)
+
+// storedState is what the pool keeps for stored jobs.
+type storedState struct {
+	owned    bool
+	expected bool // stored jobs may exist that are not restored yet
+	epoch    int
+	until    time.Duration // starts are allowed until then
+	renewed  time.Duration // when the ownership was renewed last
+	safeAt   time.Duration // when nothing of a former owner runs any more
+	ended    map[string]*endedJob
+	ends     map[string][]heldEnd // ends of jobs that are not restored yet
+}
+
+type endedJob struct {
+	state fleet.JobState
+	seq   int
+	saved bool
+	at    time.Duration
+}
+
+// heldEnd is an end that must not be acknowledged before a record is saved.
+type heldEnd struct {
+	target *target
+	end    fleet.End
+	job    string
+	seq    int // of the record; math.MaxInt while the job is not restored
+}
+
+func (s *storedState) reset() {
+	*s = storedState{expected: s.expected, ended: make(map[string]*endedJob), ends: make(map[string][]heldEnd)}
+}
+
+// ExpectStored says that stored jobs exist. Until they are restored, ends and
+// runs of jobs that are not known are kept for them.
+func (p *Pool) ExpectStored() { p.stored.expected = true }
+
+// OwnStored takes over the stored jobs, as their owner of an epoch. The owner
+// before may have renewed its ownership until lastSeen.
+func (p *Pool) OwnStored(now, lastSeen time.Duration, epoch int, jobs []jobstore.Stored) {
+	if !p.leading {
+		return
+	}
+	p.stored.owned, p.stored.epoch = true, epoch
+	p.stored.safeAt = lastSeen + successorWaits
+	p.log("stored", "outcome", "owned", "epoch", epoch, "jobs", len(jobs), "safe_in_ms", (p.stored.safeAt - now).Milliseconds())
+	for i := range jobs {
+		p.restoreJob(now, &jobs[i])
+	}
+	p.releaseUnknownEnds(now)
+}
+
+// DropStored gives all stored jobs up: another owner has them, or they may not go
+// on without a renewal.
+func (p *Pool) DropStored(now time.Duration, why string) {
+	p.log("stored", "outcome", "dropped", "reason", why)
+	for id, j := range p.jobs {
+		if !j.Stored {
+			continue
+		}
+		delete(p.jobs, id)
+		j.class.remove(j)
+		for _, r := range j.runs() {
+			p.stop(now, r, "its job has another owner")
+			p.disown(r)
+		}
+	}
+	p.stored.reset()
+	for _, t := range p.order {
+		t.seen, t.held = t.acknowledged(), nil
+	}
+}
+
+// disown makes a run one of a job that is not known, so that the job can adopt it
+// if it is restored.
+func (p *Pool) disown(r *run) {
+	tk, t := r.owner, r.target
+	t.used = t.used.Minus(r.needs)
+	tk.job.class.inUse -= r.needs.MilliCPU
+	r.owner, tk.current = nil, nil
+	t.unknown++
+	p.foreign[r.task.Job] = append(p.foreign[r.task.Job], r)
+}
+
+// RenewStored allows starts of stored jobs until a time.
+func (p *Pool) RenewStored(renewed, until time.Duration) {
+	p.stored.renewed = max(p.stored.renewed, renewed)
+	p.stored.until = max(p.stored.until, until)
+}
+
+// tickStored ends what may not go on without a renewal.
+func (p *Pool) tickStored(now time.Duration) {
+	if !p.stored.owned {
+		return
+	}
+	if now > p.stored.renewed+jobstore.RunsFor && p.runsStored() {
+		p.DropStored(now, "not renewed")
+		return
+	}
+	if now < p.stored.safeAt && p.ownsAll(now) {
+		p.stored.safeAt = now
+	}
+	for id, e := range p.stored.ended {
+		if e.saved && now > e.at+showEnded {
+			delete(p.stored.ended, id)
+		}
+	}
+}
+
+func (p *Pool) runsStored() bool {
+	for _, j := range p.jobs {
+		if j.Stored && len(j.runs()) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// ownsAll reports whether all targets on which a former owner could run something
+// are owned.
+func (p *Pool) ownsAll(now time.Duration) bool {
+	if now < max(p.firstListed, p.lastVanished)+settledFor {
+		return false
+	}
+	for _, t := range p.order {
+		if !t.owned {
+			return false
+		}
+	}
+	return true
+}
+
+// mayStart reports whether tasks of the job may be started now.
+func (p *Pool) mayStart(now time.Duration, j *job) bool {
+	if !j.Stored {
+		return now >= j.safeAt
+	}
+	return now < p.stored.until && (!j.restored || now >= p.stored.safeAt)
+}
+
+// submitStored takes in a stored job that was accepted a moment ago.
+func (p *Pool) submitStored(now time.Duration, s Submit) {
+	if !p.leading || !p.stored.owned || p.jobs[s.Job.ID] != nil || p.stored.ended[s.Job.ID] != nil {
+		return // not ours, or known
+	}
+	p.takeStored(now, s, fleet.Record{}, false)
+}
+
+func (p *Pool) restoreJob(now time.Duration, r *jobstore.Stored) {
+	if r.Record.State.Ended() {
+		p.stored.ended[r.Job.ID] = &endedJob{state: r.Record.State, saved: true, at: now}
+		return
+	}
+	if p.jobs[r.Job.ID] == nil {
+		p.takeStored(now, Submit{Job: r.Job, Waited: r.Waited, MayHaveRun: true}, r.Record, true)
+	}
+}
+
+func (p *Pool) takeStored(now time.Duration, s Submit, rec fleet.Record, restored bool) {
+	j := p.newJob(now, s)
+	j.restored = restored
+	j.safeAt = 0
+	p.jobs[j.ID] = j
+	p.applyRecord(j, rec)
+	for _, h := range p.takeEndsOf(j.ID) {
+		p.foreignEnd(now, h.end)
+		p.holdBack(h.target, h.end)
+	}
+	if p.jobs[j.ID] != j {
+		return // ended by what was listed
+	}
+	p.adopt(now, j)
+	if reason := p.neverFits(j); reason != "" && !restored {
+		p.end(now, j, fleet.Outcome{Verdict: verdict.Failed, Reason: reason})
+		return
+	}
+	p.enqueue(j)
+}
+
+// applyRecord marks the tasks that were done before.
+func (p *Pool) applyRecord(j *job, rec fleet.Record) {
+	for _, tasks := range j.steps {
+		for _, tk := range tasks {
+			tk.run = p.stored.epoch * runsAnEpoch
+			tk.failures = rec.Failed[tk.place]
+			if !rec.IsDone(tk.place) {
+				continue
+			}
+			if tk.state == taskWaiting {
+				j.waiting--
+			}
+			tk.state = taskDone
+			j.left[tk.id.Step]--
+		}
+	}
+	p.unblock(j)
+}
+
+// record returns what has to last of a job.
+func (j *job) record(state fleet.JobState) fleet.Record {
+	rec := fleet.Record{State: state}
+	for _, tasks := range j.steps {
+		for _, tk := range tasks {
+			if tk.state == taskDone {
+				rec.SetDone(tk.place)
+			}
+			if tk.failures > 0 {
+				if rec.Failed == nil {
+					rec.Failed = make(map[int]int)
+				}
+				rec.Failed[tk.place] = tk.failures
+			}
+		}
+	}
+	return rec
+}
+
+// save asks for the job's record to be saved, if it is a stored job.
+func (p *Pool) save(j *job, state fleet.JobState) {
+	if !j.Stored {
+		return
+	}
+	j.seq++
+	p.emit(jobstore.Save{Job: j.ID, Seq: j.seq, Record: j.record(state)})
+}
+
+// endStored notes how a stored job ended. It is shown once that is saved.
+func (p *Pool) endStored(now time.Duration, j *job, o fleet.Outcome) {
+	state := fleet.JobFailed
+	switch {
+	case o.Verdict == verdict.Completed:
+		state = fleet.JobComplete
+	case o.Reason == verdict.Cancelled:
+		state = fleet.JobCancelled
+	}
+	p.save(j, state)
+	p.stored.ended[j.ID] = &endedJob{state: state, seq: j.seq, at: now}
+}
+
+// Saved notes that a record is saved: the ends that it covers may be acknowledged.
+func (p *Pool) Saved(id string, seq int) {
+	if j := p.jobs[id]; j != nil {
+		j.savedSeq = max(j.savedSeq, seq)
+	}
+	if e := p.stored.ended[id]; e != nil && seq >= e.seq {
+		e.saved = true
+	}
+	for _, t := range p.order {
+		t.release(func(h heldEnd) bool { return h.job == id && h.seq <= seq })
+	}
+}
+
+// holdBack keeps an end from being acknowledged while a record that it belongs to
+// is not saved.
+func (p *Pool) holdBack(t *target, e fleet.End) {
+	if e.Kind != fleet.EndDone && e.Kind != fleet.EndFailed {
+		return
+	}
+	h := heldEnd{target: t, end: e, job: e.Task.Job}
+	j, ended := p.jobs[h.job], p.stored.ended[h.job]
+	switch {
+	case j != nil && j.Stored && j.seq > j.savedSeq:
+		h.seq = j.seq
+	case ended != nil && !ended.saved:
+		h.seq = ended.seq
+	case j == nil && ended == nil && p.stored.expected && !p.stored.owned:
+		h.seq = math.MaxInt
+		p.stored.ends[h.job] = append(p.stored.ends[h.job], h)
+	default:
+		return
+	}
+	t.held = append(t.held, h)
+}
+
+// takeEndsOf returns the ends of a job that waited for it.
+func (p *Pool) takeEndsOf(id string) []heldEnd {
+	ends := p.stored.ends[id]
+	delete(p.stored.ends, id)
+	for _, h := range ends {
+		h.target.release(func(o heldEnd) bool { return o.end == h.end })
+	}
+	return ends
+}
+
+// releaseUnknownEnds lets the ends of jobs that nobody has stored be acknowledged.
+func (p *Pool) releaseUnknownEnds(time.Duration) {
+	for id := range p.stored.ends {
+		p.takeEndsOf(id)
+	}
+}
+
+// acknowledged returns the number of the last end that may be acknowledged.
+func (t *target) acknowledged() int64 {
+	n := t.seen
+	for _, h := range t.held {
+		n = min(n, h.end.Number-1)
+	}
+	return n
+}
+
+func (t *target) release(done func(heldEnd) bool) {
+	kept := t.held[:0]
+	for _, h := range t.held {
+		if done(h) {
+			t.unacked = true
+		} else {
+			kept = append(kept, h)
+		}
+	}
+	t.held = kept
+}
+
+// JobState returns the state of a stored job, if it is known.
+func (p *Pool) JobState(id string) (fleet.JobState, bool) {
+	if e := p.stored.ended[id]; e != nil {
+		if e.saved {
+			return e.state, true
+		}
+		return fleet.JobRunning, true
+	}
+	j := p.jobs[id]
+	switch {
+	case j == nil || !j.Stored:
+		return 0, false
+	case j.begun:
+		return fleet.JobRunning, true
+	}
+	return fleet.JobQueued, true
+}
+
+// OwnsStored reports whether the pool knows all stored jobs.
+func (p *Pool) OwnsStored() bool { return p.stored.owned }
+
+// Pending returns how many stored jobs of each queue have not begun.
+func (p *Pool) Pending() map[string]int {
+	n := make(map[string]int)
+	for _, j := range p.jobs {
+		if j.Stored && !j.begun {
+			n[j.Queue.Name]++
+		}
+	}
+	return n
+}
--- a/internal/pool/target.go
+++ b/internal/pool/target.go
@@ -28,6 +28,8 @@
 	looking  bool
 	seen     int64 // number of the last end that was taken in
 	unacked  bool  // ends were taken in and not acknowledged yet
+	held     []heldEnd
+	holdAt   time.Duration // from when a hold may be sent while ends are held
 	used     structs.Resources
 	unknown  int // foreign runs of unknown size
 	runs     map[runKey]*run
@@ -56,6 +58,7 @@
 
 // forget drops ownership and all that depends on it.
 func (t *target) forget() {
+	t.seen, t.held = t.acknowledged(), nil
 	t.owned, t.asking, t.holding, t.lookDue, t.looking, t.unacked = false, false, false, false, false, false
 	t.fence, t.misses, t.unknown, t.lostTo = 0, 0, 0, 0
 	t.used = structs.Resources{}
@@ -95,6 +98,9 @@
 // SetTargets replaces what discovery lists.
 func (p *Pool) SetTargets(now time.Duration, list []fleet.Target) {
 	present := make(map[string]bool, len(list))
+	if p.firstListed == 0 && len(list) > 0 {
+		p.firstListed = now
+	}
 	for _, info := range list {
 		present[info.ID] = true
 		t := p.targets[info.ID]
@@ -105,7 +111,7 @@
 	}
 	for _, t := range slices.Clone(p.order) {
 		if !present[t.ID] && t.listed {
-			t.listed = false
+			t.listed, p.lastVanished = false, now
 			p.log("target", "target", t.ID, "outcome", "not listed", "owned", t.owned, "runs", len(t.runs))
 		}
 	}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -43,6 +43,8 @@
 	PoolEnded                   // node: the outcome of a submitted job
 	PoolAbandon                 // node: the caller of a submitted job is gone
 	Directory                   // node: configuration, targets and members that the sender knows
+	JobAsk                      // node: asks the leader for a stored job's state, or to cancel it
+	JobTold                     // node: the answer
 	maxType
 )
 
@@ -65,7 +67,7 @@
 var typeNames = [maxType]string{
 	"", "hello", "hello_ack", "ping", "pong", "ack", "membership", "ledger", "run", "run_done", "run_cancel",
 	"forward", "forward_done", "load", "manifest_new", "manifest_get", "manifest_all",
-	"pool_beat", "pool_submit", "pool_ended", "pool_abandon", "directory",
+	"pool_beat", "pool_submit", "pool_ended", "pool_abandon", "directory", "job_ask", "job_told",
 }
 
 // String returns the name under which messages of the type are counted.
