--- a/internal/jobstore/accept.go
+++ b/internal/jobstore/accept.go
@@ -42,7 +42,7 @@
 	id     string
 	value  []byte
 	until  time.Time
-	result chan error
+	result chan result
 }
 
 // NewAccepter returns an Accepter.
@@ -50,14 +50,21 @@
 	return &Accepter{rows: rows, log: log, waiting: make(map[string][]*acceptance), busy: make(map[string]bool)}
 }
 
-// Accept stores a job. It returns nil once the job is stored, also by an earlier
-// copy, ErrUnknown if it may be, and another error if it is not and won't be.
-func (a *Accepter) Accept(j fleet.Job) error {
+// result is how an acceptance ended.
+type result struct {
+	fresh bool
+	err   error
+}
+
+// Accept stores a job. It returns no error once the job is stored, ErrUnknown if it
+// may be, and another error if it is not and won't be. A job that an earlier copy has
+// stored is not fresh: it may have ended long ago.
+func (a *Accepter) Accept(j fleet.Job) (fresh bool, err error) {
 	value, err := wire.Encode(openRow{Job: j, AcceptedMS: time.Now().UnixMilli()})
 	if err != nil {
-		return fmt.Errorf("store job %s: %w", j.ID, err)
+		return false, fmt.Errorf("store job %s: %w", j.ID, err)
 	}
-	acc := &acceptance{id: j.ID, value: value, until: time.Now().Add(acceptWithin), result: make(chan error, 1)}
+	acc := &acceptance{id: j.ID, value: value, until: time.Now().Add(acceptWithin), result: make(chan result, 1)}
 	part := partOf(j.ID)
 	a.mu.Lock()
 	a.waiting[part] = append(a.waiting[part], acc)
@@ -67,7 +74,8 @@
 	if idle {
 		go a.drain(part)
 	}
-	return <-acc.result
+	r := <-acc.result
+	return r.fresh, r.err
 }
 
 // drain stores what waits for a part, batch by batch, until nothing does.
@@ -157,7 +165,7 @@
 	var rest []*acceptance
 	for _, acc := range batch {
 		if known[acc.id] {
-			acc.result <- nil
+			acc.result <- result{}
 		} else {
 			rest = append(rest, acc)
 		}
@@ -167,6 +175,6 @@
 
 func settle(batch []*acceptance, err error) {
 	for _, acc := range batch {
-		acc.result <- err
+		acc.result <- result{err == nil, err}
 	}
 }
--- a/internal/node/stored.go
+++ b/internal/node/stored.go
@@ -165,8 +165,11 @@
 	if n.stored.accepter == nil {
 		return fleet.Outcome{Verdict: verdict.NotRun, Reason: verdict.NotReady, RetryAfter: time.Second}
 	}
-	err := n.stored.accepter.Accept(j)
+	fresh, err := n.stored.accepter.Accept(j)
 	switch {
+	case err == nil && !fresh:
+		n.log.Info("job", "job", j.ID, "outcome", "stored by an earlier copy")
+		return fleet.Outcome{Verdict: verdict.Completed}
 	case err == nil:
 		n.post(func(now time.Duration) { n.handToLeader(now, j) })
 		return fleet.Outcome{Verdict: verdict.Completed}
