--- a/internal/jobstore/clean.go
+++ b/internal/jobstore/clean.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"maps"
 	"slices"
 	"time"
@@ -25,27 +26,31 @@
 	EndedMS int64 `cbor:"2,keyasint"`
 }
 
-// State reads a job's state. Of a job that has not ended it is JobQueued.
-func State(ctx context.Context, rows Rows, id string) (state fleet.JobState, known bool, err error) {
-	if r, ok, err := get(ctx, rows, tableEnded, ownerPart, id); err != nil {
+// EndState reads the state of a job that has ended.
+func EndState(ctx context.Context, rows Rows, id string) (state fleet.JobState, known bool, err error) {
+	r, ok, err := get(ctx, rows, tableEnded, ownerPart, id)
+	if err != nil || !ok {
 		return 0, false, err
-	} else if ok {
-		var e endedRow
-		if err := wire.Decode(r.Value, &e); err != nil {
-			return 0, false, err
-		}
-		return e.State, true, nil
 	}
+	var e endedRow
+	if err := wire.Decode(r.Value, &e); err != nil {
+		return 0, false, fmt.Errorf("state of job %s: %w", id, err)
+	}
+	return e.State, true, nil
+}
+
+// Exists reports whether a job was accepted that may not have ended.
+func Exists(ctx context.Context, rows Rows, id string) (bool, error) {
 	for _, table := range []string{tableOpen, tableUsed} {
 		if _, ok, err := get(ctx, rows, table, partOf(id), id); err != nil || ok {
-			return fleet.JobQueued, ok, err
+			return ok, err
 		}
 	}
-	return 0, false, nil
+	return false, nil
 }
 
 func get(ctx context.Context, rows Rows, table, part, key string) (Row, bool, error) {
-	page, err := rows.Read(ctx, table, part, key)
+	page, err := rows.Read(ctx, table, part, key, 1)
 	if err != nil || len(page.Rows) == 0 || page.Rows[0].Key != key {
 		return Row{}, false, err
 	}
@@ -61,7 +66,9 @@
 		parts := slices.Sorted(maps.Keys(o.clean))
 		o.mu.Unlock()
 		for _, part := range parts {
-			o.cleanPart(ctx, part)
+			for o.cleanPart(ctx, part) {
+				// as long as there is a whole batch
+			}
 		}
 		o.forgetEnded(ctx)
 	}
@@ -70,7 +77,7 @@
 // findEnded notes the jobs that ended under earlier owners, so that they are
 // forgotten in time.
 func (o *Owner) findEnded(ctx context.Context) {
-	rows, _, err := readAll(ctx, o.rows, tableEnded, ownerPart)
+	rows, _, err := readAll(ctx, o.rows, tableEnded, ownerPart, 0)
 	if err != nil {
 		o.log.Info("states of ended jobs not read", "err", err)
 		return
@@ -120,13 +127,14 @@
 	}
 }
 
-func (o *Owner) cleanPart(ctx context.Context, part string) {
+// cleanPart puts a batch away and reports whether there may be another whole one.
+func (o *Owner) cleanPart(ctx context.Context, part string) bool {
 	o.mu.Lock()
 	ids := o.clean[part]
 	ids = ids[:min(len(ids), maxClean)]
 	o.mu.Unlock()
 	if len(ids) == 0 {
-		return
+		return false
 	}
 	var tx, records Tx
 	for _, id := range ids {
@@ -136,7 +144,7 @@
 	}
 	if _, err := o.rows.Apply(ctx, tx); err != nil {
 		o.log.Info("ended jobs not put away", "part", part, "jobs", len(ids), "err", err)
-		return
+		return false
 	}
 	// A record without its job is harmless, so this one needs no ownership.
 	if _, err := o.rows.Apply(ctx, records); err != nil {
@@ -148,4 +156,5 @@
 		delete(o.clean, part)
 	}
 	o.mu.Unlock()
+	return len(ids) == maxClean
 }
--- a/internal/jobstore/owner.go
+++ b/internal/jobstore/owner.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"log/slog"
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -167,7 +168,7 @@
 
 // awaitJobs returns once there are stored jobs.
 func (o *Owner) awaitJobs(ctx context.Context) error {
-	rows, after, err := o.readOpen(ctx)
+	rows, after, err := o.readOpen(ctx, 1)
 	for err == nil && len(rows) == 0 {
 		after, err = o.awaitChange(ctx, after, &rows)
 	}
@@ -197,30 +198,32 @@
 	return max(after, next), err
 }
 
-// readOpen reads the accepted jobs, and the version after which changes follow.
-func (o *Owner) readOpen(ctx context.Context) ([]Row, uint64, error) {
-	var all []Row
-	var version uint64
+// readOpen reads the accepted jobs, at most that many of each part (0: all), and the
+// version after which changes follow.
+func (o *Owner) readOpen(ctx context.Context, limit int) ([]Row, uint64, error) {
+	var parts [openParts][]Row
+	var versions [openParts]uint64
+	var errs [openParts]error
+	var wg sync.WaitGroup
 	for p := range openParts {
-		rows, as, err := readAll(ctx, o.rows, tableOpen, strconv.Itoa(p))
-		if err != nil {
-			return nil, 0, err
-		}
-		all = append(all, rows...)
-		if p == 0 {
-			version = as // changes during the later reads come again
-		}
+		wg.Go(func() { parts[p], versions[p], errs[p] = readAll(ctx, o.rows, tableOpen, strconv.Itoa(p), limit) })
+	}
+	wg.Wait()
+	if err := errors.Join(errs[:]...); err != nil {
+		return nil, 0, err
 	}
-	return all, version, nil
+	// Changes after the earliest of the reads come again.
+	return slices.Concat(parts[:]...), slices.Min(versions[:]), nil
 }
 
-// readAll reads a part of a table, and the version of the store before.
-func readAll(ctx context.Context, rows Rows, table, part string) ([]Row, uint64, error) {
+// readAll reads a part of a table, at most that many rows (0: all), and the version
+// of the store before.
+func readAll(ctx context.Context, rows Rows, table, part string, limit int) ([]Row, uint64, error) {
 	var all []Row
 	var version uint64
 	from := ""
 	for {
-		page, err := rows.Read(ctx, table, part, from)
+		page, err := rows.Read(ctx, table, part, from, limit)
 		if err != nil {
 			return nil, 0, err
 		}
@@ -228,7 +231,7 @@
 			version = page.Version
 		}
 		all = append(all, page.Rows...)
-		if !page.More || len(page.Rows) == 0 {
+		if !page.More || len(page.Rows) == 0 || limit > 0 {
 			return all, version, nil
 		}
 		from = page.Rows[len(page.Rows)-1].Key + "\x00"
@@ -241,6 +244,9 @@
 	if err != nil {
 		return err
 	}
+	if err := o.saveLeft(ctx); err != nil {
+		return err
+	}
 	after, err := o.restore(ctx, lastSeen)
 	if err != nil {
 		return err
@@ -274,8 +280,12 @@
 		}
 		free := row.Version == 0 || value.Holder == "" || value.Holder == o.self
 		if free || now >= since+claimAfter {
+			own := value.Holder == o.self && value.Epoch == o.epoch
 			o.epoch, o.version = value.Epoch+1, row.Version
 			err := o.apply(ctx, nil, nil)
+			if err == nil && !own {
+				o.forgetSaves() // another owner has gone on since
+			}
 			if err == nil {
 				o.log.Info("stored jobs claimed", "epoch", o.epoch, "before", value.Holder, "unchanged_ms", (now - since).Milliseconds())
 				return since, nil
@@ -376,7 +386,7 @@
 
 // restore reads the jobs and their records, and hands them over.
 func (o *Owner) restore(ctx context.Context, lastSeen time.Duration) (uint64, error) {
-	rows, after, err := o.readOpen(ctx)
+	rows, after, err := o.readOpen(ctx, 0)
 	if err != nil {
 		return 0, err
 	}
@@ -386,7 +396,6 @@
 	}
 	jobs := make([]Stored, 0, len(rows))
 	o.mu.Lock()
-	o.dirty, o.order = make(map[string]Save), nil
 	o.clean, o.open, o.ended = make(map[string][]string), make(map[string]bool), make(map[string]time.Duration)
 	for _, r := range rows {
 		acc, err := decodeOpen(r)
@@ -403,13 +412,14 @@
 			o.open[r.Key] = true
 		}
 	}
+	o.log.Info("stored jobs restored", "epoch", o.epoch, "jobs", len(jobs), "open", len(o.open), "records", len(records))
 	o.mu.Unlock()
 	o.events.Owned(o.epoch, lastSeen, jobs)
 	return after, nil
 }
 
 func (o *Owner) readRecords(ctx context.Context) (map[string]fleet.Record, error) {
-	rows, _, err := readAll(ctx, o.rows, tableProgress, ownerPart)
+	rows, _, err := readAll(ctx, o.rows, tableProgress, ownerPart, 0)
 	if err != nil {
 		return nil, err
 	}
@@ -433,7 +443,7 @@
 			if ctx.Err() == nil {
 				o.log.Info("accepted jobs not followed", "after", after, "err", err)
 				pause(ctx, lastRetry)
-				if rows, version, readErr := o.readOpen(ctx); readErr == nil {
+				if rows, version, readErr := o.readOpen(ctx, 0); readErr == nil {
 					o.arrived(rows) // the history may be gone
 					after = max(after, version)
 				}
@@ -515,7 +525,28 @@
 	return saves
 }
 
+// saveLeft saves the records that were left when the ownership lapsed: nobody else
+// has owned the jobs since.
+func (o *Owner) saveLeft(ctx context.Context) error {
+	for {
+		saves := o.takeSaves()
+		if len(saves) == 0 {
+			return nil
+		}
+		if err := o.save(ctx, saves); err != nil {
+			return err
+		}
+	}
+}
+
+func (o *Owner) forgetSaves() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.dirty, o.order = make(map[string]Save), nil
+}
+
 func (o *Owner) save(ctx context.Context, saves []Save) error {
+	var lapsed error
 	var puts []Row
 	for _, s := range saves {
 		value, err := wire.Encode(s.Record)
@@ -531,8 +562,11 @@
 			puts = append(puts, Row{Table: tableEnded, Part: ownerPart, Key: s.Job, Value: state})
 		}
 	}
-	if err := o.apply(ctx, puts, nil); err != nil {
+	if err := o.apply(ctx, puts, nil); err != nil && !errors.Is(err, errLapsed) {
+		o.putBack(saves)
 		return err
+	} else if err != nil {
+		lapsed = err // saved all the same
 	}
 	for _, s := range saves {
 		o.events.Saved(s.Job, s.Seq)
@@ -545,7 +579,19 @@
 			o.mu.Unlock()
 		}
 	}
-	return nil
+	return lapsed
+}
+
+// putBack has records saved again that were not saved, unless later ones wait.
+func (o *Owner) putBack(saves []Save) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, s := range saves {
+		if _, later := o.dirty[s.Job]; !later {
+			o.dirty[s.Job] = s
+			o.order = append(o.order, s.Job)
+		}
+	}
 }
 
 // release gives the ownership up, so that another entry need not wait.
--- a/internal/jobstore/rows.go
+++ b/internal/jobstore/rows.go
@@ -32,8 +32,9 @@
 
 // Rows are the tables of the store. Errors are those of internal/platform.
 type Rows interface {
-	// Read returns rows of a part in the order of keys, from one key on.
-	Read(ctx context.Context, table, part, from string) (Page, error)
+	// Read returns rows of a part in the order of keys, from one key on, at most that
+	// many (0: as many as an answer holds).
+	Read(ctx context.Context, table, part, from string, limit int) (Page, error)
 	// Apply carries out a transaction and returns its version. If a condition does
 	// not hold the error is a *ConflictError.
 	Apply(ctx context.Context, tx Tx) (uint64, error)
--- a/internal/node/directory.go
+++ b/internal/node/directory.go
@@ -103,7 +103,10 @@
 
 // SetTargets replaces the list of targets by one that was current at a time.
 func (n *Node) SetTargets(list []fleet.Target, at time.Time) {
-	n.post(func(now time.Duration) { n.setTargets(now, list, at.Sub(n.began)) })
+	n.post(func(now time.Duration) {
+		n.stored.storeRead = max(n.stored.storeRead, at.Sub(n.began))
+		n.setTargets(now, list, at.Sub(n.began))
+	})
 }
 
 func (n *Node) setTargets(now time.Duration, list []fleet.Target, at time.Duration) {
--- a/internal/node/links.go
+++ b/internal/node/links.go
@@ -27,6 +27,7 @@
 	n := (*Node)(l)
 	n.post(func(now time.Duration) {
 		delete(n.linked, p.Name)
+		delete(n.stored.peers, p.Name)
 		n.log.Info("link", "peer", p.Name, "outcome", "down")
 		n.election.Lost(p.Name)
 		n.leaderLost(now, p.Name)
@@ -105,11 +106,13 @@
 	Config int64         `cbor:"2,keyasint"` // version in force at the sender
 	// TargetsAge is the age of the sender's list of targets.
 	TargetsAge time.Duration `cbor:"3,keyasint"`
+	// StoreAge is the time since the sender last read the platform's store.
+	StoreAge time.Duration `cbor:"6,keyasint"`
 	// Stored says that stored jobs exist.
 	Stored bool `cbor:"4,keyasint,omitempty"`
 	// Pending counts the stored jobs of each queue that have not begun, if the sender
 	// owns them.
-	Pending map[string]int `cbor:"5,keyasint,omitempty"`
+	Pending map[string]int `cbor:"5,keyasint"`
 }
 
 // beat tells the peers what this entry thinks, at intervals and on a change.
@@ -129,7 +132,7 @@
 }
 
 func (n *Node) beatNow(now time.Duration, own election.Beat) beatBody {
-	b := beatBody{Beat: own, Config: n.configVersion(), TargetsAge: n.dir.targetsAge(now), Stored: n.stored.expected}
+	b := beatBody{Beat: own, Config: n.configVersion(), TargetsAge: n.dir.targetsAge(now), Stored: n.stored.expected, StoreAge: n.storeAge(now)}
 	if n.pool.OwnsStored() {
 		b.Pending = n.pool.Pending()
 	}
@@ -142,12 +145,13 @@
 		return
 	}
 	n.election.Hear(from, b.Beat)
+	n.stored.peers[from] = now - b.StoreAge
 	if b.Stored && !n.stored.expected {
 		n.stored.expected = true
 		n.pool.ExpectStored()
 	}
 	if from == n.decision.Leader {
-		n.stored.pending = b.Pending
+		n.stored.pending, n.stored.pendingAt = b.Pending, now
 	}
 	if n.dir.lacks(now, from, b, n.configVersion()) {
 		n.share(from)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -218,7 +218,7 @@
 // elect follows the election's decision.
 func (n *Node) elect(now time.Duration) {
 	n.election.SetOwned(n.pool.Owned())
-	n.election.SetStrained(n.lag.strained())
+	n.election.SetStrained(n.lag.strained() || n.outOfStore(now))
 	d := n.election.Decide(now)
 	if d.Lead != n.pool.Leading() {
 		if d.Lead {
--- a/internal/node/stored.go
+++ b/internal/node/stored.go
@@ -27,15 +27,19 @@
 
 // storedJobs is a node's part in keeping stored jobs.
 type storedJobs struct {
-	rows     jobstore.Rows
-	accepter *jobstore.Accepter
-	owner    *jobstore.Owner // while this entry leads
-	stop     context.CancelFunc
-	expected bool // stored jobs exist
-	asks     map[uint64]chan jobTold
-	lastAsk  uint64
-	cancels  map[string][]cancelAsk // of this leader, until they are saved
-	pending  map[string]int         // by queue, as the leader said last
+	rows      jobstore.Rows
+	accepter  *jobstore.Accepter
+	owner     *jobstore.Owner // while this entry leads
+	stop      context.CancelFunc
+	expected  bool // stored jobs exist
+	asks      map[uint64]chan jobTold
+	lastAsk   uint64
+	cancels   map[string][]cancelAsk   // of this leader, until they are saved
+	pending   map[string]int           // by queue, as the leader said last; nil if it does not know
+	storeRead time.Duration            // when this entry last read the platform's store
+	peers     map[string]time.Duration // when the linked peers did
+	// pendingAt is when the leader said so.
+	pendingAt time.Duration
 }
 
 type cancelAsk struct {
@@ -60,13 +64,42 @@
 }
 
 func newStoredJobs(cfg *Config) storedJobs {
-	s := storedJobs{asks: make(map[uint64]chan jobTold), cancels: make(map[string][]cancelAsk), pending: make(map[string]int)}
+	s := storedJobs{asks: make(map[uint64]chan jobTold), cancels: make(map[string][]cancelAsk), peers: make(map[string]time.Duration)}
 	if cfg.Jobs != nil {
 		s.rows, s.accepter = cfg.Jobs, jobstore.NewAccepter(cfg.Jobs, cfg.Log)
 	}
 	return s
 }
 
+const (
+	// storeSilent is how long an entry may not have read the store for it to own the
+	// stored jobs, if others have.
+	storeSilent = 2 * time.Second
+	// storeFresh is how lately another entry must have.
+	storeFresh = 1300 * time.Millisecond
+)
+
+func (n *Node) storeAge(now time.Duration) time.Duration {
+	if n.stored.storeRead == 0 {
+		return unknownAge
+	}
+	return now - n.stored.storeRead
+}
+
+// outOfStore reports whether this entry can't keep the stored jobs while another one
+// could.
+func (n *Node) outOfStore(now time.Duration) bool {
+	if !n.stored.expected || n.storeAge(now) < storeSilent {
+		return false
+	}
+	for _, at := range n.stored.peers {
+		if now < at+storeFresh {
+			return true
+		}
+	}
+	return false
+}
+
 // bootClock goes on while the VM is suspended, unlike the steady clock.
 func bootClock() time.Duration {
 	var t unix.Timespec
@@ -204,16 +237,29 @@
 	n.pool.Submit(now, pool.Submit{Job: j, Waited: waited})
 }
 
+// errNotKnown says that nobody in reach knows whether there is such a job.
+var errNotKnown = errors.New("the stored jobs are not known yet")
+
 // JobState returns the state of a stored job, asked of the leader, else read from
 // the store.
 func (n *Node) JobState(ctx context.Context, id string) (state fleet.JobState, known bool, err error) {
-	if t, ok := n.ask(ctx, jobAsk{Job: id}, askTimeout); ok && t.Known {
+	t, answered := n.ask(ctx, jobAsk{Job: id}, askTimeout)
+	if answered && t.Known {
 		return t.State, true, nil
 	}
 	if n.stored.rows == nil {
 		return 0, false, nil
 	}
-	return jobstore.State(ctx, n.stored.rows, id)
+	state, known, err = jobstore.EndState(ctx, n.stored.rows, id)
+	if err != nil || known {
+		return state, known, err
+	}
+	// The leader would know of a job that has not ended, once it knows all.
+	exists, err := jobstore.Exists(ctx, n.stored.rows, id)
+	if err != nil || !exists {
+		return 0, false, err
+	}
+	return fleet.JobQueued, true, nil
 }
 
 // CancelJob cancels a stored job and reports whether there is one. It returns once
@@ -229,8 +275,7 @@
 		case n.stored.rows == nil:
 			return false, nil
 		case ok && t.Ready:
-			state, known, err := jobstore.State(ctx, n.stored.rows, id)
-			if err == nil && (!known || state.Ended()) {
+			if known, err := n.endedOrUnknown(ctx, id); err == nil {
 				return known, nil
 			}
 		}
@@ -240,23 +285,52 @@
 	}
 }
 
-// Pending returns how many stored jobs of a queue had not begun lately.
-func (n *Node) Pending(ctx context.Context, queue string) int {
-	got := make(chan int, 1)
-	n.post(func(time.Duration) {
-		if n.pool.OwnsStored() {
-			n.stored.pending = n.pool.Pending()
+// endedOrUnknown reports whether a job that the leader does not know has ended; the
+// error says that it has not.
+func (n *Node) endedOrUnknown(ctx context.Context, id string) (bool, error) {
+	if _, ended, err := jobstore.EndState(ctx, n.stored.rows, id); err != nil || ended {
+		return ended, err
+	}
+	exists, err := jobstore.Exists(ctx, n.stored.rows, id)
+	if err == nil && exists {
+		err = errNotKnown // accepted a moment ago
+	}
+	return false, err
+}
+
+// Pending returns how many stored jobs of a queue had not begun lately, if that is
+// known.
+func (n *Node) Pending(ctx context.Context, queue string) (int, bool) {
+	got := make(chan *int, 1)
+	n.post(func(now time.Duration) {
+		count, known := 0, !n.stored.expected
+		switch {
+		case n.pool.OwnsStored():
+			count, known = n.pool.Pending()[queue], true
+		case n.stored.pending != nil && now < n.stored.pendingAt+stalePending:
+			count, known = n.stored.pending[queue], true
+		}
+		if !known {
+			got <- nil
+			return
 		}
-		got <- n.stored.pending[queue]
+		got <- &count
 	})
 	select {
 	case c := <-got:
-		return c
+		if c == nil {
+			return 0, false
+		}
+		return *c, true
 	case <-ctx.Done():
-		return 0
+		return 0, false
 	}
 }
 
+// stalePending is the age from which what the leader said of jobs that wait is not
+// passed on; it may be 2 s old.
+const stalePending = 1500 * time.Millisecond
+
 // ask asks the leader about a stored job.
 func (n *Node) ask(ctx context.Context, a jobAsk, timeout time.Duration) (jobTold, bool) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
--- a/internal/pool/job.go
+++ b/internal/pool/job.go
@@ -43,11 +43,13 @@
 	waiting     int   // tasks that wait for a place
 	queued      bool  // stands in its class's queue
 	begun       bool  // a task was ordered, or may have been by an earlier owner
+	started     bool  // a task is known to have been ordered
 	mayHaveRun  bool
 	safeAt      time.Duration // when nothing of an earlier owner can run any more
 	restored    bool          // from an owner before
 	seq         int           // of the last record that was to be saved
 	savedSeq    int
+	settled     bool // its end is to be saved, or is
 	orphan      bool
 	orphanUntil time.Duration
 }
@@ -171,6 +173,7 @@
 // placed notes that a task runs or is ordered.
 func (p *Pool) placed(tk *task, r *run) {
 	j := tk.job
+	j.started = true
 	tk.current, tk.state = r, taskPlaced
 	j.waiting--
 	if j.waiting == 0 {
--- a/internal/pool/ownership.go
+++ b/internal/pool/ownership.go
@@ -122,12 +122,26 @@
 // can be in force there.
 func (p *Pool) expireLeases(now time.Duration) {
 	for _, t := range p.order {
-		if t.owned || len(t.runs) == 0 || !t.lapsed(now) {
+		if t.owned {
+			t.ownedAt = now
 			continue
 		}
-		p.log("ownership", "target", t.ID, "outcome", "lapsed", "runs", len(t.runs))
+		if len(t.runs) == 0 || !t.lapsed(now) {
+			continue
+		}
+		// A task of a stored job may have ended there, and must not run again if it
+		// has: the target is given time to come back.
+		mayReturn := t.listed && now < t.ownedAt+unreachableWait
+		given := 0
 		for _, r := range sortedRuns(t.runs) {
+			if mayReturn && r.owner != nil && r.owner.job.Stored {
+				continue
+			}
 			p.runGone(now, r)
+			given++
+		}
+		if given > 0 {
+			p.log("ownership", "target", t.ID, "outcome", "lapsed", "runs", given)
 		}
 	}
 }
--- a/internal/pool/stored.go
+++ b/internal/pool/stored.go
@@ -17,6 +17,10 @@
 	// successorWaits is the time after which nothing of a former owner runs, with
 	// the leases of its last orders and room for clock rates.
 	successorWaits = jobstore.RunsFor + 1100*time.Millisecond
+	// unreachableWait is how long tasks of a former owner are not started again while
+	// a target on which they may have ended is out of reach. It is longer than the
+	// usual cut.
+	unreachableWait = 10 * time.Second
 	// settledFor is how long the list of targets must have lost none, so that
 	// owning all that are listed proves that nothing runs elsewhere.
 	settledFor = 4 * time.Second
@@ -69,6 +73,9 @@
 	}
 	p.stored.owned, p.stored.epoch = true, epoch
 	p.stored.safeAt = lastSeen + successorWaits
+	if !p.reachesAll(now) {
+		p.stored.safeAt = lastSeen + unreachableWait
+	}
 	p.log("stored", "outcome", "owned", "epoch", epoch, "jobs", len(jobs), "safe_in_ms", (p.stored.safeAt - now).Milliseconds())
 	for i := range jobs {
 		p.restoreJob(now, &jobs[i])
@@ -148,6 +155,14 @@
 	if now < max(p.firstListed, p.lastVanished)+settledFor {
 		return false
 	}
+	return p.reachesAll(now)
+}
+
+// reachesAll reports whether all targets that were listed lately are owned.
+func (p *Pool) reachesAll(now time.Duration) bool {
+	if p.lastVanished > 0 && now < p.lastVanished+unreachableWait {
+		return false
+	}
 	for _, t := range p.order {
 		if !t.owned {
 			return false
@@ -177,7 +192,7 @@
 		p.stored.ended[r.Job.ID] = &endedJob{state: r.Record.State, saved: true, at: now}
 		return
 	}
-	if p.jobs[r.Job.ID] == nil {
+	if p.jobs[r.Job.ID] == nil && p.stored.ended[r.Job.ID] == nil {
 		p.takeStored(now, Submit{Job: r.Job, Waited: r.Waited, MayHaveRun: true}, r.Record, true)
 	}
 }
@@ -209,6 +224,7 @@
 		for _, tk := range tasks {
 			tk.run = p.stored.epoch * runsAnEpoch
 			tk.failures = rec.Failed[tk.place]
+			j.started = j.started || tk.failures > 0 || rec.IsDone(tk.place)
 			if !rec.IsDone(tk.place) {
 				continue
 			}
@@ -243,8 +259,8 @@
 
 // save asks for the job's record to be saved, if it is a stored job.
 func (p *Pool) save(j *job, state fleet.JobState) {
-	if !j.Stored {
-		return
+	if !j.Stored || j.settled {
+		return // what is still reported of a job that has ended changes nothing
 	}
 	j.seq++
 	p.emit(jobstore.Save{Job: j.ID, Seq: j.seq, Record: j.record(state)})
@@ -260,6 +276,7 @@
 		state = fleet.JobCancelled
 	}
 	p.save(j, state)
+	j.settled = true
 	p.stored.ended[j.ID] = &endedJob{state: state, seq: j.seq, at: now}
 }
 
@@ -348,7 +365,7 @@
 	switch {
 	case j == nil || !j.Stored:
 		return 0, false
-	case j.begun:
+	case j.started:
 		return fleet.JobRunning, true
 	}
 	return fleet.JobQueued, true
@@ -361,7 +378,7 @@
 func (p *Pool) Pending() map[string]int {
 	n := make(map[string]int)
 	for _, j := range p.jobs {
-		if j.Stored && !j.begun {
+		if j.Stored && !j.started {
 			n[j.Queue.Name]++
 		}
 	}
--- a/internal/pool/target.go
+++ b/internal/pool/target.go
@@ -13,9 +13,10 @@
 // target is what the pool knows of a target.
 type target struct {
 	fleet.Target
-	listed bool // by discovery
-	claim  Claim
-	wasOut bool // out of reach since it was owned last
+	listed  bool // by discovery
+	claim   Claim
+	wasOut  bool          // out of reach since it was owned last
+	ownedAt time.Duration // when it was owned last
 
 	fence    uint64
 	owned    bool // a list was read under the fence
