Stored jobs: tests; ends are kept until it is known whether stored jobs exist; a leader that stood still starts nothing at once

Change for (2): after a pause of the loop of 250 ms, by the clock that counts suspension, nothing is started for 120 ms, so that the ends of links are read first. Ruled out for (2): a longer wait of the new leader; the woken one can start at any time.

--- a/internal/jobstore/owner.go
+++ b/internal/jobstore/owner.go
@@ -67,6 +67,8 @@
 type Events interface {
 	// Expected says that stored jobs exist.
 	Expected()
+	// None says that no stored job is open.
+	None()
 	// Owned says that this entry owns the stored jobs, as an owner of an epoch; the
 	// one before has not renewed its ownership since lastSeen.
 	Owned(epoch int, lastSeen time.Duration, jobs []Stored)
@@ -169,6 +171,9 @@
 // awaitJobs returns once there are stored jobs.
 func (o *Owner) awaitJobs(ctx context.Context) error {
 	rows, after, err := o.readOpen(ctx, 1)
+	if err == nil && len(rows) == 0 {
+		o.events.None()
+	}
 	for err == nil && len(rows) == 0 {
 		after, err = o.awaitChange(ctx, after, &rows)
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -86,6 +86,7 @@
 	lastBeat time.Duration
 	lastSaid election.Beat
 	lag      lagMeter
+	turnAt   time.Duration // of the boot clock, at the last turn of the loop
 	stored   storedJobs
 	owners   sync.WaitGroup // owners of stored jobs that run
 }
@@ -182,15 +183,36 @@
 		case <-n.ctx.Done():
 			return
 		case e := <-n.events:
+			n.noteStall()
 			e(n.now())
 			n.drain()
 		case <-tick.C:
+			n.noteStall()
 			n.lag.tick(n.now())
 		}
 		n.step(n.now())
 	}
 }
 
+const (
+	// stallLimit is the pause of the loop from which this entry may have missed that
+	// its peers gave it up, which they do after silentAfter.
+	stallLimit = 250 * time.Millisecond
+	// stallSettle is how long nothing is started after such a pause: the ends of links
+	// that were closed meanwhile are read first.
+	stallSettle = 120 * time.Millisecond
+)
+
+// noteStall holds starts back after the process stood still.
+func (n *Node) noteStall() {
+	boot := bootClock()
+	if gap := boot - n.turnAt; n.turnAt > 0 && gap > stallLimit {
+		n.log.Info("stood still", "ms", gap.Milliseconds(), "lead", n.decision.Lead)
+		n.pool.HoldStarts(n.now() + stallSettle)
+	}
+	n.turnAt = boot
+}
+
 // drain takes the events that are waiting, so that one round of placement
 // serves them all.
 func (n *Node) drain() {
--- a/internal/node/stored.go
+++ b/internal/node/stored.go
@@ -117,6 +117,7 @@
 	ctx, cancel := context.WithCancel(n.ctx)
 	owner := jobstore.NewOwner(n.stored.rows, n.cfg.Self.Name, bootClock, &ownerEvents{n: n, ctx: ctx}, n.log)
 	n.stored.owner, n.stored.stop = owner, cancel
+	n.pool.AwaitStored()
 	if n.stored.expected {
 		n.pool.ExpectStored()
 		owner.Expect()
@@ -164,6 +165,11 @@
 	})
 }
 
+// None implements jobstore.Events.
+func (e *ownerEvents) None() {
+	e.post(func(time.Duration) { e.n.pool.NoStored() })
+}
+
 // Owned implements jobstore.Events.
 func (e *ownerEvents) Owned(epoch int, lastSeen time.Duration, jobs []jobstore.Stored) {
 	e.post(func(now time.Duration) { e.n.pool.OwnStored(now, steady(now, lastSeen), epoch, jobs) })
--- a/internal/pool/place.go
+++ b/internal/pool/place.go
@@ -12,6 +12,9 @@
 // so far is lost otherwise, then by turns to the queue that has the least of its
 // share.
 func (p *Pool) place(now time.Duration) {
+	if now < p.startAt {
+		return
+	}
 	for _, c := range p.ranked {
 		p.placeBegun(now, c)
 	}
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -86,6 +86,7 @@
 	kept    map[string]keptOutcome
 	foreign map[string][]*run // runs of jobs that are not known, by job
 	stored  storedState
+	startAt time.Duration // nothing is started before
 	// firstListed is when targets were listed first, and lastVanished when one
 	// was not listed any more.
 	firstListed, lastVanished time.Duration
@@ -163,6 +164,10 @@
 	p.acquireDue(now)
 }
 
+// HoldStarts keeps the pool from starting anything until a time. An owner that stood
+// still uses it: what it was handed before may have been handed to another one since.
+func (p *Pool) HoldStarts(until time.Duration) { p.startAt = max(p.startAt, until) }
+
 // Yield makes the pool give up its targets and jobs. What runs goes on until
 // the next owner decides, or its lease lapses.
 func (p *Pool) Yield() {
--- a/internal/pool/report.go
+++ b/internal/pool/report.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"math"
 	"time"
 
 	"currantstall/internal/fleet"
@@ -61,7 +62,7 @@
 		}
 		p.takeEnds(now, t, rep.Ended, prompt)
 		if len(t.held) > 0 {
-			t.holdAt = now + heldPause
+			t.holdAt = now + t.heldPause()
 		}
 		p.takeRunning(now, sent, t, rep)
 	case fleet.Fenced:
@@ -93,9 +94,23 @@
 	}
 }
 
-// heldPause is the pause between two looks at a target while ends wait for records
-// to be saved.
-const heldPause = 15 * time.Millisecond
+const (
+	// heldPause is the pause between two looks at a target while ends wait for records
+	// to be saved.
+	heldPause = 15 * time.Millisecond
+	// unknownPause is the same while ends wait for jobs to be restored, which takes
+	// longer.
+	unknownPause = 60 * time.Millisecond
+)
+
+func (t *target) heldPause() time.Duration {
+	for _, h := range t.held {
+		if h.seq == math.MaxInt {
+			return unknownPause
+		}
+	}
+	return heldPause
+}
 
 // promptSlack is how long after its wait a hold may be answered for its ends to
 // count as fresh.
--- a/internal/pool/stored.go
+++ b/internal/pool/stored.go
@@ -33,7 +33,8 @@
 // storedState is what the pool keeps for stored jobs.
 type storedState struct {
 	owned    bool
-	expected bool // stored jobs may exist that are not restored yet
+	expected bool // stored jobs exist, restored or not
+	unknown  bool // nobody has looked yet whether there are any
 	epoch    int
 	until    time.Duration // starts are allowed until then
 	renewed  time.Duration // when the ownership was renewed last
@@ -65,13 +66,25 @@
 // runs of jobs that are not known are kept for them.
 func (p *Pool) ExpectStored() { p.stored.expected = true }
 
+// AwaitStored says that it is not known yet whether there are stored jobs. Ends of jobs
+// that are not known are kept for them until then.
+func (p *Pool) AwaitStored() { p.stored.unknown = true }
+
+// NoStored says that there are no stored jobs.
+func (p *Pool) NoStored() {
+	p.stored.unknown = false
+	if !p.stored.expected {
+		p.releaseUnknownEnds()
+	}
+}
+
 // OwnStored takes over the stored jobs, as their owner of an epoch. The owner
 // before may have renewed its ownership until lastSeen.
 func (p *Pool) OwnStored(now, lastSeen time.Duration, epoch int, jobs []jobstore.Stored) {
 	if !p.leading {
 		return
 	}
-	p.stored.owned, p.stored.epoch = true, epoch
+	p.stored.owned, p.stored.unknown, p.stored.epoch = true, false, epoch
 	p.stored.safeAt = lastSeen + successorWaits
 	if !p.reachesAll(now) {
 		p.stored.safeAt = lastSeen + unreachableWait
@@ -80,7 +93,7 @@
 	for i := range jobs {
 		p.restoreJob(now, &jobs[i])
 	}
-	p.releaseUnknownEnds(now)
+	p.releaseUnknownEnds()
 }
 
 // DropStored gives all stored jobs up: another owner has them, or they may not go
@@ -306,7 +319,7 @@
 		h.seq = j.seq
 	case ended != nil && !ended.saved:
 		h.seq = ended.seq
-	case j == nil && ended == nil && p.stored.expected && !p.stored.owned:
+	case j == nil && ended == nil && (p.stored.expected || p.stored.unknown) && !p.stored.owned:
 		h.seq = math.MaxInt
 		p.stored.ends[h.job] = append(p.stored.ends[h.job], h)
 	default:
@@ -326,7 +339,7 @@
 }
 
 // releaseUnknownEnds lets the ends of jobs that nobody has stored be acknowledged.
-func (p *Pool) releaseUnknownEnds(time.Duration) {
+func (p *Pool) releaseUnknownEnds() {
 	for id := range p.stored.ends {
 		p.takeEndsOf(id)
 	}
--- /dev/null
+++ b/internal/pool/stored_test.go
@@ -0,0 +1,287 @@
+package pool
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"currantstall/internal/fleet"
+	"currantstall/internal/jobstore"
+)
+
+func storedJob(id string, tasks int) fleet.Job {
+	j := jobOf(id, queue("q", 0), tasks, 14000, 60*ms)
+	j.Stored = true
+	return j
+}
+
+// ownStored makes the bench's pool the owner of stored jobs, renewed for a minute.
+func (b *bench) ownStored(jobs ...jobstore.Stored) {
+	b.p.ExpectStored()
+	b.p.OwnStored(b.now, b.now, 1, jobs)
+	b.p.RenewStored(b.now+time.Minute, b.now+time.Minute)
+}
+
+func restored(j fleet.Job, done ...int) jobstore.Stored {
+	s := jobstore.Stored{Accepted: jobstore.Accepted{Job: j}}
+	for _, task := range done {
+		s.Record.SetDone(task)
+	}
+	return s
+}
+
+// report answers the next hold of a target with lists.
+func (b *bench) report(id string, running []fleet.Running, ended []fleet.End) fleet.Hold {
+	b.t.Helper()
+	for _, h := range take[fleet.Hold](b) {
+		if h.Target.ID == id {
+			b.hold(h, running, ended)
+			return h
+		}
+	}
+	b.t.Fatalf("no hold of %s", id)
+	return fleet.Hold{}
+}
+
+func (b *bench) startAll() []fleet.Start {
+	starts := take[fleet.Start](b)
+	for _, s := range starts {
+		b.reply(s, fleet.Accepted)
+	}
+	return starts
+}
+
+func TestStoredJobIsShownAsEndedOnceThatIsSaved(t *testing.T) {
+	b := newBench(t, 1)
+	b.ownStored()
+	b.submit(storedJob("j", 1))
+	b.tick(ms)
+	s := b.startAll()[0]
+	b.tick(60 * ms)
+	b.report("t00", nil, []fleet.End{{Number: 1, Task: s.Task, Run: s.Run, Kind: fleet.EndDone}})
+	saves := take[jobstore.Save](b)
+	assert.Equal(t, len(saves), 1)
+	assert.Equal(t, saves[0].Record.State, fleet.JobComplete)
+	state, known := b.p.JobState("j")
+	assert.Assert(t, known)
+	assert.Equal(t, state, fleet.JobRunning)
+
+	b.p.Saved("j", saves[0].Seq)
+
+	state, _ = b.p.JobState("j")
+	assert.Equal(t, state, fleet.JobComplete)
+	assert.Equal(t, len(b.outcomes()), 0, "nobody waits on a connection")
+}
+
+func TestEndIsAcknowledgedOnceItsRecordIsSaved(t *testing.T) {
+	b := newBench(t, 1)
+	b.ownStored()
+	b.submit(storedJob("j", 2))
+	b.tick(ms)
+	starts := b.startAll()
+	b.tick(60 * ms)
+	end := fleet.End{Number: 1, Task: starts[0].Task, Run: starts[0].Run, Kind: fleet.EndDone}
+	b.report("t00", []fleet.Running{{Task: starts[1].Task, Run: starts[1].Run}}, []fleet.End{end})
+	save := take[jobstore.Save](b)[0]
+	b.tick(heldPause)
+	h := b.report("t00", nil, []fleet.End{end})
+	assert.Equal(t, h.Seen, int64(0), "acknowledged before it was saved")
+	assert.Equal(t, h.Wait, time.Duration(0), "a target with unread ends answers at once anyway")
+
+	b.p.Saved("j", save.Seq)
+
+	b.tick(heldPause)
+	assert.Equal(t, take[fleet.Hold](b)[0].Seen, int64(1))
+}
+
+func TestRestoredJobRunsOnlyWhatWasNotDone(t *testing.T) {
+	b := newBench(t, 2)
+	b.ownStored(restored(storedJob("j", 3), 0, 2))
+	b.tick(successorWaits + 100*ms)
+	starts := b.startAll()
+	assert.Equal(t, len(starts), 1)
+	assert.Equal(t, starts[0].Task.Index, 1)
+	assert.Assert(t, starts[0].Run >= runsAnEpoch, "the number of a run of an earlier owner")
+}
+
+func TestTaskOfAFormerOwnerWaitsUntilItsRunsAreOver(t *testing.T) {
+	b := newBench(t, 1)
+	b.ownStored(restored(storedJob("j", 1)))
+	b.tick(successorWaits - 100*ms)
+	assert.Equal(t, len(take[fleet.Start](b)), 0)
+	b.tick(200 * ms)
+	assert.Equal(t, len(take[fleet.Start](b)), 1)
+}
+
+func TestEndsOfUnknownJobsAreForgottenOnceNoneIsStored(t *testing.T) {
+	b := newBench(t, 1)
+	b.p.AwaitStored()
+	end := fleet.End{Number: 4, Task: fleet.TaskID{Job: "j"}, Run: 1, Kind: fleet.EndDone}
+	b.p.targets["t00"].lookDue = true
+	b.tick(ms)
+	b.report("t00", nil, []fleet.End{end})
+	b.tick(unknownPause)
+	assert.Equal(t, b.report("t00", nil, []fleet.End{end}).Seen, int64(3))
+
+	b.p.NoStored()
+
+	b.tick(unknownPause)
+	assert.Equal(t, take[fleet.Hold](b)[0].Seen, int64(4))
+}
+
+func TestEndsOfUnknownJobsWaitForTheRestore(t *testing.T) {
+	b := newBench(t, 1)
+	b.p.AwaitStored()
+	j := storedJob("j", 1)
+	end := fleet.End{Number: 4, Task: fleet.TaskID{Job: "j"}, Run: 1, Kind: fleet.EndDone}
+	b.p.targets["t00"].lookDue = true
+	b.tick(ms)
+	b.report("t00", nil, []fleet.End{end})
+	b.tick(unknownPause)
+	assert.Equal(t, take[fleet.Hold](b)[0].Seen, int64(3), "forgotten before anyone could know of it")
+
+	b.ownStored(restored(j))
+
+	saves := take[jobstore.Save](b)
+	assert.Equal(t, len(saves), 1)
+	assert.Equal(t, saves[0].Record.State, fleet.JobComplete)
+	b.tick(successorWaits + 100*ms)
+	assert.Equal(t, len(take[fleet.Start](b)), 0, "started again")
+}
+
+func TestNoStartWithoutARenewal(t *testing.T) {
+	b := newBench(t, 1)
+	b.p.ExpectStored()
+	b.p.OwnStored(b.now, b.now, 1, nil)
+	b.p.RenewStored(b.now, b.now+jobstore.StartsFor)
+	b.tick(jobstore.StartsFor + ms)
+	b.submit(storedJob("j", 1))
+	b.tick(ms)
+	assert.Equal(t, len(take[fleet.Start](b)), 0)
+	b.p.RenewStored(b.now, b.now+jobstore.StartsFor)
+	b.tick(ms)
+	assert.Equal(t, len(take[fleet.Start](b)), 1)
+}
+
+func TestWhatRunsIsStoppedWithoutARenewal(t *testing.T) {
+	b := newBench(t, 1)
+	b.p.ExpectStored()
+	b.p.OwnStored(b.now, b.now, 1, nil)
+	b.p.RenewStored(b.now, b.now+jobstore.StartsFor)
+	b.submit(storedJob("j", 1))
+	b.tick(ms)
+	s := b.startAll()[0]
+	b.tick(jobstore.RunsFor - 100*ms)
+	assert.Equal(t, len(take[fleet.Stop](b)), 0)
+
+	b.tick(200 * ms)
+
+	stops := take[fleet.Stop](b)
+	assert.Equal(t, len(stops), 1)
+	assert.Equal(t, stops[0].Task, s.Task)
+	assert.Assert(t, !b.p.OwnsStored())
+}
+
+func TestFailureAfterTheEndKeepsTheEnd(t *testing.T) {
+	b := newBench(t, 1)
+	b.ownStored()
+	b.submit(storedJob("j", 2))
+	b.tick(ms)
+	starts := b.startAll()
+	b.p.Cancel(b.now, "j")
+	assert.Equal(t, take[jobstore.Save](b)[0].Record.State, fleet.JobCancelled)
+	b.tick(10 * ms)
+
+	b.report("t00", nil, []fleet.End{{Number: 1, Task: starts[0].Task, Run: starts[0].Run, Kind: fleet.EndFailed}})
+
+	assert.Equal(t, len(take[jobstore.Save](b)), 0, "the record of the end is written over")
+}
+
+func TestStoredJobIsNeitherRefusedNorDropped(t *testing.T) {
+	b := newBench(t, 1)
+	b.ownStored()
+	j := storedJob("j", 1)
+	j.Patience = 10 * ms
+	for _, target := range b.p.order {
+		target.pauseUntil = b.now + time.Hour
+	}
+	b.submit(j)
+	b.tick(10 * time.Second)
+	b.p.CoordinatorLost(b.now, "e1")
+	b.p.Abandon(b.now, "e1", "j")
+	b.tick(time.Second)
+	state, known := b.p.JobState("j")
+	assert.Assert(t, known)
+	assert.Equal(t, state, fleet.JobQueued)
+	assert.DeepEqual(t, b.p.Pending(), map[string]int{"q": 1})
+}
+
+func TestStoredTaskOnALostTargetWaitsForItToComeBack(t *testing.T) {
+	b := newBench(t, 2)
+	b.ownStored()
+	b.submit(storedJob("j", 1))
+	b.tick(ms)
+	s := b.startAll()[0]
+	b.p.unreachable(b.now, b.p.targets[s.Target.ID])
+	b.tick(3 * time.Second)
+	assert.Equal(t, len(take[fleet.Start](b)), 0, "it may have ended there")
+	for _, h := range take[fleet.Hold](b) {
+		if h.Target.ID == s.Target.ID {
+			b.hold(h, nil, []fleet.End{{Number: 1, Task: s.Task, Run: s.Run, Kind: fleet.EndDone}})
+		}
+	}
+	saves := take[jobstore.Save](b)
+	assert.Equal(t, len(saves), 1)
+	assert.Equal(t, saves[0].Record.State, fleet.JobComplete)
+}
+
+func TestStoredTaskOnATargetThatIsGoneRunsElsewhere(t *testing.T) {
+	b := newBench(t, 2)
+	b.ownStored()
+	b.submit(storedJob("j", 1))
+	b.tick(ms)
+	s := b.startAll()[0]
+	lost := b.p.targets[s.Target.ID]
+	b.p.unreachable(b.now, lost)
+	var rest []fleet.Target
+	for _, target := range targetList(2) {
+		if target.ID != lost.ID {
+			rest = append(rest, target)
+		}
+	}
+	b.p.SetTargets(b.now, rest)
+	b.tick(3 * time.Second)
+	starts := take[fleet.Start](b)
+	assert.Equal(t, len(starts), 1)
+	assert.Assert(t, starts[0].Target.ID != lost.ID && starts[0].Run > s.Run)
+}
+
+func TestJobThatNothingFitsFailsAtOnce(t *testing.T) {
+	b := newBench(t, 1)
+	b.ownStored()
+	j := storedJob("j", 1)
+	j.Steps[0].Needs.MilliCPU = 99000
+	b.submit(j)
+	save := take[jobstore.Save](b)[0]
+	assert.Equal(t, save.Record.State, fleet.JobFailed)
+}
+
+// TestOwnerThatStoodStillStartsNothingAtOnce replays a leader that was frozen with
+// jobs in its queue, while their coordinators handed them to the next one.
+func TestOwnerThatStoodStillStartsNothingAtOnce(t *testing.T) {
+	b := newBench(t, 1)
+	b.now += 3 * time.Second
+	b.p.HoldStarts(b.now + 120*ms)
+	b.submit(jobOf("j", queue("q", 0), 1, 14000, 60*ms))
+	b.tick(ms)
+	assert.Equal(t, len(take[fleet.Start](b)), 0)
+	b.p.CoordinatorLost(b.now, "e1")
+	b.tick(200 * ms)
+	assert.Equal(t, len(take[fleet.Start](b)), 0, "started for a coordinator that has gone to another leader")
+
+	b.submit(jobOf("k", queue("q", 0), 1, 14000, 60*ms))
+	b.tick(ms)
+	assert.Equal(t, len(take[fleet.Start](b)), 1)
+	assert.Equal(t, len(b.outcomes()), 0)
+}
