--- /dev/null
+++ b/internal/jobstore/jobstore_test.go
@@ -0,0 +1,232 @@
+package jobstore_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"currantstall/internal/fleet"
+	"currantstall/internal/jobstore"
+	"currantstall/platform/platformd"
+	"currantstall/platform/store"
+)
+
+func discard() *slog.Logger { return slog.New(slog.NewTextHandler(io.Discard, nil)) }
+
+func startStore(t *testing.T) (*platformd.Server, store.Jobs) {
+	t.Helper()
+	s, err := platformd.Start("")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = s.Close() })
+	s.Store.SetFaults(platformd.Faults{})
+	return s, store.New(s.Addr()).Jobs()
+}
+
+func steadyClock() time.Duration { return time.Since(began) }
+
+var began = time.Now()
+
+// seen records what an owner was told.
+type seen struct {
+	mu       sync.Mutex
+	none     bool
+	epoch    int
+	restored map[string]fleet.Record
+	arrived  map[string]bool
+	saved    map[string]int
+	lost     int
+	until    time.Duration
+}
+
+func newSeen() *seen {
+	return &seen{restored: map[string]fleet.Record{}, arrived: map[string]bool{}, saved: map[string]int{}}
+}
+
+func (s *seen) locked(f func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f()
+}
+
+func (s *seen) Expected() {}
+func (s *seen) None()     { s.locked(func() { s.none = true }) }
+func (s *seen) Lost()     { s.locked(func() { s.lost++; s.epoch = 0 }) }
+
+func (s *seen) Owned(epoch int, _ time.Duration, jobs []jobstore.Stored) {
+	s.locked(func() {
+		s.epoch = epoch
+		for _, j := range jobs {
+			s.restored[j.Job.ID] = j.Record
+		}
+	})
+}
+
+func (s *seen) Renewed(_, until time.Duration) { s.locked(func() { s.until = max(s.until, until) }) }
+func (s *seen) Arrived(a jobstore.Accepted)    { s.locked(func() { s.arrived[a.Job.ID] = true }) }
+func (s *seen) Saved(job string, seq int)      { s.locked(func() { s.saved[job] = max(s.saved[job], seq) }) }
+
+func (s *seen) eventually(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for range 2000 {
+		done := false
+		s.locked(func() { done = ok() })
+		if done {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Fatalf("never: %s", what)
+}
+
+func runOwner(t *testing.T, rows jobstore.Rows, name string) (*jobstore.Owner, *seen, func()) {
+	t.Helper()
+	s := newSeen()
+	o := jobstore.NewOwner(rows, name, steadyClock, s, discard())
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	wg.Go(func() { o.Run(ctx) })
+	stop := func() { cancel(); wg.Wait() }
+	t.Cleanup(stop)
+	return o, s, stop
+}
+
+func job(i int) fleet.Job {
+	return fleet.Job{ID: fmt.Sprintf("%016x", i), Stored: true, Steps: []fleet.Step{{Count: 2}}}
+}
+
+func TestCopiesAreOneJobThroughLostAnswers(t *testing.T) {
+	server, rows := startStore(t)
+	server.Store.SetFaults(platformd.Faults{LoseProbability: 0.4, Seed: 3})
+	accepters := []*jobstore.Accepter{jobstore.NewAccepter(rows, discard()), jobstore.NewAccepter(rows, discard())}
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	fresh := map[string]int{}
+	for i := range 60 {
+		for _, a := range accepters {
+			wg.Go(func() {
+				isFresh, err := a.Accept(job(i))
+				mu.Lock()
+				defer mu.Unlock()
+				if isFresh {
+					fresh[job(i).ID]++
+				}
+				if err != nil {
+					t.Errorf("job %d: %v", i, err)
+				}
+			})
+		}
+	}
+	wg.Wait()
+	for id, n := range fresh {
+		assert.Equal(t, n, 1, "job %s was stored by two copies", id)
+	}
+	server.Store.SetFaults(platformd.Faults{})
+	_, s, _ := runOwner(t, rows, "e1")
+	s.eventually(t, "all jobs are restored", func() bool { return len(s.restored) == 60 })
+}
+
+func TestRefusedJobIsNotStored(t *testing.T) {
+	server, rows := startStore(t)
+	server.Store.SetFaults(platformd.Faults{Down: true})
+	_, err := jobstore.NewAccepter(rows, discard()).Accept(job(1))
+	assert.Assert(t, err != nil)
+	server.Store.SetFaults(platformd.Faults{})
+	_, s, _ := runOwner(t, rows, "e1")
+	s.eventually(t, "no job is found", func() bool { return s.none })
+}
+
+func TestNextOwnerGoesOnFromTheRecords(t *testing.T) {
+	_, rows := startStore(t)
+	a := jobstore.NewAccepter(rows, discard())
+	for i := range 3 {
+		_, err := a.Accept(job(i))
+		assert.NilError(t, err)
+	}
+	first, s1, stop := runOwner(t, rows, "e1")
+	s1.eventually(t, "the first owns", func() bool { return s1.epoch == 1 && len(s1.restored) == 3 })
+	var done fleet.Record
+	done.SetDone(1)
+	first.Save(jobstore.Save{Job: job(0).ID, Seq: 4, Record: done})
+	first.Save(jobstore.Save{Job: job(1).ID, Seq: 2, Record: fleet.Record{State: fleet.JobComplete}})
+	s1.eventually(t, "the records are saved", func() bool { return s1.saved[job(0).ID] == 4 && s1.saved[job(1).ID] == 2 })
+	_, err := a.Accept(job(3))
+	assert.NilError(t, err)
+	s1.eventually(t, "a job that was accepted later arrives", func() bool { return s1.arrived[job(3).ID] })
+	stop()
+
+	_, s2, _ := runOwner(t, rows, "e2")
+	s2.eventually(t, "the second owns", func() bool { return s2.epoch == 2 })
+	assert.Assert(t, func() bool { r := s2.restored[job(0).ID]; return r.IsDone(1) && !r.IsDone(0) }())
+	_, open := s2.restored[job(3).ID]
+	assert.Assert(t, open)
+	state, known, err := jobstore.EndState(context.Background(), rows, job(1).ID)
+	assert.NilError(t, err)
+	assert.Assert(t, known && state == fleet.JobComplete)
+	isFresh, err := a.Accept(job(1))
+	assert.NilError(t, err)
+	assert.Assert(t, !isFresh, "a job that has ended was stored again")
+}
+
+// cutOff fails all calls once it is cut.
+type cutOff struct {
+	jobstore.Rows
+	mu  sync.Mutex
+	cut bool
+}
+
+func (c *cutOff) Apply(ctx context.Context, tx jobstore.Tx) (uint64, error) {
+	c.mu.Lock()
+	cut := c.cut
+	c.mu.Unlock()
+	if cut {
+		<-ctx.Done()
+		return 0, ctx.Err()
+	}
+	return c.Rows.Apply(ctx, tx)
+}
+
+func TestNextOwnerWaitsUntilTheFormerMayStartNothing(t *testing.T) {
+	_, rows := startStore(t)
+	_, err := jobstore.NewAccepter(rows, discard()).Accept(job(1))
+	assert.NilError(t, err)
+	cut := &cutOff{Rows: rows}
+	_, s1, _ := runOwner(t, cut, "e1")
+	s1.eventually(t, "the first owns", func() bool { return s1.epoch == 1 })
+	cut.mu.Lock()
+	cut.cut = true
+	cut.mu.Unlock()
+
+	_, s2, _ := runOwner(t, rows, "e2")
+
+	s2.eventually(t, "the second owns", func() bool { return s2.epoch == 2 })
+	now := steadyClock()
+	s1.locked(func() { assert.Assert(t, now > s1.until, "the first may still start tasks for %v", s1.until-now) })
+}
+
+func TestOwnerThatLostTheJobsIsTold(t *testing.T) {
+	_, rows := startStore(t)
+	_, err := jobstore.NewAccepter(rows, discard()).Accept(job(1))
+	assert.NilError(t, err)
+	first, s1, _ := runOwner(t, rows, "e1")
+	s1.eventually(t, "the first owns", func() bool { return s1.epoch == 1 })
+	// Another one writes the owner's row, as after a long pause of the first.
+	page, err := rows.Read(context.Background(), "jobs-owner", "owner", "", 1)
+	assert.NilError(t, err)
+	taken := page.Rows[0]
+	taken.Value = []byte{0xa3, 0x01, 0x62, 'e', '2', 0x02, 0x09, 0x03, 0x01} // {1: "e2", 2: 9, 3: 1}
+	for err = fmt.Errorf("not tried"); err != nil; {
+		page, readErr := rows.Read(context.Background(), "jobs-owner", "owner", "", 1)
+		assert.NilError(t, readErr)
+		taken.Version = page.Rows[0].Version
+		_, err = rows.Apply(context.Background(), jobstore.Tx{Conditions: []jobstore.Row{taken}, Puts: []jobstore.Row{taken}})
+	}
+	first.Save(jobstore.Save{Job: job(1).ID, Seq: 1, Record: fleet.Record{State: fleet.JobComplete}})
+	s1.eventually(t, "the first is told", func() bool { return s1.lost == 1 })
+	s1.locked(func() { assert.Equal(t, s1.saved[job(1).ID], 0, "a record was saved without the ownership") })
+}
