--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -28,6 +28,14 @@
 	Leaving bool `cbor:"8,keyasint,omitempty"`
 }
 
+// Rack returns the label of the target's rack, "" if it is not known.
+func (t *Target) Rack() string {
+	if len(t.Labels) < 2 {
+		return ""
+	}
+	return t.Labels[len(t.Labels)-1]
+}
+
 // Has reports whether the target carries the label; the empty label is on all.
 func (t *Target) Has(label string) bool { return label == "" || slices.Contains(t.Labels, label) }
 
@@ -41,6 +49,8 @@
 	Urgency int `cbor:"5,keyasint"`
 	// Attempts is how often a task may fail before its job has failed.
 	Attempts int `cbor:"6,keyasint"`
+	// Advised queues need the word of an adviser on where their tasks may run.
+	Advised bool `cbor:"9,keyasint,omitempty"`
 	// Stretch times a job's work plus Slack is the time in which its answer is
 	// worth most.
 	Stretch float64       `cbor:"7,keyasint"`
@@ -91,6 +101,12 @@
 	NearRack string `cbor:"6,keyasint,omitempty"`
 	// MaxPerTarget bounds the tasks of the step on one target; 0 sets no bound.
 	MaxPerTarget int `cbor:"7,keyasint,omitempty"`
+	// Gang tasks run together or not at all, and end together.
+	Gang bool `cbor:"8,keyasint,omitempty"`
+	// SameRack tasks are slower if they run on several racks.
+	SameRack bool `cbor:"9,keyasint,omitempty"`
+	// Lasting tasks run until their job is cancelled, and start again however they end.
+	Lasting bool `cbor:"10,keyasint,omitempty"`
 }
 
 // Job is what a caller handed in: steps of tasks that are answered together.
@@ -143,6 +159,8 @@
 	// higher than a run that it has stopped or seen ending.
 	Run  int
 	Spec string
+	// Checkpoint is what the task's last run has saved, "" if nothing.
+	Checkpoint string
 	// LeaseUntil ends the right to run, in ms of the target's clock.
 	LeaseUntil int64
 	Fence      uint64
@@ -207,6 +225,8 @@
 	Task    TaskID
 	Run     int
 	Percent int // of the work that is done
+	// Checkpoint is the last that the run has saved, "" if none.
+	Checkpoint string
 }
 
 // EndKind says how a run ended.
@@ -221,10 +241,11 @@
 
 // End is a line of a target's list of ended runs.
 type End struct {
-	Number int64
-	Task   TaskID
-	Run    int
-	Kind   EndKind
+	Number     int64
+	Task       TaskID
+	Run        int
+	Kind       EndKind
+	Checkpoint string // as in Running
 }
 
 // Report is a target's answer to a Hold.
--- a/internal/pool/bench_test.go
+++ b/internal/pool/bench_test.go
@@ -27,7 +27,7 @@
 			j := p.newJob(now, Submit{Coordinator: "e", Job: jobOf("j", queue("q", 0), 1, 14000, 60*ms)})
 			b.ReportAllocs()
 			for b.Loop() {
-				if p.choose(j.steps[0][0]) == nil {
+				if p.choose(j.steps[0][0], "") == nil {
 					b.Fatal("no target")
 				}
 			}
--- /dev/null
+++ b/internal/pool/gang.go
@@ -0,0 +1,111 @@
+package pool
+
+import (
+	"slices"
+	"time"
+)
+
+// placeGang orders all tasks of a gang, or none, and returns how many. They carry the
+// same number of run.
+func (p *Pool) placeGang(now time.Duration, j *job, step int) int {
+	tasks := j.steps[step]
+	if slices.ContainsFunc(tasks, func(tk *task) bool { return tk.state != taskWaiting }) {
+		return 0
+	}
+	picks := p.pickGang(tasks)
+	if picks == nil {
+		return 0
+	}
+	last := 0
+	for _, tk := range tasks {
+		last = max(last, tk.run)
+	}
+	checkpoint := gangCheckpoint(tasks)
+	for i, tk := range tasks {
+		tk.run, tk.checkpoint = last, checkpoint
+		p.startTask(now, picks[i], tk)
+	}
+	return len(tasks)
+}
+
+// gangCheckpoint returns the checkpoint that all members go on from: that of any
+// member is valid for all.
+func gangCheckpoint(tasks []*task) string {
+	for _, tk := range tasks {
+		if tk.checkpoint != "" {
+			return tk.checkpoint
+		}
+	}
+	return ""
+}
+
+// pickGang returns a target for each task, or nil if there is not room for all. Tasks
+// that want to share a rack do if one has the room.
+func (p *Pool) pickGang(tasks []*task) []*target {
+	if tasks[0].step.SameRack {
+		for _, rack := range p.racks() {
+			if picks := p.pickIn(tasks, rack); picks != nil {
+				return picks
+			}
+		}
+	}
+	return p.pickIn(tasks, "")
+}
+
+// pickIn is pickGang within a rack, or everywhere.
+func (p *Pool) pickIn(tasks []*task, rack string) []*target {
+	picks := make([]*target, 0, len(tasks))
+	defer func() {
+		for i, t := range picks {
+			t.used = t.used.Minus(tasks[i].needs)
+			t.picked = 0
+		}
+	}()
+	for _, tk := range tasks {
+		t := p.choose(tk, rack)
+		if t == nil {
+			return nil
+		}
+		t.used = t.used.Plus(tk.needs)
+		t.picked++
+		picks = append(picks, t)
+	}
+	return slices.Clone(picks)
+}
+
+// racks returns the racks of the targets.
+func (p *Pool) racks() []string {
+	var racks []string
+	for _, t := range p.order {
+		if r := t.Rack(); r != "" {
+			racks = append(racks, r)
+		}
+	}
+	slices.Sort(racks)
+	return slices.Compact(racks)
+}
+
+// breakGang stops what still runs of a gang of which a task has ended too early: the
+// others would wait for it in vain.
+func (p *Pool) breakGang(now time.Duration, ended *task) {
+	for _, tk := range ended.job.steps[ended.id.Step] {
+		if tk != ended && tk.current != nil {
+			p.stop(now, tk.current, "another task of its gang has ended")
+		}
+	}
+}
+
+// finishGang marks the other tasks of a gang as done: the end of one stands for all.
+func (p *Pool) finishGang(done *task) {
+	j := done.job
+	for _, tk := range j.steps[done.id.Step] {
+		if tk == done || tk.state == taskDone {
+			continue
+		}
+		if tk.state == taskWaiting {
+			j.waiting--
+		}
+		tk.current, tk.state = nil, taskDone
+		j.left[tk.id.Step]--
+	}
+}
--- a/internal/pool/job.go
+++ b/internal/pool/job.go
@@ -19,17 +19,20 @@
 )
 
 type task struct {
-	job      *job
-	id       fleet.TaskID
-	step     *fleet.Step
-	needs    structs.Resources
-	expect   time.Duration
-	state    taskState
-	run      int // number of the last run
-	place    int // among the tasks of all steps
-	failures int
-	failedOn []*target // where it failed or stood still
-	current  *run
+	job       *job
+	id        fleet.TaskID
+	step      *fleet.Step
+	needs     structs.Resources
+	expect    time.Duration
+	state     taskState
+	run       int // number of the last run
+	place     int // among the tasks of all steps
+	failures  int
+	failedRun int // of a gang: the run whose failure was counted
+	// checkpoint is what the last run has saved.
+	checkpoint string
+	failedOn   []*target // where it failed or stood still
+	current    *run
 }
 
 type job struct {
@@ -121,6 +124,9 @@
 	for i := range j.Steps {
 		st := &j.Steps[i]
 		expect := c.expect(st.Estimate)
+		if st.Lasting {
+			expect = 0 // it has no end to expect
+		}
 		ready := len(st.After) == 0
 		tasks := make([]task, st.Count)
 		j.left[i] = st.Count
@@ -200,6 +206,9 @@
 	if p.jobs[j.ID] != j {
 		return
 	}
+	if tk.step.Gang {
+		p.breakGang(now, tk)
+	}
 	if j.orphan {
 		p.dropOrphan(now, j)
 		return
@@ -215,6 +224,9 @@
 
 func (p *Pool) taskDone(now time.Duration, tk *task) {
 	j := tk.job
+	if tk.step.Gang {
+		p.finishGang(tk)
+	}
 	if tk.state == taskWaiting {
 		j.waiting--
 		if j.waiting == 0 {
@@ -250,6 +262,14 @@
 }
 
 func (p *Pool) taskFailed(now time.Duration, tk *task, r *run) {
+	if tk.step.Gang {
+		tk = tk.job.steps[tk.id.Step][0] // a gang fails as one
+		if tk.failedRun == r.n {
+			p.requeue(now, r.owner)
+			return
+		}
+		tk.failedRun = r.n
+	}
 	tk.failures++
 	tk.failedOn = append(tk.failedOn, r.target)
 	p.log("run", "task", tk.id.String(), "run", r.n, "target", r.target.ID, "outcome", "failed", "failures", tk.failures)
@@ -258,7 +278,7 @@
 		return
 	}
 	p.save(tk.job, fleet.JobRunning)
-	p.requeue(now, tk)
+	p.requeue(now, r.owner)
 }
 
 // end tells the coordinator how the job ended and stops what still runs of it.
--- a/internal/pool/place.go
+++ b/internal/pool/place.go
@@ -99,11 +99,15 @@
 func (p *Pool) placeJob(now time.Duration, j *job) int {
 	n := 0
 	for i := range j.steps {
+		if j.Steps[i].Gang {
+			n += p.placeGang(now, j, i)
+			continue
+		}
 		for _, tk := range j.steps[i] {
 			if tk.state != taskWaiting {
 				continue
 			}
-			t := p.choose(tk)
+			t := p.choose(tk, "")
 			if t == nil {
 				break
 			}
@@ -117,12 +121,13 @@
 // choose returns the target for a task: of those with room the one that is left
 // with the least, so that larger tasks find theirs. A target on which the task
 // has failed is taken only where there is no other.
-func (p *Pool) choose(tk *task) *target {
+// A rack confines the choice, if not empty.
+func (p *Pool) choose(tk *task, rack string) *target {
 	var best *target
 	var bestScore int64
 	for _, t := range p.order {
 		left := t.Capacity.MilliCPU - t.used.MilliCPU - tk.needs.MilliCPU
-		if left < 0 || !t.hasRoom(tk) || !t.eligible(tk) || slices.Contains(tk.failedOn, t) {
+		if left < 0 || rack != "" && t.Rack() != rack || !t.hasRoom(tk) || !t.eligible(tk) || slices.Contains(tk.failedOn, t) {
 			continue
 		}
 		score := left + t.penalty()
@@ -133,7 +138,7 @@
 			best, bestScore = t, score
 		}
 	}
-	if best == nil && len(tk.failedOn) > 0 {
+	if best == nil && len(tk.failedOn) > 0 && rack == "" {
 		return p.chooseAgain(tk)
 	}
 	return best
@@ -167,7 +172,7 @@
 	if !tk.needs.Fits(t.free()) || !t.takesNew(len(t.runs)) {
 		return false
 	}
-	return tk.step.MaxPerTarget == 0 || t.countStep(tk.id) < tk.step.MaxPerTarget
+	return tk.step.MaxPerTarget == 0 || t.countStep(tk.id)+t.picked < tk.step.MaxPerTarget
 }
 
 func (t *target) countStep(id fleet.TaskID) int {
@@ -191,7 +196,7 @@
 	p.placed(tk, r)
 	p.log("start", "task", tk.id.String(), "run", r.n, "target", t.ID, "fence", t.fence, "needs", tk.needs.MilliCPU,
 		"free_after", t.free().MilliCPU, "waited_ms", (now - tk.job.arrived).Milliseconds())
-	p.emit(fleet.Start{Target: t.Target, Task: tk.id, Run: r.n, Spec: tk.job.Spec, LeaseUntil: t.lease(now, p.cfg.Lease), Fence: t.fence})
+	p.emit(fleet.Start{Target: t.Target, Task: tk.id, Run: r.n, Spec: tk.job.Spec, Checkpoint: tk.checkpoint, LeaseUntil: t.lease(now, p.cfg.Lease), Fence: t.fence})
 }
 
 // neverFits returns why no target can ever run the job, or "".
--- a/internal/pool/report.go
+++ b/internal/pool/report.go
@@ -88,6 +88,9 @@
 		if r == nil {
 			p.foreignEnd(now, e)
 		} else {
+			if r.owner != nil && e.Checkpoint != "" {
+				r.owner.checkpoint = e.Checkpoint
+			}
 			p.runEnded(now, r, e.Kind, prompt)
 		}
 		p.holdBack(t, e)
@@ -123,15 +126,20 @@
 	if tk == nil {
 		return
 	}
-	p.judgeEnd(now, r, kind, prompt)
+	if !tk.step.Lasting {
+		p.judgeEnd(now, r, kind, prompt)
+	}
 	if tk.current != r {
 		return
 	}
 	tk.current = nil
-	switch kind {
-	case fleet.EndDone:
+	switch {
+	case tk.step.Lasting:
+		p.log("run", "task", r.task.String(), "run", r.n, "target", r.target.ID, "outcome", "ended, starts again", "kind", kind)
+		p.requeue(now, tk)
+	case kind == fleet.EndDone:
 		p.taskDone(now, tk)
-	case fleet.EndFailed:
+	case kind == fleet.EndFailed:
 		p.taskFailed(now, tk, r)
 	default:
 		p.requeue(now, tk)
@@ -170,6 +178,9 @@
 			p.stop(now, r, "not stopped yet")
 		}
 		r.percent = row.Percent
+		if r.owner != nil && row.Checkpoint != "" {
+			r.owner.checkpoint = row.Checkpoint
+		}
 		p.judgeProgress(now, r)
 	}
 	for _, r := range sortedRuns(t.runs) {
@@ -194,7 +205,7 @@
 // meetForeign takes in a run that an earlier owner has ordered: its job is
 // known, or may be handed in again in a moment.
 func (p *Pool) meetForeign(now time.Duration, t *target, row fleet.Running) {
-	r := &run{task: row.Task, n: row.Run, target: t, state: runRunning, at: now, began: now}
+	r := &run{task: row.Task, n: row.Run, target: t, state: runRunning, at: now, began: now, checkpoint: row.Checkpoint}
 	t.runs[r.key()] = r
 	t.unknown++
 	p.foreign[row.Task.Job] = append(p.foreign[row.Task.Job], r)
@@ -220,6 +231,9 @@
 		r.target.used = r.target.used.Plus(r.needs)
 		j.class.inUse += r.needs.MilliCPU
 		tk.run = max(tk.run, r.n)
+		if r.checkpoint != "" {
+			tk.checkpoint = r.checkpoint
+		}
 		if tk.state != taskWaiting {
 			p.stop(now, r, "its task runs elsewhere or is done")
 			continue
--- a/internal/pool/run.go
+++ b/internal/pool/run.go
@@ -31,7 +31,9 @@
 	timed   bool          // began is when it was started, not when it was met
 	expect  time.Duration
 	percent int
-	stopAt  time.Duration // when a stop was sent last
+	// checkpoint is what the run had saved when it was met.
+	checkpoint string
+	stopAt     time.Duration // when a stop was sent last
 }
 
 const (
--- a/internal/pool/target.go
+++ b/internal/pool/target.go
@@ -33,6 +33,7 @@
 	holdAt   time.Duration // from when a hold may be sent while ends are held
 	used     structs.Resources
 	unknown  int // foreign runs of unknown size
+	picked   int // tasks of the gang that is being placed
 	runs     map[runKey]*run
 	clock    int64         // of the target, in ms
 	clockAt  time.Duration // when it was read
