--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -82,7 +82,6 @@
 	linked   map[string]bool
 	pending  map[string]*pending
 	dir      directory
-	stopping bool
 	lastBeat time.Duration
 	lastSaid election.Beat
 	lag      lagMeter
@@ -148,7 +147,6 @@
 func (n *Node) Stop() {
 	n.leaving.Store(true)
 	n.post(func(time.Duration) {
-		n.stopping = true
 		n.election.SetStopping()
 		n.log.Info("stopping")
 	})
@@ -234,7 +232,7 @@
 	n.perform(now)
 	n.beat(now)
 	n.refuseUnled(now)
-	n.ready.Store(n.config.Load() != nil && n.decision.Leader != "" && !n.stopping)
+	n.ready.Store(n.config.Load() != nil && n.decision.Leader != "" && !n.leaving.Load())
 }
 
 // elect follows the election's decision.
@@ -297,20 +295,23 @@
 	holdSlack = 200 * time.Millisecond
 )
 
-func (n *Node) start(o fleet.Start) {
+// order carries out a start or stop, and posts the target's reply.
+func (n *Node) order(name string, send func(context.Context) fleet.Reply, done func(now time.Duration, rep fleet.Reply)) {
 	ctx, cancel := context.WithTimeout(n.ctx, orderTimeout)
 	defer cancel()
-	rep := n.cfg.Targets.Start(ctx, o)
-	n.counts.answer("start", rep.Answer)
-	n.post(func(now time.Duration) { n.pool.StartDone(now, o, rep) })
+	rep := send(ctx)
+	n.counts.answer(name, rep.Answer)
+	n.post(func(now time.Duration) { done(now, rep) })
+}
+
+func (n *Node) start(o fleet.Start) {
+	n.order("start", func(ctx context.Context) fleet.Reply { return n.cfg.Targets.Start(ctx, o) },
+		func(now time.Duration, rep fleet.Reply) { n.pool.StartDone(now, o, rep) })
 }
 
 func (n *Node) stop(o fleet.Stop) {
-	ctx, cancel := context.WithTimeout(n.ctx, orderTimeout)
-	defer cancel()
-	rep := n.cfg.Targets.Stop(ctx, o)
-	n.counts.answer("stop", rep.Answer)
-	n.post(func(now time.Duration) { n.pool.StopDone(now, o, rep) })
+	n.order("stop", func(ctx context.Context) fleet.Reply { return n.cfg.Targets.Stop(ctx, o) },
+		func(now time.Duration, rep fleet.Reply) { n.pool.StopDone(now, o, rep) })
 }
 
 func (n *Node) hold(sent time.Duration, o fleet.Hold) {
--- a/internal/pool/gang_test.go
+++ b/internal/pool/gang_test.go
@@ -53,9 +53,7 @@
 
 func TestEndOfOneStandsForTheGang(t *testing.T) {
 	b := newBench(t, 2)
-	b.submit(gangOf("gang", 4, 14000))
-	b.tick(ms)
-	starts := b.startAll()
+	starts := b.run(gangOf("gang", 4, 14000))
 	b.tick(60 * ms)
 	for i, s := range starts {
 		b.end(s, int64(i+1), fleet.EndDone, "")
@@ -68,9 +66,7 @@
 
 func TestGangWithoutAMemberIsStoppedAndStartsAgainFromACheckpoint(t *testing.T) {
 	b := newBench(t, 2)
-	b.submit(gangOf("gang", 2, 14000))
-	b.tick(ms)
-	starts := b.startAll()
+	starts := b.run(gangOf("gang", 2, 14000))
 	b.tick(10 * ms)
 	b.end(starts[0], 1, fleet.EndOther, "c-7")
 	stops := take[fleet.Stop](b)
@@ -111,18 +107,14 @@
 	b.p.SetTargets(b.now, list)
 	j := gangOf("gang", 4, 14000)
 	j.Steps[0].SameRack = true
-	b.submit(j)
-	b.tick(ms)
-	for _, s := range b.startAll() {
+	for _, s := range b.run(j) {
 		assert.Equal(t, s.Target.Rack(), "r2")
 	}
 }
 
 func TestCheckpointIsCarriedOver(t *testing.T) {
 	b := newBench(t, 1)
-	b.submit(jobOf("j", queue("q", 0), 1, 14000, time.Second))
-	b.tick(ms)
-	s := b.startAll()[0]
+	s := b.run(jobOf("j", queue("q", 0), 1, 14000, time.Second))[0]
 	b.tick(100 * ms)
 	b.report("t00", []fleet.Running{{Task: s.Task, Run: s.Run, Percent: 30, Checkpoint: "c-1"}}, nil)
 	b.end(s, 1, fleet.EndOther, "")
--- a/internal/pool/stored_test.go
+++ b/internal/pool/stored_test.go
@@ -44,6 +44,7 @@
 	return fleet.Hold{}
 }
 
+// startAll has what was ordered accepted.
 func (b *bench) startAll() []fleet.Start {
 	starts := take[fleet.Start](b)
 	for _, s := range starts {
@@ -52,12 +53,17 @@
 	return starts
 }
 
+// run submits a job and has its starts accepted.
+func (b *bench) run(j fleet.Job) []fleet.Start {
+	b.submit(j)
+	b.tick(ms)
+	return b.startAll()
+}
+
 func TestStoredJobIsShownAsEndedOnceThatIsSaved(t *testing.T) {
 	b := newBench(t, 1)
 	b.ownStored()
-	b.submit(storedJob("j", 1))
-	b.tick(ms)
-	s := b.startAll()[0]
+	s := b.run(storedJob("j", 1))[0]
 	b.tick(60 * ms)
 	b.report("t00", nil, []fleet.End{{Number: 1, Task: s.Task, Run: s.Run, Kind: fleet.EndDone}})
 	saves := take[jobstore.Save](b)
@@ -77,9 +83,7 @@
 func TestEndIsAcknowledgedOnceItsRecordIsSaved(t *testing.T) {
 	b := newBench(t, 1)
 	b.ownStored()
-	b.submit(storedJob("j", 2))
-	b.tick(ms)
-	starts := b.startAll()
+	starts := b.run(storedJob("j", 2))
 	b.tick(60 * ms)
 	end := fleet.End{Number: 1, Task: starts[0].Task, Run: starts[0].Run, Kind: fleet.EndDone}
 	b.report("t00", []fleet.Running{{Task: starts[1].Task, Run: starts[1].Run}}, []fleet.End{end})
@@ -169,9 +173,7 @@
 	b.p.ExpectStored()
 	b.p.OwnStored(b.now, b.now, 1, nil)
 	b.p.RenewStored(b.now, b.now+jobstore.StartsFor)
-	b.submit(storedJob("j", 1))
-	b.tick(ms)
-	s := b.startAll()[0]
+	s := b.run(storedJob("j", 1))[0]
 	b.tick(jobstore.RunsFor - 100*ms)
 	assert.Equal(t, len(take[fleet.Stop](b)), 0)
 
@@ -186,9 +188,7 @@
 func TestFailureAfterTheEndKeepsTheEnd(t *testing.T) {
 	b := newBench(t, 1)
 	b.ownStored()
-	b.submit(storedJob("j", 2))
-	b.tick(ms)
-	starts := b.startAll()
+	starts := b.run(storedJob("j", 2))
 	b.p.Cancel(b.now, "j")
 	assert.Equal(t, take[jobstore.Save](b)[0].Record.State, fleet.JobCancelled)
 	b.tick(10 * ms)
@@ -220,9 +220,7 @@
 func TestStoredTaskOnALostTargetWaitsForItToComeBack(t *testing.T) {
 	b := newBench(t, 2)
 	b.ownStored()
-	b.submit(storedJob("j", 1))
-	b.tick(ms)
-	s := b.startAll()[0]
+	s := b.run(storedJob("j", 1))[0]
 	b.p.unreachable(b.now, b.p.targets[s.Target.ID])
 	b.tick(3 * time.Second)
 	assert.Equal(t, len(take[fleet.Start](b)), 0, "it may have ended there")
@@ -239,9 +237,7 @@
 func TestStoredTaskOnATargetThatIsGoneRunsElsewhere(t *testing.T) {
 	b := newBench(t, 2)
 	b.ownStored()
-	b.submit(storedJob("j", 1))
-	b.tick(ms)
-	s := b.startAll()[0]
+	s := b.run(storedJob("j", 1))[0]
 	lost := b.p.targets[s.Target.ID]
 	b.p.unreachable(b.now, lost)
 	var rest []fleet.Target
