Jobs with times: each occurrence runs when it is due, by the time of day that most entries agree on

Change: an occurrence is a stored job of its own in the pool; one record holds the ends of all, so a next owner begins only those that have not ended. Ruled out: the store's clock (steady, not since 1970). Tests: timed_test.go (5), TestOccurrencesRunAtTheirTimes, TestGangIsServed, TestLastingJobRunsUntilItIsCancelled.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -120,6 +120,30 @@
 	// Stored jobs are accepted by storing them, and run to their end whoever is
 	// lost; callers ask for their state.
 	Stored bool `cbor:"6,keyasint,omitempty"`
+	// Repeats is how often the steps run, each time from its due time on; 0 for once,
+	// at once.
+	Repeats int `cbor:"7,keyasint,omitempty"`
+	// FirstMS is the first due time, Unix time in ms, and IntervalMS the time from one
+	// to the next.
+	FirstMS    int64 `cbor:"8,keyasint,omitempty"`
+	IntervalMS int64 `cbor:"9,keyasint,omitempty"`
+}
+
+// DueMS returns when an occurrence is due, Unix time in ms.
+func (j *Job) DueMS(occurrence int) int64 { return j.FirstMS + int64(occurrence)*j.IntervalMS }
+
+// OccurrenceID returns the ID under which an occurrence of a job runs.
+func OccurrenceID(job string, occurrence int) string {
+	if occurrence == 0 {
+		return job
+	}
+	return job + "." + strconv.Itoa(occurrence)
+}
+
+// BaseID returns the ID of the job that an occurrence belongs to.
+func BaseID(id string) string {
+	base, _, _ := strings.Cut(id, ".")
+	return base
 }
 
 // Tasks returns the number of tasks of the job.
@@ -131,7 +155,7 @@
 	return n
 }
 
-// TaskID names a task of a job.
+// TaskID names a task of a job, or of an occurrence of one.
 type TaskID struct {
 	Job   string
 	Step  int
--- a/internal/fleet/record.go
+++ b/internal/fleet/record.go
@@ -33,6 +33,8 @@
 	Done []byte `cbor:"2,keyasint,omitempty"`
 	// Failed counts the failures of tasks that have failed.
 	Failed map[int]int `cbor:"3,keyasint,omitempty"`
+	// Times holds the records of occurrences, of a job that repeats.
+	Times map[int]Record `cbor:"4,keyasint,omitempty"`
 }
 
 // IsDone reports whether a task is done.
--- a/internal/node/links.go
+++ b/internal/node/links.go
@@ -28,6 +28,7 @@
 	n.post(func(now time.Duration) {
 		delete(n.linked, p.Name)
 		delete(n.stored.peers, p.Name)
+		delete(n.stored.clocks, p.Name)
 		n.log.Info("link", "peer", p.Name, "outcome", "down")
 		n.election.Lost(p.Name)
 		n.leaderLost(now, p.Name)
@@ -106,6 +107,8 @@
 	Config int64         `cbor:"2,keyasint"` // version in force at the sender
 	// TargetsAge is the age of the sender's list of targets.
 	TargetsAge time.Duration `cbor:"3,keyasint"`
+	// WallMS is the sender's time of day, Unix time in ms.
+	WallMS int64 `cbor:"7,keyasint"`
 	// StoreAge is the time since the sender last read the platform's store.
 	StoreAge time.Duration `cbor:"6,keyasint"`
 	// Stored says that stored jobs exist.
@@ -132,7 +135,7 @@
 }
 
 func (n *Node) beatNow(now time.Duration, own election.Beat) beatBody {
-	b := beatBody{Beat: own, Config: n.configVersion(), TargetsAge: n.dir.targetsAge(now), Stored: n.stored.expected, StoreAge: n.storeAge(now)}
+	b := beatBody{Beat: own, Config: n.configVersion(), TargetsAge: n.dir.targetsAge(now), Stored: n.stored.expected, StoreAge: n.storeAge(now), WallMS: time.Now().UnixMilli()}
 	if n.pool.OwnsStored() {
 		b.Pending = n.pool.Pending()
 	}
@@ -146,6 +149,7 @@
 	}
 	n.election.Hear(from, b.Beat)
 	n.stored.peers[from] = now - b.StoreAge
+	n.stored.clocks[from] = b.WallMS - now.Milliseconds()
 	if b.Stored && !n.stored.expected {
 		n.stored.expected = true
 		n.pool.ExpectStored()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -228,6 +228,7 @@
 func (n *Node) step(now time.Duration) {
 	n.elect(now)
 	n.route(now)
+	n.pool.SetWall(now, n.wallClock(now))
 	n.pool.Tick(now)
 	n.perform(now)
 	n.beat(now)
--- a/internal/node/stored.go
+++ b/internal/node/stored.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -38,6 +39,7 @@
 	pending   map[string]int           // by queue, as the leader said last; nil if it does not know
 	storeRead time.Duration            // when this entry last read the platform's store
 	peers     map[string]time.Duration // when the linked peers did
+	clocks    map[string]int64         // the linked peers' time of day at this one's time 0
 	// pendingAt is when the leader said so.
 	pendingAt time.Duration
 }
@@ -64,7 +66,7 @@
 }
 
 func newStoredJobs(cfg *Config) storedJobs {
-	s := storedJobs{asks: make(map[uint64]chan jobTold), cancels: make(map[string][]cancelAsk), peers: make(map[string]time.Duration)}
+	s := storedJobs{asks: make(map[uint64]chan jobTold), cancels: make(map[string][]cancelAsk), peers: make(map[string]time.Duration), clocks: make(map[string]int64)}
 	if cfg.Jobs != nil {
 		s.rows, s.accepter = cfg.Jobs, jobstore.NewAccepter(cfg.Jobs, cfg.Log)
 	}
@@ -100,6 +102,17 @@
 	return false
 }
 
+// wallClock returns the time of day that most entries agree on, since that of single
+// ones may jump.
+func (n *Node) wallClock(now time.Duration) int64 {
+	all := []int64{time.Now().UnixMilli() - now.Milliseconds()}
+	for _, c := range n.stored.clocks {
+		all = append(all, c)
+	}
+	slices.Sort(all)
+	return all[(len(all)-1)/2] + now.Milliseconds()
+}
+
 // bootClock goes on while the VM is suspended, unlike the steady clock.
 func bootClock() time.Duration {
 	var t unix.Timespec
--- a/internal/pool/job.go
+++ b/internal/pool/job.go
@@ -52,7 +52,9 @@
 	restored    bool          // from an owner before
 	seq         int           // of the last record that was to be saved
 	savedSeq    int
-	settled     bool // its end is to be saved, or is
+	settled     bool   // its end is to be saved, or is
+	parent      *timed // the job of which it is an occurrence
+	occurrence  int
 	orphan      bool
 	orphanUntil time.Duration
 }
@@ -340,7 +342,9 @@
 
 // Cancel ends a job at its caller's word.
 func (p *Pool) Cancel(now time.Duration, id string) {
-	if j := p.jobs[id]; j != nil {
+	if tm := p.stored.timed[id]; tm != nil {
+		p.endTimed(now, tm, fleet.JobCancelled)
+	} else if j := p.jobs[id]; j != nil {
 		p.end(now, j, fleet.Outcome{Verdict: notRun(j.begun), Reason: verdict.Cancelled})
 	}
 }
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -87,6 +87,8 @@
 	foreign map[string][]*run // runs of jobs that are not known, by job
 	stored  storedState
 	startAt time.Duration // nothing is started before
+	// wallMS is the time of day at the pool's time 0, Unix time in ms; 0 if unknown.
+	wallMS int64
 	// firstListed is when targets were listed first, and lastVanished when one
 	// was not listed any more.
 	firstListed, lastVanished time.Duration
--- a/internal/pool/stored.go
+++ b/internal/pool/stored.go
@@ -40,6 +40,7 @@
 	renewed  time.Duration // when the ownership was renewed last
 	safeAt   time.Duration // when nothing of a former owner runs any more
 	ended    map[string]*endedJob
+	timed    map[string]*timed    // jobs that repeat
 	ends     map[string][]heldEnd // ends of jobs that are not restored yet
 }
 
@@ -59,7 +60,8 @@
 }
 
 func (s *storedState) reset() {
-	*s = storedState{expected: s.expected, ended: make(map[string]*endedJob), ends: make(map[string][]heldEnd)}
+	*s = storedState{expected: s.expected, ended: make(map[string]*endedJob),
+		timed: make(map[string]*timed), ends: make(map[string][]heldEnd)}
 }
 
 // ExpectStored says that stored jobs exist. Until they are restored, ends and
@@ -146,6 +148,7 @@
 	if now < p.stored.safeAt && p.ownsAll(now) {
 		p.stored.safeAt = now
 	}
+	p.tickTimed(now)
 	for id, e := range p.stored.ended {
 		if e.saved && now > e.at+showEnded {
 			delete(p.stored.ended, id)
@@ -194,9 +197,13 @@
 
 // submitStored takes in a stored job that was accepted a moment ago.
 func (p *Pool) submitStored(now time.Duration, s Submit) {
-	if !p.leading || !p.stored.owned || p.jobs[s.Job.ID] != nil || p.stored.ended[s.Job.ID] != nil {
+	if !p.leading || !p.stored.owned || p.knowsStored(s.Job.ID) {
 		return // not ours, or known
 	}
+	if s.Job.Repeats > 0 {
+		p.takeTimed(now, s.Job, fleet.Record{}, false)
+		return
+	}
 	p.takeStored(now, s, fleet.Record{}, false)
 }
 
@@ -205,17 +212,31 @@
 		p.stored.ended[r.Job.ID] = &endedJob{state: r.Record.State, saved: true, at: now}
 		return
 	}
-	if p.jobs[r.Job.ID] == nil && p.stored.ended[r.Job.ID] == nil {
+	switch {
+	case p.knowsStored(r.Job.ID):
+	case r.Job.Repeats > 0:
+		p.takeTimed(now, r.Job, r.Record, true)
+	default:
 		p.takeStored(now, Submit{Job: r.Job, Waited: r.Waited, MayHaveRun: true}, r.Record, true)
 	}
 }
 
-func (p *Pool) takeStored(now time.Duration, s Submit, rec fleet.Record, restored bool) {
+func (p *Pool) knowsStored(id string) bool {
+	return p.jobs[id] != nil || p.stored.ended[id] != nil || p.stored.timed[id] != nil
+}
+
+func (p *Pool) takeStored(now time.Duration, s Submit, rec fleet.Record, restored bool) *job {
 	j := p.newJob(now, s)
 	j.restored = restored
 	j.safeAt = 0
 	p.jobs[j.ID] = j
 	p.applyRecord(j, rec)
+	p.settleStored(now, j)
+	return j
+}
+
+// settleStored takes in what is known already of a job that was just taken.
+func (p *Pool) settleStored(now time.Duration, j *job) {
 	for _, h := range p.takeEndsOf(j.ID) {
 		p.foreignEnd(now, h.end)
 		p.holdBack(h.target, h.end)
@@ -224,7 +245,7 @@
 		return // ended by what was listed
 	}
 	p.adopt(now, j)
-	if reason := p.neverFits(j); reason != "" && !restored {
+	if reason := p.neverFits(j); reason != "" && !j.restored {
 		p.end(now, j, fleet.Outcome{Verdict: verdict.Failed, Reason: reason})
 		return
 	}
@@ -275,6 +296,10 @@
 	if !j.Stored || j.settled {
 		return // what is still reported of a job that has ended changes nothing
 	}
+	if j.parent != nil {
+		p.saveTimed(j.parent, fleet.JobRunning)
+		return
+	}
 	j.seq++
 	p.emit(jobstore.Save{Job: j.ID, Seq: j.seq, Record: j.record(state)})
 }
@@ -288,6 +313,10 @@
 	case o.Reason == verdict.Cancelled:
 		state = fleet.JobCancelled
 	}
+	if j.parent != nil {
+		p.endOccurrence(now, j, state)
+		return
+	}
 	p.save(j, state)
 	j.settled = true
 	p.stored.ended[j.ID] = &endedJob{state: state, seq: j.seq, at: now}
@@ -295,7 +324,9 @@
 
 // Saved notes that a record is saved: the ends that it covers may be acknowledged.
 func (p *Pool) Saved(id string, seq int) {
-	if j := p.jobs[id]; j != nil {
+	if tm := p.stored.timed[id]; tm != nil {
+		tm.savedSeq = max(tm.savedSeq, seq)
+	} else if j := p.jobs[id]; j != nil {
 		j.savedSeq = max(j.savedSeq, seq)
 	}
 	if e := p.stored.ended[id]; e != nil && seq >= e.seq {
@@ -312,16 +343,20 @@
 	if e.Kind != fleet.EndDone && e.Kind != fleet.EndFailed {
 		return
 	}
-	h := heldEnd{target: t, end: e, job: e.Task.Job}
-	j, ended := p.jobs[h.job], p.stored.ended[h.job]
+	h := heldEnd{target: t, end: e, job: fleet.BaseID(e.Task.Job)}
+	j, ended, tm := p.jobs[e.Task.Job], p.stored.ended[h.job], p.stored.timed[h.job]
 	switch {
+	case tm != nil && tm.seq > tm.savedSeq:
+		h.seq = tm.seq
+	case tm != nil:
+		return
 	case j != nil && j.Stored && j.seq > j.savedSeq:
 		h.seq = j.seq
 	case ended != nil && !ended.saved:
 		h.seq = ended.seq
 	case j == nil && ended == nil && (p.stored.expected || p.stored.unknown) && !p.stored.owned:
 		h.seq = math.MaxInt
-		p.stored.ends[h.job] = append(p.stored.ends[h.job], h)
+		p.stored.ends[e.Task.Job] = append(p.stored.ends[e.Task.Job], h)
 	default:
 		return
 	}
@@ -374,6 +409,9 @@
 		}
 		return fleet.JobRunning, true
 	}
+	if tm := p.stored.timed[id]; tm != nil {
+		return tm.state(), true
+	}
 	j := p.jobs[id]
 	switch {
 	case j == nil || !j.Stored:
@@ -391,9 +429,14 @@
 func (p *Pool) Pending() map[string]int {
 	n := make(map[string]int)
 	for _, j := range p.jobs {
-		if j.Stored && !j.started {
+		if j.Stored && !j.started && j.parent == nil {
 			n[j.Queue.Name]++
 		}
 	}
+	for _, tm := range p.stored.timed {
+		if tm.state() == fleet.JobQueued {
+			n[tm.Queue.Name]++
+		}
+	}
 	return n
 }
