--- a/internal/node/fuzz_test.go
+++ b/internal/node/fuzz_test.go
@@ -15,6 +15,7 @@
 func FuzzDecodeBodies(f *testing.F) {
 	for i, body := range []any{
 		submitBody{Job: fleet.Job{ID: "a", Steps: []fleet.Step{{Count: 1}}}, Waited: time.Second},
+		jobAsk{Job: "a", Cancel: true}, jobTold{Known: true, State: fleet.JobComplete}, jobStore{N: 1, Job: fleet.Job{ID: "a"}},
 		endedBody{Job: "a"}, abandonBody{Job: "a", Why: cancelled}, beatBody{Config: 3},
 		directoryBody{Config: &fleet.Config{Version: 1}, Targets: []fleet.Target{{ID: "t"}}, Members: []fleet.Member{{Name: "e"}}},
 	} {
@@ -24,7 +25,7 @@
 		f.Add(uint8(i), b[:len(b)/2])
 	}
 	f.Fuzz(func(t *testing.T, kind uint8, b []byte) {
-		switch kind % 5 {
+		switch kind % 8 {
 		case 0:
 			again[submitBody](t, b)
 		case 1:
@@ -33,6 +34,12 @@
 			again[abandonBody](t, b)
 		case 3:
 			again[beatBody](t, b)
+		case 4:
+			again[jobAsk](t, b)
+		case 5:
+			again[jobTold](t, b)
+		case 6:
+			again[jobStore](t, b)
 		default:
 			again[directoryBody](t, b)
 		}
--- a/internal/node/links.go
+++ b/internal/node/links.go
@@ -55,6 +55,8 @@
 		err = receive(n, m, func(now time.Duration, b abandonBody) { n.abandoned(now, from.Name, b) })
 	case wire.JobAsk:
 		err = receive(n, m, func(now time.Duration, a jobAsk) { n.asked(now, from.Name, a) })
+	case wire.JobStore:
+		err = receive(n, m, func(_ time.Duration, b jobStore) { n.storeFor(from.Name, b) })
 	case wire.JobTold:
 		err = receive(n, m, func(_ time.Duration, t jobTold) { n.told(t) })
 	case wire.Directory:
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -45,6 +45,7 @@
 	Directory                   // node: configuration, targets and members that the sender knows
 	JobAsk                      // node: asks the leader for a stored job's state, or to cancel it
 	JobTold                     // node: the answer
+	JobStore                    // node: a job to be stored, from an entry that the store turns away
 	maxType
 )
 
@@ -67,7 +68,7 @@
 var typeNames = [maxType]string{
 	"", "hello", "hello_ack", "ping", "pong", "ack", "membership", "ledger", "run", "run_done", "run_cancel",
 	"forward", "forward_done", "load", "manifest_new", "manifest_get", "manifest_all",
-	"pool_beat", "pool_submit", "pool_ended", "pool_abandon", "directory", "job_ask", "job_told",
+	"pool_beat", "pool_submit", "pool_ended", "pool_abandon", "directory", "job_ask", "job_told", "job_store",
 }
 
 // String returns the name under which messages of the type are counted.
