Advice: tasks of queues that need it start with a ticket

A start that is refused for its ticket drops it. Ruled out: asking about all targets (each costs the adviser period_ms); tickets by data centre.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -183,6 +183,8 @@
 	// higher than a run that it has stopped or seen ending.
 	Run  int
 	Spec string
+	// Ticket is the adviser's leave to run the step there, where one is needed.
+	Ticket string
 	// Checkpoint is what the task's last run has saved, "" if nothing.
 	Checkpoint string
 	// LeaseUntil ends the right to run, in ms of the target's clock.
@@ -230,9 +232,11 @@
 	Refused
 	// Reborn means that another incarnation answered; nothing was started.
 	Reborn
+	// NoTicket means that the ticket is not valid (any more); nothing was started.
+	NoTicket
 )
 
-var answerNames = [...]string{"unanswered", "accepted", "fenced", "stale_run", "too_late", "no_room", "refused", "reborn"}
+var answerNames = [...]string{"unanswered", "accepted", "fenced", "stale_run", "too_late", "no_room", "refused", "reborn", "no_ticket"}
 
 // String returns the name used in logs.
 func (a Answer) String() string { return answerNames[a] }
@@ -281,6 +285,26 @@
 	Ended   []End
 }
 
+// Ask asks the adviser which targets may run a step.
+type Ask struct {
+	Step    TaskID // its Index has no meaning
+	Targets []Target
+}
+
+// Advice is the adviser's answer.
+type Advice struct {
+	Asked Ask
+	// OK is false if there was no answer, or the adviser has too much to do.
+	OK      bool
+	Tickets map[string]string // by the target's ID; the others may not run the step
+	Valid   time.Duration     // from the answer on
+}
+
+// Adviser says where tasks of advised queues may run. It answers one call at a time.
+type Adviser interface {
+	Advise(ctx context.Context, a Ask) Advice
+}
+
 // Targets carries orders to targets. Errors are part of the replies.
 type Targets interface {
 	Start(ctx context.Context, o Start) Reply
--- a/internal/node/counts.go
+++ b/internal/node/counts.go
@@ -30,7 +30,7 @@
 		latency: s.Histogram("answer_seconds", latencyBuckets), answers: make(map[string]tally.Counter),
 	}
 	for _, order := range []string{"start", "stop", "hold"} {
-		for a := fleet.Unanswered; a <= fleet.Reborn; a++ {
+		for a := fleet.Unanswered; a <= fleet.NoTicket; a++ {
 			c.answers[order+a.String()] = s.Tagged(map[string]string{"order": order, "answer": a.String()}).Counter("orders")
 		}
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -28,6 +28,8 @@
 	Self    fleet.Member
 	Secret  []byte // shared by all entries
 	Targets fleet.Targets
+	// Adviser says where tasks of advised queues may run; nil if there is none.
+	Adviser fleet.Adviser
 	// Jobs are the tables of stored jobs; nil if there are none.
 	Jobs jobstore.Rows
 	// Seeds are addresses of entries that may know the others.
@@ -279,6 +281,8 @@
 			go n.stop(e)
 		case fleet.Hold:
 			go n.hold(now, e)
+		case fleet.Ask:
+			go n.advise(e)
 		case pool.Ended:
 			n.ended(now, e)
 		case jobstore.Save:
@@ -315,6 +319,19 @@
 		func(now time.Duration, rep fleet.Reply) { n.pool.StopDone(now, o, rep) })
 }
 
+// adviceTimeout bounds a question to the adviser, which takes calls in turn.
+const adviceTimeout = 3 * time.Second
+
+func (n *Node) advise(a fleet.Ask) {
+	got := fleet.Advice{Asked: a}
+	if n.cfg.Adviser != nil {
+		ctx, cancel := context.WithTimeout(n.ctx, adviceTimeout)
+		defer cancel()
+		got = n.cfg.Adviser.Advise(ctx, a)
+	}
+	n.post(func(now time.Duration) { n.pool.Advised(now, got) })
+}
+
 func (n *Node) hold(sent time.Duration, o fleet.Hold) {
 	ctx, cancel := context.WithTimeout(n.ctx, o.Wait+holdSlack)
 	defer cancel()
--- a/internal/pool/gang.go
+++ b/internal/pool/gang.go
@@ -14,6 +14,7 @@
 	}
 	picks := p.pickGang(tasks)
 	if picks == nil {
+		p.askFor(now, tasks[0])
 		return 0
 	}
 	last := 0
--- a/internal/pool/job.go
+++ b/internal/pool/job.go
@@ -290,6 +290,7 @@
 	}
 	delete(p.jobs, j.ID)
 	j.class.remove(j)
+	p.forgetAdvice(j)
 	for _, r := range j.runs() {
 		p.stop(now, r, "its job has ended")
 	}
--- a/internal/pool/place.go
+++ b/internal/pool/place.go
@@ -109,6 +109,7 @@
 			}
 			t := p.choose(tk, "")
 			if t == nil {
+				p.askFor(now, tk)
 				break
 			}
 			p.startTask(now, t, tk)
@@ -127,7 +128,7 @@
 	var bestScore int64
 	for _, t := range p.order {
 		left := t.Capacity.MilliCPU - t.used.MilliCPU - tk.needs.MilliCPU
-		if left < 0 || rack != "" && t.Rack() != rack || !t.hasRoom(tk) || !t.eligible(tk) || slices.Contains(tk.failedOn, t) {
+		if left < 0 || rack != "" && t.Rack() != rack || !t.hasRoom(tk) || !t.eligible(tk) || !p.hasTicket(tk, t) || slices.Contains(tk.failedOn, t) {
 			continue
 		}
 		score := left + t.penalty()
@@ -155,13 +156,18 @@
 		if !slices.Contains(tk.failedOn, t) {
 			return nil
 		}
-		if t.hasRoom(tk) {
+		if t.hasRoom(tk) && p.hasTicket(tk, t) {
 			again = t
 		}
 	}
 	return again
 }
 
+func (p *Pool) hasTicket(tk *task, t *target) bool {
+	_, ok := p.ticketFor(tk, t)
+	return ok
+}
+
 // eligible reports whether the target may run the task, leaving its room aside.
 func (t *target) eligible(tk *task) bool {
 	return t.owned && t.listed && !t.Leaving && t.Service == tk.job.Queue.Service && t.Has(tk.step.Label)
@@ -196,7 +202,11 @@
 	p.placed(tk, r)
 	p.log("start", "task", tk.id.String(), "run", r.n, "target", t.ID, "fence", t.fence, "needs", tk.needs.MilliCPU,
 		"free_after", t.free().MilliCPU, "waited_ms", (now - tk.job.arrived).Milliseconds())
-	p.emit(fleet.Start{Target: t.Target, Task: tk.id, Run: r.n, Spec: tk.job.Spec, Checkpoint: tk.checkpoint, LeaseUntil: t.lease(now, p.cfg.Lease), Fence: t.fence})
+	pass, _ := p.ticketFor(tk, t)
+	p.emit(fleet.Start{
+		Target: t.Target, Task: tk.id, Run: r.n, Spec: tk.job.Spec, Ticket: pass, Checkpoint: tk.checkpoint,
+		LeaseUntil: t.lease(now, p.cfg.Lease), Fence: t.fence,
+	})
 }
 
 // neverFits returns why no target can ever run the job, or "".
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -60,7 +60,7 @@
 )
 
 // Effect is something that the pool wants done: a fleet.Start, fleet.Stop,
-// fleet.Hold, an Ended, or a jobstore.Save.
+// fleet.Hold, fleet.Ask, an Ended, or a jobstore.Save.
 type Effect any
 
 // Ended tells the entry that keeps a job's connection how the job ended.
@@ -86,7 +86,11 @@
 	kept    map[string]keptOutcome
 	foreign map[string][]*run // runs of jobs that are not known, by job
 	stored  storedState
-	startAt time.Duration // nothing is started before
+	startAt time.Duration            // nothing is started before
+	clock   time.Duration            // of the event or tick that is handled
+	advice  map[fleet.TaskID]*advice // by step
+	asking  bool                     // a question to the adviser is out
+	askAt   time.Duration            // from when the next may be sent
 	// wallMS is the time of day at the pool's time 0, Unix time in ms; 0 if unknown.
 	wallMS int64
 	// firstListed is when targets were listed first, and lastVanished when one
@@ -127,6 +131,7 @@
 	p.kept = make(map[string]keptOutcome)
 	p.foreign = make(map[string][]*run)
 	p.stored.reset()
+	p.advice = make(map[fleet.TaskID]*advice)
 }
 
 // Effects returns what is to be done, and forgets it.
@@ -188,6 +193,7 @@
 	if !p.leading {
 		return
 	}
+	p.clock = now
 	p.expireLeases(now)
 	p.acquireDue(now)
 	p.holdDue(now)
--- a/internal/pool/run.go
+++ b/internal/pool/run.go
@@ -84,6 +84,9 @@
 			r.owner.run += staleRunStep
 		}
 		p.runGone(now, r)
+	case fleet.NoTicket:
+		p.dropTicket(t, o.Task)
+		p.runGone(now, r)
 	case fleet.Reborn:
 		p.runGone(now, r)
 		t.lookDue = true
