What waited for a takeover is served late where there is room

Change: for 2 s after the start of a lead, jobs that came before its first 0.5 s are kept until that limit, or 0.45 of their caller's patience. Late jobs of all queues are placed after those that can be in time, and don't count as work ahead of these. Ruled out: late service at any time (in a flood a late job takes room from others that would be in time, and a refusal that comes late helps nobody). Tests: TestBacklogOfATakeoverIsServedLate, TestLateJobsOfAFloodAreRefused.

--- a/internal/pool/flood_test.go
+++ b/internal/pool/flood_test.go
@@ -282,3 +282,45 @@
 	}
 	assert.Equal(t, len(b.outcomes()), 8)
 }
+
+// TestBacklogOfATakeoverIsServedLate replays jobs that waited for a leader, longer
+// than they had, while all room was free.
+func TestBacklogOfATakeoverIsServedLate(t *testing.T) {
+	b := &bench{t: t, p: New(DefaultSettings(), nil), now: 10 * time.Second, ended: map[string]fleet.Outcome{}}
+	b.p.SetTargets(b.now, targetList(1))
+	b.p.Lead(b.now, 1)
+	waited := func(id string, d time.Duration) {
+		b.p.Submit(b.now, Submit{Coordinator: "e1", Job: jobOf(id, queue("q", 0), 2, 14000, 60*ms), Waited: d})
+	}
+	waited("late", 250*ms)
+	waited("too-late", 600*ms)
+	b.tick(100 * ms)
+	waited("in-time", 0)
+	b.own()
+	b.tick(ms)
+	starts := b.startAll()
+	assert.Equal(t, len(starts), 2)
+	assert.Equal(t, starts[0].Task.Job, "in-time", "late jobs go after those that can be in time")
+	assert.Equal(t, b.outcomes()["too-late"].Reason, verdict.DeadlineUnmeetable)
+	b.tick(40 * ms)
+	for i, s := range starts {
+		b.end(s, int64(i+1), fleet.EndDone, "")
+	}
+	b.tick(ms)
+	starts = b.startAll()
+	assert.Equal(t, len(starts), 2)
+	assert.Equal(t, starts[0].Task.Job, "late")
+}
+
+// TestLateJobsOfAFloodAreRefused replays a queue that is longer than the room, long
+// after a takeover: a late start helps nobody then.
+func TestLateJobsOfAFloodAreRefused(t *testing.T) {
+	b := newBench(t, 1)
+	b.tick(5 * time.Second)
+	b.submit(jobOf("first", queue("q", 0), 2, 14000, time.Second))
+	b.submit(jobOf("second", queue("q", 0), 1, 14000, 60*ms))
+	b.tick(ms)
+	assert.Equal(t, len(b.startAll()), 2)
+	b.tick(100 * ms)
+	assert.Equal(t, b.outcomes()["second"].Reason, verdict.DeadlineUnmeetable)
+}
--- a/internal/pool/job.go
+++ b/internal/pool/job.go
@@ -41,6 +41,7 @@
 	coordinator string
 	arrived     time.Duration
 	latest      time.Duration // after which a start comes too late for full worth
+	latestLate  time.Duration // after which it comes too late for any
 	steps       [][]*task
 	left        []int // tasks that are not done, by step
 	waiting     int   // tasks that wait for a place
@@ -147,7 +148,9 @@
 		}
 	}
 	chain := j.chain()
-	j.latest = j.arrived + time.Duration(float64(chain)*(max(j.Queue.Stretch, 1)-1)) + j.Queue.Slack - tripMargin
+	aim := time.Duration(float64(chain)*max(j.Queue.Stretch, 1)) + j.Queue.Slack
+	j.latest = j.arrived + aim - chain - tripMargin
+	j.latestLate = j.arrived + min(lateFactor*aim-chain, time.Duration(lateShare*float64(j.Patience)))
 	return j
 }
 
--- a/internal/pool/place.go
+++ b/internal/pool/place.go
@@ -22,12 +22,23 @@
 		c.full = false
 		c.pace.note(now, 0)
 	}
+	p.placeByShares(now, func(c *class, late int) []*job { return c.waiting[late:] })
+	for _, c := range p.ranked {
+		c.full = false
+	}
+	p.placeByShares(now, func(c *class, late int) []*job { return c.waiting[:late] })
+}
+
+// placeByShares begins jobs until none finds a place: each time one of the queue that
+// has the least of its share. Of a queue it takes the part that pick returns, given the
+// place from which jobs can still be in time.
+func (p *Pool) placeByShares(now time.Duration, pick func(c *class, late int) []*job) {
 	for {
 		c := p.neediest()
 		if c == nil {
 			return
 		}
-		if !p.placeNext(now, c) {
+		if !p.placeFirst(now, pick(c, c.late(now))) {
 			c.full = true
 		}
 	}
@@ -66,18 +77,18 @@
 // maxTried bounds how many waiting jobs of a queue are tried for one place.
 const maxTried = 6
 
-// placeNext begins the first job of the queue that finds a place: one that can
-// still be in time, else one that is late.
-func (p *Pool) placeNext(now time.Duration, c *class) bool {
-	late, _ := slices.BinarySearchFunc(c.waiting, now, func(j *job, now time.Duration) int {
+// late returns the place in the queue from which jobs can still be in time.
+func (c *class) late(now time.Duration) int {
+	at, _ := slices.BinarySearchFunc(c.waiting, now, func(j *job, now time.Duration) int {
 		if j.begun || j.latest < now {
 			return -1
 		}
 		return 1
 	})
-	return p.placeFirst(now, c.waiting[late:]) || p.placeFirst(now, c.waiting[:late])
+	return at
 }
 
+// placeFirst begins the first job that finds a place.
 func (p *Pool) placeFirst(now time.Duration, jobs []*job) bool {
 	tried := 0
 	for _, j := range jobs {
--- a/internal/pool/queue.go
+++ b/internal/pool/queue.go
@@ -13,6 +13,11 @@
 const (
 	// tripMargin is kept for the ways between caller, entries and targets.
 	tripMargin = 12 * time.Millisecond
+	// lateFactor is how many times its aim an answer may take and still be of use.
+	lateFactor = 3
+	// lateShare is the part of its caller's patience for which a late job is kept: one
+	// that is refused after that leaves the caller no time.
+	lateShare = 0.45
 	// meanWeight is the weight of a new run time in a queue's mean.
 	meanWeight = 0.05
 	// urgentWeight is the guaranteed share of the most urgent queue against
@@ -156,8 +161,8 @@
 		if o == j || !o.begun && o.latest > j.latest {
 			break
 		}
-		if !p.mayStart(now, o) {
-			continue // it may not be begun yet, and leaves the room to others
+		if !p.mayStart(now, o) || !o.begun && o.latest < now {
+			continue // it leaves the room to others
 		}
 		ahead(o)
 	}
@@ -229,13 +234,23 @@
 			case j.Stored:
 			case now >= j.arrived+j.Patience && j.Patience > 0:
 				p.end(now, j, fleet.Outcome{Verdict: notRun(j.begun), Reason: verdict.DeadlinePassed})
-			case !j.begun && now > j.latest:
+			case !j.begun && now > j.latest && !p.keepsLate(now, j):
 				p.end(now, j, fleet.Outcome{Verdict: verdict.NotRun, Reason: verdict.DeadlineUnmeetable, RetryAfter: p.retryAfter()})
 			}
 		}
 	}
 }
 
+// keepsLate reports whether a job that was not begun in time is served late, if there
+// is room that nobody needs who can still be in time: where it waited for a takeover,
+// not for room.
+func (p *Pool) keepsLate(now time.Duration, j *job) bool {
+	return now < p.ledAt+catchUp && j.arrived < p.ledAt+takeover && now < j.latestLate
+}
+
+// catchUp is how long after the start of a lead what had waited for it is served late.
+const catchUp = 2 * time.Second
+
 // retryAfter advises a caller when room is likely: the time that the waiting
 // work takes on all targets, a second at the least.
 func (p *Pool) retryAfter() time.Duration {
