Stored jobs: a task on a target that has vanished from the list waits as well

Change: 12 s, listed or not, unless the target has left in order. Ruled out: never to give up (a target that is lost for good).

--- a/internal/pool/ownership.go
+++ b/internal/pool/ownership.go
@@ -131,7 +131,8 @@
 		}
 		// A task of a stored job may have ended there, and must not run again if it
 		// has: the target is given time to come back.
-		mayReturn := t.listed && now < t.ownedAt+unreachableWait
+		left := !t.listed && t.Leaving
+		mayReturn := !left && now < t.ownedAt+unreachableWait
 		given := 0
 		for _, r := range sortedRuns(t.runs) {
 			if mayReturn && r.owner != nil && r.owner.job.Stored {
--- a/internal/pool/stored.go
+++ b/internal/pool/stored.go
@@ -18,9 +18,10 @@
 	// the leases of its last orders and room for clock rates.
 	successorWaits = jobstore.RunsFor + 1100*time.Millisecond
 	// unreachableWait is how long tasks of a former owner are not started again while
-	// a target on which they may have ended is out of reach. It is longer than the
-	// usual cut.
-	unreachableWait = 10 * time.Second
+	// a target on which they may have ended is out of reach, unless it has left. It is
+	// longer than the usual cut, after which rows of targets that were cut off from the
+	// store have vanished too.
+	unreachableWait = 12 * time.Second
 	// settledFor is how long the list of targets must have lost none, so that
 	// owning all that are listed proves that nothing runs elsewhere.
 	settledFor = 4 * time.Second
