Stored jobs: a restored backlog goes after jobs that can be in time

Restored jobs counted as begun, so the whole backlog, late by then, went before what came after, and nothing was in time for 8 s. Change: a restored job counts as begun only if something of it is known to have run. Test: TestRestoredBacklogLeavesTheRoomToJobsInTime.

--- a/internal/pool/stored.go
+++ b/internal/pool/stored.go
@@ -218,7 +218,7 @@
 	case r.Job.Repeats > 0:
 		p.takeTimed(now, r.Job, r.Record, true)
 	default:
-		p.takeStored(now, Submit{Job: r.Job, Waited: r.Waited, MayHaveRun: true}, r.Record, true)
+		p.takeStored(now, Submit{Job: r.Job, Waited: r.Waited}, r.Record, true)
 	}
 }
 
@@ -260,6 +260,7 @@
 			tk.run = p.stored.epoch * runsAnEpoch
 			tk.failures = rec.Failed[tk.place]
 			j.started = j.started || tk.failures > 0 || rec.IsDone(tk.place)
+			j.begun = j.started
 			if !rec.IsDone(tk.place) {
 				continue
 			}
--- a/internal/pool/stored_test.go
+++ b/internal/pool/stored_test.go
@@ -109,6 +109,23 @@
 	assert.Assert(t, starts[0].Run >= runsAnEpoch, "the number of a run of an earlier owner")
 }
 
+// TestRestoredBacklogLeavesTheRoomToJobsInTime replays a takeover in a flood: what had
+// piled up before is late, and must not go before what comes now.
+func TestRestoredBacklogLeavesTheRoomToJobsInTime(t *testing.T) {
+	b := newBench(t, 1)
+	var backlog []jobstore.Stored
+	for _, id := range []string{"a", "b", "c", "d", "e", "f", "g", "h"} {
+		s := restored(storedJob(id, 2))
+		s.Waited = 5 * time.Second
+		backlog = append(backlog, s)
+	}
+	b.ownStored(backlog...)
+	b.now += successorWaits + 100*ms
+	starts := b.run(storedJob("new", 2))
+	assert.Equal(t, len(starts), 2)
+	assert.Equal(t, starts[0].Task.Job, "new")
+}
+
 func TestTaskOfAFormerOwnerWaitsUntilItsRunsAreOver(t *testing.T) {
 	b := newBench(t, 1)
 	b.ownStored(restored(storedJob("j", 1)))
--- a/internal/pool/timed.go
+++ b/internal/pool/timed.go
@@ -71,7 +71,7 @@
 func (p *Pool) begin(now time.Duration, tm *timed, k int, rec fleet.Record, late time.Duration) {
 	one := tm.Job
 	one.ID, one.Repeats = fleet.OccurrenceID(tm.ID, k), 0
-	j := p.newJob(now, Submit{Job: one, Waited: late, MayHaveRun: tm.restored})
+	j := p.newJob(now, Submit{Job: one, Waited: late})
 	j.restored, j.safeAt, j.parent, j.occurrence = tm.restored, 0, tm, k
 	tm.open[k] = j
 	p.jobs[j.ID] = j
