Read-through: stored jobs in smaller files; an unknown job is gone at once where none is stored

Cause of the second: an entry asked to cancel a job that it does not know waited 3.5 s for a leader that owns the stored jobs, and answered 503; where no job is stored, nobody owns any. The leader now says so. Test: TestUnknownJobIsGoneWhereNoneIsStored (503 before).

--- a/internal/pool/stored.go
+++ b/internal/pool/stored.go
@@ -1,7 +1,6 @@
 package pool
 
 import (
-	"math"
 	"time"
 
 	"currantstall/internal/fleet"
@@ -52,14 +51,6 @@
 	at    time.Duration
 }
 
-// heldEnd is an end that must not be acknowledged before a record is saved.
-type heldEnd struct {
-	target *target
-	end    fleet.End
-	job    string
-	seq    int // of the record; math.MaxInt while the job is not restored
-}
-
 func (s *storedState) reset() {
 	*s = storedState{expected: s.expected, ended: make(map[string]*endedJob),
 		timed: make(map[string]*timed), ends: make(map[string][]heldEnd)}
@@ -339,70 +330,6 @@
 	}
 }
 
-// holdBack keeps an end from being acknowledged while a record that it belongs to
-// is not saved.
-func (p *Pool) holdBack(t *target, e fleet.End) {
-	if e.Kind != fleet.EndDone && e.Kind != fleet.EndFailed {
-		return
-	}
-	h := heldEnd{target: t, end: e, job: fleet.BaseID(e.Task.Job)}
-	j, ended, tm := p.jobs[e.Task.Job], p.stored.ended[h.job], p.stored.timed[h.job]
-	switch {
-	case tm != nil && tm.seq > tm.savedSeq:
-		h.seq = tm.seq
-	case tm != nil:
-		return
-	case j != nil && j.Stored && j.seq > j.savedSeq:
-		h.seq = j.seq
-	case ended != nil && !ended.saved:
-		h.seq = ended.seq
-	case j == nil && ended == nil && (p.stored.expected || p.stored.unknown) && !p.stored.owned:
-		h.seq = math.MaxInt
-		p.stored.ends[e.Task.Job] = append(p.stored.ends[e.Task.Job], h)
-	default:
-		return
-	}
-	t.held = append(t.held, h)
-}
-
-// takeEndsOf returns the ends of a job that waited for it.
-func (p *Pool) takeEndsOf(id string) []heldEnd {
-	ends := p.stored.ends[id]
-	delete(p.stored.ends, id)
-	for _, h := range ends {
-		h.target.release(func(o heldEnd) bool { return o.end == h.end })
-	}
-	return ends
-}
-
-// releaseUnknownEnds lets the ends of jobs that nobody has stored be acknowledged.
-func (p *Pool) releaseUnknownEnds() {
-	for id := range p.stored.ends {
-		p.takeEndsOf(id)
-	}
-}
-
-// acknowledged returns the number of the last end that may be acknowledged.
-func (t *target) acknowledged() int64 {
-	n := t.seen
-	for _, h := range t.held {
-		n = min(n, h.end.Number-1)
-	}
-	return n
-}
-
-func (t *target) release(done func(heldEnd) bool) {
-	kept := t.held[:0]
-	for _, h := range t.held {
-		if done(h) {
-			t.unacked = true
-		} else {
-			kept = append(kept, h)
-		}
-	}
-	t.held = kept
-}
-
 // JobState returns the state of a stored job, if it is known.
 func (p *Pool) JobState(id string) (fleet.JobState, bool) {
 	if e := p.stored.ended[id]; e != nil {
@@ -424,6 +351,12 @@
 	return fleet.JobQueued, true
 }
 
+// KnowsStored reports whether a job that the pool does not know is not open: it owns
+// all stored jobs, or there are none.
+func (p *Pool) KnowsStored() bool {
+	return p.leading && (p.stored.owned || !p.stored.expected && !p.stored.unknown)
+}
+
 // OwnsStored reports whether the pool knows all stored jobs.
 func (p *Pool) OwnsStored() bool { return p.stored.owned }
 
