Stored jobs: large records are saved in several writes; the time of day is taken with each beat

Forty records of jobs with many occurrences exceed what the store takes in one transaction; it was refused as a whole, and tried again for ever. And the median of the clocks was sorted at every event. Test: TestLargeRecordsAreSavedInSeveralWrites (never saved before).

--- a/internal/jobstore/jobstore_test.go
+++ b/internal/jobstore/jobstore_test.go
@@ -173,6 +173,23 @@
 	assert.Assert(t, !isFresh, "a job that has ended was stored again")
 }
 
+func TestLargeRecordsAreSavedInSeveralWrites(t *testing.T) {
+	_, rows := startStore(t)
+	a := jobstore.NewAccepter(rows, discard())
+	const jobs = 30
+	for i := range jobs {
+		_, err := a.Accept(job(i))
+		assert.NilError(t, err)
+	}
+	o, s, _ := runOwner(t, rows, "e1")
+	s.eventually(t, "the jobs are owned", func() bool { return s.epoch == 1 })
+	large := fleet.Record{Done: make([]byte, 50_000)}
+	for i := range jobs {
+		o.Save(jobstore.Save{Job: job(i).ID, Seq: 1, Record: large})
+	}
+	s.eventually(t, "all records are saved", func() bool { return len(s.saved) == jobs })
+}
+
 // cutOff fails all calls once it is cut.
 type cutOff struct {
 	jobstore.Rows
--- a/internal/jobstore/save.go
+++ b/internal/jobstore/save.go
@@ -81,11 +81,17 @@
 func (o *Owner) save(ctx context.Context, saves []Save) error {
 	var lapsed error
 	var puts []Row
-	for _, s := range saves {
+	size := 0
+	for i, s := range saves {
 		value, err := wire.Encode(s.Record)
 		if err != nil {
 			return fmt.Errorf("save record of job %s: %w", s.Job, err)
 		}
+		if size += len(value); i > 0 && size > maxBatchBytes {
+			o.putBack(saves[i:])
+			saves = saves[:i]
+			break
+		}
 		puts = append(puts, Row{Table: tableProgress, Part: ownerPart, Key: s.Job, Value: value})
 		if s.Record.State.Ended() {
 			state, err := wire.Encode(endedRow{State: s.Record.State, EndedMS: time.Now().UnixMilli()})
--- a/internal/node/links.go
+++ b/internal/node/links.go
@@ -128,6 +128,7 @@
 		return
 	}
 	n.lastBeat, n.lastSaid = now, own
+	n.pool.SetWall(now, n.wallClock(now))
 	m, err := wire.NewMessage(wire.PoolBeat, n.beatNow(now, own))
 	if err != nil {
 		n.log.Error("message that can't be encoded", "type", wire.PoolBeat.String(), "err", err)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -230,7 +230,6 @@
 func (n *Node) step(now time.Duration) {
 	n.elect(now)
 	n.route(now)
-	n.pool.SetWall(now, n.wallClock(now))
 	n.pool.Tick(now)
 	n.perform(now)
 	n.beat(now)
