A new leader looks for stored jobs only where one may exist

Since ends of unknown jobs are kept until a new leader has looked for stored jobs, a leader that can't reach the store (the cut-off side of a data centre, an outage) would look at targets with such ends every 60 ms instead of being told at once, though no job is stored at the sites of today. Change: leaders tell with their beats that they found none; who has heard that does not look first.

--- a/internal/node/links.go
+++ b/internal/node/links.go
@@ -115,6 +115,8 @@
 	StoreAge time.Duration `cbor:"6,keyasint"`
 	// Stored says that stored jobs exist.
 	Stored bool `cbor:"4,keyasint,omitempty"`
+	// NoStored says that the sender leads, has looked for stored jobs and found none.
+	NoStored bool `cbor:"8,keyasint,omitempty"`
 	// Pending counts the stored jobs of each queue that have not begun, if the sender
 	// owns them.
 	Pending map[string]int `cbor:"5,keyasint"`
@@ -139,6 +141,7 @@
 
 func (n *Node) beatNow(now time.Duration, own election.Beat) beatBody {
 	b := beatBody{Beat: own, Config: n.configVersion(), TargetsAge: n.dir.targetsAge(now), Stored: n.stored.expected, StoreAge: n.storeAge(now), WallMS: time.Now().UnixMilli()}
+	b.NoStored = n.pool.KnowsStored() && !n.stored.expected
 	if n.pool.OwnsStored() {
 		b.Pending = n.pool.Pending()
 	}
@@ -153,8 +156,11 @@
 	n.election.Hear(from, b.Beat)
 	n.stored.peers[from] = now - b.StoreAge
 	n.stored.clocks[from] = b.WallMS - now.Milliseconds()
+	if b.NoStored {
+		n.stored.sawNone()
+	}
 	if b.Stored && !n.stored.expected {
-		n.stored.expected = true
+		n.stored.sawSome()
 		n.pool.ExpectStored()
 	}
 	if from == n.decision.Leader {
--- a/internal/node/store.go
+++ b/internal/node/store.go
@@ -122,7 +122,7 @@
 func (n *Node) handToLeader(now time.Duration, j fleet.Job) {
 	n.log.Info("job", "job", j.ID, "queue", j.Queue.Name, "tasks", j.Tasks(), "outcome", "stored", "leader", n.decision.Leader,
 		"config", n.configVersion())
-	n.stored.expected = true
+	n.stored.sawSome()
 	switch leader := n.decision.Leader; leader {
 	case "":
 	case n.cfg.Self.Name:
@@ -134,7 +134,7 @@
 
 // storedArrived takes in a stored job as the leader.
 func (n *Node) storedArrived(now time.Duration, j fleet.Job, waited time.Duration) {
-	n.stored.expected = true
+	n.stored.sawSome()
 	n.pool.ExpectStored()
 	if n.stored.owner != nil {
 		n.stored.owner.Expect()
--- a/internal/node/stored.go
+++ b/internal/node/stored.go
@@ -23,11 +23,11 @@
 
 // storedJobs is a node's part in keeping stored jobs.
 type storedJobs struct {
-	rows      jobstore.Rows
-	accepter  *jobstore.Accepter
-	owner     *jobstore.Owner // while this entry leads
-	stop      context.CancelFunc
-	expected  bool // stored jobs exist
+	rows     jobstore.Rows
+	accepter *jobstore.Accepter
+	owner    *jobstore.Owner // while this entry leads
+	stop     context.CancelFunc
+	existence // of stored jobs
 	asks      map[uint64]chan jobTold
 	lastAsk   uint64
 	cancels   map[string][]asker       // of this leader, until they are saved
@@ -109,7 +109,9 @@
 	ctx, cancel := context.WithCancel(n.ctx)
 	owner := jobstore.NewOwner(n.stored.rows, n.cfg.Self.Name, bootClock, &ownerEvents{n: n, ctx: ctx}, n.log)
 	n.stored.owner, n.stored.stop = owner, cancel
-	n.pool.AwaitStored()
+	if n.stored.mustLook() {
+		n.pool.AwaitStored()
+	}
 	if n.stored.expected {
 		n.pool.ExpectStored()
 		owner.Expect()
@@ -152,14 +154,17 @@
 // Expected implements jobstore.Events.
 func (e *ownerEvents) Expected() {
 	e.post(func(time.Duration) {
-		e.n.stored.expected = true
+		e.n.stored.sawSome()
 		e.n.pool.ExpectStored()
 	})
 }
 
 // None implements jobstore.Events.
 func (e *ownerEvents) None() {
-	e.post(func(time.Duration) { e.n.pool.NoStored() })
+	e.post(func(time.Duration) {
+		e.n.stored.sawNone()
+		e.n.pool.NoStored()
+	})
 }
 
 // Owned implements jobstore.Events.
