--- a/internal/node/stored.go
+++ b/internal/node/stored.go
@@ -23,10 +23,10 @@
 
 // storedJobs is a node's part in keeping stored jobs.
 type storedJobs struct {
-	rows     jobstore.Rows
-	accepter *jobstore.Accepter
-	owner    *jobstore.Owner // while this entry leads
-	stop     context.CancelFunc
+	rows      jobstore.Rows
+	accepter  *jobstore.Accepter
+	owner     *jobstore.Owner // while this entry leads
+	stop      context.CancelFunc
 	existence // of stored jobs
 	asks      map[uint64]chan jobTold
 	lastAsk   uint64
