A job that comes back to a leader waits for the last owner's leases

Ruled out: a late withdrawal (the leases fit the times to 1 ms); a stall (the loops ran). Change: the wait of a job counts from its latest loss, for copies that are attached too. Test: TestJobThatComesBackWaitsForTheLastOwner, which failed.

--- a/internal/pool/job.go
+++ b/internal/pool/job.go
@@ -90,6 +90,7 @@
 	if j := p.jobs[s.Job.ID]; j != nil {
 		p.log("job", "job", j.ID, "outcome", "attached", "coordinator", s.Coordinator, "orphan", j.orphan)
 		j.coordinator, j.orphan = s.Coordinator, false
+		j.lostBefore(now, &s, p.cfg.Safe)
 		p.enqueue(j)
 		return
 	}
@@ -120,9 +121,7 @@
 		mayHaveRun: s.MayHaveRun, begun: s.MayHaveRun,
 		steps: make([][]*task, len(s.Job.Steps)), left: make([]int, len(s.Job.Steps)),
 	}
-	if s.MayHaveRun {
-		j.safeAt = now + p.cfg.Safe - s.LostAgo
-	}
+	j.lostBefore(now, &s, p.cfg.Safe)
 	place := 0
 	for i := range j.Steps {
 		st := &j.Steps[i]
@@ -154,6 +153,15 @@
 	return j
 }
 
+// lostBefore notes that another owner had the job: what it started may go on for a
+// while.
+func (j *job) lostBefore(now time.Duration, s *Submit, safe time.Duration) {
+	if s.MayHaveRun {
+		j.mayHaveRun = true
+		j.safeAt = max(j.safeAt, now+safe-s.LostAgo)
+	}
+}
+
 // chain returns the length of the longest chain of steps.
 func (j *job) chain() time.Duration {
 	ends := make([]time.Duration, len(j.Steps))
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -362,3 +362,25 @@
 	assert.Assert(t, !x.lapsed(11*time.Second+20*ms), "its clock may be 2%% slow")
 	assert.Assert(t, x.lapsed(11*time.Second+30*ms))
 }
+
+// TestJobThatComesBackWaitsForTheLastOwner replays two leaders between which a job goes
+// to and fro: this one still stops a run of it when it is handed in again, and the
+// other one may have started another run since.
+func TestJobThatComesBackWaitsForTheLastOwner(t *testing.T) {
+	b := newBench(t, 2)
+	j := jobOf("j", queue("q", 0), 1, 14000, 60*ms)
+	b.p.Submit(b.now, Submit{Coordinator: "e1", Job: j, MayHaveRun: true})
+	b.p.targets["t00"].lookDue = true
+	b.tick(ms)
+	b.report("t00", []fleet.Running{{Task: fleet.TaskID{Job: "j"}, Run: 1}}, nil)
+	b.p.Withdraw(b.now, "e1", "j")
+	assert.Equal(t, len(take[fleet.Stop](b)), 1)
+
+	b.now += 250 * ms
+	b.p.Submit(b.now, Submit{Coordinator: "e1", Job: j, MayHaveRun: true})
+	b.end(fleet.Start{Target: b.p.targets["t00"].Target, Task: fleet.TaskID{Job: "j"}, Run: 1}, 1, fleet.EndOther, "")
+	b.tick(DefaultSafe - 100*ms)
+	assert.Equal(t, len(take[fleet.Start](b)), 0, "the other leader's run may go on for its lease")
+	b.tick(200 * ms)
+	assert.Equal(t, len(take[fleet.Start](b)), 1)
+}
