--- a/internal/node/counts.go
+++ b/internal/node/counts.go
@@ -63,13 +63,15 @@
 	lagWeight = 16
 )
 
-func (l *lagMeter) tick(now time.Duration) {
+// tick records a tick and returns how late it is.
+func (l *lagMeter) tick(now time.Duration) time.Duration {
 	late := max(now-l.last-tickInterval, 0)
 	if l.last == 0 {
 		late = 0
 	}
 	l.last = now
 	l.mean += (min(late, time.Second) - l.mean) / lagWeight
+	return late
 }
 
 func (l *lagMeter) degraded() bool { return l.mean > degradedLag }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -91,6 +91,7 @@
 	lastHeartbeatAt time.Duration
 	lastHeartbeat   election.Heartbeat // the one sent last
 	lag             lagMeter
+	load            loadMeter
 	lastIterationAt time.Duration // boot clock at the last iteration of the loop
 	stored          storedJobs
 	owners          sync.WaitGroup // running owners of stored jobs
@@ -189,14 +190,16 @@
 		case <-n.ctx.Done():
 			return
 		case e := <-n.events:
+			queued := len(n.events)
 			n.checkProcessPause()
 			e(n.now())
-			n.handleQueued()
+			n.load.record(1+n.handleQueued(), queued, 0)
 		case <-tick.C:
 			n.checkProcessPause()
-			n.lag.tick(n.now())
+			n.load.record(0, len(n.events), n.lag.tick(n.now()))
 		}
 		n.step(n.now())
+		n.logLoad(n.now())
 	}
 }
 
@@ -222,16 +225,17 @@
 }
 
 // handleQueued handles up to 64 events that are already queued, so that one round of
-// placement serves them all.
-func (n *Node) handleQueued() {
-	for range 64 {
+// placement serves them all, and returns how many.
+func (n *Node) handleQueued() int {
+	for i := range 64 {
 		select {
 		case e := <-n.events:
 			e(n.now())
 		default:
-			return
+			return i
 		}
 	}
+	return 64
 }
 
 // step updates the election, the pool and the pending jobs after events or a tick,
