Log line with the load of a leader's loop and pool

One line a second at an entry that leads: rounds' time, events, longest queue of events, lateness of ticks, mean time of a start order, capacity and its use, waiting jobs.

--- a/internal/node/loadmeter.go
+++ b/internal/node/loadmeter.go
@@ -1,10 +1,6 @@
 package node
 
-import (
-	"time"
-
-	"golang.org/x/sys/unix"
-)
+import "time"
 
 // loadInterval is the time between two log lines on the load of an entry that leads.
 const loadInterval = time.Second
@@ -12,40 +8,40 @@
 // loadMeter measures the load of a node's loop between two log lines.
 type loadMeter struct {
 	since     time.Duration // start of the measurement
-	cpuSince  time.Duration // processor time of the process at that time
+	busy      time.Duration // spent in the loop's rounds
 	events    int           // handled
 	maxQueued int           // longest queue of events
 	maxLag    time.Duration // of a tick
+	starts    int           // answers to starts
+	startTime time.Duration // total time from the start orders to these answers
 }
 
-// record adds a round of the loop that handled a number of events.
-func (m *loadMeter) record(events, queued int, lag time.Duration) {
+// recordRound adds a round of the loop that handled a number of events.
+func (m *loadMeter) recordRound(events, queued int, took time.Duration) {
 	m.events += events
 	m.maxQueued = max(m.maxQueued, queued)
-	m.maxLag = max(m.maxLag, lag)
+	m.busy += took
 }
 
-// processCPU returns the processor time that the process has used.
-func processCPU() time.Duration {
-	var t unix.Timespec
-	if err := unix.ClockGettime(unix.CLOCK_PROCESS_CPUTIME_ID, &t); err != nil {
-		return 0
-	}
-	return time.Duration(t.Nano())
+// recordStart adds the answer to a start order.
+func (m *loadMeter) recordStart(took time.Duration) {
+	m.starts++
+	m.startTime += took
 }
 
 // logLoad logs the load of the loop and of the pool while this entry leads, once in
 // loadInterval.
 func (n *Node) logLoad(now time.Duration) {
-	if now < n.load.since+loadInterval {
+	m := &n.load
+	if now < m.since+loadInterval {
 		return
 	}
-	cpu := processCPU()
-	if n.pool.Leading() && n.load.since > 0 {
+	if n.pool.Leading() && m.since > 0 {
 		s := n.pool.Load()
-		n.log.Info("load", "period_ms", (now - n.load.since).Milliseconds(), "cpu_ms", (cpu - n.load.cpuSince).Milliseconds(),
-			"events", n.load.events, "max_queued", n.load.maxQueued, "max_lag_ms", n.load.maxLag.Milliseconds(), "mean_lag_ms", n.lag.mean.Milliseconds(),
+		n.log.Info("load", "period_ms", (now - m.since).Milliseconds(), "busy_ms", m.busy.Milliseconds(),
+			"events", m.events, "max_queued", m.maxQueued, "max_lag_ms", m.maxLag.Milliseconds(),
+			"starts", m.starts, "mean_start_ms", m.startTime.Milliseconds()/int64(max(m.starts, 1)),
 			"targets", s.Targets, "owned", s.Owned, "capacity", s.Capacity.MilliCPU, "used", s.Used.MilliCPU, "jobs", s.Jobs, "waiting", s.Waiting)
 	}
-	n.load = loadMeter{since: now, cpuSince: cpu}
+	n.load = loadMeter{since: now}
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -186,20 +186,25 @@
 	tick := time.NewTicker(tickInterval)
 	defer tick.Stop()
 	for {
+		var handled int
+		queued, began := len(n.events), time.Duration(0)
 		select {
 		case <-n.ctx.Done():
 			return
 		case e := <-n.events:
-			queued := len(n.events)
+			began = n.now()
 			n.checkProcessPause()
-			e(n.now())
-			n.load.record(1+n.handleQueued(), queued, 0)
+			e(began)
+			handled = 1 + n.handleQueued()
 		case <-tick.C:
+			began = n.now()
 			n.checkProcessPause()
-			n.load.record(0, len(n.events), n.lag.tick(n.now()))
+			n.load.maxLag = max(n.load.maxLag, n.lag.tick(began))
 		}
 		n.step(n.now())
-		n.logLoad(n.now())
+		end := n.now()
+		n.load.recordRound(handled, queued, end-began)
+		n.logLoad(end)
 	}
 }
 
@@ -289,7 +294,7 @@
 		switch e := e.(type) {
 		case fleet.Start:
 			n.counts.starts.Inc(1)
-			go n.start(e)
+			go n.start(now, e)
 		case fleet.Stop:
 			go n.stop(e)
 		case fleet.Hold:
@@ -322,9 +327,12 @@
 	n.post(func(now time.Duration) { done(now, rep) })
 }
 
-func (n *Node) start(o fleet.Start) {
+func (n *Node) start(sent time.Duration, o fleet.Start) {
 	n.order("start", func(ctx context.Context) fleet.Reply { return n.cfg.Targets.Start(ctx, o) },
-		func(now time.Duration, rep fleet.Reply) { n.pool.StartDone(now, o, rep) })
+		func(now time.Duration, rep fleet.Reply) {
+			n.load.recordStart(now - sent)
+			n.pool.StartDone(now, o, rep)
+		})
 }
 
 func (n *Node) stop(o fleet.Stop) {
