Directories are requested by the entry that lacks something

Callers saw half a second without service after each new configuration and each loss of the store's history: every entry sent all targets (350) to its 34 peers, 71 MB at once over links of 25 Mbit/s; heartbeats waited behind, and 400 links were closed as silent. The same happened when links came up after the loss of all entries.

An entry now compares a heartbeat with what it has, and requests the part that it lacks from one peer at a time, a configuration only once the store has had 250 ms to deliver it. A new link exchanges members only. Ruled out: sending the configuration alone to all peers, which is 34 times what the store has delivered already.

--- a/internal/node/directory.go
+++ b/internal/node/directory.go
@@ -25,8 +25,13 @@
 	// maxTargetListAge is the age above which a list of targets is not trusted to
 	// show which targets are leaving.
 	maxTargetListAge = 1500 * time.Millisecond
-	// shareInterval is the minimum time between two directories sent to a peer.
-	shareInterval = 300 * time.Millisecond
+	// requestInterval is the minimum time between two requests for a directory, and
+	// requestTimeout how long the answer of one peer is awaited before another is asked.
+	requestInterval = 100 * time.Millisecond
+	requestTimeout  = 300 * time.Millisecond
+	// configGrace is how long a newer configuration at a peer may be on its way from the
+	// platform's store to this entry before it is requested from the peer.
+	configGrace = 250 * time.Millisecond
 	// seedInterval is the pause between two rounds of requests to the seeds, and
 	// the timeout of each request.
 	seedInterval = time.Second
@@ -43,13 +48,18 @@
 	targets   []fleet.Target
 	targetsAt time.Duration // when the list was current at the platform
 	hasList   bool
-	members   map[string]fleet.Member  // known entries by name
-	live      []string                 // members that renewed their row in the platform's store lately
-	liveAt    time.Duration            // when live was received
-	sharedAt  map[string]time.Duration // when the directory was last sent to each peer
+	members   map[string]fleet.Member // known entries by name
+	live      []string                // members that renewed their row in the platform's store lately
+	liveAt    time.Duration           // when live was received
+	// behindSince is when a heartbeat first showed a configuration newer than the one in
+	// force, 0 if none did.
+	behindSince time.Duration
+	requestedAt time.Duration // when a directory was last requested
+	requestedOf string        // the peer that was asked, "" once it has answered
 }
 
-// directoryBody is the body of wire.Directory and of the response at directoryPath.
+// directoryBody is the body of wire.Directory and of the response at directoryPath. To
+// peers, an entry sends Config and the targets on request only.
 type directoryBody struct {
 	Self       fleet.Member   `cbor:"1,keyasint"`
 	Config     *fleet.Config  `cbor:"2,keyasint,omitempty"`
@@ -60,7 +70,7 @@
 }
 
 func newDirectory() directory {
-	return directory{members: make(map[string]fleet.Member), sharedAt: make(map[string]time.Duration)}
+	return directory{members: make(map[string]fleet.Member)}
 }
 
 // unknownAge is the age reported for data that was never read.
@@ -74,40 +84,50 @@
 	return now - d.targetsAt
 }
 
-// shouldShare reports whether to send the directory to a peer now: the peer's
-// heartbeat shows an older configuration, or a list of targets that is too old and
-// clearly older than this entry's. It records now as the time of the sending.
-func (d *directory) shouldShare(now time.Duration, peer string, b heartbeatBody, config int64) bool {
-	older := b.ConfigVersion < config
-	stale := b.TargetsAge > maxTargetListAge && d.targetsAge(now)+maxTargetListAge/2 < b.TargetsAge
-	if !older && !stale || now < d.sharedAt[peer]+shareInterval {
-		return false
+// directoryRequestBody is the body of wire.DirectoryRequest.
+type directoryRequestBody struct {
+	Config  bool `cbor:"1,keyasint,omitempty"`
+	Targets bool `cbor:"2,keyasint,omitempty"`
+}
+
+// requestFrom returns what to request from a peer now, after its heartbeat: a newer
+// configuration, and a list of targets if this entry's is too old and the peer's clearly
+// newer. It records the request.
+func (d *directory) requestFrom(now time.Duration, peer string, b heartbeatBody, config int64) (directoryRequestBody, bool) {
+	var want directoryRequestBody
+	if b.ConfigVersion > config {
+		if d.behindSince == 0 {
+			d.behindSince = now
+		}
+		want.Config = config == 0 || now >= d.behindSince+configGrace
+	}
+	want.Targets = d.targetsAge(now) > maxTargetListAge && b.TargetsAge+maxTargetListAge/2 < d.targetsAge(now)
+	wait := requestInterval
+	if d.requestedOf != "" {
+		wait = requestTimeout
 	}
-	d.sharedAt[peer] = now
-	return true
+	if want == (directoryRequestBody{}) || d.requestedAt > 0 && now < d.requestedAt+wait {
+		return want, false
+	}
+	d.requestedAt, d.requestedOf = now, peer
+	return want, true
 }
 
 // SetConfig puts a configuration in force, unless the one in force has the same or
 // a higher version.
 func (n *Node) SetConfig(c *fleet.Config) {
-	n.post(func(now time.Duration) { n.setConfig(now, c, "platform") })
+	n.post(func(time.Duration) { n.setConfig(c, "platform") })
 }
 
-// setConfig puts a newer configuration in force. One from the platform is sent to the
-// linked peers at once; one from a peer is only sent to peers whose heartbeat shows an
-// older version.
-func (n *Node) setConfig(now time.Duration, c *fleet.Config, source string) {
+// setConfig puts a newer configuration in force. Peers that lack it learn of it from the
+// heartbeats and request it.
+func (n *Node) setConfig(c *fleet.Config, source string) {
 	if cur := n.config.Load(); cur != nil && cur.Version >= c.Version {
 		return
 	}
 	n.config.Store(c)
+	n.directory.behindSince = 0
 	n.log.Info("config", "version", c.Version, "queues", len(c.Queues), "source", source)
-	if source != "platform" {
-		return
-	}
-	for name := range n.linked {
-		n.shareDirectory(name)
-	}
 }
 
 // SetTargets replaces the list of targets by one that was current at the given
@@ -171,14 +191,33 @@
 	return b
 }
 
-// shareDirectory sends the directory to a peer.
-func (n *Node) shareDirectory(to string) { n.send(to, wire.Directory, n.directorySnapshot(n.now())) }
+// sendMembers sends the known members to a peer.
+func (n *Node) sendMembers(to string) {
+	b := n.directorySnapshot(n.now())
+	b.Config, b.Targets, b.HasTargets, b.TargetsAge = nil, nil, false, 0
+	n.send(to, wire.Directory, b)
+}
+
+// handleDirectoryRequest sends the requested parts of the directory to a peer.
+func (n *Node) handleDirectoryRequest(now time.Duration, from string, r directoryRequestBody) {
+	b := n.directorySnapshot(now)
+	if !r.Config {
+		b.Config = nil
+	}
+	if !r.Targets {
+		b.Targets, b.HasTargets, b.TargetsAge = nil, false, 0
+	}
+	n.send(from, wire.Directory, b)
+}
 
 // mergeDirectory adds another entry's directory to this entry's: a newer
 // configuration, a newer list of targets, and members that were not known.
 func (n *Node) mergeDirectory(now time.Duration, b directoryBody) {
+	if b.Self.Name == n.directory.requestedOf && (b.Config != nil || b.HasTargets) {
+		n.directory.requestedOf = ""
+	}
 	if b.Config != nil {
-		n.setConfig(now, b.Config, "peer "+b.Self.Name)
+		n.setConfig(b.Config, "peer "+b.Self.Name)
 	}
 	if b.HasTargets {
 		n.setTargets(now, b.Targets, now-b.TargetsAge)
--- a/internal/node/links.go
+++ b/internal/node/links.go
@@ -19,7 +19,7 @@
 		n.linked[p.Name] = true
 		n.log.Info("link", "peer", p.Name, "outcome", "up")
 		n.lastHeartbeatAt = now - heartbeatInterval // so that the next step sends one
-		n.shareDirectory(p.Name)
+		n.sendMembers(p.Name)
 	})
 }
 
@@ -62,6 +62,8 @@
 		err = decodeAndPost(n, m, func(_ time.Duration, reply jobReplyBody) { n.handleJobReply(reply) })
 	case wire.Directory:
 		err = decodeAndPost(n, m, func(now time.Duration, b directoryBody) { n.mergeDirectory(now, b) })
+	case wire.DirectoryRequest:
+		err = decodeAndPost(n, m, func(now time.Duration, r directoryRequestBody) { n.handleDirectoryRequest(now, from.Name, r) })
 	default:
 		n.log.Warn("message from a peer ignored: unexpected type", "peer", from.Name, "type", m.Type.String())
 	}
@@ -152,8 +154,8 @@
 	return b
 }
 
-// handleHeartbeat handles a peer's heartbeat, and sends the directory if the peer's is
-// out of date.
+// handleHeartbeat handles a peer's heartbeat, and requests the peer's directory if this
+// entry's is out of date.
 func (n *Node) handleHeartbeat(now time.Duration, from string, b heartbeatBody) {
 	if !n.linked[from] {
 		return
@@ -171,7 +173,7 @@
 	if from == n.decision.Leader {
 		n.stored.pending, n.stored.pendingAt = b.Pending, now
 	}
-	if n.directory.shouldShare(now, from, b, n.configVersion()) {
-		n.shareDirectory(from)
+	if want, ok := n.directory.requestFrom(now, from, b, n.configVersion()); ok {
+		n.send(from, wire.DirectoryRequest, want)
 	}
 }
