--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -10,22 +10,40 @@
 	"time"
 )
 
-// Heartbeat is the part of an entry's heartbeat to its peers that the election
-// uses.
+// Heartbeat is the part of an entry's heartbeat to its peers that the election of the
+// leader of one pool uses.
 type Heartbeat struct {
+	Entry
+	Claim
+}
+
+// Entry describes an entry, for the elections of all pools.
+type Entry struct {
 	// Joined orders the entries by age: the oldest has the lowest value.
 	Joined uint64 `cbor:"1,keyasint"`
+	// Stopping entries are about to exit and lead only if no other entry can.
+	Stopping bool `cbor:"6,keyasint,omitempty"`
+	// Degraded entries lead only if no other entry can.
+	Degraded bool `cbor:"7,keyasint,omitempty"`
+	// MilliCPU is the size of the entry's VM, in thousandths of a core; 0 if unknown.
+	MilliCPU int64 `cbor:"8,keyasint,omitempty"`
+	// Leads is the number of pools that the entry leads.
+	Leads int `cbor:"9,keyasint,omitempty"`
+	// DC is the entry's data centre.
+	DC string `cbor:"10,keyasint,omitempty"`
+}
+
+// Claim is what an entry claims about the leader of one pool.
+type Claim struct {
 	// Leading is set while the entry leads. Term is the last term in which it
 	// led, Owned the number of targets that it owns.
 	Leading bool   `cbor:"2,keyasint,omitempty"`
-	Term    uint64 `cbor:"3,keyasint"`
+	Term    uint64 `cbor:"3,keyasint,omitempty"`
 	Owned   int    `cbor:"4,keyasint,omitempty"`
 	// Leader is the entry that this one follows, if it does not lead.
 	Leader string `cbor:"5,keyasint,omitempty"`
-	// Stopping entries are about to exit and lead only if no other entry can.
-	Stopping bool `cbor:"6,keyasint,omitempty"`
-	// Degraded entries lead only if no other entry can.
-	Degraded bool `cbor:"7,keyasint,omitempty"`
+	// Yielding leaders give way to an entry with more processor time to spare.
+	Yielding bool `cbor:"11,keyasint,omitempty"`
 }
 
 // leadPenalty orders the entries for succession: an entry with a higher value
@@ -33,13 +51,44 @@
 func (hb *Heartbeat) leadPenalty() int {
 	switch {
 	case hb.Stopping:
-		return 2
+		return 3
 	case hb.Degraded:
+		return 2
+	case hb.Yielding:
 		return 1
 	}
 	return 0
 }
 
+// passedOver reports whether another entry should lead instead, if one can.
+func (hb *Heartbeat) passedOver() bool { return hb.leadPenalty() > 0 }
+
+const (
+	// usualMilliCPU is the assumed size of an entry that does not state its own.
+	usualMilliCPU = 400
+	// remoteFactor is how much more the lead of a pool costs an entry in another data
+	// centre than the pool's targets.
+	remoteFactor = 1.5
+)
+
+// leadCost returns the load on an entry that leads the pool, as the number of pools that it
+// leads by the size of its VM.
+func (hb *Heartbeat) leadCost(poolDC string) float64 {
+	leads := hb.Leads
+	if !hb.Leading {
+		leads++
+	}
+	size := hb.MilliCPU
+	if size <= 0 {
+		size = usualMilliCPU
+	}
+	cost := float64(leads) / float64(size)
+	if poolDC != "" && hb.DC != poolDC {
+		cost *= remoteFactor
+	}
+	return cost
+}
+
 // Settings configures an Election.
 type Settings struct {
 	// ListenPeriod is how long a new entry only receives heartbeats before it
@@ -48,6 +97,11 @@
 	// RankDelay is how much longer an entry waits for a leader than the entry
 	// before it in the order of succession.
 	RankDelay time.Duration
+	// Pool is the index of the pool, which spreads the leads of several pools over
+	// entries that suit equally well.
+	Pool int
+	// DC is the data centre of the pool's targets, "" if they are in several.
+	DC string
 }
 
 // Defaults of Settings.
@@ -56,6 +110,15 @@
 	DefaultRankDelay    = 200 * time.Millisecond
 )
 
+const (
+	// yieldAfter is how long another entry must suit the pool better before the leader
+	// yields to it.
+	yieldAfter = 1500 * time.Millisecond
+	// yieldRatio is the ratio of the other entry's cost to the leader's, up to which the
+	// change of leaders is worth its interruption.
+	yieldRatio = 0.5
+)
+
 // relayGrace is how long a peer gets to notice the loss of a leader. A peer that
 // still follows the leader after that counts as able to reach it.
 const relayGrace = 300 * time.Millisecond
@@ -81,11 +144,16 @@
 	leaderlessSince time.Duration // valid while leaderless
 	leaderless      bool
 	mayLeadAt       time.Duration // end of the listen period
+	betterSince     time.Duration // since when another entry suits better
+	better          bool
 }
 
 // New returns the election state of an entry that starts now.
 func New(cfg Settings, self string, joined uint64, now time.Duration) *Election {
-	return &Election{cfg: cfg, self: self, heartbeat: Heartbeat{Joined: joined}, peers: make(map[string]Heartbeat), mayLeadAt: now + cfg.ListenPeriod}
+	return &Election{
+		cfg: cfg, self: self, heartbeat: Heartbeat{Entry: Entry{Joined: joined}},
+		peers: make(map[string]Heartbeat), mayLeadAt: now + cfg.ListenPeriod,
+	}
 }
 
 // Observe records the latest heartbeat of a linked peer.
@@ -100,11 +168,11 @@
 // SetOwned sets the number of targets that this entry owns.
 func (e *Election) SetOwned(n int) { e.heartbeat.Owned = n }
 
-// SetStopping marks this entry as about to exit.
-func (e *Election) SetStopping() { e.heartbeat.Stopping = true }
+// SetEntry sets the description of this entry.
+func (e *Election) SetEntry(entry Entry) { e.heartbeat.Entry = entry }
 
-// SetDegraded sets whether this entry is degraded and should not lead.
-func (e *Election) SetDegraded(degraded bool) { e.heartbeat.Degraded = degraded }
+// DelayLead keeps this entry from starting a term before the given time.
+func (e *Election) DelayLead(until time.Duration) { e.mayLeadAt = max(e.mayLeadAt, until) }
 
 // PeerCount returns the number of linked peers that have sent a heartbeat.
 func (e *Election) PeerCount() int { return len(e.peers) }
@@ -112,6 +180,7 @@
 // Decide returns which entry to follow now. It starts a new term if this entry
 // has to become the leader.
 func (e *Election) Decide(now time.Duration) Decision {
+	e.considerYielding(now)
 	if leader, ok := e.strongestLeader(); ok {
 		e.leaderless = false
 		return e.follow(leader)
@@ -137,13 +206,35 @@
 		return Decision{Leader: e.self, Leading: true, Term: e.heartbeat.Term}
 	}
 	e.heartbeat.Leading, e.heartbeat.Leader = false, leader
+	if leader != "" {
+		e.heartbeat.Yielding = false
+	}
 	return Decision{Leader: leader}
 }
 
+// considerYielding makes this entry yield its lead once another entry has suited the pool
+// much better for yieldAfter.
+func (e *Election) considerYielding(now time.Duration) {
+	if !e.heartbeat.Leading || e.heartbeat.Yielding {
+		e.better = false
+		return
+	}
+	limit := e.heartbeat.leadCost(e.cfg.DC) * yieldRatio
+	better := false
+	for _, hb := range e.peers {
+		better = better || !hb.passedOver() && !hb.Leading && hb.leadCost(e.cfg.DC) <= limit
+	}
+	if better && !e.better {
+		e.betterSince = now
+	}
+	e.better = better
+	e.heartbeat.Yielding = better && now >= e.betterSince+yieldAfter
+}
+
 // lead makes this entry the leader in a new term, above all terms it knows of.
 func (e *Election) lead() Decision {
 	e.heartbeat.Term = e.highestTerm() + 1
-	e.heartbeat.Leading, e.heartbeat.Leader = true, ""
+	e.heartbeat.Leading, e.heartbeat.Leader, e.heartbeat.Yielding = true, "", false
 	e.leaderless = false
 	return Decision{Leader: e.self, Leading: true, Term: e.heartbeat.Term}
 }
@@ -157,13 +248,13 @@
 }
 
 // strongestLeader returns the reachable leader that owns the most targets; with
-// equal numbers the one with the latest term. A stopping or degraded leader is
-// passed over if another entry could lead.
+// equal numbers the one with the latest term. A stopping, degraded or yielding leader
+// is passed over if another entry could lead.
 func (e *Election) strongestLeader() (string, bool) {
 	var best string
 	var bestHeartbeat Heartbeat
 	consider := func(name string, hb Heartbeat) {
-		if !hb.Leading || (hb.Stopping || hb.Degraded) && e.otherCanLead(name) {
+		if !hb.Leading || hb.passedOver() && e.otherCanLead(name) {
 			return
 		}
 		if best == "" || stronger(hb, name, bestHeartbeat, best) {
@@ -183,9 +274,9 @@
 }
 
 // otherCanLead reports whether an entry other than the named one is neither
-// stopping nor degraded.
+// stopping, degraded nor yielding.
 func (e *Election) otherCanLead(name string) bool {
-	ok := func(n string, hb Heartbeat) bool { return n != name && !hb.Stopping && !hb.Degraded }
+	ok := func(n string, hb Heartbeat) bool { return n != name && !hb.passedOver() }
 	if ok(e.self, e.heartbeat) {
 		return true
 	}
@@ -212,20 +303,43 @@
 	return best, best != ""
 }
 
-// rank returns this entry's place in the order of succession. Degraded entries
-// come after healthy ones and stopping entries last; they are not left out, so
-// that one of them leads if no other entry is left.
+// candidate is an entry that may succeed a leader.
+type candidate struct {
+	name    string
+	penalty int
+	cost    float64
+	joined  uint64
+}
+
+// rank returns this entry's place in the order of succession. Entries that should not
+// lead come last; they are not left out, so that one of them leads if no other entry is
+// left. Among the others, those with the most processor time to spare come first, and the
+// oldest of these; the pools start at different places among equals.
 func (e *Election) rank() int {
-	type candidate struct {
-		name string
-		hb   Heartbeat
-	}
-	all := []candidate{{e.self, e.heartbeat}}
+	all := []candidate{e.candidate(e.self, e.heartbeat)}
 	for name, hb := range e.peers {
-		all = append(all, candidate{name, hb})
+		all = append(all, e.candidate(name, hb))
 	}
 	slices.SortFunc(all, func(a, b candidate) int {
-		return cmp.Or(cmp.Compare(a.hb.leadPenalty(), b.hb.leadPenalty()), cmp.Compare(a.hb.Joined, b.hb.Joined), cmp.Compare(a.name, b.name))
+		return cmp.Or(compareSuitability(a, b), cmp.Compare(a.joined, b.joined), cmp.Compare(a.name, b.name))
 	})
-	return slices.IndexFunc(all, func(c candidate) bool { return c.name == e.self })
+	at := slices.IndexFunc(all, func(c candidate) bool { return c.name == e.self })
+	first, last := at, at
+	for first > 0 && compareSuitability(all[first-1], all[at]) == 0 {
+		first--
+	}
+	for last+1 < len(all) && compareSuitability(all[last+1], all[at]) == 0 {
+		last++
+	}
+	equals := last - first + 1
+	return first + ((at-first-e.cfg.Pool)%equals+equals)%equals
+}
+
+func (e *Election) candidate(name string, hb Heartbeat) candidate {
+	return candidate{name: name, penalty: hb.leadPenalty(), cost: hb.leadCost(e.cfg.DC), joined: hb.Joined}
+}
+
+// compareSuitability orders candidates by how well they suit the pool, the best first.
+func compareSuitability(a, b candidate) int {
+	return cmp.Or(cmp.Compare(a.penalty, b.penalty), cmp.Compare(a.cost, b.cost))
 }
--- a/internal/election/election_test.go
+++ b/internal/election/election_test.go
@@ -106,10 +106,10 @@
 func TestStoppingOrDegradedLeaderIsReplaced(t *testing.T) {
 	c := newCluster(3)
 	c.run(3 * time.Second)
-	c.entries["e0"].SetStopping()
+	c.entries["e0"].SetEntry(Entry{Joined: 1, Stopping: true})
 	got := c.run(time.Second)
 	assert.Equal(t, got["e0"].Leader, "e1")
-	c.entries["e1"].SetDegraded(true)
+	c.entries["e1"].SetEntry(Entry{Joined: 2, Degraded: true})
 	got = c.run(2 * time.Second)
 	assert.Assert(t, got["e2"].Leading)
 }
@@ -119,8 +119,8 @@
 func TestStoppingEntryLeadsIfAllAreStopping(t *testing.T) {
 	c := newCluster(2)
 	c.run(3 * time.Second)
-	c.entries["e0"].SetStopping()
-	c.entries["e1"].SetStopping()
+	c.entries["e0"].SetEntry(Entry{Joined: 1, Stopping: true})
+	c.entries["e1"].SetEntry(Entry{Joined: 2, Stopping: true})
 	got := c.run(2 * time.Second)
 	assert.Equal(t, countLeaders(got), 1)
 	assert.Assert(t, got["e1"].Leader != "")
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -162,6 +162,16 @@
 	return n
 }
 
+// MilliCPU returns the CPU that all tasks of the job need together, in thousandths of a
+// core.
+func (j *Job) MilliCPU() int64 {
+	var sum int64
+	for i := range j.Steps {
+		sum += int64(j.Steps[i].Count) * j.Steps[i].Needs.MilliCPU
+	}
+	return sum
+}
+
 // TaskID identifies a task of a job, or of an occurrence of a recurring job.
 type TaskID struct {
 	Job   string
--- a/internal/node/ask.go
+++ b/internal/node/ask.go
@@ -109,8 +109,8 @@
 	n.post(func(now time.Duration) {
 		count, known := 0, !n.stored.expected
 		switch {
-		case n.pool.OwnsStored():
-			count, known = n.pool.Pending()[queue], true
+		case n.storedPool().OwnsStored():
+			count, known = n.storedPool().Pending()[queue], true
 		case n.stored.pending != nil && now < n.stored.pendingAt+maxPendingAge:
 			count, known = n.stored.pending[queue], true
 		}
@@ -145,7 +145,7 @@
 		n.stored.lastQueryNumber++
 		q.Number = n.stored.lastQueryNumber
 		n.stored.pendingReplies[q.Number] = got
-		switch leader := n.decision.Leader; {
+		switch leader := n.storedLeader(); {
 		case leader == n.cfg.Self.Name:
 			n.handleJobQuery(now, leader, q)
 		case leader == "" || !n.send(leader, wire.JobQuery, q):
@@ -165,11 +165,11 @@
 // is deferred until the job's end is saved.
 func (n *Node) handleJobQuery(now time.Duration, from string, q jobQueryBody) {
 	to := requester{from, q.Number}
-	reply := jobReplyBody{Ready: n.pool.KnowsAllStored()}
-	reply.State, reply.Known = n.pool.JobState(q.Job)
+	reply := jobReplyBody{Ready: n.storedPool().KnowsAllStored()}
+	reply.State, reply.Known = n.storedPool().JobState(q.Job)
 	if q.Cancel && reply.Known && !reply.State.Ended() {
 		n.log.Info("job", "job", q.Job, "outcome", "cancelling", "asked_by", from)
-		n.pool.Cancel(now, q.Job)
+		n.storedPool().Cancel(now, q.Job)
 		n.stored.pendingCancels[q.Job] = append(n.stored.pendingCancels[q.Job], to)
 		return
 	}
@@ -179,7 +179,7 @@
 // answerCancellations replies to the pending cancellations of a job once its end is
 // saved.
 func (n *Node) answerCancellations(id string) {
-	state, known := n.pool.JobState(id)
+	state, known := n.storedPool().JobState(id)
 	if !known || !state.Ended() {
 		return
 	}
--- a/internal/node/counts.go
+++ b/internal/node/counts.go
@@ -16,6 +16,7 @@
 	starts    tally.Counter
 	abandoned tally.Counter
 	late      tally.Counter
+	otherPool tally.Counter
 	latency   tally.Histogram
 	answers   map[string]tally.Counter
 }
@@ -26,7 +27,7 @@
 func newCounts(m *metrics.Metrics) *counts {
 	s := m.Scope().SubScope("node")
 	c := &counts{
-		m: m, starts: s.Counter("starts"), abandoned: s.Counter("abandoned"), late: s.Counter("late_outcomes"),
+		m: m, starts: s.Counter("starts"), abandoned: s.Counter("abandoned"), late: s.Counter("late_outcomes"), otherPool: s.Counter("submitted_to_other_pool"),
 		latency: s.Histogram("answer_seconds", latencyBuckets), answers: make(map[string]tally.Counter),
 	}
 	for _, order := range []string{"start", "stop", "hold"} {
--- a/internal/node/directory.go
+++ b/internal/node/directory.go
@@ -51,6 +51,7 @@
 	members   map[string]fleet.Member // known entries by name
 	live      []string                // members that renewed their row in the platform's store lately
 	liveAt    time.Duration           // when live was received
+	listed    int                     // number of members in the platform's store
 	// behindSince is when a heartbeat first showed a configuration newer than the one in
 	// force, 0 if none did.
 	behindSince time.Duration
@@ -67,6 +68,8 @@
 	HasTargets bool           `cbor:"4,keyasint,omitempty"`
 	TargetsAge time.Duration  `cbor:"5,keyasint,omitempty"`
 	Members    []fleet.Member `cbor:"6,keyasint,omitempty"`
+	// Layout is nil while the sender does not know it.
+	Layout *fleet.Layout `cbor:"7,keyasint,omitempty"`
 }
 
 func newDirectory() directory {
@@ -88,13 +91,14 @@
 type directoryRequestBody struct {
 	Config  bool `cbor:"1,keyasint,omitempty"`
 	Targets bool `cbor:"2,keyasint,omitempty"`
+	Layout  bool `cbor:"3,keyasint,omitempty"`
 }
 
 // requestFrom returns what to request from a peer now, after its heartbeat: a newer
 // configuration, and a list of targets if this entry's is too old and the peer's clearly
 // newer. It records the request.
-func (d *directory) requestFrom(now time.Duration, peer string, b heartbeatBody, config int64) (directoryRequestBody, bool) {
-	var want directoryRequestBody
+func (d *directory) requestFrom(now time.Duration, peer string, b heartbeatBody, config int64, layout uint64) (directoryRequestBody, bool) {
+	want := directoryRequestBody{Layout: b.LayoutVersion > layout}
 	if b.ConfigVersion > config {
 		if d.behindSince == 0 {
 			d.behindSince = now
@@ -144,10 +148,7 @@
 		return
 	}
 	n.directory.targets, n.directory.targetsAt, n.directory.hasList = list, at, true
-	n.pool.SetTargets(now, list)
-	if n.pool.Leading() {
-		n.updateAcquirePolicy(now)
-	}
+	n.setPoolTargets(now)
 }
 
 // SetMembers replaces the members that the platform lists. The live ones have
@@ -162,7 +163,7 @@
 		for _, m := range list {
 			n.directory.members[m.Name] = m
 		}
-		n.directory.live, n.directory.liveAt = live, now
+		n.directory.live, n.directory.liveAt, n.directory.listed = live, now, len(list)
 		n.dialMembers()
 	})
 }
@@ -185,6 +186,9 @@
 		Self: n.cfg.Self, Config: n.config.Load(),
 		Targets: n.directory.targets, HasTargets: n.directory.hasList, TargetsAge: n.directory.targetsAge(now),
 	}
+	if n.layoutKnown {
+		b.Layout = &n.layout
+	}
 	for _, m := range n.directory.members {
 		b.Members = append(b.Members, m)
 	}
@@ -213,12 +217,15 @@
 // mergeDirectory adds another entry's directory to this entry's: a newer
 // configuration, a newer list of targets, and members that were not known.
 func (n *Node) mergeDirectory(now time.Duration, b directoryBody) {
-	if b.Self.Name == n.directory.requestedOf && (b.Config != nil || b.HasTargets) {
+	if b.Self.Name == n.directory.requestedOf && (b.Config != nil || b.HasTargets || b.Layout != nil) {
 		n.directory.requestedOf = ""
 	}
 	if b.Config != nil {
 		n.setConfig(b.Config, "peer "+b.Self.Name)
 	}
+	if b.Layout != nil {
+		n.setLayout(now, *b.Layout)
+	}
 	if b.HasTargets {
 		n.setTargets(now, b.Targets, now-b.TargetsAge)
 	}
@@ -234,33 +241,69 @@
 	}
 }
 
-// updateAcquirePolicy tells the pool how soon it may acquire each target. A leader
-// that reaches a majority of the live members acquires all targets at once. A leader
-// with a minority acquires at once only the targets whose home entry it reaches, and
-// the others after minorityAcquireDelay.
-func (n *Node) updateAcquirePolicy(now time.Duration) {
+// updateAcquirePolicy tells a pool how soon it may acquire each target. A leader that
+// reaches a majority of the live members acquires targets at once, and one with a
+// minority those whose home entry it reaches. Other targets are acquired after
+// minorityAcquireDelay, and so are targets of a data centre none of whose live members
+// is in reach, which may be cut off with a leader of its own.
+func (n *Node) updateAcquirePolicy(now time.Duration, s *shard) {
 	live := n.presumedLive(now)
 	slices.Sort(live)
 	inReach := func(name string) bool {
 		return n.linked[name] || name == n.cfg.Self.Name
 	}
 	reached := 0
+	byDC := make(map[string]*homes)
+	all := &homes{}
 	for _, name := range live {
+		dc := n.dcOf(name)
+		if byDC[dc] == nil {
+			byDC[dc] = &homes{}
+		}
+		byDC[dc].add(name, inReach(name))
+		all.add(name, inReach(name))
 		if inReach(name) {
 			reached++
 		}
 	}
 	majority := 2*reached > len(live)
-	n.pool.SetAcquirePolicy(now, func(id string) pool.AcquirePolicy {
-		home, _ := rendezvous.TopTwo(rendezvous.Hash(id), live)
-		policy := pool.AcquirePolicy{Home: inReach(live[home])}
-		if !majority && !policy.Home {
+	dcs := make(map[string]*homes)
+	for i := range n.directory.targets {
+		t := &n.directory.targets[i]
+		dcs[t.ID] = byDC[t.DC]
+	}
+	s.pool.SetAcquirePolicy(now, func(id string) pool.AcquirePolicy {
+		h := dcs[id]
+		if h == nil {
+			h = all
+		}
+		home, _ := rendezvous.TopTwoHashed(rendezvous.Hash(id), h.hashes)
+		policy := pool.AcquirePolicy{Home: h.inReach[home]}
+		if !policy.Home && (!majority || !slices.Contains(h.inReach, true)) {
 			policy.Delay = minorityAcquireDelay
 		}
 		return policy
 	})
 }
 
+// homes is a set of entries among which the home of a target is chosen.
+type homes struct {
+	hashes  []uint64
+	inReach []bool
+}
+
+func (h *homes) add(name string, inReach bool) {
+	h.hashes, h.inReach = append(h.hashes, rendezvous.Hash(name)), append(h.inReach, inReach)
+}
+
+// dcOf returns the data centre of a member, "" if it is unknown.
+func (n *Node) dcOf(name string) string {
+	if name == n.cfg.Self.Name {
+		return n.cfg.Self.DC
+	}
+	return n.directory.members[name].DC
+}
+
 // presumedLive returns the members that are presumed to be alive: this entry, the
 // linked peers, and those that are live by the platform's store, or all known
 // members if the store's list is older than maxLiveListAge.
--- a/internal/node/directory_test.go
+++ b/internal/node/directory_test.go
@@ -15,17 +15,17 @@
 	d := newDirectory()
 	d.hasList, d.targetsAt = true, 10*time.Second
 	newer := heartbeatBody{ConfigVersion: 7}
-	_, ok := d.requestFrom(10*time.Second, "a", newer, 5)
+	_, ok := d.requestFrom(10*time.Second, "a", newer, 5, 0)
 	assert.Assert(t, !ok, "the store may be about to deliver it")
 	later := 10*time.Second + configGrace
-	want, ok := d.requestFrom(later, "a", newer, 5)
+	want, ok := d.requestFrom(later, "a", newer, 5, 0)
 	assert.Assert(t, ok)
 	assert.Equal(t, want, directoryRequestBody{Config: true})
 	for i := range 10 {
-		_, ok = d.requestFrom(later+time.Duration(i)*20*ms, "b", newer, 5)
+		_, ok = d.requestFrom(later+time.Duration(i)*20*ms, "b", newer, 5, 0)
 		assert.Assert(t, !ok, "the request to another peer is not answered yet")
 	}
-	_, ok = d.requestFrom(later+requestTimeout, "b", newer, 5)
+	_, ok = d.requestFrom(later+requestTimeout, "b", newer, 5, 0)
 	assert.Assert(t, ok)
 }
 
@@ -33,9 +33,9 @@
 	d := newDirectory()
 	d.hasList, d.targetsAt = true, 10*time.Second
 	now := 10*time.Second + 2*maxTargetListAge
-	_, ok := d.requestFrom(now, "a", heartbeatBody{TargetsAge: 2 * maxTargetListAge}, 5)
+	_, ok := d.requestFrom(now, "a", heartbeatBody{TargetsAge: 2 * maxTargetListAge}, 5, 0)
 	assert.Assert(t, !ok, "the peer's list is as old")
-	want, ok := d.requestFrom(now, "b", heartbeatBody{TargetsAge: 200 * ms}, 5)
+	want, ok := d.requestFrom(now, "b", heartbeatBody{TargetsAge: 200 * ms}, 5, 0)
 	assert.Assert(t, ok)
 	assert.Equal(t, want, directoryRequestBody{Targets: true})
 }
--- a/internal/node/jobs.go
+++ b/internal/node/jobs.go
@@ -15,6 +15,9 @@
 type pendingJob struct {
 	job          fleet.Job
 	arrived      time.Duration
+	pool         int                  // the pool that the job was last submitted to, -1 before
+	tried        []int                // pools that have rejected the job
+	retryAt      time.Duration        // no submission before, after a leader was not ready
 	sentTo       string               // the leader that has the job, "" while none has
 	mayHaveRun   bool                 // an earlier leader had the job and may have started it
 	leaderLostAt time.Duration        // when that leader was lost
@@ -36,6 +39,9 @@
 	LostAgo    time.Duration `cbor:"4,keyasint,omitempty"`
 	// Relayed jobs come from an entry that relays them, and are not relayed again.
 	Relayed bool `cbor:"5,keyasint,omitempty"`
+	// Pool is the index of the pool in the layout of the given version.
+	Pool   int    `cbor:"6,keyasint,omitempty"`
+	Layout uint64 `cbor:"7,keyasint,omitempty"`
 }
 
 // endedBody is the body of wire.PoolEnded, with which the leader sends the outcome of
@@ -85,9 +91,8 @@
 		n.log.Info("job", "job", j.ID, "outcome", "joined a pending duplicate")
 		return
 	}
-	n.log.Info("job", "job", j.ID, "queue", j.Queue.Name, "tasks", j.TaskCount(), "outcome", "accepted", "leader", n.decision.Leader,
-		"config", n.configVersion())
-	n.pending[j.ID] = &pendingJob{job: j, arrived: now, waiters: []chan fleet.Outcome{done}}
+	n.log.Info("job", "job", j.ID, "queue", j.Queue.Name, "tasks", j.TaskCount(), "outcome", "accepted", "config", n.configVersion())
+	n.pending[j.ID] = &pendingJob{job: j, pool: -1, arrived: now, waiters: []chan fleet.Outcome{done}}
 }
 
 // Cancel cancels a pending job at the request of its caller, and reports whether
@@ -161,52 +166,98 @@
 	return verdict.NotRun
 }
 
-// submitPending submits the pending jobs that no leader has. A relayed job is not sent
-// back to the entry that it came from.
+// submitPending submits the pending jobs that no leader has.
 func (n *Node) submitPending(now time.Duration) {
-	leader := n.decision.Leader
-	if leader == "" {
-		return
-	}
+	var views []poolView
 	for _, p := range n.pending {
-		if p.sentTo == "" && !(p.relayFor != "" && leader != n.cfg.Self.Name && p.relayFor == leader) {
-			n.submitTo(now, leader, p)
+		if p.sentTo != "" || now < p.retryAt {
+			continue
+		}
+		if views == nil {
+			views = n.poolViews()
+		}
+		if s := n.shardFor(now, p, views); s != nil {
+			n.submitTo(now, s, p)
 		}
 	}
 }
 
-// submitTo submits a pending job to the leader, which may be this entry.
-func (n *Node) submitTo(now time.Duration, leader string, p *pendingJob) {
+// shardFor returns the pool for a pending job, nil if there is none to submit it to. A
+// job that may have run stays with its pool, whose next leader finds its runs, unless that
+// pool has no leader for leaderlessTimeout. A relayed job goes to the pool that its
+// coordinator chose, and is not sent back to the coordinator.
+func (n *Node) shardFor(now time.Duration, p *pendingJob, views []poolView) *shard {
+	if p.relayFor != "" {
+		s := n.shards[p.pool]
+		if leader := s.decision.Leader; leader == "" || leader != n.cfg.Self.Name && leader == p.relayFor {
+			return nil
+		}
+		return s
+	}
+	if p.mayHaveRun && p.pool >= 0 {
+		if views[p.pool].led {
+			return n.shards[p.pool]
+		}
+		if now < p.leaderLostAt+leaderlessTimeout {
+			return nil
+		}
+	}
+	at := choosePool(p.job.ID, views, p.tried)
+	if at < 0 {
+		return nil
+	}
+	return n.shards[at]
+}
+
+// submitTo submits a pending job to the leader of a pool, which may be this entry.
+func (n *Node) submitTo(now time.Duration, s *shard, p *pendingJob) {
+	p.pool = s.index
 	lostAgo := now - p.leaderLostAt
+	leader := s.decision.Leader
 	if leader == n.cfg.Self.Name {
 		p.sentTo = leader
-		n.pool.Submit(now, pool.Submit{
+		s.pool.Submit(now, pool.Submit{
 			Coordinator: leader, Job: p.job, Waited: now - p.arrived, MayHaveRun: p.mayHaveRun, LostAgo: lostAgo,
 		})
 		return
 	}
 	sent := n.send(leader, wire.PoolSubmit, submitBody{
 		Job: p.job, Waited: now - p.arrived, MayHaveRun: p.mayHaveRun, LostAgo: lostAgo, Relayed: p.relayFor != "",
+		Pool: s.index, Layout: n.layout.Version,
 	})
 	if sent {
 		p.sentTo = leader
+	} else {
+		p.retryAt = now + resubmitPause
 	}
 }
 
-// reclaimFromLeader marks the jobs of a former leader to be submitted to the next one.
-// The former leader may have started them; if it is still linked, the jobs are
-// withdrawn from it.
-func (n *Node) reclaimFromLeader(now time.Duration, name string) {
+// resubmitPause is the pause before a job is submitted again to a leader that was not
+// ready.
+const resubmitPause = 20 * time.Millisecond
+
+// reclaimFromLeader marks the jobs that a former leader of a pool has to be submitted to
+// the next one.
+func (n *Node) reclaimFromLeader(now time.Duration, name string, s *shard) {
+	if name == "" {
+		return
+	}
 	for _, p := range n.pending {
-		if p.sentTo == name && name != "" {
-			if n.linked[name] {
-				n.sendAbandon(now, p, abandonBody{p.job.ID, otherLeader})
-			}
-			p.sentTo, p.mayHaveRun, p.leaderLostAt = "", true, now
+		if p.sentTo == name && p.pool == s.index {
+			n.reclaim(now, p)
 		}
 	}
 }
 
+// reclaim marks a job to be submitted again. The former leader may have started it; if it
+// is still linked, the job is withdrawn from it.
+func (n *Node) reclaim(now time.Duration, p *pendingJob) {
+	if n.linked[p.sentTo] {
+		n.sendAbandon(now, p, abandonBody{p.job.ID, otherLeader})
+	}
+	p.sentTo, p.mayHaveRun, p.leaderLostAt, p.tried = "", true, now, nil
+}
+
 // deliverOutcome delivers an outcome of this entry's pool to the job's coordinator.
 func (n *Node) deliverOutcome(now time.Duration, e pool.Ended) {
 	if e.Coordinator == n.cfg.Self.Name {
@@ -228,7 +279,10 @@
 		return // from a leader that no longer has the job
 	}
 	if o.Reason == verdict.NotReady {
-		p.sentTo = ""
+		p.sentTo, p.retryAt = "", now+resubmitPause
+		return
+	}
+	if n.tryOtherPool(now, p, o) {
 		return
 	}
 	if o.Verdict == verdict.NotRun && p.mayHaveRun {
@@ -237,6 +291,31 @@
 	n.settle(now, id, o)
 }
 
+// tryOtherPool submits a job to another pool after one has rejected it, and reports
+// whether there is such a pool. A job that does not fit the targets of one pool may fit
+// those of another, and one that is rejected to shed load goes to a pool with spare
+// capacity.
+func (n *Node) tryOtherPool(now time.Duration, p *pendingJob, o fleet.Outcome) bool {
+	if p.mayHaveRun || p.relayFor != "" || len(n.shards) == 1 {
+		return false
+	}
+	p.tried = append(p.tried, p.pool)
+	next := -1
+	switch o.Reason {
+	case verdict.NeverFits:
+		next = choosePool(p.job.ID, n.poolViews(), p.tried)
+	case verdict.QueueFull:
+		next = chooseSparePool(p.job.MilliCPU(), n.poolViews(), p.tried)
+	}
+	if next < 0 {
+		return false
+	}
+	n.log.Info("job", "job", p.job.ID, "outcome", "submitted to another pool", "reason", o.Reason, "pool", p.pool, "next", next)
+	n.counts.otherPool.Inc(1)
+	n.submitTo(now, n.shards[next], p)
+	return true
+}
+
 // settle ends a pending job: it sends the outcome to all waiters, and to the entry for
 // which the job was relayed.
 func (n *Node) settle(now time.Duration, id string, o fleet.Outcome) {
@@ -267,27 +346,32 @@
 }
 
 // handleSubmit handles a job from another entry. A stored job goes to this entry's pool.
-// Another job goes to the pool if this entry leads; otherwise it is relayed to the
-// leader, or rejected as not ready if it is relayed already, is pending here, or has no
-// leader other than the sender.
+// Another job goes to its pool if this entry leads it; otherwise it is relayed to the
+// leader, or rejected as not ready if it is relayed already, is pending here, has no
+// leader other than the sender, or names a pool of another layout.
 func (n *Node) handleSubmit(now time.Duration, from string, b submitBody) {
 	if b.Job.Stored {
 		n.acceptStored(now, b.Job, b.Waited)
 		return
 	}
-	if n.pool.Leading() {
-		n.pool.Submit(now, pool.Submit{
+	known := b.Layout == n.layout.Version && b.Pool >= 0 && b.Pool < len(n.shards)
+	if known && n.shards[b.Pool].pool.Leading() {
+		n.shards[b.Pool].pool.Submit(now, pool.Submit{
 			Coordinator: from, Job: b.Job, Waited: b.Waited, MayHaveRun: b.MayHaveRun, LostAgo: b.LostAgo,
 		})
 		return
 	}
-	if b.Relayed || n.decision.Leader == "" || n.decision.Leader == from || n.pending[b.Job.ID] != nil {
+	leader := ""
+	if known {
+		leader = n.shards[b.Pool].decision.Leader
+	}
+	if b.Relayed || leader == "" || leader == from || n.pending[b.Job.ID] != nil {
 		n.send(from, wire.PoolEnded, endedBody{b.Job.ID, fleet.Outcome{Verdict: verdict.NotRun, Reason: verdict.NotReady}})
 		return
 	}
-	n.log.Info("job", "job", b.Job.ID, "outcome", "relayed", "for", from, "leader", n.decision.Leader)
+	n.log.Info("job", "job", b.Job.ID, "outcome", "relayed", "for", from, "pool", b.Pool, "leader", leader)
 	n.pending[b.Job.ID] = &pendingJob{
-		job: b.Job, arrived: now - b.Waited, mayHaveRun: b.MayHaveRun, leaderLostAt: now - b.LostAgo, relayFor: from,
+		job: b.Job, pool: b.Pool, arrived: now - b.Waited, mayHaveRun: b.MayHaveRun, leaderLostAt: now - b.LostAgo, relayFor: from,
 	}
 }
 
@@ -304,14 +388,16 @@
 	n.withdrawFromPool(now, from, b)
 }
 
-// withdrawFromPool withdraws a job from this entry's pool.
+// withdrawFromPool withdraws a job from the pool of this entry that has it.
 func (n *Node) withdrawFromPool(now time.Duration, coordinator string, b abandonBody) {
-	switch b.Reason {
-	case cancelled:
-		n.pool.Cancel(now, b.Job)
-	case otherLeader:
-		n.pool.Withdraw(now, coordinator, b.Job)
-	default:
-		n.pool.Abandon(now, coordinator, b.Job)
+	for _, s := range n.shards {
+		switch b.Reason {
+		case cancelled:
+			s.pool.Cancel(now, b.Job)
+		case otherLeader:
+			s.pool.Withdraw(now, coordinator, b.Job)
+		default:
+			s.pool.Abandon(now, coordinator, b.Job)
+		}
 	}
 }
--- /dev/null
+++ b/internal/node/layout.go
@@ -0,0 +1,123 @@
+package node
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"currantstall/internal/fleet"
+	"currantstall/internal/verdict"
+	"currantstall/internal/wire"
+)
+
+// Layouts keeps the layout of the pools in the platform's store.
+type Layouts interface {
+	// Save writes the layout if the row still has the version that l names, and returns
+	// the new version.
+	Save(ctx context.Context, l fleet.Layout) (uint64, error)
+}
+
+const (
+	// layoutInterval is the time between two checks whether the layout is outgrown.
+	layoutInterval = 500 * time.Millisecond
+	// layoutSettle is how long the number of targets must be steady before a first layout
+	// is planned for it.
+	layoutSettle = time.Second
+	// layoutTimeout limits an attempt to save a layout.
+	layoutTimeout = 2 * time.Second
+)
+
+// layoutKeeper is the state of an entry that plans layouts, which is the leader of the
+// first pool.
+type layoutKeeper struct {
+	nextCheckAt time.Duration
+	targets     int           // counted at the last check
+	steadySince time.Duration // since when that number is steady
+	saving      bool
+}
+
+// SetLayout puts the layout of the platform's store in force, unless the one in force has
+// the same or a higher version.
+func (n *Node) SetLayout(l fleet.Layout) {
+	n.post(func(now time.Duration) { n.setLayout(now, l) })
+}
+
+// setLayout puts a newer layout in force. The jobs that leaders under the former one have
+// are submitted again, as after the loss of a leader.
+func (n *Node) setLayout(now time.Duration, l fleet.Layout) {
+	known := n.layoutKnown
+	n.layoutKnown = true
+	if len(l.Pools) == 0 || known && l.Version <= n.layout.Version {
+		return
+	}
+	before := n.layout
+	n.layout = l
+	if slices.Equal(before.Pools, l.Pools) {
+		return
+	}
+	n.log.Info("layout", "version", l.Version, "pools", len(l.Pools), "planned_for", l.Targets, "before", before.Version)
+	n.stopOwner()
+	former := n.shards
+	for _, s := range former {
+		s.pool.StepDown()
+	}
+	for id, p := range n.pending {
+		if p.relayFor != "" {
+			n.send(p.relayFor, wire.PoolEnded, endedBody{id, fleet.Outcome{Verdict: verdict.NotRun, Reason: verdict.NotReady}})
+			delete(n.pending, id)
+			continue
+		}
+		if p.sentTo != "" {
+			n.reclaim(now, p)
+		}
+		p.pool = -1
+	}
+	n.shards = n.newShards(l, now)
+	n.setPoolTargets(now)
+}
+
+// checkLayout saves a new layout if this entry leads the first pool and the present one
+// is outgrown. Stored jobs may need any target, so they are run by a single pool.
+func (n *Node) checkLayout(now time.Duration) {
+	k := &n.keeper
+	if n.cfg.Layouts == nil || k.saving || now < k.nextCheckAt || !n.shards[0].decision.Leading {
+		return
+	}
+	k.nextCheckAt = now + layoutInterval
+	count := len(n.directory.targets)
+	if count != k.targets {
+		k.targets, k.steadySince = count, now
+	}
+	if count == 0 || n.directory.targetsAge(now) > maxTargetListAge {
+		return
+	}
+	want := fleet.PlanLayout(n.directory.targets)
+	if n.stored.expected {
+		want.Pools = []fleet.Scope{{}}
+	} else if now < k.steadySince+layoutSettle || n.layout.Version != 0 && !n.layout.Outgrown(count) {
+		return
+	}
+	if slices.Equal(want.Pools, n.layout.Pools) {
+		return
+	}
+	want.Version = n.layout.Version
+	k.saving = true
+	go n.saveLayout(want)
+}
+
+// saveLayout saves a layout and puts it in force. If that fails, the next check tries
+// again with what the store has by then.
+func (n *Node) saveLayout(l fleet.Layout) {
+	ctx, cancel := context.WithTimeout(n.ctx, layoutTimeout)
+	defer cancel()
+	version, err := n.cfg.Layouts.Save(ctx, l)
+	n.post(func(now time.Duration) {
+		n.keeper.saving = false
+		if err != nil {
+			n.log.Warn("layout not saved; trying again", "version", l.Version, "pools", len(l.Pools), "err", err)
+			return
+		}
+		l.Version = version
+		n.setLayout(now, l)
+	})
+}
--- a/internal/node/links.go
+++ b/internal/node/links.go
@@ -5,6 +5,7 @@
 
 	"currantstall/internal/election"
 	"currantstall/internal/peer"
+	"currantstall/internal/rendezvous"
 	"currantstall/internal/wire"
 )
 
@@ -31,13 +32,17 @@
 		delete(n.stored.peerStoreReadAt, p.Name)
 		delete(n.stored.peerClocks, p.Name)
 		n.log.Info("link", "peer", p.Name, "outcome", "down")
-		n.election.RemovePeer(p.Name)
-		n.reclaimFromLeader(now, p.Name)
-		n.pool.CoordinatorLost(now, p.Name)
-		n.dropRelayed(now, p.Name)
-		if n.pool.Leading() {
-			n.updateAcquirePolicy(now)
+		n.electionsDue = true
+		for _, s := range n.shards {
+			s.election.RemovePeer(p.Name)
+			delete(s.reports, p.Name)
+			n.reclaimFromLeader(now, p.Name, s)
+			s.pool.CoordinatorLost(now, p.Name)
+			if s.pool.Leading() {
+				n.updateAcquirePolicy(now, s)
+			}
 		}
+		n.dropRelayed(now, p.Name)
 	})
 }
 
@@ -108,6 +113,7 @@
 
 // heartbeatBody is the body of wire.PoolHeartbeat.
 type heartbeatBody struct {
+	// Election describes the sender, and has its claim about the first pool.
 	Election      election.Heartbeat `cbor:"1,keyasint"`
 	ConfigVersion int64              `cbor:"2,keyasint"` // in force at the sender
 	// TargetsAge is the age of the sender's list of targets.
@@ -124,19 +130,45 @@
 	// Pending counts the stored jobs of each queue that wait to be started, if the
 	// sender owns the stored jobs.
 	Pending map[string]int `cbor:"5,keyasint"`
+	// LayoutVersion is the version of the layout that Pools refers to. Pools is empty
+	// while the sender does not know the layout.
+	LayoutVersion uint64       `cbor:"9,keyasint,omitempty"`
+	Pools         []poolReport `cbor:"10,keyasint,omitempty"`
+}
+
+// leadState is the part of a heartbeat whose change is sent at once.
+type leadState struct {
+	stopping bool
+	leads    int
+	changes  uint64 // hash of the leaders of all pools
+}
+
+// leadState returns the present one.
+func (n *Node) leadState() leadState {
+	st := leadState{stopping: n.stopping.Load(), leads: n.leads()}
+	for _, s := range n.shards {
+		c := s.election.Heartbeat().Claim
+		st.changes = rendezvous.WeightHashed(st.changes, rendezvous.Hash(c.Leader)+c.Term)
+		if c.Leading || c.Yielding {
+			st.changes++
+		}
+	}
+	return st
 }
 
 // sendHeartbeat sends a heartbeat to the peers: at intervals, and at once if this entry
-// has started or stopped leading, follows another leader, or is stopping.
+// has started or stopped leading a pool, follows another leader, or is stopping.
 func (n *Node) sendHeartbeat(now time.Duration) {
-	own := n.election.Heartbeat()
-	urgent := own.Leading != n.lastHeartbeat.Leading || own.Leader != n.lastHeartbeat.Leader || own.Stopping != n.lastHeartbeat.Stopping
-	if !urgent && now < n.lastHeartbeatAt+heartbeatInterval {
+	st := n.leadState()
+	if st == n.lastState && now < n.lastHeartbeatAt+heartbeatInterval {
 		return
 	}
-	n.lastHeartbeatAt, n.lastHeartbeat = now, own
-	n.pool.SetWallClock(now, n.medianWallClock(now))
-	m, err := wire.NewMessage(wire.PoolHeartbeat, n.newHeartbeat(now, own))
+	n.lastHeartbeatAt, n.lastState = now, st
+	wall := n.medianWallClock(now)
+	for _, s := range n.shards {
+		s.pool.SetWallClock(now, wall)
+	}
+	m, err := wire.NewMessage(wire.PoolHeartbeat, n.newHeartbeat(now))
 	if err != nil {
 		n.log.Error("message to a peer not sent: its body can't be encoded", "type", wire.PoolHeartbeat.String(), "err", err)
 		return
@@ -145,11 +177,27 @@
 }
 
 // newHeartbeat returns the heartbeat to send now.
-func (n *Node) newHeartbeat(now time.Duration, own election.Heartbeat) heartbeatBody {
-	b := heartbeatBody{Election: own, ConfigVersion: n.configVersion(), TargetsAge: n.directory.targetsAge(now), HasStored: n.stored.expected, StoreAge: n.storeAge(now), WallMS: time.Now().UnixMilli()}
-	b.NoStored = n.pool.KnowsAllStored() && !n.stored.expected
-	if n.pool.OwnsStored() {
-		b.Pending = n.pool.Pending()
+func (n *Node) newHeartbeat(now time.Duration) heartbeatBody {
+	b := heartbeatBody{
+		Election:      election.Heartbeat{Entry: n.entryState(now), Claim: n.shards[0].election.Heartbeat().Claim},
+		ConfigVersion: n.configVersion(), TargetsAge: n.directory.targetsAge(now),
+		HasStored: n.stored.expected, StoreAge: n.storeAge(now), WallMS: time.Now().UnixMilli(),
+	}
+	b.NoStored = n.storedPool().KnowsAllStored() && !n.stored.expected
+	if n.storedPool().OwnsStored() {
+		b.Pending = n.storedPool().Pending()
+	}
+	if !n.layoutKnown {
+		return b
+	}
+	b.LayoutVersion, b.Pools = n.layout.Version, make([]poolReport, len(n.shards))
+	for i, s := range n.shards {
+		r := &b.Pools[i]
+		r.Claim = s.election.Heartbeat().Claim
+		if s.pool.Leading() {
+			l := s.pool.Load()
+			r.Capacity, r.Spare = l.Capacity.MilliCPU, l.Spare()
+		}
 	}
 	return b
 }
@@ -160,7 +208,11 @@
 	if !n.linked[from] {
 		return
 	}
-	n.election.Observe(from, b.Election)
+	n.electionsDue = true
+	if !n.layoutKnown && b.LayoutVersion == 0 && len(b.Pools) > 0 {
+		n.layoutKnown = true // the peer uses the default layout, as this entry does
+	}
+	n.observe(from, &b)
 	n.stored.peerStoreReadAt[from] = now - b.StoreAge
 	n.stored.peerClocks[from] = b.WallMS - now.Milliseconds()
 	if b.NoStored {
@@ -168,12 +220,30 @@
 	}
 	if b.HasStored && !n.stored.expected {
 		n.stored.foundJobs()
-		n.pool.ExpectStored()
+		n.storedPool().ExpectStored()
 	}
-	if from == n.decision.Leader {
+	if from == n.storedLeader() {
 		n.stored.pending, n.stored.pendingAt = b.Pending, now
 	}
-	if want, ok := n.directory.requestFrom(now, from, b, n.configVersion()); ok {
+	if want, ok := n.directory.requestFrom(now, from, b, n.configVersion(), n.layout.Version); ok {
 		n.send(from, wire.DirectoryRequest, want)
 	}
 }
+
+// observe passes a peer's claims to the elections, if the peer uses the same layout. A
+// peer that does not know the layout claims nothing.
+func (n *Node) observe(from string, b *heartbeatBody) {
+	if !n.layoutKnown || b.LayoutVersion != n.layout.Version {
+		return
+	}
+	for i, s := range n.shards {
+		hb := b.Election
+		if i < len(b.Pools) {
+			hb.Claim = b.Pools[i].Claim
+			s.reports[from] = b.Pools[i]
+		} else if i > 0 {
+			hb.Claim = election.Claim{}
+		}
+		s.election.Observe(from, hb)
+	}
+}
--- a/internal/node/loadmeter.go
+++ b/internal/node/loadmeter.go
@@ -36,9 +36,12 @@
 	if now < m.since+loadInterval {
 		return
 	}
-	if n.pool.Leading() && m.since > 0 {
-		s := n.pool.Load()
-		n.log.Info("load", "period_ms", (now - m.since).Milliseconds(), "busy_ms", m.busy.Milliseconds(),
+	for _, sh := range n.shards {
+		if !sh.pool.Leading() || m.since == 0 {
+			continue
+		}
+		s := sh.pool.Load()
+		n.log.Info("load", "pool", sh.index, "period_ms", (now - m.since).Milliseconds(), "busy_ms", m.busy.Milliseconds(),
 			"events", m.events, "max_queued", m.maxQueued, "max_lag_ms", m.maxLag.Milliseconds(),
 			"starts", m.starts, "mean_start_ms", m.startTime.Milliseconds()/int64(max(m.starts, 1)),
 			"targets", s.Targets, "owned", s.Owned, "capacity", s.Capacity.MilliCPU, "used", s.Used.MilliCPU, "jobs", s.Jobs, "waiting", s.Waiting)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -1,6 +1,6 @@
 // Package node runs an entry of a pooled deployment. It coordinates its callers'
-// jobs, follows the leader or is the leader that owns the targets, and sends the
-// pool's orders to the targets. All state belongs to one goroutine, the loop, which
+// jobs, follows the leaders of the pools or leads some of them, and sends the orders of
+// its pools to the targets. All state belongs to one goroutine, the loop, which
 // handles events one at a time. Blocking calls run in goroutines of their own and
 // post their results as events.
 package node
@@ -9,18 +9,15 @@
 	"context"
 	"fmt"
 	"log/slog"
-	"math/rand/v2"
 	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"currantstall/internal/election"
 	"currantstall/internal/fleet"
 	"currantstall/internal/jobstore"
 	"currantstall/internal/metrics"
 	"currantstall/internal/peer"
-	"currantstall/internal/pool"
 	"currantstall/internal/structs"
 )
 
@@ -33,6 +30,11 @@
 	Adviser fleet.Adviser
 	// Jobs gives access to the tables of stored jobs; nil disables stored jobs.
 	Jobs jobstore.Tables
+	// Layouts keeps the layout of the pools; nil means one pool for all targets.
+	Layouts Layouts
+	// MilliCPU is the size of the VM in thousandths of a core, 0 if unknown. Larger
+	// entries lead before smaller ones.
+	MilliCPU int64
 	// Seeds are addresses of entries that may know the others.
 	Seeds   []string
 	Metrics *metrics.Metrics
@@ -82,14 +84,17 @@
 	stopping atomic.Bool
 
 	// Owned by the loop.
-	pool            *pool.Pool
-	election        *election.Election
-	decision        election.Decision
+	joined          uint64 // when this entry started, Unix time in ms
+	layout          fleet.Layout
+	layoutKnown     bool // the layout of the store was read, or a peer has sent it
+	keeper          layoutKeeper
+	shards          []*shard // one for each pool of the layout
+	electionsDue    bool     // something that the elections depend on has changed
 	linked          map[string]bool
 	pending         map[string]*pendingJob
 	directory       directory
 	lastHeartbeatAt time.Duration
-	lastHeartbeat   election.Heartbeat // the one sent last
+	lastState       leadState // as of the heartbeat sent last
 	lag             lagMeter
 	load            loadMeter
 	lastIterationAt time.Duration // boot clock at the last iteration of the loop
@@ -107,9 +112,9 @@
 		linked: make(map[string]bool), pending: make(map[string]*pendingJob),
 		directory: newDirectory(), stored: newStoredJobs(&cfg),
 	}
-	n.pool = pool.New(pool.DefaultSettings(), n.logDecision)
-	n.election = election.New(election.Settings{ListenPeriod: election.DefaultListenPeriod, RankDelay: election.DefaultRankDelay},
-		cfg.Self.Name, uint64(time.Now().UnixMilli()), n.now())
+	n.joined = uint64(time.Now().UnixMilli())
+	n.layout, n.layoutKnown = fleet.DefaultLayout(), cfg.Layouts == nil
+	n.shards = n.newShards(n.layout, n.now())
 	links, err := peer.New(peer.Config{
 		Self:        structs.Member{Name: cfg.Self.Name, Incarnation: uint64(time.Now().UnixNano()), Addr: cfg.Self.Addr},
 		DC:          cfg.Self.DC,
@@ -155,7 +160,7 @@
 func (n *Node) Stop() {
 	n.stopping.Store(true)
 	n.post(func(time.Duration) {
-		n.election.SetStopping()
+		n.electionsDue = true
 		n.log.Info("stopping")
 	})
 }
@@ -199,6 +204,7 @@
 		case <-tick.C:
 			began = n.now()
 			n.checkProcessPause()
+			n.electionsDue = true
 			n.load.maxLag = max(n.load.maxLag, n.lag.tick(began))
 		}
 		n.step(n.now())
@@ -223,8 +229,10 @@
 func (n *Node) checkProcessPause() {
 	boot := bootClock()
 	if gap := boot - n.lastIterationAt; n.lastIterationAt > 0 && gap > processPauseLimit {
-		n.log.Info("process pause detected; holding back starts", "ms", gap.Milliseconds(), "lead", n.decision.Leading)
-		n.pool.DelayStarts(n.now() + processPauseSettle)
+		n.log.Info("process pause detected; holding back starts", "ms", gap.Milliseconds(), "leads", n.leads())
+		for _, s := range n.shards {
+			s.pool.DelayStarts(n.now() + processPauseSettle)
+		}
 	}
 	n.lastIterationAt = boot
 }
@@ -243,72 +251,24 @@
 	return 64
 }
 
-// step updates the election, the pool and the pending jobs after events or a tick,
-// and carries out the resulting effects.
+// step updates the elections, the pools and the pending jobs after events or a tick, and
+// carries out the resulting effects.
 func (n *Node) step(now time.Duration) {
-	n.applyElection(now)
+	if n.electionsDue {
+		n.electionsDue = false
+		n.applyElections(now)
+		n.checkLayout(now)
+	}
 	n.submitPending(now)
-	n.pool.Tick(now)
-	n.carryOut(now)
+	ready := false
+	for _, s := range n.shards {
+		s.pool.Tick(now)
+		n.carryOut(now, s)
+		ready = ready || s.decision.Leader != ""
+	}
 	n.sendHeartbeat(now)
 	n.rejectLeaderless(now)
-	n.ready.Store(n.config.Load() != nil && n.decision.Leader != "" && !n.stopping.Load())
-}
-
-// applyElection makes this entry lead, step down or follow another leader, as the
-// election decides.
-func (n *Node) applyElection(now time.Duration) {
-	n.election.SetOwned(n.pool.Owned())
-	n.election.SetDegraded(n.lag.degraded() || n.storeDegraded(now))
-	d := n.election.Decide(now)
-	if d.Leading != n.pool.Leading() {
-		if d.Leading {
-			n.updateAcquirePolicy(now)
-			n.pool.BecomeLeader(now, fenceBase())
-			n.startOwner()
-		} else {
-			n.stopOwner()
-			n.pool.StepDown()
-		}
-	}
-	if d != n.decision {
-		n.log.Info("leader", "leader", d.Leader, "lead", d.Leading, "term", d.Term, "before", n.decision.Leader, "peers", n.election.PeerCount())
-		if d.Leader != n.decision.Leader {
-			n.reclaimFromLeader(now, n.decision.Leader)
-		}
-		n.decision = d
-	}
-}
-
-// fenceBase returns a fencing token above those of earlier owners. It consists of the
-// wall clock and of random bits that distinguish this owner from others at the same
-// time. If the wall clock has jumped back, the pool probes for a higher token.
-func fenceBase() uint64 {
-	const ownerBits = 12
-	return uint64(time.Now().UnixMilli())<<ownerBits | rand.Uint64N(1<<ownerBits)
-}
-
-// carryOut carries out the effects that the pool has queued.
-func (n *Node) carryOut(now time.Duration) {
-	for _, e := range n.pool.Effects() {
-		switch e := e.(type) {
-		case fleet.Start:
-			n.counts.starts.Inc(1)
-			go n.start(now, e)
-		case fleet.Stop:
-			go n.stop(e)
-		case fleet.Hold:
-			go n.hold(now, e)
-		case fleet.AdviceRequest:
-			go n.advise(e)
-		case pool.Ended:
-			n.deliverOutcome(now, e)
-		case jobstore.Save:
-			if n.stored.owner != nil {
-				n.stored.owner.Save(e)
-			}
-		}
-	}
+	n.ready.Store(n.config.Load() != nil && ready && !n.stopping.Load())
 }
 
 const (
@@ -327,39 +287,39 @@
 	n.post(func(now time.Duration) { done(now, rep) })
 }
 
-func (n *Node) start(sent time.Duration, o fleet.Start) {
+func (n *Node) start(sent time.Duration, s *shard, o fleet.Start) {
 	n.order("start", func(ctx context.Context) fleet.Reply { return n.cfg.Targets.Start(ctx, o) },
 		func(now time.Duration, rep fleet.Reply) {
 			n.load.recordStart(now - sent)
-			n.pool.StartDone(now, o, rep)
+			s.pool.StartDone(now, o, rep)
 		})
 }
 
-func (n *Node) stop(o fleet.Stop) {
+func (n *Node) stop(s *shard, o fleet.Stop) {
 	n.order("stop", func(ctx context.Context) fleet.Reply { return n.cfg.Targets.Stop(ctx, o) },
-		func(now time.Duration, rep fleet.Reply) { n.pool.StopDone(now, o, rep) })
+		func(now time.Duration, rep fleet.Reply) { s.pool.StopDone(now, o, rep) })
 }
 
 // adviceTimeout limits a call of the adviser, which handles calls one at a time.
 const adviceTimeout = 3 * time.Second
 
-func (n *Node) advise(a fleet.AdviceRequest) {
+func (n *Node) advise(s *shard, a fleet.AdviceRequest) {
 	got := fleet.Advice{Request: a}
 	if n.cfg.Adviser != nil {
 		ctx, cancel := context.WithTimeout(n.ctx, adviceTimeout)
 		defer cancel()
 		got = n.cfg.Adviser.Advise(ctx, a)
 	}
-	n.post(func(now time.Duration) { n.pool.AdviceReceived(now, got) })
+	n.post(func(now time.Duration) { s.pool.AdviceReceived(now, got) })
 }
 
 // hold sends a hold and posts the target's reply to the loop.
-func (n *Node) hold(sent time.Duration, o fleet.Hold) {
+func (n *Node) hold(sent time.Duration, s *shard, o fleet.Hold) {
 	ctx, cancel := context.WithTimeout(n.ctx, o.Wait+holdTimeoutMargin)
 	defer cancel()
 	rep := n.cfg.Targets.Hold(ctx, o)
 	n.counts.answer("hold", rep.Answer)
-	n.post(func(now time.Duration) { n.pool.HoldDone(now, sent, o, rep) })
+	n.post(func(now time.Duration) { s.pool.HoldDone(now, sent, o, rep) })
 }
 
 // logDecision writes a log line for the pool.
@@ -368,7 +328,13 @@
 // Owned returns the number of targets that this entry owns.
 func (n *Node) Owned() int {
 	got := make(chan int, 1)
-	n.post(func(time.Duration) { got <- n.pool.Owned() })
+	n.post(func(time.Duration) {
+		owned := 0
+		for _, s := range n.shards {
+			owned += s.pool.Owned()
+		}
+		got <- owned
+	})
 	select {
 	case v := <-got:
 		return v
--- /dev/null
+++ b/internal/node/route.go
@@ -0,0 +1,66 @@
+package node
+
+import (
+	"math"
+	"slices"
+
+	"currantstall/internal/rendezvous"
+)
+
+// poolView is what a coordinator knows about a pool when it chooses one for a job.
+type poolView struct {
+	led      bool  // there is a leader to submit to
+	capacity int64 // of the targets that the leader owns, in thousandths of a core
+	spare    int64 // of that, what neither runs nor waiting jobs need
+}
+
+// choosePool returns the pool for a job by weighted rendezvous hashing, so that pools get
+// jobs in proportion to their capacity, and all entries choose the same pool for a job
+// that is submitted again. It returns -1 if no pool is left that is led and untried.
+func choosePool(job string, pools []poolView, tried []int) int {
+	best, bestKey := -1, 0.0
+	item := rendezvous.Hash(job)
+	for i, p := range pools {
+		if !p.led || slices.Contains(tried, i) {
+			continue
+		}
+		// -ln(u)/w is exponentially distributed with rate w, so each pool has the lowest
+		// key with a probability proportional to its weight.
+		u := (float64(rendezvous.WeightHashed(item, uint64(i))>>11) + 0.5) / (1 << 53)
+		key := -math.Log(u) / float64(max(p.capacity, 1))
+		if best < 0 || key < bestKey {
+			best, bestKey = i, key
+		}
+	}
+	return best
+}
+
+// chooseSparePool returns the untried pool with the most spare capacity, at least what the
+// job needs, or -1 if there is none.
+func chooseSparePool(needs int64, pools []poolView, tried []int) int {
+	best := -1
+	for i, p := range pools {
+		if p.led && p.spare >= needs && !slices.Contains(tried, i) && (best < 0 || p.spare > pools[best].spare) {
+			best = i
+		}
+	}
+	return best
+}
+
+// poolViews returns the view of each pool.
+func (n *Node) poolViews() []poolView {
+	views := make([]poolView, len(n.shards))
+	for i, s := range n.shards {
+		v := &views[i]
+		v.led = s.decision.Leader != ""
+		switch {
+		case s.decision.Leading:
+			l := s.pool.Load()
+			v.capacity, v.spare = l.Capacity.MilliCPU, l.Spare()
+		case v.led:
+			r := s.reports[s.decision.Leader]
+			v.capacity, v.spare = r.Capacity, r.Spare
+		}
+	}
+	return views
+}
--- /dev/null
+++ b/internal/node/shard.go
@@ -0,0 +1,172 @@
+package node
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"currantstall/internal/election"
+	"currantstall/internal/fleet"
+	"currantstall/internal/jobstore"
+	"currantstall/internal/pool"
+)
+
+// shard is this entry's part in one pool of the layout: its view of the pool's leader,
+// and the pool itself, which is active while this entry leads.
+type shard struct {
+	index    int
+	scope    fleet.Scope
+	pool     *pool.Pool
+	election *election.Election
+	decision election.Decision
+	reports  map[string]poolReport // the last one of each linked peer
+}
+
+// poolReport is what an entry reports about one pool in its heartbeat.
+type poolReport struct {
+	Claim election.Claim `cbor:"1,keyasint"`
+	// Capacity is the capacity that the entry owns, and Spare what neither runs nor
+	// waiting jobs need of it, in thousandths of a core. Only a leader sends them.
+	Capacity int64 `cbor:"2,keyasint,omitempty"`
+	Spare    int64 `cbor:"3,keyasint,omitempty"`
+}
+
+// newShards returns the shards of a layout.
+func (n *Node) newShards(l fleet.Layout, now time.Duration) []*shard {
+	shards := make([]*shard, len(l.Pools))
+	for i, scope := range l.Pools {
+		shards[i] = &shard{
+			index: i, scope: scope, pool: pool.New(pool.DefaultSettings(), n.logDecision), reports: make(map[string]poolReport),
+			election: election.New(election.Settings{
+				ListenPeriod: election.DefaultListenPeriod, RankDelay: election.DefaultRankDelay, Pool: i, DC: scope.DC,
+			}, n.cfg.Self.Name, n.joined, now),
+		}
+	}
+	return shards
+}
+
+// storedPool returns the pool that runs the stored jobs, and storedLeader its leader.
+func (n *Node) storedPool() *pool.Pool { return n.shards[0].pool }
+
+func (n *Node) storedLeader() string { return n.shards[0].decision.Leader }
+
+// leads returns the number of pools that this entry leads.
+func (n *Node) leads() int {
+	count := 0
+	for _, s := range n.shards {
+		if s.decision.Leading {
+			count++
+		}
+	}
+	return count
+}
+
+// entryState describes this entry for the elections.
+func (n *Node) entryState(now time.Duration) election.Entry {
+	return election.Entry{
+		Joined: n.joined, Stopping: n.stopping.Load(), Degraded: n.lag.degraded() || n.storeDegraded(now),
+		MilliCPU: n.cfg.MilliCPU, Leads: n.leads(), DC: n.cfg.Self.DC,
+	}
+}
+
+// applyElections decides who leads each pool.
+func (n *Node) applyElections(now time.Duration) {
+	if !n.layoutKnown {
+		return
+	}
+	n.extendListenPeriod(now)
+	for _, s := range n.shards {
+		n.applyElection(now, s)
+	}
+}
+
+// maxListenPeriod is how long a new entry that is linked to few of the listed members
+// waits for the others before it may lead.
+const maxListenPeriod = 1200 * time.Millisecond
+
+// extendListenPeriod keeps a new entry from leading while it is linked to a minority of
+// the members that the platform lists: an entry that suits better may be about to link.
+func (n *Node) extendListenPeriod(now time.Duration) {
+	if now >= maxListenPeriod || 2*(len(n.linked)+1) > n.directory.listed {
+		return
+	}
+	for _, s := range n.shards {
+		s.election.DelayLead(now + tickInterval)
+	}
+}
+
+// applyElection makes this entry lead a pool, step down or follow another leader, as the
+// election decides.
+func (n *Node) applyElection(now time.Duration, s *shard) {
+	s.election.SetOwned(s.pool.Owned())
+	s.election.SetEntry(n.entryState(now))
+	d := s.election.Decide(now)
+	if d.Leading != s.pool.Leading() {
+		if d.Leading {
+			n.updateAcquirePolicy(now, s)
+			s.pool.BecomeLeader(now, fenceBase())
+			if s.index == 0 {
+				n.startOwner()
+			}
+		} else {
+			if s.index == 0 {
+				n.stopOwner()
+			}
+			s.pool.StepDown()
+		}
+	}
+	if d != s.decision {
+		n.log.Info("leader", "pool", s.index, "leader", d.Leader, "lead", d.Leading, "term", d.Term, "before", s.decision.Leader, "peers", s.election.PeerCount())
+		before := s.decision
+		s.decision = d
+		if d.Leader != before.Leader {
+			n.reclaimFromLeader(now, before.Leader, s)
+		}
+	}
+}
+
+// fenceBase returns a fencing token above those of earlier owners. It consists of the
+// wall clock and of random bits that distinguish this owner from others at the same
+// time. If the wall clock has jumped back, the pool probes for a higher token.
+func fenceBase() uint64 {
+	const ownerBits = 12
+	return uint64(time.Now().UnixMilli())<<ownerBits | rand.Uint64N(1<<ownerBits)
+}
+
+// setPoolTargets passes the list of targets to the pools.
+func (n *Node) setPoolTargets(now time.Duration) {
+	lists := make([][]fleet.Target, len(n.shards))
+	for i := range n.directory.targets {
+		t := &n.directory.targets[i]
+		at := n.layout.PoolOf(t)
+		lists[at] = append(lists[at], *t)
+	}
+	for i, s := range n.shards {
+		s.pool.SetTargets(now, lists[i])
+		if s.pool.Leading() {
+			n.updateAcquirePolicy(now, s)
+		}
+	}
+}
+
+// carryOut carries out the effects that a pool has queued.
+func (n *Node) carryOut(now time.Duration, s *shard) {
+	for _, e := range s.pool.Effects() {
+		switch e := e.(type) {
+		case fleet.Start:
+			n.counts.starts.Inc(1)
+			go n.start(now, s, e)
+		case fleet.Stop:
+			go n.stop(s, e)
+		case fleet.Hold:
+			go n.hold(now, s, e)
+		case fleet.AdviceRequest:
+			go n.advise(s, e)
+		case pool.Ended:
+			n.deliverOutcome(now, e)
+		case jobstore.Save:
+			if n.stored.owner != nil {
+				n.stored.owner.Save(e)
+			}
+		}
+	}
+}
--- a/internal/node/store.go
+++ b/internal/node/store.go
@@ -124,10 +124,10 @@
 // submitStored submits a newly stored job to the leader. If that fails, the owner of
 // the stored jobs finds the job in the store.
 func (n *Node) submitStored(now time.Duration, j fleet.Job) {
-	n.log.Info("job", "job", j.ID, "queue", j.Queue.Name, "tasks", j.TaskCount(), "outcome", "stored", "leader", n.decision.Leader,
+	n.log.Info("job", "job", j.ID, "queue", j.Queue.Name, "tasks", j.TaskCount(), "outcome", "stored", "leader", n.storedLeader(),
 		"config", n.configVersion())
 	n.stored.foundJobs()
-	switch leader := n.decision.Leader; leader {
+	switch leader := n.storedLeader(); leader {
 	case "":
 	case n.cfg.Self.Name:
 		n.acceptStored(now, j, 0)
@@ -140,9 +140,9 @@
 // stored jobs, if it is this entry.
 func (n *Node) acceptStored(now time.Duration, j fleet.Job, waited time.Duration) {
 	n.stored.foundJobs()
-	n.pool.ExpectStored()
+	n.storedPool().ExpectStored()
 	if n.stored.owner != nil {
 		n.stored.owner.NotifyAccepted()
 	}
-	n.pool.Submit(now, pool.Submit{Job: j, Waited: waited})
+	n.storedPool().Submit(now, pool.Submit{Job: j, Waited: waited})
 }
--- a/internal/node/stored.go
+++ b/internal/node/stored.go
@@ -114,10 +114,10 @@
 	owner := jobstore.NewOwner(n.stored.tables, n.cfg.Self.Name, bootClock, &ownerEvents{n: n, ctx: ctx}, n.log)
 	n.stored.owner, n.stored.cancelOwner = owner, cancel
 	if n.stored.mustScan() {
-		n.pool.AwaitStored()
+		n.storedPool().AwaitStored()
 	}
 	if n.stored.expected {
-		n.pool.ExpectStored()
+		n.storedPool().ExpectStored()
 		owner.NotifyAccepted()
 	}
 	n.owners.Go(func() { owner.Run(ctx) })
@@ -162,7 +162,7 @@
 func (e *ownerEvents) JobsExist() {
 	e.post(func(time.Duration) {
 		e.n.stored.foundJobs()
-		e.n.pool.ExpectStored()
+		e.n.storedPool().ExpectStored()
 	})
 }
 
@@ -170,34 +170,34 @@
 func (e *ownerEvents) NoJobs() {
 	e.post(func(time.Duration) {
 		e.n.stored.foundNone()
-		e.n.pool.NoStored()
+		e.n.storedPool().NoStored()
 	})
 }
 
 // Acquired implements jobstore.Events.
 func (e *ownerEvents) Acquired(epoch int, lastSeen time.Duration, jobs []jobstore.StoredJob) {
-	e.post(func(now time.Duration) { e.n.pool.TakeOverStored(now, loopTime(now, lastSeen), epoch, jobs) })
+	e.post(func(now time.Duration) { e.n.storedPool().TakeOverStored(now, loopTime(now, lastSeen), epoch, jobs) })
 }
 
 // Renewed implements jobstore.Events.
 func (e *ownerEvents) Renewed(renewed, until time.Duration) {
-	e.post(func(now time.Duration) { e.n.pool.RenewStored(loopTime(now, renewed), loopTime(now, until)) })
+	e.post(func(now time.Duration) { e.n.storedPool().RenewStored(loopTime(now, renewed), loopTime(now, until)) })
 }
 
 // JobAccepted implements jobstore.Events.
 func (e *ownerEvents) JobAccepted(a jobstore.AcceptedJob) {
-	e.post(func(now time.Duration) { e.n.pool.Submit(now, pool.Submit{Job: a.Job, Waited: a.Waited}) })
+	e.post(func(now time.Duration) { e.n.storedPool().Submit(now, pool.Submit{Job: a.Job, Waited: a.Waited}) })
 }
 
 // RecordSaved implements jobstore.Events.
 func (e *ownerEvents) RecordSaved(job string, seq int) {
 	e.post(func(time.Duration) {
-		e.n.pool.RecordSaved(job, seq)
+		e.n.storedPool().RecordSaved(job, seq)
 		e.n.answerCancellations(job)
 	})
 }
 
 // OwnershipLost implements jobstore.Events.
 func (e *ownerEvents) OwnershipLost() {
-	e.post(func(now time.Duration) { e.n.pool.ReleaseStored(now, "another owner") })
+	e.post(func(now time.Duration) { e.n.storedPool().ReleaseStored(now, "another owner") })
 }
--- a/internal/pool/load.go
+++ b/internal/pool/load.go
@@ -10,8 +10,13 @@
 	Used     structs.Resources // of that capacity, by runs of known size
 	Jobs     int               // jobs that have not ended
 	Waiting  int               // jobs with waiting tasks
+	Queued   int64             // needs of the waiting tasks, in thousandths of a core
 }
 
+// Spare returns the capacity that neither runs nor waiting tasks need, in thousandths of
+// a core.
+func (l Load) Spare() int64 { return max(l.Capacity.MilliCPU-l.Used.MilliCPU-l.Queued, 0) }
+
 // Load returns a summary of the present state.
 func (p *Pool) Load() Load {
 	s := Load{Targets: len(p.sortedTargets), Jobs: len(p.jobs)}
@@ -27,6 +32,11 @@
 	}
 	for _, q := range p.rankedQueues {
 		s.Waiting += len(q.waiting)
+		for _, j := range q.waiting {
+			for i := range j.Steps {
+				s.Queued += int64(min(j.remaining[i], j.waiting)) * j.Steps[i].Needs.MilliCPU
+			}
+		}
 	}
 	return s
 }
--- a/internal/rendezvous/rendezvous.go
+++ b/internal/rendezvous/rendezvous.go
@@ -12,6 +12,9 @@
 	return mix(item ^ Hash(node))
 }
 
+// WeightHashed is Weight for a node that is given by its hash or number.
+func WeightHashed(item, node uint64) uint64 { return mix(mix(item) ^ mix(node+1)) }
+
 // Hash returns the hash of a node's name, for TopTwoHashed.
 func Hash(node string) uint64 { return xxhash.Sum64String(node) }
 
