Targets that were cut off keep their owner when they are in reach again

Such targets are probed first, with a token too low to change the ownership, and acquired 1.5 s after the first answer; a leader without targets follows the leader that a newly linked peer follows.

--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -74,9 +74,9 @@
 // leadCost returns the load on an entry that leads the pool, as the number of pools that it
 // leads by the size of its VM.
 func (hb *Heartbeat) leadCost(poolDC string) float64 {
-	leads := hb.Leads
-	if !hb.Leading {
-		leads++
+	leads := hb.Leads + 1
+	if hb.Leading {
+		leads = max(hb.Leads, 1)
 	}
 	size := hb.MilliCPU
 	if size <= 0 {
@@ -146,6 +146,7 @@
 	mayLeadAt       time.Duration // end of the listen period
 	betterSince     time.Duration // since when another entry suits better
 	better          bool
+	leadsSince      time.Duration // start of the last term of this entry
 }
 
 // New returns the election state of an entry that starts now.
@@ -181,6 +182,9 @@
 // has to become the leader.
 func (e *Election) Decide(now time.Duration) Decision {
 	e.considerYielding(now)
+	if relay, ok := e.relay(); ok && e.leadsNothing(now) {
+		return e.follow(relay)
+	}
 	if leader, ok := e.strongestLeader(); ok {
 		e.leaderless = false
 		return e.follow(leader)
@@ -196,7 +200,7 @@
 	}
 	rank := e.rank()
 	if now >= max(e.mayLeadAt, e.leaderlessSince)+time.Duration(rank)*e.cfg.RankDelay {
-		return e.lead()
+		return e.lead(now)
 	}
 	return e.follow("")
 }
@@ -212,6 +216,15 @@
 	return Decision{Leader: leader}
 }
 
+// leadsNothing reports whether this entry leads without any target, so that a leader out
+// of its reach may have them.
+func (e *Election) leadsNothing(now time.Duration) bool {
+	return e.heartbeat.Leading && e.heartbeat.Owned == 0 && now >= e.leadsSince+emptyLeadLimit
+}
+
+// emptyLeadLimit is how long a new leader may take to acquire its first target.
+const emptyLeadLimit = time.Second
+
 // considerYielding makes this entry yield its lead once another entry has suited the pool
 // much better for yieldAfter.
 func (e *Election) considerYielding(now time.Duration) {
@@ -232,10 +245,10 @@
 }
 
 // lead makes this entry the leader in a new term, above all terms it knows of.
-func (e *Election) lead() Decision {
+func (e *Election) lead(now time.Duration) Decision {
 	e.heartbeat.Term = e.highestTerm() + 1
 	e.heartbeat.Leading, e.heartbeat.Leader, e.heartbeat.Yielding = true, "", false
-	e.leaderless = false
+	e.leaderless, e.leadsSince = false, now
 	return Decision{Leader: e.self, Leading: true, Term: e.heartbeat.Term}
 }
 
--- a/internal/node/directory.go
+++ b/internal/node/directory.go
@@ -278,8 +278,8 @@
 			h = all
 		}
 		home, _ := rendezvous.TopTwoHashed(rendezvous.Hash(id), h.hashes)
-		policy := pool.AcquirePolicy{Home: h.inReach[home]}
-		if !policy.Home && (!majority || !slices.Contains(h.inReach, true)) {
+		policy := pool.AcquirePolicy{Home: h.inReach[home], CutOff: !slices.Contains(h.inReach, true)}
+		if !policy.Home && (!majority || policy.CutOff) {
 			policy.Delay = minorityAcquireDelay
 		}
 		return policy
--- /dev/null
+++ b/internal/node/route_test.go
@@ -0,0 +1,54 @@
+package node
+
+import (
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"currantstall/internal/rapidtest"
+)
+
+func TestMain(m *testing.M) { rapidtest.Main(m, 1, 1000) }
+
+func TestPoolsGetJobsInProportionToTheirCapacity(t *testing.T) {
+	pools := []poolView{{led: true, capacity: 1000}, {led: true, capacity: 3000}, {led: true, capacity: 2000}}
+	got := make([]int, len(pools))
+	const jobs = 12000
+	for i := range jobs {
+		got[choosePool(fmt.Sprintf("%016x", i*7919), pools, nil)]++
+	}
+	for i, p := range pools {
+		want := float64(jobs) * float64(p.capacity) / 6000
+		assert.Assert(t, float64(got[i]) > 0.93*want && float64(got[i]) < 1.07*want, "%v", got)
+	}
+}
+
+// A job that is submitted again goes to the same pool, and if that has lost its leader, no
+// job of another pool moves.
+func TestLossOfALeaderMovesOnlyTheJobsOfItsPool(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		pools := make([]poolView, rapid.IntRange(2, 9).Draw(t, "pools"))
+		for i := range pools {
+			pools[i] = poolView{led: true, capacity: rapid.Int64Range(0, 5000).Draw(t, "capacity")}
+		}
+		job := rapid.StringMatching(`[0-9a-f]{16}`).Draw(t, "job")
+		before := choosePool(job, pools, nil)
+		lost := rapid.IntRange(0, len(pools)-1).Draw(t, "lost")
+		pools[lost].led = false
+		after := choosePool(job, pools, nil)
+		if lost == before {
+			assert.Assert(t, after != before && after >= 0)
+		} else {
+			assert.Equal(t, after, before)
+		}
+	})
+}
+
+func TestShedJobGoesToThePoolWithTheMostSpareCapacity(t *testing.T) {
+	pools := []poolView{{led: true, spare: 9000}, {led: true, spare: 40000}, {led: false, spare: 90000}, {led: true, spare: 60000}}
+	assert.Equal(t, chooseSparePool(32000, pools, nil), 3)
+	assert.Equal(t, chooseSparePool(32000, pools, []int{3}), 1)
+	assert.Equal(t, chooseSparePool(32000, pools, []int{3, 1}), -1, "no pool has the room")
+}
--- a/internal/pool/ownership.go
+++ b/internal/pool/ownership.go
@@ -22,6 +22,13 @@
 	// otherOwnerPause is the pause before the next attempt to acquire a target that
 	// another owner uses.
 	otherOwnerPause = time.Second
+	// cutOffPause is how long a target that was cut off must have been in reach again
+	// before it is acquired: links to entries near it come up meanwhile, and show whether
+	// it has an owner there.
+	cutOffPause = 1500 * time.Millisecond
+	// maxProbeFence is the highest fencing token of probes. It is below all tokens of
+	// owners.
+	maxProbeFence = 1 << 20
 )
 
 // AcquirePolicy is the rule by which a target may be acquired.
@@ -29,6 +36,9 @@
 	Delay time.Duration // since the start of the leadership
 	// Home targets are acquired even if another owner has runs on them.
 	Home bool
+	// CutOff targets are near entries none of which is in reach. They may have an owner
+	// there, so they are probed first.
+	CutOff bool
 }
 
 // SetAcquirePolicy sets the policy of each target by its ID.
@@ -46,12 +56,36 @@
 // is due.
 func (p *Pool) acquireTargets(now time.Duration) {
 	for _, t := range p.sortedTargets {
-		if !t.owned && !t.acquiring && now >= t.nextAcquireAt && t.listed {
+		switch {
+		case t.owned || t.acquiring || now < t.nextAcquireAt || !t.listed:
+		case t.acquirePolicy.CutOff && !t.probed:
+			p.probe(t)
+		default:
 			p.acquire(now, t)
 		}
 	}
 }
 
+// probe sends a hold whose fencing token is too low to change the ownership. The answer
+// shows that the target is in reach.
+func (p *Pool) probe(t *target) {
+	p.probes = p.probes%maxProbeFence + 1
+	t.fence, t.acquiring, t.probing = p.probes, true, true
+	p.emit(fleet.Hold{Target: t.Target, Fence: t.fence})
+}
+
+// probeDone handles the answer to a probe.
+func (p *Pool) probeDone(now time.Duration, t *target, a fleet.Answer) {
+	t.probing = false
+	if a == fleet.Unanswered {
+		t.unansweredHolds++
+		p.markUnreachable(now, t)
+		return
+	}
+	t.acquiring, t.probed, t.nextAcquireAt = false, true, now+cutOffPause
+	p.log("ownership", "target", t.ID, "outcome", "in reach", "answer", a.String(), "retry_ms", cutOffPause.Milliseconds())
+}
+
 // acquire sends a hold with a new fencing token. Once the target has accepted it, no
 // start with a lower token can take effect. The token exceeds the last one by a step that
 // grows with each fenced attempt, and is never below the bound that grows with time.
@@ -120,7 +154,7 @@
 	if t.owned || t.unansweredHolds == 1 {
 		p.log("ownership", "target", t.ID, "outcome", "unreachable", "misses", t.unansweredHolds, "runs", len(t.runs))
 	}
-	t.owned, t.acquiring, t.wasUnreachable = false, false, true
+	t.owned, t.acquiring, t.wasUnreachable, t.probed = false, false, true, false
 	t.nextAcquireAt = now + reacquireBackoff
 }
 
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -82,6 +82,7 @@
 	// new tokens grows from it with time.
 	fenceBase uint64
 	lastFence uint64 // the last fencing token used
+	probes    uint64 // the last fencing token used for a probe
 
 	targets        map[string]*target
 	sortedTargets  []*target // sorted by ID
--- a/internal/pool/report.go
+++ b/internal/pool/report.go
@@ -40,6 +40,10 @@
 	if t == nil || !p.leading || o.Fence != t.fence {
 		return
 	}
+	if t.probing {
+		p.probeDone(now, t, rep.Answer)
+		return
+	}
 	if o.Wait == 0 && t.refreshInFlight {
 		t.refreshInFlight = false
 	} else {
--- a/internal/pool/target.go
+++ b/internal/pool/target.go
@@ -17,6 +17,8 @@
 	listed         bool // listed by discovery
 	acquirePolicy  AcquirePolicy
 	wasUnreachable bool          // became unreachable since it was last acquired
+	probing        bool          // a probe is in flight
+	probed         bool          // has answered a probe since it was last unreachable
 	lastOwnedAt    time.Duration // the last time at which it was owned
 
 	fence           uint64 // fencing token of the orders sent to it
@@ -68,7 +70,7 @@
 	t.fence, t.unansweredHolds, t.unclaimed, t.fencedInARow = 0, 0, 0, 0
 	t.used = structs.Resources{}
 	t.runs = make(map[runKey]*run)
-	t.latestLeaseMS, t.wasUnreachable = 0, false
+	t.latestLeaseMS, t.wasUnreachable, t.probing, t.probed = 0, false, false, false
 }
 
 // leaseUntil grants a lease of the given length from now and returns its end in ms of
