A duplicate that may have run makes the job it attaches to one that may have run

Found by reading: the job kept the verdict not_run, which its coordinator raised only where it knew better. TestAttachedDuplicateThatMayHaveRunIsNotRejectedAsNotRun got not_run before. Such a job is now kept until its caller's timeout and goes first in its queue, as one that has started.

--- a/internal/pool/job.go
+++ b/internal/pool/job.go
@@ -96,6 +96,9 @@
 		p.log("job", "job", j.ID, "outcome", "attached", "coordinator", s.Coordinator, "orphan", j.orphaned)
 		j.coordinator, j.orphaned = s.Coordinator, false
 		j.waitForFormerOwner(now, &s, p.cfg.TakeoverDelay)
+		if s.MayHaveRun {
+			j.markMayHaveStarted()
+		}
 		p.enqueue(j)
 		return
 	}
@@ -205,13 +208,20 @@
 	if j.waiting == 0 {
 		j.queueState.remove(j)
 	}
-	if !j.mayHaveStarted {
-		queued := j.queued
-		j.queueState.remove(j)
-		j.mayHaveStarted = true // jobs that may have started come first in the queue
-		if queued {
-			j.queueState.insert(j)
-		}
+	j.markMayHaveStarted()
+}
+
+// markMayHaveStarted records that a task of the job may have started. Such jobs come first
+// in their queue.
+func (j *job) markMayHaveStarted() {
+	if j.mayHaveStarted {
+		return
+	}
+	queued := j.queued
+	j.queueState.remove(j)
+	j.mayHaveStarted = true
+	if queued {
+		j.queueState.insert(j)
 	}
 }
 
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -384,3 +384,22 @@
 	b.tick(200 * ms)
 	assert.Equal(t, len(takeEffects[fleet.Start](b)), 1)
 }
+
+// A duplicate that another owner may have started attaches to a job that waits here. The
+// job was then rejected as not run.
+func TestAttachedDuplicateThatMayHaveRunIsNotRejectedAsNotRun(t *testing.T) {
+	b := newHarness(t, 1)
+	b.submit(jobOf("full", queue("q", 0), 1, 32000, 10*time.Second))
+	b.tick(ms)
+	j := jobOf("j", queue("q", 0), 1, 32000, 60*ms)
+	j.Timeout = 2 * time.Second
+	b.submit(j)
+	b.tick(ms)
+	b.p.Submit(b.now, Submit{Coordinator: "e2", Job: j, MayHaveRun: true})
+	for range 300 {
+		b.tick(10 * ms)
+	}
+	o, ended := b.outcomes()["j"]
+	assert.Assert(t, ended)
+	assert.Equal(t, o.Verdict, verdict.MayHaveRun)
+}
