Offloaded tasks: job size and work ID have keys of their own

Peers ordered offloaded tasks as jobs of one task and put the results of all jobs of an entry into one batch: two fields had the CBOR key 12, and the decoder drops both. TestNoTwoFieldsOfAMessageShareAKey, which reads all struct tags, failed before on this struct alone; TestOffloadedTaskKeepsJobSizeAndWorkID checks the two fields.

--- a/internal/engine/messages.go
+++ b/internal/engine/messages.go
@@ -59,7 +59,7 @@
 	// WorkID identifies the sender's job that the task belongs to.
 	WorkID uint64 `cbor:"12,keyasint,omitempty"`
 	// JobSize is the number of tasks of the whole job.
-	JobSize int `cbor:"12,keyasint,omitempty"`
+	JobSize int `cbor:"13,keyasint,omitempty"`
 }
 
 // runBatch is the body of wire.Run.
