--- a/internal/node/directory.go
+++ b/internal/node/directory.go
@@ -12,8 +12,6 @@
 
 	"currantstall/internal/fleet"
 	"currantstall/internal/peer"
-	"currantstall/internal/pool"
-	"currantstall/internal/rendezvous"
 	"currantstall/internal/structs"
 	"currantstall/internal/wire"
 )
@@ -241,67 +239,18 @@
 	}
 }
 
-// updateAcquirePolicy tells a pool how soon it may acquire each target. A leader that
-// reaches a majority of the live members acquires targets at once, and one with a
-// minority those whose home entry it reaches. Other targets are acquired after
-// minorityAcquireDelay, and so are targets of a data centre none of whose live members
-// is in reach, which may be cut off with a leader of its own.
+// updateAcquirePolicy tells a pool how soon it may acquire each target.
 func (n *Node) updateAcquirePolicy(now time.Duration, s *shard) {
-	live := n.presumedLive(now)
-	slices.Sort(live)
-	inReach := func(name string) bool {
-		return n.linked[name] || name == n.cfg.Self.Name
-	}
-	reached := 0
-	byDC := make(map[string]*homes)
-	all := &homes{}
-	for _, name := range live {
-		dc := n.dcOf(name)
-		if byDC[dc] == nil {
-			byDC[dc] = &homes{}
-		}
-		byDC[dc].add(name, inReach(name))
-		all.add(name, inReach(name))
-		if inReach(name) {
-			reached++
+	names := n.presumedLive(now)
+	live := make([]liveMember, len(names))
+	for i, name := range names {
+		self := name == n.cfg.Self.Name
+		live[i] = liveMember{name: name, dc: n.directory.members[name].DC, inReach: self || n.linked[name]}
+		if self {
+			live[i].dc = n.cfg.Self.DC
 		}
 	}
-	majority := 2*reached > len(live)
-	dcs := make(map[string]*homes)
-	for i := range n.directory.targets {
-		t := &n.directory.targets[i]
-		dcs[t.ID] = byDC[t.DC]
-	}
-	s.pool.SetAcquirePolicy(now, func(id string) pool.AcquirePolicy {
-		h := dcs[id]
-		if h == nil {
-			h = all
-		}
-		home, _ := rendezvous.TopTwoHashed(rendezvous.Hash(id), h.hashes)
-		policy := pool.AcquirePolicy{Home: h.inReach[home], CutOff: !slices.Contains(h.inReach, true)}
-		if !policy.Home && (!majority || policy.CutOff) {
-			policy.Delay = minorityAcquireDelay
-		}
-		return policy
-	})
-}
-
-// homes is a set of entries among which the home of a target is chosen.
-type homes struct {
-	hashes  []uint64
-	inReach []bool
-}
-
-func (h *homes) add(name string, inReach bool) {
-	h.hashes, h.inReach = append(h.hashes, rendezvous.Hash(name)), append(h.inReach, inReach)
-}
-
-// dcOf returns the data centre of a member, "" if it is unknown.
-func (n *Node) dcOf(name string) string {
-	if name == n.cfg.Self.Name {
-		return n.cfg.Self.DC
-	}
-	return n.directory.members[name].DC
+	s.pool.SetAcquirePolicy(now, acquirePolicies(live, n.directory.targets))
 }
 
 // presumedLive returns the members that are presumed to be alive: this entry, the
