--- a/internal/node/jobs.go
+++ b/internal/node/jobs.go
@@ -84,15 +84,23 @@
 	}
 }
 
-// addPending adds a job to the pending ones, or a waiter to a pending duplicate.
+// addPending adds a job to the pending ones and submits it to a leader, or adds a waiter to
+// a pending duplicate.
 func (n *Node) addPending(now time.Duration, j fleet.Job, done chan fleet.Outcome) {
 	if p := n.pending[j.ID]; p != nil {
 		p.waiters = append(p.waiters, done)
 		n.log.Info("job", "job", j.ID, "outcome", "joined a pending duplicate")
 		return
 	}
-	n.log.Info("job", "job", j.ID, "queue", j.Queue.Name, "tasks", j.TaskCount(), "outcome", "accepted", "config", n.configVersion())
-	n.pending[j.ID] = &pendingJob{job: j, pool: -1, arrived: now, waiters: []chan fleet.Outcome{done}}
+	p := &pendingJob{job: j, pool: -1, arrived: now, waiters: []chan fleet.Outcome{done}}
+	n.pending[j.ID] = p
+	s, leader := n.shardFor(now, p, n.poolViews()), ""
+	if s != nil {
+		leader = s.decision.Leader
+		n.submitTo(now, s, p)
+	}
+	n.log.Info("job", "job", j.ID, "queue", j.Queue.Name, "tasks", j.TaskCount(), "outcome", "accepted", "pool", p.pool, "leader", leader,
+		"config", n.configVersion())
 }
 
 // Cancel cancels a pending job at the request of its caller, and reports whether
@@ -282,7 +290,7 @@
 		p.sentTo, p.retryAt = "", now+resubmitPause
 		return
 	}
-	if n.tryOtherPool(now, p, o) {
+	if p.sentTo == from && n.tryOtherPool(now, p, o) {
 		return
 	}
 	if o.Verdict == verdict.NotRun && p.mayHaveRun {
@@ -296,17 +304,11 @@
 // those of another, and one that is rejected to shed load goes to a pool with spare
 // capacity.
 func (n *Node) tryOtherPool(now time.Duration, p *pendingJob, o fleet.Outcome) bool {
-	if p.mayHaveRun || p.relayFor != "" || len(n.shards) == 1 {
+	if p.mayHaveRun || p.relayFor != "" || o.Reason != verdict.NeverFits && o.Reason != verdict.QueueFull {
 		return false
 	}
 	p.tried = append(p.tried, p.pool)
-	next := -1
-	switch o.Reason {
-	case verdict.NeverFits:
-		next = choosePool(p.job.ID, n.poolViews(), p.tried)
-	case verdict.QueueFull:
-		next = chooseSparePool(p.job.MilliCPU(), n.poolViews(), p.tried)
-	}
+	next := chooseNextPool(&p.job, o.Reason, n.poolViews(), p.tried)
 	if next < 0 {
 		return false
 	}
--- a/internal/node/route.go
+++ b/internal/node/route.go
@@ -4,7 +4,9 @@
 	"math"
 	"slices"
 
+	"currantstall/internal/fleet"
 	"currantstall/internal/rendezvous"
+	"currantstall/internal/verdict"
 )
 
 // poolView is what a coordinator knows about a pool when it chooses one for a job.
@@ -35,10 +37,14 @@
 	return best
 }
 
-// chooseSparePool returns the untried pool with the most spare capacity, at least what the
-// job needs, or -1 if there is none.
-func chooseSparePool(needs int64, pools []poolView, tried []int) int {
-	best := -1
+// chooseNextPool returns the pool for a job that one pool has rejected, or -1 if none is
+// left. After it was rejected to shed load, that is the pool with the most spare capacity,
+// at least what the job needs.
+func chooseNextPool(j *fleet.Job, reason verdict.Reason, pools []poolView, tried []int) int {
+	if reason == verdict.NeverFits {
+		return choosePool(j.ID, pools, tried)
+	}
+	best, needs := -1, j.MilliCPU()
 	for i, p := range pools {
 		if p.led && p.spare >= needs && !slices.Contains(tried, i) && (best < 0 || p.spare > pools[best].spare) {
 			best = i
--- a/internal/node/route_test.go
+++ b/internal/node/route_test.go
@@ -2,12 +2,16 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
+	"currantstall/internal/fleet"
 	"currantstall/internal/rapidtest"
+	"currantstall/internal/structs"
+	"currantstall/internal/verdict"
 )
 
 func TestMain(m *testing.M) { rapidtest.Main(m, 1, 1000) }
@@ -48,7 +52,22 @@
 
 func TestShedJobGoesToThePoolWithTheMostSpareCapacity(t *testing.T) {
 	pools := []poolView{{led: true, spare: 9000}, {led: true, spare: 40000}, {led: false, spare: 90000}, {led: true, spare: 60000}}
-	assert.Equal(t, chooseSparePool(32000, pools, nil), 3)
-	assert.Equal(t, chooseSparePool(32000, pools, []int{3}), 1)
-	assert.Equal(t, chooseSparePool(32000, pools, []int{3, 1}), -1, "no pool has the room")
+	j := &fleet.Job{ID: "00000000000000aa", Steps: []fleet.Step{{Count: 2, Needs: structs.Resources{MilliCPU: 16000}}}}
+	next := func(tried ...int) int { return chooseNextPool(j, verdict.QueueFull, pools, tried) }
+	assert.Equal(t, next(0), 3)
+	assert.Equal(t, next(0, 3), 1)
+	assert.Equal(t, next(0, 3, 1), -1, "no pool has the room")
+}
+
+// A job that fits no target of one pool must not fail before it was offered to all.
+func TestJobThatDoesNotFitIsOfferedToEveryPool(t *testing.T) {
+	pools := []poolView{{led: true, capacity: 9000}, {led: true, capacity: 9000}, {led: true, capacity: 9000}}
+	j := &fleet.Job{ID: "00000000000000aa"}
+	tried := []int{choosePool(j.ID, pools, nil)}
+	for range 2 {
+		next := chooseNextPool(j, verdict.NeverFits, pools, tried)
+		assert.Assert(t, next >= 0 && !slices.Contains(tried, next))
+		tried = append(tried, next)
+	}
+	assert.Equal(t, chooseNextPool(j, verdict.NeverFits, pools, tried), -1)
 }
