A job leaves a pool whose new leader has no target

Entries send a heartbeat at once when they own the first target, so that runs are adopted as before. TestJobLeavesPoolWhoseNewLeaderHasNoTarget fails without.

--- a/internal/node/jobs.go
+++ b/internal/node/jobs.go
@@ -190,10 +190,9 @@
 	}
 }
 
-// shardFor returns the pool for a pending job, nil if there is none to submit it to. A
-// job that may have run stays with its pool, whose next leader finds its runs, unless that
-// pool has no leader for leaderlessTimeout. A relayed job goes to the pool that its
-// coordinator chose, and is not sent back to the coordinator.
+// shardFor returns the pool for a pending job, nil if there is none to submit it to now. A
+// relayed job goes to the pool that its coordinator chose, and is not sent back to the
+// coordinator.
 func (n *Node) shardFor(now time.Duration, p *pendingJob, views []poolView) *shard {
 	if p.relayFor != "" {
 		s := n.shards[p.pool]
@@ -202,19 +201,26 @@
 		}
 		return s
 	}
+	at := p.choosePool(now, views)
+	if at < 0 {
+		return nil
+	}
+	return n.shards[at]
+}
+
+// choosePool returns the pool to submit a job to now, or -1 if it has to wait. A job that
+// may have run stays with its pool, whose next leader finds its runs, unless that pool has
+// no leader, or one without targets, for leaderlessTimeout.
+func (p *pendingJob) choosePool(now time.Duration, views []poolView) int {
 	if p.mayHaveRun && p.pool >= 0 {
-		if views[p.pool].led {
-			return n.shards[p.pool]
+		if v := views[p.pool]; v.led && !v.empty {
+			return p.pool
 		}
 		if now < p.leaderLostAt+leaderlessTimeout {
-			return nil
+			return -1
 		}
 	}
-	at := choosePool(p.job.ID, views, p.tried)
-	if at < 0 {
-		return nil
-	}
-	return n.shards[at]
+	return choosePool(p.job.ID, views, p.tried)
 }
 
 // submitTo submits a pending job to the leader of a pool, which may be this entry.
--- a/internal/node/links.go
+++ b/internal/node/links.go
@@ -140,7 +140,7 @@
 type leadState struct {
 	stopping bool
 	leads    int
-	changes  uint64 // hash of the leaders of all pools
+	changes  uint64 // hash of the leaders of all pools, and of which of them have targets
 }
 
 // leadState returns the present one.
@@ -148,10 +148,13 @@
 	st := leadState{stopping: n.stopping.Load(), leads: n.leads()}
 	for _, s := range n.shards {
 		c := s.election.Heartbeat().Claim
-		st.changes = rendezvous.WeightHashed(st.changes, rendezvous.Hash(c.Leader)+c.Term)
-		if c.Leading || c.Yielding {
-			st.changes++
+		var flags uint64
+		for i, set := range []bool{c.Leading, c.Yielding, c.Owned > 0} {
+			if set {
+				flags |= 1 << i
+			}
 		}
+		st.changes = rendezvous.WeightHashed(st.changes, rendezvous.Hash(c.Leader)+c.Term<<8+flags)
 	}
 	return st
 }
--- a/internal/node/route.go
+++ b/internal/node/route.go
@@ -12,6 +12,7 @@
 // poolView is what a coordinator knows about a pool when it chooses one for a job.
 type poolView struct {
 	led      bool  // there is a leader to submit to
+	empty    bool  // the leader owns no target, as on the far side of a partition
 	capacity int64 // of the targets that the leader owns, in thousandths of a core
 	spare    int64 // of that, what neither runs nor waiting jobs need
 }
@@ -62,10 +63,10 @@
 		switch {
 		case s.decision.Leading:
 			l := s.pool.Load()
-			v.capacity, v.spare = l.Capacity.MilliCPU, l.Spare()
+			v.capacity, v.spare, v.empty = l.Capacity.MilliCPU, l.Spare(), l.Owned == 0
 		case v.led:
 			r := s.reports[s.decision.Leader]
-			v.capacity, v.spare = r.Capacity, r.Spare
+			v.capacity, v.spare, v.empty = r.Capacity, r.Spare, r.Claim.Leading && r.Claim.Owned == 0
 		}
 	}
 	return views
--- a/internal/node/route_test.go
+++ b/internal/node/route_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"slices"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
@@ -71,3 +72,15 @@
 	}
 	assert.Equal(t, chooseNextPool(j, verdict.NeverFits, pools, tried), -1)
 }
+
+// On the other side of a partition, jobs of the pool that was cut off waited until their
+// deadline for its new leader there, which had no target.
+func TestJobLeavesPoolWhoseNewLeaderHasNoTarget(t *testing.T) {
+	pools := []poolView{{led: true, capacity: 9000}, {led: true, empty: true}}
+	p := &pendingJob{pool: 1, mayHaveRun: true, leaderLostAt: time.Second}
+	p.job.ID = "00000000000000aa"
+	assert.Equal(t, p.choosePool(time.Second+ms, pools), -1, "the new leader may still be acquiring its targets")
+	assert.Equal(t, p.choosePool(time.Second+leaderlessTimeout, pools), 0)
+	pools[1] = poolView{led: true, capacity: 9000}
+	assert.Equal(t, p.choosePool(time.Second+ms, pools), 1, "the new leader finds the runs of the job")
+}
