Requests of a directory travel in the directory message

Entries of the former release close a link on a message of unknown type, so that one request in a rolling restart would have cut it; they ignore the unknown field and send their directory by themselves.

--- a/internal/node/directory.go
+++ b/internal/node/directory.go
@@ -68,6 +68,8 @@
 	Members    []fleet.Member `cbor:"6,keyasint,omitempty"`
 	// Layout is nil while the sender does not know it.
 	Layout *fleet.Layout `cbor:"7,keyasint,omitempty"`
+	// Request asks the receiver for parts of its directory.
+	Request *directoryRequest `cbor:"8,keyasint,omitempty"`
 }
 
 func newDirectory() directory {
@@ -85,8 +87,8 @@
 	return now - d.targetsAt
 }
 
-// directoryRequestBody is the body of wire.DirectoryRequest.
-type directoryRequestBody struct {
+// directoryRequest names the parts of a directory that an entry lacks.
+type directoryRequest struct {
 	Config  bool `cbor:"1,keyasint,omitempty"`
 	Targets bool `cbor:"2,keyasint,omitempty"`
 	Layout  bool `cbor:"3,keyasint,omitempty"`
@@ -95,8 +97,8 @@
 // requestFrom returns what to request from a peer now, after its heartbeat: a newer
 // configuration, and a list of targets if this entry's is too old and the peer's clearly
 // newer. It records the request.
-func (d *directory) requestFrom(now time.Duration, peer string, b heartbeatBody, config int64, layout uint64) (directoryRequestBody, bool) {
-	want := directoryRequestBody{Layout: b.LayoutVersion > layout}
+func (d *directory) requestFrom(now time.Duration, peer string, b heartbeatBody, config int64, layout uint64) (directoryRequest, bool) {
+	want := directoryRequest{Layout: b.LayoutVersion > layout}
 	if b.ConfigVersion > config {
 		if d.behindSince == 0 {
 			d.behindSince = now
@@ -108,7 +110,7 @@
 	if d.requestedOf != "" {
 		wait = requestTimeout
 	}
-	if want == (directoryRequestBody{}) || d.requestedAt > 0 && now < d.requestedAt+wait {
+	if want == (directoryRequest{}) || d.requestedAt > 0 && now < d.requestedAt+wait {
 		return want, false
 	}
 	d.requestedAt, d.requestedOf = now, peer
@@ -200,16 +202,20 @@
 	n.send(to, wire.Directory, b)
 }
 
-// handleDirectoryRequest sends the requested parts of the directory to a peer.
-func (n *Node) handleDirectoryRequest(now time.Duration, from string, r directoryRequestBody) {
-	b := n.directorySnapshot(now)
-	if !r.Config {
-		b.Config = nil
+// handleDirectory handles a peer's directory, and sends what the peer requests.
+func (n *Node) handleDirectory(now time.Duration, from string, b directoryBody) {
+	n.mergeDirectory(now, b)
+	if b.Request == nil {
+		return
+	}
+	reply := n.directorySnapshot(now)
+	if !b.Request.Config {
+		reply.Config = nil
 	}
-	if !r.Targets {
-		b.Targets, b.HasTargets, b.TargetsAge = nil, false, 0
+	if !b.Request.Targets {
+		reply.Targets, reply.HasTargets, reply.TargetsAge = nil, false, 0
 	}
-	n.send(from, wire.Directory, b)
+	n.send(from, wire.Directory, reply)
 }
 
 // mergeDirectory adds another entry's directory to this entry's: a newer
--- a/internal/node/directory_test.go
+++ b/internal/node/directory_test.go
@@ -20,7 +20,7 @@
 	later := 10*time.Second + configGrace
 	want, ok := d.requestFrom(later, "a", newer, 5, 0)
 	assert.Assert(t, ok)
-	assert.Equal(t, want, directoryRequestBody{Config: true})
+	assert.Equal(t, want, directoryRequest{Config: true})
 	for i := range 10 {
 		_, ok = d.requestFrom(later+time.Duration(i)*20*ms, "b", newer, 5, 0)
 		assert.Assert(t, !ok, "the request to another peer is not answered yet")
@@ -37,5 +37,5 @@
 	assert.Assert(t, !ok, "the peer's list is as old")
 	want, ok := d.requestFrom(now, "b", heartbeatBody{TargetsAge: 200 * ms}, 5, 0)
 	assert.Assert(t, ok)
-	assert.Equal(t, want, directoryRequestBody{Targets: true})
+	assert.Equal(t, want, directoryRequest{Targets: true})
 }
--- a/internal/node/links.go
+++ b/internal/node/links.go
@@ -66,9 +66,7 @@
 	case wire.JobReply:
 		err = decodeAndPost(n, m, func(_ time.Duration, reply jobReplyBody) { n.handleJobReply(reply) })
 	case wire.Directory:
-		err = decodeAndPost(n, m, func(now time.Duration, b directoryBody) { n.mergeDirectory(now, b) })
-	case wire.DirectoryRequest:
-		err = decodeAndPost(n, m, func(now time.Duration, r directoryRequestBody) { n.handleDirectoryRequest(now, from.Name, r) })
+		err = decodeAndPost(n, m, func(now time.Duration, b directoryBody) { n.handleDirectory(now, from.Name, b) })
 	default:
 		n.log.Warn("message from a peer ignored: unexpected type", "peer", from.Name, "type", m.Type.String())
 	}
@@ -229,7 +227,7 @@
 		n.stored.pending, n.stored.pendingAt = b.Pending, now
 	}
 	if want, ok := n.directory.requestFrom(now, from, b, n.configVersion(), n.layout.Version); ok {
-		n.send(from, wire.DirectoryRequest, want)
+		n.send(from, wire.Directory, directoryBody{Self: n.cfg.Self, Request: &want})
 	}
 }
 
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -23,31 +23,30 @@
 // The message types. The package named in the comment handles the type and declares
 // its body.
 const (
-	Hello            Type = iota + 1 // peer: first message of a link
-	HelloAck                         // peer
-	Ping                             // peer
-	Pong                             // peer
-	Ack                              // peer: acknowledges numbered messages
-	Membership                       // membership: a message of its step function
-	Ledger                           // ledger: a message of its step function
-	Run                              // engine: tasks offloaded to the receiver
-	RunDone                          // engine: results of offloaded tasks
-	RunCancel                        // engine: cancels offloaded tasks
-	Forward                          // engine: a whole request, forwarded to a member in its key's data centre
-	ForwardDone                      // engine: the outcome of a forwarded request
-	Load                             // engine: load report: free slots and queues of the sender
-	ManifestNew                      // manifest: announces a newer version
-	ManifestGet                      // manifest: requests a whole manifest
-	ManifestAll                      // manifest: a whole manifest
-	PoolHeartbeat                    // node: heartbeat with the leader that the sender knows
-	PoolSubmit                       // node: submits a job to the leader
-	PoolEnded                        // node: the outcome of a submitted job
-	PoolAbandon                      // node: withdraws a submitted job whose caller is gone
-	Directory                        // node: configuration, targets and members known to the sender
-	JobQuery                         // node: asks the leader for a stored job's state or its cancellation
-	JobReply                         // node: the answer to a JobQuery or JobStore
-	JobStore                         // node: a job to store, from an entry whose writes the store rejects
-	DirectoryRequest                 // node: requests parts of the receiver's directory
+	Hello         Type = iota + 1 // peer: first message of a link
+	HelloAck                      // peer
+	Ping                          // peer
+	Pong                          // peer
+	Ack                           // peer: acknowledges numbered messages
+	Membership                    // membership: a message of its step function
+	Ledger                        // ledger: a message of its step function
+	Run                           // engine: tasks offloaded to the receiver
+	RunDone                       // engine: results of offloaded tasks
+	RunCancel                     // engine: cancels offloaded tasks
+	Forward                       // engine: a whole request, forwarded to a member in its key's data centre
+	ForwardDone                   // engine: the outcome of a forwarded request
+	Load                          // engine: load report: free slots and queues of the sender
+	ManifestNew                   // manifest: announces a newer version
+	ManifestGet                   // manifest: requests a whole manifest
+	ManifestAll                   // manifest: a whole manifest
+	PoolHeartbeat                 // node: heartbeat with the leader that the sender knows
+	PoolSubmit                    // node: submits a job to the leader
+	PoolEnded                     // node: the outcome of a submitted job
+	PoolAbandon                   // node: withdraws a submitted job whose caller is gone
+	Directory                     // node: what the sender knows of the deployment, or requests from the receiver
+	JobQuery                      // node: asks the leader for a stored job's state or its cancellation
+	JobReply                      // node: the answer to a JobQuery or JobStore
+	JobStore                      // node: a job to store, from an entry whose writes the store rejects
 	maxType
 )
 
@@ -70,7 +69,7 @@
 var typeNames = [maxType]string{
 	"", "hello", "hello_ack", "ping", "pong", "ack", "membership", "ledger", "run", "run_done", "run_cancel",
 	"forward", "forward_done", "load", "manifest_new", "manifest_get", "manifest_all",
-	"pool_beat", "pool_submit", "pool_ended", "pool_abandon", "directory", "job_ask", "job_told", "job_store", "directory_request",
+	"pool_beat", "pool_submit", "pool_ended", "pool_abandon", "directory", "job_ask", "job_told", "job_store",
 }
 
 // String returns the name of the type in metrics.
