--- a/internal/node/directory.go
+++ b/internal/node/directory.go
@@ -187,7 +187,8 @@
 		Targets: n.directory.targets, HasTargets: n.directory.hasList, TargetsAge: n.directory.targetsAge(now),
 	}
 	if n.layoutKnown {
-		b.Layout = &n.layout
+		l := n.layout
+		b.Layout = &l
 	}
 	for _, m := range n.directory.members {
 		b.Members = append(b.Members, m)
