--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -8,6 +8,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"currantstall/internal/fleet"
 )
 
 // Heartbeat is the part of an entry's heartbeat to its peers that the election of the
@@ -25,7 +27,8 @@
 	Stopping bool `cbor:"6,keyasint,omitempty"`
 	// Degraded entries lead only if no other entry can.
 	Degraded bool `cbor:"7,keyasint,omitempty"`
-	// MilliCPU is the size of the entry's VM, in thousandths of a core; 0 if unknown.
+	// MilliCPU is what the entry can use for dispatch, in thousandths of a core; 0 if
+	// unknown.
 	MilliCPU int64 `cbor:"8,keyasint,omitempty"`
 	// Leads is the number of pools that the entry leads.
 	Leads int `cbor:"9,keyasint,omitempty"`
@@ -44,6 +47,9 @@
 	Leader string `cbor:"5,keyasint,omitempty"`
 	// Yielding leaders give way to an entry with more processor time to spare.
 	Yielding bool `cbor:"11,keyasint,omitempty"`
+	// Successor is the entry to which a leader that yields or stops hands the pool over. A
+	// former leader names it until it follows the next one.
+	Successor string `cbor:"12,keyasint,omitempty"`
 }
 
 // leadPenalty orders the entries for succession: an entry with a higher value
@@ -64,8 +70,6 @@
 func (hb *Heartbeat) passedOver() bool { return hb.leadPenalty() > 0 }
 
 const (
-	// usualMilliCPU is the assumed size of an entry that does not state its own.
-	usualMilliCPU = 400
 	// remoteFactor is how much more the lead of a pool costs an entry in another data
 	// centre than the pool's targets.
 	remoteFactor = 1.5
@@ -80,7 +84,7 @@
 	}
 	size := hb.MilliCPU
 	if size <= 0 {
-		size = usualMilliCPU
+		size = fleet.UsualMilliCPU
 	}
 	cost := float64(leads) / float64(size)
 	if poolDC != "" && hb.DC != poolDC {
@@ -110,6 +114,12 @@
 	DefaultRankDelay    = 200 * time.Millisecond
 )
 
+// outsideDelay is how much longer than the entries of the pool's data centre another
+// entry waits for a leader. Entries link to few others outside their data centre, so an
+// outsider may not know of a leader there; a pool without one for that long has lost all
+// entries of its data centre.
+const outsideDelay = 1500 * time.Millisecond
+
 const (
 	// yieldAfter is how long another entry must suit the pool better before the leader
 	// yields to it.
@@ -157,8 +167,13 @@
 	}
 }
 
-// Observe records the latest heartbeat of a linked peer.
-func (e *Election) Observe(peer string, hb Heartbeat) { e.peers[peer] = hb }
+// Observe records the latest heartbeat of a linked peer, and reports whether it differs
+// from the one before.
+func (e *Election) Observe(peer string, hb Heartbeat) bool {
+	before, known := e.peers[peer]
+	e.peers[peer] = hb
+	return !known || before != hb
+}
 
 // RemovePeer drops the heartbeat of a peer whose link is down.
 func (e *Election) RemovePeer(peer string) { delete(e.peers, peer) }
@@ -175,6 +190,24 @@
 // DelayLead keeps this entry from starting a term before the given time.
 func (e *Election) DelayLead(until time.Duration) { e.mayLeadAt = max(e.mayLeadAt, until) }
 
+// Leaders calls add for each entry that leads the pool by the last heartbeat of a peer.
+func (e *Election) Leaders(add func(name string)) {
+	for name, hb := range e.peers {
+		if hb.Leading {
+			add(name)
+		} else if hb.Leader != "" {
+			add(hb.Leader)
+		}
+	}
+}
+
+// Peers calls add for each linked peer that has sent a heartbeat.
+func (e *Election) Peers(add func(Entry)) {
+	for _, hb := range e.peers {
+		add(hb.Entry)
+	}
+}
+
 // PeerCount returns the number of linked peers that have sent a heartbeat.
 func (e *Election) PeerCount() int { return len(e.peers) }
 
@@ -182,6 +215,7 @@
 // has to become the leader.
 func (e *Election) Decide(now time.Duration) Decision {
 	e.considerYielding(now)
+	e.chooseSuccessor()
 	if relay, ok := e.relay(); ok && e.leadsNothing(now) {
 		return e.follow(relay)
 	}
@@ -198,20 +232,79 @@
 		}
 		return e.follow(relay)
 	}
-	rank := e.rank()
-	if now >= max(e.mayLeadAt, e.leaderlessSince)+time.Duration(rank)*e.cfg.RankDelay {
+	if now >= max(e.mayLeadAt, e.leaderlessSince)+e.leadDelay() {
 		return e.lead(now)
 	}
 	return e.follow("")
 }
 
+// leadDelay returns how long this entry waits for a leader before it leads: no time if a
+// leader has named it as its successor, else by its place in the order of succession.
+func (e *Election) leadDelay() time.Duration {
+	rank := e.rank()
+	switch named := e.namedSuccessor(); {
+	case named == e.self:
+		return 0
+	case named != "" || e.awaitsSuccessor():
+		rank = max(rank, 1)
+	}
+	delay := time.Duration(rank) * e.cfg.RankDelay
+	if e.outside(&e.heartbeat) {
+		delay += outsideDelay
+	}
+	return delay
+}
+
+// outside reports whether an entry is in another data centre than the pool's targets.
+func (e *Election) outside(hb *Heartbeat) bool { return e.cfg.DC != "" && hb.DC != e.cfg.DC }
+
+// namedSuccessor returns the successor that a former leader names, "" if none does.
+func (e *Election) namedSuccessor() string {
+	named := e.heartbeat.Successor
+	for _, hb := range e.peers {
+		named = max(named, hb.Successor)
+	}
+	return named
+}
+
+// awaitsSuccessor reports whether a leader has to be passed over and has not named its
+// successor yet.
+func (e *Election) awaitsSuccessor() bool {
+	for _, hb := range e.peers {
+		if hb.Leading && hb.passedOver() && hb.Successor == "" {
+			return true
+		}
+	}
+	return false
+}
+
+// chooseSuccessor names the peer that suits best if this entry leads and has to be passed
+// over. All entries are linked to a leader, but not to each other, so that they might
+// disagree on which of them is next. The name stands until there is a leader again.
+func (e *Election) chooseSuccessor() {
+	if !e.heartbeat.Leading || !e.heartbeat.passedOver() {
+		return
+	}
+	var best candidate
+	for name, hb := range e.peers {
+		c := e.candidate(name, hb)
+		if hb.passedOver() || hb.Leading {
+			continue
+		}
+		if best.name == "" || cmp.Or(compareSuitability(c, best), cmp.Compare(c.name, best.name)) < 0 {
+			best = c
+		}
+	}
+	e.heartbeat.Successor = best.name
+}
+
 func (e *Election) follow(leader string) Decision {
 	if leader == e.self {
 		return Decision{Leader: e.self, Leading: true, Term: e.heartbeat.Term}
 	}
 	e.heartbeat.Leading, e.heartbeat.Leader = false, leader
 	if leader != "" {
-		e.heartbeat.Yielding = false
+		e.heartbeat.Yielding, e.heartbeat.Successor = false, ""
 	}
 	return Decision{Leader: leader}
 }
@@ -247,7 +340,7 @@
 // lead makes this entry the leader in a new term, above all terms it knows of.
 func (e *Election) lead(now time.Duration) Decision {
 	e.heartbeat.Term = e.highestTerm() + 1
-	e.heartbeat.Leading, e.heartbeat.Leader, e.heartbeat.Yielding = true, "", false
+	e.heartbeat.Leading, e.heartbeat.Leader, e.heartbeat.Yielding, e.heartbeat.Successor = true, "", false, ""
 	e.leaderless, e.leadsSince = false, now
 	return Decision{Leader: e.self, Leading: true, Term: e.heartbeat.Term}
 }
@@ -320,6 +413,7 @@
 type candidate struct {
 	name    string
 	penalty int
+	outside bool // in another data centre than the pool's targets
 	cost    float64
 	joined  uint64
 }
@@ -334,14 +428,14 @@
 		all = append(all, e.candidate(name, hb))
 	}
 	slices.SortFunc(all, func(a, b candidate) int {
-		return cmp.Or(compareSuitability(a, b), cmp.Compare(a.joined, b.joined), cmp.Compare(a.name, b.name))
+		return cmp.Or(compareSuccession(a, b), cmp.Compare(a.joined, b.joined), cmp.Compare(a.name, b.name))
 	})
 	at := slices.IndexFunc(all, func(c candidate) bool { return c.name == e.self })
 	first, last := at, at
-	for first > 0 && compareSuitability(all[first-1], all[at]) == 0 {
+	for first > 0 && compareSuccession(all[first-1], all[at]) == 0 {
 		first--
 	}
-	for last+1 < len(all) && compareSuitability(all[last+1], all[at]) == 0 {
+	for last+1 < len(all) && compareSuccession(all[last+1], all[at]) == 0 {
 		last++
 	}
 	equals := last - first + 1
@@ -349,7 +443,19 @@
 }
 
 func (e *Election) candidate(name string, hb Heartbeat) candidate {
-	return candidate{name: name, penalty: hb.leadPenalty(), cost: hb.leadCost(e.cfg.DC), joined: hb.Joined}
+	return candidate{name: name, penalty: hb.leadPenalty(), outside: e.outside(&hb), cost: hb.leadCost(e.cfg.DC), joined: hb.Joined}
+}
+
+// compareSuccession orders candidates for the succession of a lost leader. The entries of
+// the pool's data centre come first: they are all linked to each other.
+func compareSuccession(a, b candidate) int {
+	if a.penalty == b.penalty && a.outside != b.outside {
+		if b.outside {
+			return -1
+		}
+		return 1
+	}
+	return compareSuitability(a, b)
 }
 
 // compareSuitability orders candidates by how well they suit the pool, the best first.
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -200,6 +200,9 @@
 	// is not higher than that of a run that it has stopped or that has ended.
 	Run  int
 	Spec string
+	// Coordinator is the entry that has the job's caller, "" if there is none. It can send
+	// the order too.
+	Coordinator string
 	// Ticket is the adviser's permission to run the step on this target, if the
 	// queue needs one.
 	Ticket string
@@ -259,12 +262,30 @@
 	// InvalidTicket means that the ticket is not, or no longer, valid; nothing
 	// was started.
 	InvalidTicket
+	// NotSent means that the order did not and will not leave the entry that was to send
+	// it; nothing was started.
+	NotSent
+	answers
 )
 
-var answerNames = [...]string{"unanswered", "accepted", "fenced", "stale_run", "too_late", "no_room", "refused", "reborn", "no_ticket"}
+// Answers returns all answers.
+func Answers() []Answer {
+	all := make([]Answer, answers)
+	for i := range all {
+		all[i] = Answer(i)
+	}
+	return all
+}
+
+var answerNames = [answers]string{"unanswered", "accepted", "fenced", "stale_run", "too_late", "no_room", "refused", "reborn", "no_ticket", "not_sent"}
 
 // String returns the name used in logs.
-func (a Answer) String() string { return answerNames[a] }
+func (a Answer) String() string {
+	if a >= answers {
+		return "unknown"
+	}
+	return answerNames[a]
+}
 
 // Reply is a target's answer to a start or stop.
 type Reply struct {
--- a/internal/fleet/layout.go
+++ b/internal/fleet/layout.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
 
 	"currantstall/internal/rendezvous"
@@ -25,26 +26,44 @@
 	Pools []Scope `cbor:"3,keyasint" json:"pools"`
 }
 
+// MaxPools is the largest number of pools in a layout.
+const MaxPools = 4096
+
+// Validate returns an error for a layout that no entry has planned.
+func (l *Layout) Validate() error {
+	if len(l.Pools) == 0 || len(l.Pools) > MaxPools {
+		return fmt.Errorf("layout: %d pools, want 1 to %d", len(l.Pools), MaxPools)
+	}
+	return nil
+}
+
 // DefaultLayout has one pool for all targets.
 func DefaultLayout() Layout { return Layout{Pools: []Scope{{}}} }
 
 const (
-	// poolTargets is the number of targets that one pool should have. Its dispatch takes
-	// a tenth of a core at a thousand starts per second.
-	poolTargets = 64
-	// splitFactor times poolTargets is the largest number of targets in a single pool.
+	// poolTargets is the number of targets that one pool should have if entries of the
+	// usual size or above lead it. Its dispatch takes a tenth of a core at 400 starts per
+	// second. Smaller entries lead smaller pools, of minPoolTargets at least.
+	poolTargets    = 64
+	minPoolTargets = 12
+	// UsualMilliCPU is the size of an entry that leads a pool of poolTargets, in thousandths
+	// of a core, and the assumed size of an entry that does not state its own.
+	UsualMilliCPU = 400
+	// splitFactor times the size of a pool is the largest number of targets in a single one.
 	splitFactor = 1.5
 	// replanFactor is the growth or shrinkage of the number of targets at which a layout
 	// is planned again.
 	replanFactor = 1.5
 )
 
-// PlanLayout divides targets into pools of about poolTargets targets each. Unless one
-// pool is enough for all, the targets of each data centre have pools of their own, so
-// that a partition between data centres leaves the ownership of targets as it is.
-func PlanLayout(targets []Target) Layout {
+// PlanLayout divides targets into pools that the largest of the entries can lead, given the
+// entries' sizes in thousandths of a core. Unless one pool is enough for all, the targets
+// of each data centre have pools of their own, so that a partition between data centres
+// leaves the ownership of targets as it is.
+func PlanLayout(targets []Target, entries []int64) Layout {
 	l := Layout{Targets: len(targets)}
-	if float64(len(targets)) <= splitFactor*poolTargets {
+	perPool := planPoolSize(len(targets), entries)
+	if float64(len(targets)) <= splitFactor*float64(perPool) {
 		l.Pools = []Scope{{}}
 		return l
 	}
@@ -53,7 +72,7 @@
 		byDC[targets[i].DC]++
 	}
 	for dc, n := range byDC {
-		for range max(1, (n+poolTargets/2)/poolTargets) {
+		for range max(1, (n+perPool/2)/perPool) {
 			l.Pools = append(l.Pools, Scope{DC: dc})
 		}
 	}
@@ -61,6 +80,29 @@
 	return l
 }
 
+// planPoolSize returns the number of targets that a pool should have: as many as the
+// smallest of the entries can lead that are needed as leaders, the largest first.
+func planPoolSize(targets int, entries []int64) int {
+	sizes := slices.Clone(entries)
+	slices.SortFunc(sizes, func(a, b int64) int { return cmp.Compare(b, a) })
+	perPool := poolTargets
+	for i, size := range sizes {
+		perPool = poolSizeFor(size)
+		if targets <= (i+1)*perPool {
+			break
+		}
+	}
+	return perPool
+}
+
+// poolSizeFor returns the number of targets that an entry of the given size can lead.
+func poolSizeFor(milliCPU int64) int {
+	if milliCPU <= 0 {
+		milliCPU = UsualMilliCPU
+	}
+	return int(min(max(milliCPU*poolTargets/UsualMilliCPU, minPoolTargets), poolTargets))
+}
+
 // Outgrown reports whether the number of targets differs so much from the planned one
 // that a new layout is due.
 func (l *Layout) Outgrown(targets int) bool {
--- a/internal/fleet/layout_test.go
+++ b/internal/fleet/layout_test.go
@@ -24,13 +24,13 @@
 }
 
 func TestFewTargetsMakeOnePool(t *testing.T) {
-	l := PlanLayout(targetsIn(map[string]int{"a": 16, "b": 16, "c": 16}))
+	l := PlanLayout(targetsIn(map[string]int{"a": 16, "b": 16, "c": 16}), nil)
 	assert.DeepEqual(t, l.Pools, []Scope{{}})
 }
 
 func TestManyTargetsAreDividedWithinTheirDataCentres(t *testing.T) {
 	list := targetsIn(map[string]int{"a": 117, "b": 117, "c": 116})
-	l := PlanLayout(list)
+	l := PlanLayout(list, nil)
 	assert.DeepEqual(t, l.Pools, []Scope{{"a"}, {"a"}, {"b"}, {"b"}, {"c"}, {"c"}})
 	sizes := make([]int, len(l.Pools))
 	for i := range list {
@@ -69,3 +69,37 @@
 		assert.Equal(t, l.PoolOf(&target), at)
 	})
 }
+
+// Entries with 0.12 of a core were to lead a pool of 85 targets, which takes 0.14 of a core.
+func TestSmallEntriesLeadSmallPools(t *testing.T) {
+	list := targetsIn(map[string]int{"a": 17, "b": 17, "c": 17, "d": 17, "e": 17})
+	small := make([]int64, 17)
+	for i := range small {
+		small[i] = 120
+	}
+	l := PlanLayout(list, small)
+	assert.DeepEqual(t, l.Pools, []Scope{{"a"}, {"b"}, {"c"}, {"d"}, {"e"}})
+}
+
+// A few large entries among many small ones lead all pools.
+func TestLargeEntriesSetTheSizeOfPools(t *testing.T) {
+	list := targetsIn(map[string]int{"a": 108, "b": 108, "c": 108, "d": 108, "e": 108})
+	var entries []int64
+	for i := range 97 {
+		size := int64(192)
+		if i%6 == 0 {
+			size = 800
+		}
+		entries = append(entries, size)
+	}
+	assert.Equal(t, len(PlanLayout(list, entries).Pools), 10)
+}
+
+// The size of the entries never makes a pool larger than usual or of a handful of targets.
+func TestPoolSizesAreBounded(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		sizes := rapid.SliceOf(rapid.Int64Range(0, 4000)).Draw(t, "sizes")
+		got := planPoolSize(rapid.IntRange(1, 5000).Draw(t, "targets"), sizes)
+		assert.Assert(t, got >= minPoolTargets && got <= poolTargets, "%d", got)
+	})
+}
--- a/internal/jobstore/rows.go
+++ b/internal/jobstore/rows.go
@@ -109,6 +109,9 @@
 	if err := wire.Decode(r.Value, &o); err != nil {
 		return AcceptedJob{}, fmt.Errorf("decode stored job %s: %w", r.Key, err)
 	}
+	if err := o.Job.Validate(); err != nil {
+		return AcceptedJob{}, fmt.Errorf("stored job %s: %w", r.Key, err)
+	}
 	waited := time.Since(time.UnixMilli(o.AcceptedMS))
 	return AcceptedJob{Job: o.Job, Waited: min(max(waited, 0), maxPlausibleWait)}, nil
 }
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -41,7 +41,17 @@
 	PeerClosed      = "peer_closed" // links and handshakes closed, by reason
 )
 
+// Names of the counters of the traffic to the platform's store. They carry a tag for the
+// table and one for the kind of call.
 const (
+	StoreCalls    = "store_calls"
+	StoreBytesOut = "store_bytes_out" // bytes of request bodies
+	StoreBytesIn  = "store_bytes_in"  // bytes of response bodies
+)
+
+const (
+	tagTable       = "table"
+	tagCall        = "call"
 	tagType        = "type"
 	tagReason      = "reason"
 	tagVerdict     = "verdict"
@@ -100,6 +110,14 @@
 	return m.scope.Tagged(map[string]string{tagType: typ}).Counter(name)
 }
 
+// CountStore counts a call to the platform's store.
+func (m *Metrics) CountStore(table, call string, out, in int) {
+	s := m.scope.Tagged(map[string]string{tagTable: table, tagCall: call})
+	s.Counter(StoreCalls).Inc(1)
+	s.Counter(StoreBytesOut).Inc(int64(out))
+	s.Counter(StoreBytesIn).Inc(int64(in))
+}
+
 // CountRefused adds one to the refusals under the reason and verdict of e.
 func (m *Metrics) CountRefused(e *verdict.Error) {
 	tags := map[string]string{tagReason: string(e.Reason), tagVerdict: e.Verdict.String()}
--- a/internal/node/counts.go
+++ b/internal/node/counts.go
@@ -17,6 +17,8 @@
 	abandoned tally.Counter
 	late      tally.Counter
 	otherPool tally.Counter
+	panics    tally.Counter
+	invalid   tally.Counter
 	latency   tally.Histogram
 	answers   map[string]tally.Counter
 }
@@ -28,10 +30,11 @@
 	s := m.Scope().SubScope("node")
 	c := &counts{
 		m: m, starts: s.Counter("starts"), abandoned: s.Counter("abandoned"), late: s.Counter("late_outcomes"), otherPool: s.Counter("submitted_to_other_pool"),
+		panics: s.Counter("contained_panics"), invalid: s.Counter("invalid_messages"),
 		latency: s.Histogram("answer_seconds", latencyBuckets), answers: make(map[string]tally.Counter),
 	}
-	for _, order := range []string{"start", "stop", "hold"} {
-		for a := fleet.Unanswered; a <= fleet.InvalidTicket; a++ {
+	for _, order := range []string{"start", "stop", "hold", "delegated_start"} {
+		for _, a := range fleet.Answers() {
 			c.answers[order+a.String()] = s.Tagged(map[string]string{"order": order, "answer": a.String()}).Counter("orders")
 		}
 	}
@@ -39,7 +42,11 @@
 }
 
 // answer counts a target's answer to an order.
-func (c *counts) answer(order string, a fleet.Answer) { c.answers[order+a.String()].Inc(1) }
+func (c *counts) answer(order string, a fleet.Answer) {
+	if counter := c.answers[order+a.String()]; counter != nil { // a peer may send an unknown one
+		counter.Inc(1)
+	}
+}
 
 // outcome counts the outcome of a job and records its latency.
 func (c *counts) outcome(o fleet.Outcome, took time.Duration) {
--- a/internal/node/directory.go
+++ b/internal/node/directory.go
@@ -5,14 +5,13 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"slices"
 	"strings"
 	"time"
 
 	"currantstall/internal/fleet"
-	"currantstall/internal/peer"
-	"currantstall/internal/structs"
 	"currantstall/internal/wire"
 )
 
@@ -23,6 +22,21 @@
 	// maxTargetListAge is the age above which a list of targets is not trusted to
 	// show which targets are leaving.
 	maxTargetListAge = 1500 * time.Millisecond
+	// minTargetInterval is the time between two reads of the targets from the platform's
+	// store by an entry that leads a pool. Other entries need the list only to lead one
+	// later: they read it at an interval that grows by targetIntervalPerTarget for each
+	// target, up to maxTargetInterval. Targets renew their rows each second or two, so that
+	// each read brings all rows.
+	minTargetInterval       = 700 * time.Millisecond
+	targetIntervalPerTarget = 11 * time.Millisecond
+	maxTargetInterval       = 6 * time.Second
+	// listGrace is how long a new leader waits for a list of targets that shows which ones
+	// are leaving, before it starts tasks. A read of the store takes some ms.
+	listGrace = 300 * time.Millisecond
+	// startGrace is how long a new entry waits for the store, or for a peer that reads it,
+	// before it takes the directory of a peer that has not read the store for staleStoreAge.
+	startGrace    = 600 * time.Millisecond
+	staleStoreAge = maxTargetInterval + freshStoreAge
 	// requestInterval is the minimum time between two requests for a directory, and
 	// requestTimeout how long the answer of one peer is awaited before another is asked.
 	requestInterval = 100 * time.Millisecond
@@ -30,6 +44,9 @@
 	// configGrace is how long a newer configuration at a peer may be on its way from the
 	// platform's store to this entry before it is requested from the peer.
 	configGrace = 250 * time.Millisecond
+	// memberRequestInterval is the time between two requests for the members that a peer
+	// knows, while the platform's list is out of reach.
+	memberRequestInterval = 2 * time.Second
 	// seedInterval is the pause between two rounds of requests to the seeds, and
 	// the timeout of each request.
 	seedInterval = time.Second
@@ -49,12 +66,15 @@
 	members   map[string]fleet.Member // known entries by name
 	live      []string                // members that renewed their row in the platform's store lately
 	liveAt    time.Duration           // when live was received
-	listed    int                     // number of members in the platform's store
 	// behindSince is when a heartbeat first showed a configuration newer than the one in
 	// force, 0 if none did.
 	behindSince time.Duration
 	requestedAt time.Duration // when a directory was last requested
 	requestedOf string        // the peer that was asked, "" once it has answered
+	// targetInterval is the time between two reads of the targets beyond minTargetInterval.
+	targetInterval time.Duration
+	// membersAskedAt is when a peer was last asked for the members that it knows.
+	membersAskedAt time.Duration
 }
 
 // directoryBody is the body of wire.Directory and of the response at directoryPath. To
@@ -92,6 +112,7 @@
 	Config  bool `cbor:"1,keyasint,omitempty"`
 	Targets bool `cbor:"2,keyasint,omitempty"`
 	Layout  bool `cbor:"3,keyasint,omitempty"`
+	Members bool `cbor:"4,keyasint,omitempty"`
 }
 
 // requestFrom returns what to request from a peer now, after its heartbeat: a newer
@@ -99,13 +120,19 @@
 // newer. It records the request.
 func (d *directory) requestFrom(now time.Duration, peer string, b heartbeatBody, config int64, layout uint64) (directoryRequest, bool) {
 	want := directoryRequest{Layout: b.LayoutVersion > layout}
-	if b.ConfigVersion > config {
+	// What a new entry gets from the store or from a peer that reads it is newer than what
+	// a peer has that does not. The latter may have dropped queues and targets that left.
+	trusted := now > startGrace || b.StoreAge < staleStoreAge
+	if b.ConfigVersion > config && (config > 0 || trusted) {
 		if d.behindSince == 0 {
 			d.behindSince = now
 		}
 		want.Config = config == 0 || now >= d.behindSince+configGrace
 	}
-	want.Targets = d.targetsAge(now) > maxTargetListAge && b.TargetsAge+maxTargetListAge/2 < d.targetsAge(now)
+	if d.membersOld(now) && now >= d.membersAskedAt+memberRequestInterval {
+		want.Members = true
+	}
+	want.Targets = (d.hasList || trusted) && d.targetsAge(now) > d.targetInterval+maxTargetListAge && b.TargetsAge+maxTargetListAge/2 < d.targetsAge(now)
 	wait := requestInterval
 	if d.requestedOf != "" {
 		wait = requestTimeout
@@ -114,6 +141,9 @@
 		return want, false
 	}
 	d.requestedAt, d.requestedOf = now, peer
+	if want.Members {
+		d.membersAskedAt = now
+	}
 	return want, true
 }
 
@@ -149,8 +179,37 @@
 	}
 	n.directory.targets, n.directory.targetsAt, n.directory.hasList = list, at, true
 	n.setPoolTargets(now)
+	n.updateTargetInterval()
+	if n.directory.targetsAge(now) <= maxTargetListAge {
+		for _, s := range n.shards {
+			s.pool.TargetsCurrent()
+		}
+	}
+}
+
+// updateTargetInterval decides how often the targets are read from the platform's store,
+// and hurries the next read if that is due earlier now.
+func (n *Node) updateTargetInterval() {
+	interval := minTargetInterval
+	if n.leads() == 0 && !n.stored.expected {
+		interval = min(max(time.Duration(len(n.directory.targets))*targetIntervalPerTarget, minTargetInterval), maxTargetInterval)
+	}
+	n.directory.targetInterval = interval - minTargetInterval
+	if before := time.Duration(n.targetInterval.Swap(int64(interval))); interval < before {
+		select {
+		case n.targetsDue <- struct{}{}:
+		default:
+		}
+	}
 }
 
+// TargetInterval returns the time between two reads of the targets from the platform's
+// store.
+func (n *Node) TargetInterval() time.Duration { return time.Duration(n.targetInterval.Load()) }
+
+// TargetsDue receives when TargetInterval has become shorter.
+func (n *Node) TargetsDue() <-chan struct{} { return n.targetsDue }
+
 // SetMembers replaces the members that the platform lists. The live ones have
 // renewed their row lately.
 func (n *Node) SetMembers(list []fleet.Member, live []string) {
@@ -163,23 +222,11 @@
 		for _, m := range list {
 			n.directory.members[m.Name] = m
 		}
-		n.directory.live, n.directory.liveAt, n.directory.listed = live, now, len(list)
-		n.dialMembers()
+		n.directory.live, n.directory.liveAt = live, now
+		n.linkPlan.nextAt = now
 	})
 }
 
-// dialMembers passes the known members to the peer layer, which keeps a link to
-// each.
-func (n *Node) dialMembers() {
-	var ps []peer.Peer
-	for _, m := range n.directory.members {
-		if m.Name != n.cfg.Self.Name {
-			ps = append(ps, peer.Peer{Member: structs.Member{Name: m.Name, Addr: m.Addr}, DC: m.DC})
-		}
-	}
-	n.peers.SetPeers(ps)
-}
-
 // directorySnapshot returns the body of a directory message.
 func (n *Node) directorySnapshot(now time.Duration) directoryBody {
 	b := directoryBody{
@@ -196,13 +243,6 @@
 	return b
 }
 
-// sendMembers sends the known members to a peer.
-func (n *Node) sendMembers(to string) {
-	b := n.directorySnapshot(n.now())
-	b.Config, b.Targets, b.HasTargets, b.TargetsAge = nil, nil, false, 0
-	n.send(to, wire.Directory, b)
-}
-
 // handleDirectory handles a peer's directory, and sends what the peer requests.
 func (n *Node) handleDirectory(now time.Duration, from string, b directoryBody) {
 	n.mergeDirectory(now, b)
@@ -216,6 +256,9 @@
 	if !b.Request.Targets {
 		reply.Targets, reply.HasTargets, reply.TargetsAge = nil, false, 0
 	}
+	if !b.Request.Members {
+		reply.Members = nil
+	}
 	n.send(from, wire.Directory, reply)
 }
 
@@ -242,50 +285,66 @@
 		}
 	}
 	if added {
-		n.dialMembers()
+		n.linkPlan.nextAt = now
+	}
+}
+
+// updateAcquirePolicies tells the pools that this entry leads how soon they may acquire
+// each target.
+func (n *Node) updateAcquirePolicies(now time.Duration) {
+	n.policiesDue = false
+	for _, s := range n.shards {
+		if s.pool.Leading() {
+			n.updateAcquirePolicy(now, s)
+		}
 	}
 }
 
-// updateAcquirePolicy tells a pool how soon it may acquire each target.
+// updateAcquirePolicy tells a pool how soon it may acquire each target. Whether this entry
+// is in a minority is judged among the members of the pool's data centre, to all of which
+// its leader links.
 func (n *Node) updateAcquirePolicy(now time.Duration, s *shard) {
-	names := n.presumedLive(now)
-	live := make([]liveMember, len(names))
-	for i, name := range names {
+	var near, all []liveMember
+	for name := range n.presumedLive(now) {
 		self := name == n.cfg.Self.Name
-		live[i] = liveMember{name: name, dc: n.directory.members[name].DC, inReach: self || n.linked[name]}
+		m := liveMember{name: name, dc: n.directory.members[name].DC, inReach: self || n.linked[name]}
 		if self {
-			live[i].dc = n.cfg.Self.DC
+			m.dc = n.cfg.Self.DC
 		}
+		all = append(all, m)
+		if m.dc == s.scope.DC {
+			near = append(near, m)
+		}
+	}
+	if len(near) == 0 {
+		near = all
 	}
-	s.pool.SetAcquirePolicy(now, acquirePolicies(live, n.directory.targets))
+	s.pool.SetAcquirePolicy(now, acquirePolicies(near, s.targets))
 }
 
 // presumedLive returns the members that are presumed to be alive: this entry, the
 // linked peers, and those that are live by the platform's store, or all known
 // members if the store's list is older than maxLiveListAge.
-func (n *Node) presumedLive(now time.Duration) []string {
-	var live []string
-	add := func(name string) {
-		if !slices.Contains(live, name) {
-			live = append(live, name)
-		}
-	}
-	add(n.cfg.Self.Name)
-	for name := range n.linked {
-		add(name)
-	}
-	if n.directory.liveAt > 0 && now < n.directory.liveAt+maxLiveListAge {
+func (n *Node) presumedLive(now time.Duration) map[string]bool {
+	live := maps.Clone(n.linked)
+	live[n.cfg.Self.Name] = true
+	if !n.directory.membersOld(now) {
 		for _, name := range n.directory.live {
-			add(name)
+			live[name] = true
 		}
 		return live
 	}
 	for name := range n.directory.members {
-		add(name)
+		live[name] = true
 	}
 	return live
 }
 
+// membersOld reports whether the platform's list of members was not read lately.
+func (d *directory) membersOld(now time.Duration) bool {
+	return d.liveAt == 0 || now >= d.liveAt+maxLiveListAge
+}
+
 // maxLiveListAge is the age above which the platform's list of live members is not
 // used.
 const maxLiveListAge = 5 * time.Second
--- a/internal/node/directory_test.go
+++ b/internal/node/directory_test.go
@@ -13,7 +13,7 @@
 // asked, and another one only if it does not answer.
 func TestNewerConfigurationIsRequestedFromOnePeer(t *testing.T) {
 	d := newDirectory()
-	d.hasList, d.targetsAt = true, 10*time.Second
+	d.hasList, d.targetsAt, d.liveAt = true, 10*time.Second, 10*time.Second
 	newer := heartbeatBody{ConfigVersion: 7}
 	_, ok := d.requestFrom(10*time.Second, "a", newer, 5, 0)
 	assert.Assert(t, !ok, "the store may be about to deliver it")
@@ -31,7 +31,7 @@
 
 func TestStaleTargetListIsRequestedFromPeerWithNewerOne(t *testing.T) {
 	d := newDirectory()
-	d.hasList, d.targetsAt = true, 10*time.Second
+	d.hasList, d.targetsAt, d.liveAt = true, 10*time.Second, 10*time.Second
 	now := 10*time.Second + 2*maxTargetListAge
 	_, ok := d.requestFrom(now, "a", heartbeatBody{TargetsAge: 2 * maxTargetListAge}, 5, 0)
 	assert.Assert(t, !ok, "the peer's list is as old")
@@ -39,3 +39,24 @@
 	assert.Assert(t, ok)
 	assert.Equal(t, want, directoryRequest{Targets: true})
 }
+
+// After a restart an entry took configuration and targets from a peer that had been cut off
+// from the store: a dropped queue and a target that had left were in use again.
+func TestNewEntryDoesNotTakeTheDirectoryOfAPeerWithoutTheStore(t *testing.T) {
+	stale := heartbeatBody{ConfigVersion: 7, TargetsAge: time.Minute, StoreAge: time.Minute}
+	current := heartbeatBody{ConfigVersion: 9, TargetsAge: time.Second, StoreAge: time.Second}
+	start := 100 * ms
+	d := newDirectory()
+	d.liveAt = start
+	_, ok := d.requestFrom(start, "a", stale, 0, 0)
+	assert.Assert(t, !ok)
+	want, ok := d.requestFrom(start, "b", current, 0, 0)
+	assert.Assert(t, ok)
+	assert.Equal(t, want, directoryRequest{Config: true, Targets: true})
+
+	d = newDirectory() // without anything better, the directory of the peer is used
+	d.liveAt = start
+	want, ok = d.requestFrom(startGrace+ms, "a", stale, 0, 0)
+	assert.Assert(t, ok)
+	assert.Equal(t, want, directoryRequest{Config: true, Targets: true})
+}
--- a/internal/node/jobs.go
+++ b/internal/node/jobs.go
@@ -358,6 +358,11 @@
 // leader, or rejected as not ready if it is relayed already, is pending here, has no
 // leader other than the sender, or names a pool of another layout.
 func (n *Node) handleSubmit(now time.Duration, from string, b submitBody) {
+	if err := b.Job.Validate(); err != nil {
+		n.rejectInvalid(from, err)
+		n.send(from, wire.PoolEnded, endedBody{b.Job.ID, fleet.Outcome{Verdict: verdict.NotRun, Reason: verdict.BadRequest}})
+		return
+	}
 	if b.Job.Stored {
 		n.acceptStored(now, b.Job, b.Waited)
 		return
@@ -383,6 +388,12 @@
 	}
 }
 
+// rejectInvalid counts and logs an invalid job from a peer.
+func (n *Node) rejectInvalid(from string, err error) {
+	n.counts.invalid.Inc(1)
+	n.log.Warn("job from a peer rejected: it is invalid", "peer", from, "err", err)
+}
+
 // handleAbandon handles the withdrawal of a job by another entry, which is its
 // coordinator or the entry for which this one relays it.
 func (n *Node) handleAbandon(now time.Duration, from string, b abandonBody) {
--- a/internal/node/layout.go
+++ b/internal/node/layout.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"currantstall/internal/election"
 	"currantstall/internal/fleet"
 	"currantstall/internal/verdict"
 	"currantstall/internal/wire"
@@ -45,9 +46,14 @@
 // setLayout puts a newer layout in force. The jobs that leaders under the former one have
 // are submitted again, as after the loss of a leader.
 func (n *Node) setLayout(now time.Duration, l fleet.Layout) {
+	if err := l.Validate(); err != nil {
+		n.counts.invalid.Inc(1)
+		n.log.Warn("layout ignored: it is invalid", "version", l.Version, "err", err)
+		return
+	}
 	known := n.layoutKnown
 	n.layoutKnown = true
-	if len(l.Pools) == 0 || known && l.Version <= n.layout.Version {
+	if known && l.Version <= n.layout.Version {
 		return
 	}
 	before := n.layout
@@ -91,7 +97,7 @@
 	if count == 0 || n.directory.targetsAge(now) > maxTargetListAge {
 		return
 	}
-	want := fleet.PlanLayout(n.directory.targets)
+	want := fleet.PlanLayout(n.directory.targets, n.entrySizes())
 	if n.stored.expected {
 		want.Pools = []fleet.Scope{{}}
 	} else if now < k.steadySince+layoutSettle || n.layout.Version != 0 && !n.layout.Outgrown(count) {
@@ -105,6 +111,14 @@
 	go n.saveLayout(want)
 }
 
+// entrySizes returns the sizes of this entry and of those that are linked, which are all
+// for a leader.
+func (n *Node) entrySizes() []int64 {
+	sizes := []int64{n.cfg.MilliCPU}
+	n.shards[0].election.Peers(func(e election.Entry) { sizes = append(sizes, e.MilliCPU) })
+	return sizes
+}
+
 // saveLayout saves a layout and puts it in force. If that fails, the next check tries
 // again with what the store has by then.
 func (n *Node) saveLayout(l fleet.Layout) {
--- /dev/null
+++ b/internal/node/linkplan.go
@@ -0,0 +1,187 @@
+package node
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"currantstall/internal/fleet"
+	"currantstall/internal/peer"
+	"currantstall/internal/rendezvous"
+	"currantstall/internal/structs"
+)
+
+const (
+	// fullMeshEntries is the largest number of entries that all link to each other. The
+	// work for links grows with the square of the entries in a full mesh.
+	fullMeshEntries = 16
+	// dcContacts is the number of entries of each other data centre to which an entry
+	// links, leaders included. They tell who leads there.
+	dcContacts = 2
+	// contactTimeout is how long a contact may take to link before another one is chosen,
+	// twice as long as an attempt to dial.
+	contactTimeout = 2 * dialTimeout
+	// linkLinger is how long a link is kept after it is last needed, so that a change of
+	// leaders and back costs nothing.
+	linkLinger = 5 * time.Second
+	// replanInterval is the time between two plans of the links.
+	replanInterval = 100 * time.Millisecond
+)
+
+// linkView is what an entry knows when it plans its links.
+type linkView struct {
+	self    fleet.Member
+	leads   bool // this entry leads a pool
+	members map[string]fleet.Member
+	leaders map[string]bool // entries that lead a pool, as far as this entry knows
+	linked  map[string]bool
+	// attempt changes whenever the contacts chosen so far have not linked in time.
+	attempt uint64
+}
+
+// planLinks returns the entries that this entry links to, and whether a contact is not
+// linked yet. In a small deployment these are all entries. In a large one they are those
+// of its own data centre, the leaders, and a few contacts in each other data centre; a
+// leader links to all.
+func planLinks(v linkView) (plan map[string]bool, incomplete bool) {
+	plan = make(map[string]bool)
+	others := make(map[string][]string) // by data centre
+	all := v.leads || len(v.members) <= fullMeshEntries
+	for name, m := range v.members {
+		switch {
+		case name == v.self.Name:
+		case all || m.DC == v.self.DC || v.leaders[name]:
+			plan[name] = true
+		default:
+			others[m.DC] = append(others[m.DC], name)
+		}
+	}
+	linkedIn := make(map[string]int) // number of planned and linked entries by data centre
+	for name := range plan {
+		if v.linked[name] {
+			linkedIn[v.members[name].DC]++
+		}
+	}
+	for dc, names := range others {
+		missing := dcContacts - linkedIn[dc]
+		for _, name := range v.contacts(names, missing) {
+			plan[name] = true
+			incomplete = incomplete || !v.linked[name]
+		}
+	}
+	return plan, incomplete
+}
+
+// contacts chooses up to count contacts among entries of one data centre: those that are
+// linked first, others by a hash that spreads the choices of all entries.
+func (v *linkView) contacts(names []string, count int) []string {
+	if count <= 0 {
+		return nil
+	}
+	self := rendezvous.Hash(v.self.Name) + v.attempt
+	slices.SortFunc(names, func(a, b string) int {
+		if v.linked[a] != v.linked[b] {
+			if v.linked[a] {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Or(cmp.Compare(rendezvous.Weight(self, b), rendezvous.Weight(self, a)), cmp.Compare(a, b))
+	})
+	return names[:min(count, len(names))]
+}
+
+// linkPlanner is the state of a node's plan of its links. It belongs to the node's loop.
+type linkPlanner struct {
+	nextAt          time.Duration
+	wantedAt        map[string]time.Duration // when each entry was last part of the plan
+	attempt         uint64
+	incompleteSince time.Duration // 0 while all contacts are linked
+}
+
+// replanLinks passes the entries to link to on to the peer layer, at most once in
+// replanInterval.
+func (n *Node) replanLinks(now time.Duration) {
+	p := &n.linkPlan
+	if now < p.nextAt {
+		return
+	}
+	p.nextAt = now + replanInterval
+	leaders := make(map[string]bool)
+	for _, s := range n.shards {
+		s.election.Leaders(func(name string) { leaders[name] = true })
+	}
+	plan, incomplete := planLinks(linkView{
+		self: n.cfg.Self, leads: n.leads() > 0, members: n.directory.members, leaders: leaders, linked: n.linked, attempt: p.attempt,
+	})
+	switch {
+	case !incomplete:
+		p.incompleteSince = 0
+	case p.incompleteSince == 0:
+		p.incompleteSince = now
+	case now >= p.incompleteSince+contactTimeout:
+		p.attempt, p.incompleteSince = p.attempt+1, 0
+	}
+	if !p.update(now, plan, n.directory.members) {
+		return
+	}
+	ps := make([]peer.Peer, 0, len(p.wantedAt))
+	for name := range p.wantedAt {
+		m := n.directory.members[name]
+		ps = append(ps, peer.Peer{Member: structs.Member{Name: m.Name, Addr: m.Addr}, DC: m.DC})
+	}
+	n.peers.SetPeers(ps)
+}
+
+// update records a plan and reports whether the set of entries to link to has changed. An
+// entry stays in it for linkLinger, unless it is no longer a member.
+func (p *linkPlanner) update(now time.Duration, plan map[string]bool, members map[string]fleet.Member) bool {
+	before := maps.Clone(p.wantedAt)
+	for name := range plan {
+		p.wantedAt[name] = now
+	}
+	maps.DeleteFunc(p.wantedAt, func(name string, at time.Duration) bool {
+		_, known := members[name]
+		return !known || now > at+linkLinger
+	})
+	return !maps.EqualFunc(before, p.wantedAt, func(a, b time.Duration) bool { return true })
+}
+
+// planProgress returns how many of the entries that this one is to link to are linked, and
+// how many there are.
+func (n *Node) planProgress() (linked, planned int) {
+	for name := range n.linkPlan.wantedAt {
+		if n.linked[name] {
+			linked++
+		}
+	}
+	return linked, len(n.linkPlan.wantedAt)
+}
+
+// relaxLinks tells the peer layer which links have to notice the loss of their peer
+// quickly: those to the leaders of this entry's data centre, whom it may succeed, and those
+// that a job depends on, at its coordinator or at the leader that has it. In a small
+// deployment these are all links.
+func (n *Node) relaxLinks() {
+	urgent := make(map[string]bool)
+	if len(n.directory.members) <= fullMeshEntries {
+		maps.Copy(urgent, n.linked)
+	}
+	for _, s := range n.shards {
+		if s.scope.DC == "" || s.scope.DC == n.cfg.Self.DC {
+			urgent[s.decision.Leader] = true
+		}
+		s.pool.Coordinators(func(name string) { urgent[name] = true })
+	}
+	for _, p := range n.pending {
+		urgent[p.sentTo] = true
+		urgent[p.relayFor] = true
+	}
+	for name := range n.linked {
+		if n.relaxed[name] == urgent[name] {
+			n.relaxed[name] = !urgent[name]
+			n.peers.Relax(name, !urgent[name])
+		}
+	}
+}
--- a/internal/node/links.go
+++ b/internal/node/links.go
@@ -19,8 +19,8 @@
 	n.post(func(now time.Duration) {
 		n.linked[p.Name] = true
 		n.log.Info("link", "peer", p.Name, "outcome", "up")
-		n.lastHeartbeatAt = now - heartbeatInterval // so that the next step sends one
-		n.sendMembers(p.Name)
+		n.greet(now, p.Name)
+		n.policiesDue = true
 	})
 }
 
@@ -29,6 +29,7 @@
 	n := (*Node)(h)
 	n.post(func(now time.Duration) {
 		delete(n.linked, p.Name)
+		delete(n.relaxed, p.Name)
 		delete(n.stored.peerStoreReadAt, p.Name)
 		delete(n.stored.peerClocks, p.Name)
 		n.log.Info("link", "peer", p.Name, "outcome", "down")
@@ -38,10 +39,8 @@
 			delete(s.reports, p.Name)
 			n.reclaimFromLeader(now, p.Name, s)
 			s.pool.CoordinatorLost(now, p.Name)
-			if s.pool.Leading() {
-				n.updateAcquirePolicy(now, s)
-			}
 		}
+		n.policiesDue = true
 		n.dropRelayed(now, p.Name)
 	})
 }
@@ -59,6 +58,10 @@
 		err = decodeAndPost(n, m, func(now time.Duration, b endedBody) { n.handleOutcome(now, from.Name, b.Job, b.Outcome) })
 	case wire.PoolAbandon:
 		err = decodeAndPost(n, m, func(now time.Duration, b abandonBody) { n.handleAbandon(now, from.Name, b) })
+	case wire.PoolStart:
+		err = decodeAndPost(n, m, func(now time.Duration, b startBody) { n.handleStart(now, from.Name, b) })
+	case wire.PoolStarted:
+		err = decodeAndPost(n, m, func(now time.Duration, b startedBody) { n.handleStarted(now, from.Name, b) })
 	case wire.JobQuery:
 		err = decodeAndPost(n, m, func(now time.Duration, q jobQueryBody) { n.handleJobQuery(now, from.Name, q) })
 	case wire.JobStore:
@@ -71,6 +74,7 @@
 		n.log.Warn("message from a peer ignored: unexpected type", "peer", from.Name, "type", m.Type.String())
 	}
 	if err != nil {
+		n.counts.invalid.Inc(1)
 		n.log.Warn("message from a peer ignored: its body can't be decoded", "peer", from.Name, "type", m.Type.String(), "err", err)
 	}
 }
@@ -160,8 +164,11 @@
 // sendHeartbeat sends a heartbeat to the peers: at intervals, and at once if this entry
 // has started or stopped leading a pool, follows another leader, or is stopping.
 func (n *Node) sendHeartbeat(now time.Duration) {
-	st := n.leadState()
-	if st == n.lastState && now < n.lastHeartbeatAt+heartbeatInterval {
+	st, interval := n.leadState(), followerHeartbeatInterval
+	if st.leads > 0 {
+		interval = min(heartbeatInterval+time.Duration(len(n.linked))*heartbeatIntervalPerLink, interval)
+	}
+	if st == n.lastState && now < n.lastHeartbeatAt+interval {
 		return
 	}
 	n.lastHeartbeatAt, n.lastState = now, st
@@ -209,11 +216,12 @@
 	if !n.linked[from] {
 		return
 	}
-	n.electionsDue = true
 	if !n.layoutKnown && b.LayoutVersion == 0 && len(b.Pools) > 0 {
 		n.layoutKnown = true // the peer uses the default layout, as this entry does
 	}
-	n.observe(from, &b)
+	if n.observe(from, &b) {
+		n.electionsDue = true
+	}
 	n.stored.peerStoreReadAt[from] = now - b.StoreAge
 	n.stored.peerClocks[from] = b.WallMS - now.Milliseconds()
 	if b.NoStored {
@@ -231,12 +239,24 @@
 	}
 }
 
-// observe passes a peer's claims to the elections, if the peer uses the same layout. A
-// peer that does not know the layout claims nothing.
-func (n *Node) observe(from string, b *heartbeatBody) {
+// greet tells a new peer what it needs to know of this entry at once.
+func (n *Node) greet(now time.Duration, to string) {
+	n.send(to, wire.PoolHeartbeat, n.newHeartbeat(now))
+	hello := directoryBody{Self: n.cfg.Self}
+	if n.layoutKnown {
+		l := n.layout
+		hello.Layout = &l
+	}
+	n.send(to, wire.Directory, hello)
+}
+
+// observe passes a peer's claims to the elections, if the peer uses the same layout, and
+// reports whether any has changed. A peer that does not know the layout claims nothing.
+func (n *Node) observe(from string, b *heartbeatBody) bool {
 	if !n.layoutKnown || b.LayoutVersion != n.layout.Version {
-		return
+		return false
 	}
+	changed := false
 	for i, s := range n.shards {
 		hb := b.Election
 		if i < len(b.Pools) {
@@ -245,6 +265,7 @@
 		} else if i > 0 {
 			hb.Claim = election.Claim{}
 		}
-		s.election.Observe(from, hb)
+		changed = s.election.Observe(from, hb) || changed
 	}
+	return changed
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -35,6 +35,8 @@
 	// MilliCPU is the size of the VM in thousandths of a core, 0 if unknown. Larger
 	// entries lead before smaller ones.
 	MilliCPU int64
+	// LinkBytesPerSecond is the capacity of the VM's network link, 0 if unknown.
+	LinkBytesPerSecond float64
 	// Seeds are addresses of entries that may know the others.
 	Seeds   []string
 	Metrics *metrics.Metrics
@@ -47,6 +49,9 @@
 	// runs before their leases expire, and long compared with the 60 ms for which a CPU quota
 	// pauses the processes of a VM.
 	silentAfter = 350 * time.Millisecond
+	// relaxedSilentAfter replaces silentAfter for a peer that no job waits for. Heartbeats
+	// of followers arrive within each third of it, so that such a link carries no others.
+	relaxedSilentAfter = 1800 * time.Millisecond
 	// dialTimeout limits an attempt to dial a peer.
 	dialTimeout = 500 * time.Millisecond
 	// retain is how long a link keeps undelivered messages for a new connection:
@@ -55,8 +60,13 @@
 	retain = time.Nanosecond
 	// queueBytes limits the messages that wait to be sent to one peer.
 	queueBytes = 8 << 20
-	// heartbeatInterval is the time between two heartbeats to the peers.
-	heartbeatInterval = 200 * time.Millisecond
+	// heartbeatInterval is the time between two heartbeats to the peers of an entry that
+	// leads a pool, whose load they report. It grows by heartbeatIntervalPerLink for each
+	// link, up to the interval of other entries, followerHeartbeatInterval. Links notice
+	// the loss of a peer by themselves.
+	heartbeatInterval         = 200 * time.Millisecond
+	heartbeatIntervalPerLink  = 2 * time.Millisecond
+	followerHeartbeatInterval = 500 * time.Millisecond
 	// tickInterval is the interval at which the loop checks timeouts and due work.
 	tickInterval = 20 * time.Millisecond
 	// eventQueueLength is the number of events that may wait for the loop.
@@ -79,18 +89,26 @@
 	cancel    context.CancelFunc
 	peers     *peer.Node
 
-	config   atomic.Pointer[fleet.Config]
-	ready    atomic.Bool
-	stopping atomic.Bool
+	config         atomic.Pointer[fleet.Config]
+	targetInterval atomic.Int64 // see TargetInterval
+	targetsDue     chan struct{}
+	ready          atomic.Bool
+	stopping       atomic.Bool
 
 	// Owned by the loop.
 	joined          uint64 // when this entry started, Unix time in ms
 	layout          fleet.Layout
 	layoutKnown     bool // the layout of the store was read, or a peer has sent it
 	keeper          layoutKeeper
-	shards          []*shard // one for each pool of the layout
-	electionsDue    bool     // something that the elections depend on has changed
+	lane            startLane
+	delegated       delegations
+	containment     containment
+	shards          []*shard        // one for each pool of the layout
+	electionsDue    bool            // something that the elections depend on has changed
+	policiesDue     bool            // a link has come up or gone down
+	relaxed         map[string]bool // peers whose loss need not be noticed quickly
 	linked          map[string]bool
+	linkPlan        linkPlanner
 	pending         map[string]*pendingJob
 	directory       directory
 	lastHeartbeatAt time.Duration
@@ -107,19 +125,21 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	n := &Node{
 		cfg: cfg, log: cfg.Log, counts: newCounts(cfg.Metrics), startedAt: time.Now(),
-		events: make(chan event, eventQueueLength), stopped: make(chan struct{}),
+		events: make(chan event, eventQueueLength), targetsDue: make(chan struct{}, 1), stopped: make(chan struct{}),
 		ctx: ctx, cancel: cancel,
-		linked: make(map[string]bool), pending: make(map[string]*pendingJob),
+		linked: make(map[string]bool), linkPlan: linkPlanner{wantedAt: make(map[string]time.Duration)}, relaxed: make(map[string]bool), pending: make(map[string]*pendingJob),
 		directory: newDirectory(), stored: newStoredJobs(&cfg),
+		lane: startLane{bytesPerSecond: cfg.LinkBytesPerSecond, delegatedBytes: make(map[string]int)}, delegated: delegations{open: make(map[uint64]delegatedStart)},
 	}
 	n.joined = uint64(time.Now().UnixMilli())
+	n.targetInterval.Store(int64(minTargetInterval))
 	n.layout, n.layoutKnown = fleet.DefaultLayout(), cfg.Layouts == nil
 	n.shards = n.newShards(n.layout, n.now())
 	links, err := peer.New(peer.Config{
 		Self:        structs.Member{Name: cfg.Self.Name, Incarnation: uint64(time.Now().UnixNano()), Addr: cfg.Self.Addr},
 		DC:          cfg.Self.DC,
 		Secret:      cfg.Secret,
-		SilentAfter: silentAfter,
+		SilentAfter: silentAfter, RelaxedSilentAfter: relaxedSilentAfter,
 		DialTimeout: dialTimeout,
 		Retain:      retain,
 		QueueBytes:  queueBytes,
@@ -199,7 +219,7 @@
 		case e := <-n.events:
 			began = n.now()
 			n.checkProcessPause()
-			e(began)
+			n.contain(func() { e(began) })
 			handled = 1 + n.handleQueued()
 		case <-tick.C:
 			began = n.now()
@@ -207,7 +227,7 @@
 			n.electionsDue = true
 			n.load.maxLag = max(n.load.maxLag, n.lag.tick(began))
 		}
-		n.step(n.now())
+		n.contain(func() { n.step(n.now()) })
 		end := n.now()
 		n.load.recordRound(handled, queued, end-began)
 		n.logLoad(end)
@@ -233,6 +253,7 @@
 		for _, s := range n.shards {
 			s.pool.DelayStarts(n.now() + processPauseSettle)
 		}
+		n.dropLane(n.now())
 	}
 	n.lastIterationAt = boot
 }
@@ -243,7 +264,7 @@
 	for i := range 64 {
 		select {
 		case e := <-n.events:
-			e(n.now())
+			n.contain(func() { e(n.now()) })
 		default:
 			return i
 		}
@@ -257,7 +278,13 @@
 	if n.electionsDue {
 		n.electionsDue = false
 		n.applyElections(now)
+		if n.policiesDue {
+			n.updateAcquirePolicies(now)
+		}
 		n.checkLayout(now)
+		n.replanLinks(now)
+		n.relaxLinks()
+		n.expireDelegated(now)
 	}
 	n.submitPending(now)
 	ready := false
@@ -278,7 +305,7 @@
 	holdTimeoutMargin = 200 * time.Millisecond
 )
 
-// order sends a start or stop order and posts the target's reply to the loop.
+// order sends an order and posts the target's reply to the loop.
 func (n *Node) order(name string, send func(context.Context) fleet.Reply, done func(now time.Duration, rep fleet.Reply)) {
 	ctx, cancel := context.WithTimeout(n.ctx, orderTimeout)
 	defer cancel()
@@ -287,14 +314,6 @@
 	n.post(func(now time.Duration) { done(now, rep) })
 }
 
-func (n *Node) start(sent time.Duration, s *shard, o fleet.Start) {
-	n.order("start", func(ctx context.Context) fleet.Reply { return n.cfg.Targets.Start(ctx, o) },
-		func(now time.Duration, rep fleet.Reply) {
-			n.load.recordStart(now - sent)
-			s.pool.StartDone(now, o, rep)
-		})
-}
-
 func (n *Node) stop(s *shard, o fleet.Stop) {
 	n.order("stop", func(ctx context.Context) fleet.Reply { return n.cfg.Targets.Stop(ctx, o) },
 		func(now time.Duration, rep fleet.Reply) { s.pool.StopDone(now, o, rep) })
@@ -327,14 +346,22 @@
 
 // Owned returns the number of targets that this entry owns.
 func (n *Node) Owned() int {
-	got := make(chan int, 1)
-	n.post(func(time.Duration) {
+	return n.ask(func() int {
 		owned := 0
 		for _, s := range n.shards {
 			owned += s.pool.Owned()
 		}
-		got <- owned
+		return owned
 	})
+}
+
+// Linked returns the number of entries that this one is linked to.
+func (n *Node) Linked() int { return n.ask(func() int { return len(n.linked) }) }
+
+// ask returns the result of a function of the loop's state, 0 after Close.
+func (n *Node) ask(count func() int) int {
+	got := make(chan int, 1)
+	n.post(func(time.Duration) { got <- count() })
 	select {
 	case v := <-got:
 		return v
--- a/internal/node/shard.go
+++ b/internal/node/shard.go
@@ -15,6 +15,7 @@
 type shard struct {
 	index    int
 	scope    fleet.Scope
+	targets  []fleet.Target // of the pool, as listed
 	pool     *pool.Pool
 	election *election.Election
 	decision election.Decision
@@ -63,7 +64,7 @@
 // entryState describes this entry for the elections.
 func (n *Node) entryState(now time.Duration) election.Entry {
 	return election.Entry{
-		Joined: n.joined, Stopping: n.stopping.Load(), Degraded: n.lag.degraded() || n.storeDegraded(now),
+		Joined: n.joined, Stopping: n.stopping.Load(), Degraded: n.lag.degraded() || n.storeDegraded(now) || n.quarantined(now),
 		MilliCPU: n.cfg.MilliCPU, Leads: n.leads(), DC: n.cfg.Self.DC,
 	}
 }
@@ -77,16 +78,18 @@
 	for _, s := range n.shards {
 		n.applyElection(now, s)
 	}
+	n.updateTargetInterval()
 }
 
-// maxListenPeriod is how long a new entry that is linked to few of the listed members
+// maxListenPeriod is how long a new entry that is linked to few of the planned members
 // waits for the others before it may lead.
 const maxListenPeriod = 1200 * time.Millisecond
 
 // extendListenPeriod keeps a new entry from leading while it is linked to a minority of
-// the members that the platform lists: an entry that suits better may be about to link.
+// the members that it is to link to: an entry that suits better may be about to link.
 func (n *Node) extendListenPeriod(now time.Duration) {
-	if now >= maxListenPeriod || 2*(len(n.linked)+1) > n.directory.listed {
+	linked, planned := n.planProgress()
+	if now >= maxListenPeriod || 2*(linked+1) > planned {
 		return
 	}
 	for _, s := range n.shards {
@@ -104,6 +107,9 @@
 		if d.Leading {
 			n.updateAcquirePolicy(now, s)
 			s.pool.BecomeLeader(now, fenceBase())
+			if n.directory.targetsAge(now) > maxTargetListAge {
+				s.pool.AwaitTargets(now + listGrace)
+			}
 			if s.index == 0 {
 				n.startOwner()
 			}
@@ -141,11 +147,10 @@
 		lists[at] = append(lists[at], *t)
 	}
 	for i, s := range n.shards {
+		s.targets = lists[i]
 		s.pool.SetTargets(now, lists[i])
-		if s.pool.Leading() {
-			n.updateAcquirePolicy(now, s)
-		}
 	}
+	n.updateAcquirePolicies(now)
 }
 
 // carryOut carries out the effects that a pool has queued.
@@ -153,8 +158,7 @@
 	for _, e := range s.pool.Effects() {
 		switch e := e.(type) {
 		case fleet.Start:
-			n.counts.starts.Inc(1)
-			go n.start(now, s, e)
+			n.sendStart(now, s, e)
 		case fleet.Stop:
 			go n.stop(s, e)
 		case fleet.Hold:
--- a/internal/node/store.go
+++ b/internal/node/store.go
@@ -111,6 +111,11 @@
 
 // handleJobStore stores a job for a peer and sends it the result.
 func (n *Node) handleJobStore(from string, b jobStoreBody) {
+	if err := b.Job.Validate(); err != nil {
+		n.rejectInvalid(from, err)
+		n.sendJobReply(requester{from, b.Number}, jobReplyBody{Stored: verdict.NotRun})
+		return
+	}
 	if n.stored.accepter == nil {
 		n.sendJobReply(requester{from, b.Number}, jobReplyBody{Stored: verdict.NotRun})
 		return
--- a/internal/peer/fault_test.go
+++ b/internal/peer/fault_test.go
@@ -127,3 +127,25 @@
 	sendAll(t, a, "b", 5, 8)
 	checkReceived(t, b, "a", 8)
 }
+
+// TestRelaxedLinkIsCheckedOnceItMatters silences a link that nothing waits for, and then
+// makes something wait for it.
+func TestRelaxedLinkIsCheckedOnceItMatters(t *testing.T) {
+	a := newTestEntry(t, "a", 1, func(c *Config) {
+		shortSilentAfter(c)
+		c.RelaxedSilentAfter = time.Hour
+	})
+	b := newTestEntry(t, "b", 1, func(c *Config) { c.SilentAfter = time.Hour })
+	p := newProxy(t, b)
+	a.SetPeers([]Peer{viaProxy(b, p)})
+	waitUntil(t, "linked", func() bool { return len(a.Linked()) == 1 && len(b.Linked()) == 1 })
+	a.Relax("b", true)
+	addToxic(t, p, "timeout", "upstream", `{"timeout":0}`)
+	addToxic(t, p, "timeout", "downstream", `{"timeout":0}`)
+	time.Sleep(5 * a.cfg.SilentAfter)
+	assert.Equal(t, a.counterSum(metrics.PeerClosed, string(verdict.PeerSilent)), int64(0))
+	a.Relax("b", false)
+	waitUntil(t, "the silence is counted", func() bool {
+		return a.counterSum(metrics.PeerClosed, string(verdict.PeerSilent)) >= 1
+	})
+}
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -23,7 +23,7 @@
 	// bytes.
 	maxKeptBuffer = 64 << 10
 	// silentHeartbeats is the number of heartbeat intervals without arrivals
-	// after which a link is silent; together they are SilentAfter.
+	// after which a link is silent; together they are SilentAfter, or RelaxedSilentAfter.
 	silentHeartbeats = 3
 	// rttHeartbeats is the number of heartbeat intervals between two
 	// measurements of the round trip on a busy link.
@@ -102,7 +102,7 @@
 func (l *link) start() {
 	n := l.r.node
 	l.r.mu.Lock()
-	l.timer = time.AfterFunc(n.cfg.SilentAfter/silentHeartbeats, l.onHeartbeatTick)
+	l.timer = time.AfterFunc(l.r.heartbeatInterval(), l.onHeartbeatTick)
 	l.r.mu.Unlock()
 	if !n.spawn(l.readLoop) {
 		l.close(verdict.LinkDown)
@@ -159,7 +159,7 @@
 	if l.silentIntervals > 0 || l.intervalsSinceRTT >= rttHeartbeats {
 		l.ping()
 	}
-	l.timer.Reset(l.r.node.cfg.SilentAfter / silentHeartbeats)
+	l.timer.Reset(l.r.heartbeatInterval())
 }
 
 // writeLoop sends queued and control messages until the connection is closed.
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -55,6 +55,9 @@
 	Secret []byte
 	// SilentAfter is the time without arrivals after which a link is closed.
 	SilentAfter time.Duration
+	// RelaxedSilentAfter replaces SilentAfter on links that Relax was called for; zero
+	// means SilentAfter.
+	RelaxedSilentAfter time.Duration
 	// DialTimeout bounds a dial including its handshake.
 	DialTimeout time.Duration
 	// Retain is how long unacknowledged messages are kept for a new
@@ -136,6 +139,7 @@
 		return fmt.Errorf("peer: secret has %d bytes, expected at least %d", len(c.Secret), MinSecretBytes)
 	}
 	setDefault(&c.SilentAfter, DefaultSilentAfter)
+	setDefault(&c.RelaxedSilentAfter, c.SilentAfter)
 	setDefault(&c.DialTimeout, DefaultDialTimeout)
 	setDefault(&c.Retain, DefaultRetain)
 	setDefault(&c.QueueBytes, DefaultQueueBytes)
@@ -225,6 +229,14 @@
 	return ps
 }
 
+// Relax sets whether the loss of a peer need only be noticed after RelaxedSilentAfter,
+// since nothing waits for it. A quiet link costs less that way.
+func (n *Node) Relax(name string, relaxed bool) {
+	if r := n.lookup(name); r != nil {
+		r.relax(relaxed)
+	}
+}
+
 // RTT returns the smoothed round trip time to a linked peer, and false before the
 // peer has answered the first heartbeat.
 func (n *Node) RTT(name string) (time.Duration, bool) {
--- a/internal/peer/remote.go
+++ b/internal/peer/remote.go
@@ -48,6 +48,7 @@
 	in            inbound
 	rtt           time.Duration // smoothed, 0 before the first sample
 	retainTimer   *time.Timer   // drops unacknowledged messages after Retain
+	relaxed       bool          // a loss is noticed after RelaxedSilentAfter
 }
 
 func newRemote(n *Node, name string) *remote {
@@ -153,6 +154,29 @@
 	return r.failures == 0 && r.name < r.node.cfg.Self.Name
 }
 
+// relax sets how soon the loss of the peer is to be noticed.
+func (r *remote) relax(relaxed bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.relaxed == relaxed {
+		return
+	}
+	r.relaxed = relaxed
+	if l := r.link; l != nil && l.timer != nil && l.ctx.Err() == nil {
+		l.silentIntervals = 0
+		l.timer.Reset(r.heartbeatInterval())
+	}
+}
+
+// heartbeatInterval returns the time between two checks of the link for arrivals. The
+// caller holds mu.
+func (r *remote) heartbeatInterval() time.Duration {
+	if r.relaxed {
+		return r.node.cfg.RelaxedSilentAfter / silentHeartbeats
+	}
+	return r.node.cfg.SilentAfter / silentHeartbeats
+}
+
 // attemptEvent applies an event of the dial or backoff with the context ctx, unless
 // that attempt was cancelled.
 func (r *remote) attemptEvent(ctx context.Context, e statechart.PeerLinkEvent) {
--- a/internal/pool/load.go
+++ b/internal/pool/load.go
@@ -40,3 +40,10 @@
 	}
 	return s
 }
+
+// Coordinators calls add for the coordinator of each job.
+func (p *Pool) Coordinators(add func(name string)) {
+	for _, j := range p.jobs {
+		add(j.coordinator)
+	}
+}
--- a/internal/pool/place.go
+++ b/internal/pool/place.go
@@ -13,7 +13,7 @@
 // jobs that can still be in time, then late jobs. In the last two passes, each next job
 // comes from the queue that uses the least of its share.
 func (p *Pool) placeWaiting(now time.Duration) {
-	if now < p.noStartsBefore {
+	if now < max(p.noStartsBefore, p.awaitTargets) {
 		return
 	}
 	for _, q := range p.rankedQueues {
@@ -223,7 +223,7 @@
 		"free_after", t.free().MilliCPU, "waited_ms", (now - tk.job.arrived).Milliseconds())
 	ticket, _ := p.ticketFor(tk, t)
 	p.emit(fleet.Start{
-		Target: t.Target, Task: tk.id, Run: r.number, Spec: tk.job.Spec, Ticket: ticket, Checkpoint: tk.checkpoint,
+		Target: t.Target, Task: tk.id, Run: r.number, Spec: tk.job.Spec, Coordinator: tk.job.coordinator, Ticket: ticket, Checkpoint: tk.checkpoint,
 		LeaseUntilMS: t.leaseUntil(now, p.cfg.Lease), Fence: t.fence,
 	})
 }
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -93,6 +93,7 @@
 	unclaimedRuns  map[string][]*run      // runs of unknown jobs, by job ID
 	stored         storedState
 	noStartsBefore time.Duration                // no task is started before
+	awaitTargets   time.Duration                // nor before this time, unless a current list of targets arrives
 	lastTick       time.Duration                // time of the last Tick
 	advice         map[fleet.TaskID]*stepAdvice // by step
 	adviceInFlight bool                         // an advice request was not answered yet
@@ -170,7 +171,7 @@
 	if p.leading {
 		return
 	}
-	p.leading, p.leadingSince = true, now
+	p.leading, p.leadingSince, p.awaitTargets = true, now, 0
 	p.fenceBase, p.lastFence = base, max(p.lastFence, base)
 	for _, t := range p.sortedTargets {
 		t.reset()
@@ -184,6 +185,14 @@
 // resubmitted to another owner meanwhile.
 func (p *Pool) DelayStarts(until time.Duration) { p.noStartsBefore = max(p.noStartsBefore, until) }
 
+// AwaitTargets keeps the pool from starting tasks until TargetsCurrent is called, or until
+// the given time. It is called for a list of targets that may not show which of them are
+// leaving.
+func (p *Pool) AwaitTargets(until time.Duration) { p.awaitTargets = until }
+
+// TargetsCurrent tells that the list of targets is current.
+func (p *Pool) TargetsCurrent() { p.awaitTargets = 0 }
+
 // StepDown drops all targets and jobs. Runs continue until the next owner adopts or
 // stops them, or until their lease expires.
 func (p *Pool) StepDown() {
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -403,3 +403,40 @@
 	assert.Assert(t, ended)
 	assert.Equal(t, o.Verdict, verdict.MayHaveRun)
 }
+
+// A new leader with an old list of targets does not know which of them are leaving.
+func TestNewLeaderWaitsForACurrentListOfTargets(t *testing.T) {
+	await := func() *harness {
+		b := newHarness(t, 2)
+		b.p.AwaitTargets(b.now + 300*ms)
+		b.submit(jobOf("a", queue("q", 0), 1, 1000, time.Second))
+		b.tick(10 * ms)
+		assert.Equal(t, len(takeEffects[fleet.Start](b)), 0)
+		return b
+	}
+	b := await()
+	b.p.TargetsCurrent()
+	b.tick(10 * ms)
+	assert.Equal(t, len(takeEffects[fleet.Start](b)), 1)
+
+	b = await() // it does not wait for ever
+	b.tick(291 * ms)
+	assert.Equal(t, len(takeEffects[fleet.Start](b)), 1)
+}
+
+// A coordinator that did not send a start says so: the task starts elsewhere at once, and
+// the target is not blamed.
+func TestStartThatWasNotSentIsPlacedAgain(t *testing.T) {
+	b := newHarness(t, 1)
+	b.submit(jobOf("a", queue("q", 0), 1, 1000, time.Second))
+	b.tick(10 * ms)
+	first := takeEffects[fleet.Start](b)[0]
+	assert.Equal(t, first.Coordinator, "e1")
+	for range 2 * failuresToEject {
+		b.replyStart(first, fleet.NotSent)
+		b.tick(ms)
+		next := takeEffects[fleet.Start](b)[0]
+		assert.Assert(t, next.Run > first.Run)
+		first = next
+	}
+}
--- a/internal/pool/run.go
+++ b/internal/pool/run.go
@@ -93,6 +93,8 @@
 	case fleet.OtherIncarnation:
 		p.releaseAndRequeue(now, r)
 		t.refreshDue = true
+	case fleet.NotSent:
+		p.releaseAndRequeue(now, r) // the target is not to blame
 	default:
 		p.startRejected(now, t, rep.Answer)
 		p.releaseAndRequeue(now, r)
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -39,9 +39,12 @@
 // Options configures Follow.
 type Options struct {
 	Name string // of the table, in the log
-	// Wait is how long a read waits for a change; Pause is the time between two
-	// reads.
-	Wait, Pause time.Duration
+	// Wait is how long a read waits for a change.
+	Wait time.Duration
+	// Pause returns the time between two reads; nil means none. It is asked again whenever
+	// Hurry receives.
+	Pause func() time.Duration
+	Hurry <-chan struct{}
 	// KeepRemoved is how long a removed row is still shown.
 	KeepRemoved time.Duration
 	Log         *slog.Logger
@@ -139,7 +142,7 @@
 			}
 			backoff = minBackoff
 			apply(f.table.Rows(), changed, at)
-			sleep.For(ctx, o.Pause)
+			o.pause(ctx)
 		case ctx.Err() != nil:
 		case errors.Is(err, ErrHistoryGone):
 			o.Log.Info("history of the table is gone; reading a new snapshot", "table", o.Name, "version", f.version, "err", err)
@@ -154,6 +157,30 @@
 	}
 }
 
+// Every returns a constant pause.
+func Every(d time.Duration) func() time.Duration { return func() time.Duration { return d } }
+
+// pause waits until the next read is due.
+func (o *Options) pause(ctx context.Context) {
+	if o.Pause == nil {
+		return
+	}
+	since := time.Now()
+	for {
+		left := o.Pause() - time.Since(since)
+		if left <= 0 || ctx.Err() != nil {
+			return
+		}
+		t := time.NewTimer(left)
+		select {
+		case <-t.C:
+		case <-o.Hurry:
+		case <-ctx.Done():
+		}
+		t.Stop()
+	}
+}
+
 // follower is the state of one Follow.
 type follower struct {
 	src       Source
