Results of offloaded tasks make room at the peer that ran them

Cause: an entry without targets counted the tasks that it had offloaded since a peer's last load report as running there, also when their results were back, until the next report (250 ms, later from a busy peer). With few free cores at its peers it then refused jobs as no_target, or left them waiting.

TestResultsOfOffloadedTasksMakeRoomForOthers: failed before (the second of eight jobs waited for its whole deadline), passes now, as do the other tests of internal/engine.

--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -201,10 +201,11 @@
 	Teams: []manifest.Team{{Name: "north"}},
 }
 
-// startEngine adds a running engine to the net.
-func (n *fakeNet) startEngine(t testing.TB, name, dc string, c claims.Claims) *Engine {
+// newEngine adds an engine to the net that sends no load reports until it is run.
+func (n *fakeNet) newEngine(t testing.TB, name, dc string, c claims.Claims) *Engine {
 	t.Helper()
 	pool := target.NewPool(target.PoolConfig{})
+	t.Cleanup(pool.Close)
 	e := New(Config{
 		Self:             structs.Member{Name: name, Incarnation: 1},
 		DC:               dc,
@@ -225,6 +226,13 @@
 	n.mu.Lock()
 	n.engines[name] = e
 	n.mu.Unlock()
+	return e
+}
+
+// startEngine adds a running engine to the net.
+func (n *fakeNet) startEngine(t testing.TB, name, dc string, c claims.Claims) *Engine {
+	t.Helper()
+	e := n.newEngine(t, name, dc, c)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
@@ -235,7 +243,6 @@
 		cancel()
 		<-done
 		e.Close()
-		pool.Close()
 	})
 	return e
 }
@@ -415,6 +422,25 @@
 	assert.Equal(t, len(r.Starts()), 2)
 }
 
+// An entry without targets counted the tasks that it had offloaded since a peer's last load
+// report as running there, also when their results were back. It refused jobs until the next
+// report, which a busy peer sends late.
+func TestResultsOfOffloadedTasksMakeRoomForOthers(t *testing.T) {
+	n := newFakeNet()
+	c := newFakeClaims()
+	w := startTarget(t, platform.RoleWorker, "w1")
+	peer := n.newEngine(t, "e1", "a", c)
+	t.Cleanup(peer.Close)
+	peer.SetTargets([]platform.VM{w.VM()}, nil)
+	e := n.startEngine(t, "e2", "a", c)
+	e.jobs.receiveLoad("e1", &loadReport{Class: structs.Job, Member: true, Kinds: []kindLoad{{Kind: "dusk", Free: 2, GuaranteedRoom: 2}}})
+	for i := range 8 {
+		o := e.Do(context.Background(), newWork(t, "dusk", structs.Job, 1))
+		assert.Equal(t, o.Verdict, verdict.Completed, "job %d: %s %s", i, o.Reason, o.Message)
+	}
+	assert.Equal(t, len(w.Starts()), 8)
+}
+
 // waitForLoad waits until an engine has a load report of a peer with free room.
 func waitForLoad(t *testing.T, e *Engine, peer string) {
 	t.Helper()
--- a/internal/engine/handoff.go
+++ b/internal/engine/handoff.go
@@ -145,6 +145,7 @@
 			s.mu.Unlock()
 			continue
 		}
+		s.noLongerAtPeer(t)
 		if s.retryLocally(t, &r.Outcome) {
 			s.mu.Unlock()
 			s.reclaim(t)
@@ -154,6 +155,7 @@
 		s.mu.Unlock()
 		t.finish(resultOf(&r.Outcome))
 	}
+	s.schedule()
 }
 
 // retryLocally reports whether a task that the peer did not run is to be queued
--- a/internal/engine/load.go
+++ b/internal/engine/load.go
@@ -32,7 +32,7 @@
 // peerKindLoad is the load of one kind at a peer.
 type peerKindLoad struct {
 	kindLoad
-	sent int // tasks offloaded to the peer since the report
+	sent int // tasks offloaded to the peer since the report whose results are not back
 }
 
 // sentLoad is the last load report that was sent to the peers.
@@ -98,11 +98,23 @@
 			byPeer[b.Member] = to
 		}
 		for _, a := range units {
-			to.tasks = append(to.tasks, s.markOffloaded(a.ID, b.Member))
+			t := s.markOffloaded(a.ID, b.Member)
+			t.countedIn = s.peerLoads[b.Member].kinds[k.Kind]
+			to.tasks = append(to.tasks, t)
 		}
 	}
 }
 
+// noLongerAtPeer ends the count of an offloaded task in the load report of its peer. The
+// caller holds the lock.
+func (s *scheduler) noLongerAtPeer(t *task) {
+	if t.countedIn != nil {
+		t.countedIn.sent--
+		t.countedIn = nil
+		s.setPeerCapacity(time.Now())
+	}
+}
+
 // markOffloaded moves a task from the local tasks to the offloaded ones.
 func (s *scheduler) markOffloaded(id uint64, to string) *task {
 	t := s.tasks[id]
--- a/internal/engine/unit.go
+++ b/internal/engine/unit.go
@@ -25,6 +25,7 @@
 	finish      func(result)
 	from        string            // peer that offloaded the task, or ""
 	to          string            // peer that the task is offloaded to, or ""
+	countedIn   *peerKindLoad     // load report in which the offloaded task is counted, or nil
 	spread      *placement.Spread // distribution of the job's tasks over racks, or nil
 	reservation reservation
 	startedAt   time.Time
