A target that is slow to report keeps its runs and gets no new ones meanwhile

Cause: the second hold after an unanswered one had to be answered within 200 ms, or the target counted as out of reach, and its runs lapsed and started elsewhere, though it may only have been slow. Tasks were placed on a target while a hold of it was unanswered.

Change: each hold may take 450 ms; the second one renews the leases as before, so a restart elsewhere is not later (leases granted with it end after that). No tasks go to a target with an unanswered hold.

TestTargetThatIsSlowToReportKeepsItsRuns: fails without the second part (run).

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -301,8 +301,12 @@
 const (
 	// orderTimeout limits a start or stop order.
 	orderTimeout = 300 * time.Millisecond
-	// holdTimeoutMargin is how much longer than its Wait a hold may take.
+	// holdTimeoutMargin is how much longer than its Wait a hold may take, and
+	// minHoldTimeout the least that any hold may take. Two holds in a row have to fail
+	// before a target counts as out of reach, and the second one still renews the leases, so
+	// that a target that is slow to report keeps its runs. Meanwhile it gets no tasks.
 	holdTimeoutMargin = 200 * time.Millisecond
+	minHoldTimeout    = 450 * time.Millisecond
 )
 
 // order sends an order and posts the target's reply to the loop.
@@ -334,7 +338,7 @@
 
 // hold sends a hold and posts the target's reply to the loop.
 func (n *Node) hold(sent time.Duration, s *shard, o fleet.Hold) {
-	ctx, cancel := context.WithTimeout(n.ctx, o.Wait+holdTimeoutMargin)
+	ctx, cancel := context.WithTimeout(n.ctx, max(o.Wait+holdTimeoutMargin, minHoldTimeout))
 	defer cancel()
 	rep := n.cfg.Targets.Hold(ctx, o)
 	n.counts.answer("hold", rep.Answer)
--- a/internal/pool/place.go
+++ b/internal/pool/place.go
@@ -193,7 +193,7 @@
 
 // hasCapacity reports whether the target can take the task now.
 func (t *target) hasCapacity(tk *task) bool {
-	if !tk.needs.Fits(t.free()) || !t.acceptsTasks(len(t.runs)) {
+	if !tk.needs.Fits(t.free()) || !t.acceptsTasks(len(t.runs)) || t.unansweredHolds > 0 {
 		return false
 	}
 	return tk.step.MaxPerTarget == 0 || t.countStep(tk.id)+t.gangPicked < tk.step.MaxPerTarget
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -440,3 +440,38 @@
 		first = next
 	}
 }
+
+// A target that is slow to report keeps its runs: they are neither started elsewhere nor
+// stopped. Tasks that wait go to other targets meanwhile.
+func TestTargetThatIsSlowToReportKeepsItsRuns(t *testing.T) {
+	b := newHarness(t, 1)
+	b.submit(jobOf("a", queue("q", 0), 1, 1000, 3*time.Second))
+	b.tick(10 * ms)
+	start := takeEffects[fleet.Start](b)[0]
+	b.replyStart(start, fleet.Accepted)
+	for range 5 { // each second report of the target is late
+		b.tick(10 * ms)
+		holds := takeEffects[fleet.Hold](b)
+		assert.Equal(t, len(holds), 1)
+		b.now += 450 * ms
+		b.p.HoldDone(b.now, b.now-450*ms, holds[0], fleet.HoldReply{Answer: fleet.Unanswered})
+		b.submit(jobOf("b", queue("q", 0), 1, 1000, 3*time.Second))
+		b.tick(10 * ms)
+		assert.Equal(t, len(takeEffects[fleet.Start](b)), 0, "no task is placed on it")
+		refresh := takeEffects[fleet.Hold](b)
+		assert.Assert(t, len(refresh) > 0 && refresh[0].LeaseUntilMS > b.clock()+500, "the leases are renewed")
+		b.now += 440 * ms
+		for _, h := range refresh {
+			b.acceptHold(h, []fleet.Running{{Task: start.Task, Run: start.Run, PercentDone: 10}}, nil)
+		}
+		b.p.Abandon(b.now, "e1", "b")
+		b.tick(600 * ms)
+		takeEffects[fleet.Start](b)
+		takeEffects[fleet.Stop](b)
+		for _, h := range takeEffects[fleet.Hold](b) {
+			b.acceptHold(h, []fleet.Running{{Task: start.Task, Run: start.Run, PercentDone: 10}}, nil)
+		}
+		assert.Equal(t, b.p.Owned(), 1)
+	}
+	assert.Equal(t, len(b.outcomes()), 0)
+}
