Only the named successor leads after a hand-over

The successor led; the former leader followed it and withdrew the name; an entry that heard this before the successor's own heartbeat was first in the order of succession and led too, 3.5 ms later. Both took the targets from each other (`ownership outcome=fenced`).

TestSuccessorsLeadIsAwaitedByEntriesThatHearOfItLast: failed before, passes now.

--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -48,7 +48,7 @@
 	// Yielding leaders give way to an entry with more processor time to spare.
 	Yielding bool `cbor:"11,keyasint,omitempty"`
 	// Successor is the entry to which a leader that yields or stops hands the pool over. A
-	// former leader names it until it follows the next one.
+	// former leader still names it for a while.
 	Successor string `cbor:"12,keyasint,omitempty"`
 }
 
@@ -129,6 +129,10 @@
 	yieldRatio = 0.5
 )
 
+// successorMemory is how long a former leader names its successor. By then all entries
+// have heard from the successor.
+const successorMemory = time.Second
+
 // relayGrace is how long a peer gets to notice the loss of a leader. A peer that
 // still follows the leader after that counts as able to reach it.
 const relayGrace = 300 * time.Millisecond
@@ -157,6 +161,8 @@
 	betterSince     time.Duration // since when another entry suits better
 	better          bool
 	leadsSince      time.Duration // start of the last term of this entry
+	// successorNamedAt is when this entry last had to be passed over while it led.
+	successorNamedAt time.Duration
 }
 
 // New returns the election state of an entry that starts now.
@@ -215,7 +221,7 @@
 // has to become the leader.
 func (e *Election) Decide(now time.Duration) Decision {
 	e.considerYielding(now)
-	e.chooseSuccessor()
+	e.chooseSuccessor(now)
 	if relay, ok := e.relay(); ok && e.leadsNothing(now) {
 		return e.follow(relay)
 	}
@@ -245,7 +251,7 @@
 	switch named := e.namedSuccessor(); {
 	case named == e.self:
 		return 0
-	case named != "" || e.awaitsSuccessor():
+	case named != "" || e.awaitsSuccessor() || e.peerKnowsLeader():
 		rank = max(rank, 1)
 	}
 	delay := time.Duration(rank) * e.cfg.RankDelay
@@ -267,6 +273,17 @@
 	return named
 }
 
+// peerKnowsLeader reports whether a peer follows a linked entry that may lead, so that its
+// claim is on its way.
+func (e *Election) peerKnowsLeader() bool {
+	for _, hb := range e.peers {
+		if followed, linked := e.peers[hb.Leader]; linked && !followed.passedOver() {
+			return true
+		}
+	}
+	return false
+}
+
 // awaitsSuccessor reports whether a leader has to be passed over and has not named its
 // successor yet.
 func (e *Election) awaitsSuccessor() bool {
@@ -280,18 +297,22 @@
 
 // chooseSuccessor names the peer that suits best if this entry leads and has to be passed
 // over. All entries are linked to a leader, but not to each other, so that they might
-// disagree on which of them is next. The name stands until there is a leader again.
-func (e *Election) chooseSuccessor() {
+// disagree on which of them is next. The name stands for successorMemory.
+func (e *Election) chooseSuccessor(now time.Duration) {
 	if !e.heartbeat.Leading || !e.heartbeat.passedOver() {
+		if now >= e.successorNamedAt+successorMemory {
+			e.heartbeat.Successor = ""
+		}
 		return
 	}
+	e.successorNamedAt = now
 	var best candidate
 	for name, hb := range e.peers {
 		c := e.candidate(name, hb)
 		if hb.passedOver() || hb.Leading {
 			continue
 		}
-		if best.name == "" || cmp.Or(compareSuitability(c, best), cmp.Compare(c.name, best.name)) < 0 {
+		if best.name == "" || cmp.Or(compareSuitability(c, best), cmp.Compare(c.joined, best.joined), cmp.Compare(c.name, best.name)) < 0 {
 			best = c
 		}
 	}
@@ -304,7 +325,7 @@
 	}
 	e.heartbeat.Leading, e.heartbeat.Leader = false, leader
 	if leader != "" {
-		e.heartbeat.Yielding, e.heartbeat.Successor = false, ""
+		e.heartbeat.Yielding = false
 	}
 	return Decision{Leader: leader}
 }
--- a/internal/election/outside_test.go
+++ b/internal/election/outside_test.go
@@ -80,3 +80,40 @@
 	got := c.run(time.Second)
 	assert.Equal(t, countLeaders(got), 1, "%v", got)
 }
+
+// The stopping leader heard of its successor's lead before another entry did, and withdrew
+// the name. That entry led too, and both took the targets from each other.
+func TestSuccessorsLeadIsAwaitedByEntriesThatHearOfItLast(t *testing.T) {
+	c := newDataCentres("a0", "a3", "a2", "a1")
+	c.run(time.Second)
+	leader := c.entries["a0"]
+	stopping := leader.Heartbeat().Entry
+	stopping.Stopping = true
+	leader.SetEntry(stopping)
+	leader.Decide(c.now)
+	named := leader.Heartbeat().Successor
+	tell := func(from, to string) { c.entries[to].Observe(from, c.entries[from].Heartbeat()) }
+	tell("a0", named)
+	assert.Assert(t, c.entries[named].Decide(c.now).Leading)
+	tell(named, "a0")
+	assert.Equal(t, leader.Decide(c.now).Leader, named)
+	for name, e := range c.entries {
+		if name != "a0" && name != named {
+			tell("a0", name)
+			assert.Assert(t, !e.Decide(c.now+10*time.Millisecond).Leading, "%s leads beside %s", name, named)
+		}
+	}
+}
+
+// The name of a successor must not delay a later succession.
+func TestNameOfASuccessorIsForgotten(t *testing.T) {
+	c := newDataCentres("a0", "a1", "a2", "a3")
+	c.run(time.Second)
+	stopping := c.entries["a0"].Heartbeat().Entry
+	stopping.Stopping = true
+	c.entries["a0"].SetEntry(stopping)
+	got := c.run(2 * successorMemory)
+	second := got["a0"].Leader
+	assert.Assert(t, got[second].Leading)
+	assert.Equal(t, c.entries["a0"].Heartbeat().Successor, "")
+}
