A new entry that has not read the members listens on

It had read the configuration and the layout, not the members, so the check for a minority of members found none missing; it led with peers=0 after 0.3 s, and 296 targets were fenced between it and their owner in that second.

TestNewEntryThatKnowsNoMembersListensOn; with the former condition the first case is false.

--- a/internal/node/linkplan_test.go
+++ b/internal/node/linkplan_test.go
@@ -133,3 +133,13 @@
 	}
 	return n
 }
+
+// An entry that started again while the store turned it away had read the configuration but
+// not the members. It led without a single link, and took the targets from their owner.
+func TestNewEntryThatKnowsNoMembersListensOn(t *testing.T) {
+	assert.Assert(t, listensOn(320*time.Millisecond, false, 0, 0))
+	assert.Assert(t, listensOn(320*time.Millisecond, true, 0, 6))
+	assert.Assert(t, !listensOn(320*time.Millisecond, true, 3, 6))
+	assert.Assert(t, !listensOn(320*time.Millisecond, true, 0, 0), "the only entry")
+	assert.Assert(t, !listensOn(maxListenPeriod, false, 0, 0), "not for ever")
+}
--- a/internal/node/shard.go
+++ b/internal/node/shard.go
@@ -81,7 +81,7 @@
 	n.updateTargetInterval()
 }
 
-// maxListenPeriod is how long a new entry that is linked to few of the planned members
+// maxListenPeriod is how long a new entry that knows or is linked to few other entries
 // waits for the others before it may lead.
 const maxListenPeriod = 1200 * time.Millisecond
 
@@ -89,7 +89,7 @@
 // the members that it is to link to: an entry that suits better may be about to link.
 func (n *Node) extendListenPeriod(now time.Duration) {
 	linked, planned := n.planProgress()
-	if now >= maxListenPeriod || 2*(linked+1) > planned {
+	if !listensOn(now, n.directory.liveAt > 0, linked, planned) {
 		return
 	}
 	for _, s := range n.shards {
@@ -97,6 +97,12 @@
 	}
 }
 
+// listensOn reports whether a new entry keeps listening: it has not read the members yet, or
+// is linked to a minority of those that it is to link to.
+func listensOn(sinceStart time.Duration, membersKnown bool, linked, planned int) bool {
+	return sinceStart < maxListenPeriod && (!membersKnown || 2*(linked+1) <= planned)
+}
+
 // applyElection makes this entry lead a pool, step down or follow another leader, as the
 // election decides.
 func (n *Node) applyElection(now time.Duration, s *shard) {
