A new entry plans its links before it decides on elections, and counts whom it has heard from

Heartbeats that arrived before the layout were dropped, too: a new peer is sent the layout first now.

--- a/internal/node/linkplan.go
+++ b/internal/node/linkplan.go
@@ -148,17 +148,6 @@
 	return !maps.EqualFunc(before, p.wantedAt, func(a, b time.Duration) bool { return true })
 }
 
-// planProgress returns how many of the entries that this one is to link to are linked, and
-// how many there are.
-func (n *Node) planProgress() (linked, planned int) {
-	for name := range n.linkPlan.wantedAt {
-		if n.linked[name] {
-			linked++
-		}
-	}
-	return linked, len(n.linkPlan.wantedAt)
-}
-
 // relaxLinks tells the peer layer which links have to notice the loss of their peer
 // quickly: those to the leaders of this entry's data centre, whom it may succeed, and those
 // that a job depends on, at its coordinator or at the leader that has it. In a small
--- a/internal/node/links.go
+++ b/internal/node/links.go
@@ -241,13 +241,13 @@
 
 // greet tells a new peer what it needs to know of this entry at once.
 func (n *Node) greet(now time.Duration, to string) {
-	n.send(to, wire.PoolHeartbeat, n.newHeartbeat(now))
 	hello := directoryBody{Self: n.cfg.Self}
 	if n.layoutKnown {
 		l := n.layout
 		hello.Layout = &l
 	}
 	n.send(to, wire.Directory, hello)
+	n.send(to, wire.PoolHeartbeat, n.newHeartbeat(now)) // after the layout that it refers to
 }
 
 // observe passes a peer's claims to the elections, if the peer uses the same layout, and
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -277,12 +277,12 @@
 func (n *Node) step(now time.Duration) {
 	if n.electionsDue {
 		n.electionsDue = false
+		n.replanLinks(now)
 		n.applyElections(now)
 		if n.policiesDue {
 			n.updateAcquirePolicies(now)
 		}
 		n.checkLayout(now)
-		n.replanLinks(now)
 		n.relaxLinks()
 		n.expireDelegated(now)
 	}
--- a/internal/node/shard.go
+++ b/internal/node/shard.go
@@ -85,11 +85,10 @@
 // waits for the others before it may lead.
 const maxListenPeriod = 1200 * time.Millisecond
 
-// extendListenPeriod keeps a new entry from leading while it is linked to a minority of
-// the members that it is to link to: an entry that suits better may be about to link.
+// extendListenPeriod keeps a new entry from leading while it has heard from a minority of
+// the members that it is to link to: one of them may lead, or suit better.
 func (n *Node) extendListenPeriod(now time.Duration) {
-	linked, planned := n.planProgress()
-	if !listensOn(now, n.directory.liveAt > 0, linked, planned) {
+	if !listensOn(now, n.directory.liveAt > 0, n.shards[0].election.PeerCount(), len(n.linkPlan.wantedAt)) {
 		return
 	}
 	for _, s := range n.shards {
@@ -98,9 +97,9 @@
 }
 
 // listensOn reports whether a new entry keeps listening: it has not read the members yet, or
-// is linked to a minority of those that it is to link to.
-func listensOn(sinceStart time.Duration, membersKnown bool, linked, planned int) bool {
-	return sinceStart < maxListenPeriod && (!membersKnown || 2*(linked+1) <= planned)
+// has heard from a minority of those that it is to link to.
+func listensOn(sinceStart time.Duration, membersKnown bool, heard, planned int) bool {
+	return sinceStart < maxListenPeriod && (!membersKnown || 2*(heard+1) <= planned)
 }
 
 // applyElection makes this entry lead a pool, step down or follow another leader, as the
