Leaders that a peer names are dialled at once

Change: a heartbeat that names a leader to which this entry is not linked ends the backoff, each 200 ms at most for one entry.

TestRedialEndsTheBackoff.

--- a/internal/node/linkplan.go
+++ b/internal/node/linkplan.go
@@ -96,6 +96,7 @@
 type linkPlanner struct {
 	nextAt          time.Duration
 	wantedAt        map[string]time.Duration // when each entry was last part of the plan
+	redialedAt      map[string]time.Duration // when each entry was last dialled early
 	attempt         uint64
 	incompleteSince time.Duration // 0 while all contacts are linked
 }
@@ -145,9 +146,32 @@
 		_, known := members[name]
 		return !known || now > at+linkLinger
 	})
+	maps.DeleteFunc(p.redialedAt, func(name string, _ time.Duration) bool {
+		_, wanted := p.wantedAt[name]
+		return !wanted
+	})
 	return !maps.EqualFunc(before, p.wantedAt, func(a, b time.Duration) bool { return true })
 }
 
+// redialInterval is the time between two early dials of one entry.
+const redialInterval = 200 * time.Millisecond
+
+// dialNamedLeaders dials the leaders that a peer names and that this entry is not linked to,
+// without waiting for the backoff to end. After a partition two leaders compete for targets
+// until they are linked.
+func (n *Node) dialNamedLeaders(now time.Duration, b *heartbeatBody) {
+	for i := range b.Pools {
+		name := b.Pools[i].Claim.Leader
+		if name == "" || name == n.cfg.Self.Name || n.linked[name] || now < n.linkPlan.redialedAt[name]+redialInterval {
+			continue
+		}
+		if _, wanted := n.linkPlan.wantedAt[name]; wanted {
+			n.linkPlan.redialedAt[name] = now
+			n.peers.Redial(name)
+		}
+	}
+}
+
 // relaxLinks tells the peer layer which links have to notice the loss of their peer
 // quickly: those to the leaders of this entry's data centre, whom it may succeed, and those
 // that a job depends on, at its coordinator or at the leader that has it. In a small
--- a/internal/node/links.go
+++ b/internal/node/links.go
@@ -222,6 +222,7 @@
 	if n.observe(from, &b) {
 		n.electionsDue = true
 	}
+	n.dialNamedLeaders(now, &b)
 	n.stored.peerStoreReadAt[from] = now - b.StoreAge
 	n.stored.peerClocks[from] = b.WallMS - now.Milliseconds()
 	if b.NoStored {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -127,7 +127,7 @@
 		cfg: cfg, log: cfg.Log, counts: newCounts(cfg.Metrics), startedAt: time.Now(),
 		events: make(chan event, eventQueueLength), targetsDue: make(chan struct{}, 1), stopped: make(chan struct{}),
 		ctx: ctx, cancel: cancel,
-		linked: make(map[string]bool), linkPlan: linkPlanner{wantedAt: make(map[string]time.Duration)}, relaxed: make(map[string]bool), pending: make(map[string]*pendingJob),
+		linked: make(map[string]bool), linkPlan: linkPlanner{wantedAt: make(map[string]time.Duration), redialedAt: make(map[string]time.Duration)}, relaxed: make(map[string]bool), pending: make(map[string]*pendingJob),
 		directory: newDirectory(), stored: newStoredJobs(&cfg),
 		lane: startLane{bytesPerSecond: cfg.LinkBytesPerSecond, delegatedBytes: make(map[string]int)}, delegated: delegations{open: make(map[uint64]delegatedStart)},
 	}
--- a/internal/peer/fault_test.go
+++ b/internal/peer/fault_test.go
@@ -12,6 +12,8 @@
 	"gotest.tools/v3/assert"
 
 	"currantstall/internal/metrics"
+	"currantstall/internal/statechart"
+	"currantstall/internal/structs"
 	"currantstall/internal/verdict"
 )
 
@@ -149,3 +151,24 @@
 		return a.counterSum(metrics.PeerClosed, string(verdict.PeerSilent)) >= 1
 	})
 }
+
+func TestRedialEndsTheBackoff(t *testing.T) {
+	a := newTestEntry(t, "a", 1, nil)
+	a.SetPeers([]Peer{{Member: structs.Member{Name: "b", Addr: "127.0.0.1:1"}, DC: "dc-1"}}) // nothing listens there
+	r := a.lookup("b")
+	state := func() statechart.PeerLinkState {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		return r.state
+	}
+	waitUntil(t, "the backoff is long", func() bool {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		return r.state == statechart.PeerLinkWaiting && r.failures >= 4
+	})
+	before := a.counterSum(metrics.PeerClosed, "")
+	a.Redial("b")
+	waitUntil(t, "another dial has failed", func() bool { return a.counterSum(metrics.PeerClosed, "") > before })
+	a.Redial("unknown")
+	assert.Assert(t, state() != statechart.PeerLinkIdle)
+}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -237,6 +237,14 @@
 	}
 }
 
+// Redial dials a peer that waits for its next dial at once: something suggests that it is in
+// reach again.
+func (n *Node) Redial(name string) {
+	if r := n.lookup(name); r != nil {
+		r.redial()
+	}
+}
+
 // RTT returns the smoothed round trip time to a linked peer, and false before the
 // peer has answered the first heartbeat.
 func (n *Node) RTT(name string) (time.Duration, bool) {
--- a/internal/peer/remote.go
+++ b/internal/peer/remote.go
@@ -154,6 +154,15 @@
 	return r.failures == 0 && r.name < r.node.cfg.Self.Name
 }
 
+// redial ends the backoff in progress, if there is one, and dials.
+func (r *remote) redial() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.state == statechart.PeerLinkWaiting {
+		r.applyEvent(statechart.PeerLinkOnRetry)
+	}
+}
+
 // relax sets how soon the loss of the peer is to be noticed.
 func (r *remote) relax(relaxed bool) {
 	r.mu.Lock()
