--- a/internal/node/directory.go
+++ b/internal/node/directory.go
@@ -25,8 +25,7 @@
 	// minTargetInterval is the time between two reads of the targets from the platform's
 	// store by an entry that leads a pool. Other entries need the list only to lead one
 	// later: they read it at an interval that grows by targetIntervalPerTarget for each
-	// target, up to maxTargetInterval. Targets renew their rows each second or two, so that
-	// each read brings all rows.
+	// target, up to maxTargetInterval.
 	minTargetInterval       = 700 * time.Millisecond
 	targetIntervalPerTarget = 11 * time.Millisecond
 	maxTargetInterval       = 6 * time.Second
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -45,6 +45,9 @@
 	// Hurry receives.
 	Pause func() time.Duration
 	Hurry <-chan struct{}
+	// ResnapshotAfter, if not 0, is the time since the last read after which a snapshot is
+	// read in place of the changes: for rows that change often, which many changes replace.
+	ResnapshotAfter time.Duration
 	// KeepRemoved is how long a removed row is still shown.
 	KeepRemoved time.Duration
 	Log         *slog.Logger
@@ -188,7 +191,8 @@
 	table     *Table
 	startedAt time.Time
 	version   uint64
-	loaded    bool // the next read asks for changes, not for a snapshot
+	readAt    time.Time // of the last read that succeeded
+	loaded    bool      // the next read asks for changes, not for a snapshot
 }
 
 // read reads a snapshot or the next changes into the table, and reports whether the
@@ -197,7 +201,8 @@
 	var rows []Row
 	var version uint64
 	var err error
-	snapshot := !f.loaded
+	began := time.Now()
+	snapshot := !f.loaded || f.o.ResnapshotAfter > 0 && began.Sub(f.readAt) > f.o.ResnapshotAfter
 	if snapshot {
 		rows, version, err = f.src.Snapshot(ctx)
 	} else {
@@ -212,6 +217,6 @@
 	} else {
 		f.table.Apply(now, rows)
 	}
-	f.loaded, f.version = true, max(f.version, version)
+	f.loaded, f.version, f.readAt = true, max(f.version, version), began
 	return f.table.Sweep(now, f.o.KeepRemoved) || snapshot || len(rows) > 0, nil
 }
--- a/internal/watch/watch_test.go
+++ b/internal/watch/watch_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"log/slog"
+	"sync"
 	"testing"
 	"time"
 
@@ -92,3 +93,59 @@
 	assert.DeepEqual(t, seen, []string{"1", "3", "4"})
 	assert.DeepEqual(t, s.calls, []string{"snapshot", "changes", "snapshot", "snapshot", "changes"})
 }
+
+// A table whose rows change often was read after a long pause by its changes: more than the
+// store returns at a time, so that the reader fell behind and used targets that had left.
+func TestFollowReadsSnapshotAfterLongPause(t *testing.T) {
+	for _, c := range []struct {
+		resnapshotAfter time.Duration
+		calls           []string
+	}{
+		{0, []string{"snapshot", "changes", "changes"}},
+		{time.Millisecond, []string{"snapshot", "snapshot", "snapshot"}},
+		{time.Hour, []string{"snapshot", "changes", "changes"}},
+	} {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		s := &scriptedSource{}
+		for v := range uint64(3) {
+			s.answers = append(s.answers, func() ([]Row, uint64, error) { return nil, v, nil })
+		}
+		reads := 0
+		o := Options{Name: "t", Pause: Every(5 * time.Millisecond), ResnapshotAfter: c.resnapshotAfter, Log: slog.New(slog.DiscardHandler)}
+		Follow(ctx, s, o, func(map[string]Row, bool, time.Time) {
+			if reads++; reads == 3 {
+				cancel()
+			}
+		})
+		assert.DeepEqual(t, s.calls, c.calls)
+	}
+}
+
+func TestHurryEndsThePause(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	hurry := make(chan struct{}, 1)
+	var mu sync.Mutex // guards pause
+	pause := time.Hour
+	s := &scriptedSource{}
+	for v := range uint64(2) {
+		s.answers = append(s.answers, func() ([]Row, uint64, error) { return nil, v, nil })
+	}
+	o := Options{Name: "t", Pause: func() time.Duration { mu.Lock(); defer mu.Unlock(); return pause }, Hurry: hurry, Log: slog.New(slog.DiscardHandler)}
+	reads := 0
+	Follow(ctx, s, o, func(map[string]Row, bool, time.Time) {
+		if reads++; reads == 2 {
+			cancel()
+			return
+		}
+		hurry <- struct{}{}
+		time.AfterFunc(10*time.Millisecond, func() {
+			mu.Lock()
+			defer mu.Unlock()
+			pause = 0
+			hurry <- struct{}{}
+		})
+	})
+	assert.Equal(t, len(s.calls), 2)
+}
