Log when a coordinator gives up a leader, and how long the next one waits

Two runs of a task at one time could not be explained from the logs: a coordinator that moved a job to another leader said nothing, nor whether the former leader was told, how long the next leader waits for its runs, or how many runs a leader leaves behind when it steps down. One line each now; a coordinator has some tens of jobs with a leader, so the volume stays bounded.

--- a/internal/node/jobs.go
+++ b/internal/node/jobs.go
@@ -266,7 +266,10 @@
 // reclaim marks a job to be submitted again. The former leader may have started it; if it
 // is still linked, the job is withdrawn from it.
 func (n *Node) reclaim(now time.Duration, p *pendingJob) {
-	if n.linked[p.sentTo] {
+	linked := n.linked[p.sentTo]
+	n.log.Info("job", "job", p.job.ID, "outcome", "leader given up", "leader", p.sentTo, "pool", p.pool, "told", linked || p.sentTo == n.cfg.Self.Name,
+		"ms", (now - p.arrived).Milliseconds())
+	if linked {
 		n.sendAbandon(now, p, abandonBody{p.job.ID, otherLeader})
 	}
 	p.sentTo, p.mayHaveRun, p.leaderLostAt, p.tried = "", true, now, nil
--- a/internal/pool/job.go
+++ b/internal/pool/job.go
@@ -104,6 +104,9 @@
 	}
 	j := p.newJob(now, s)
 	p.jobs[j.ID] = j
+	if s.MayHaveRun {
+		p.log("job", "job", j.ID, "outcome", "taken over", "coordinator", s.Coordinator, "safe_in_ms", (j.formerRunsEnd - now).Milliseconds())
+	}
 	p.adopt(now, j)
 	switch reason := p.neverFits(j); {
 	case reason != "" && !j.mayHaveRunElsewhere:
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -200,9 +200,12 @@
 		return
 	}
 	p.leading = false
+	runs := 0
 	for _, t := range p.sortedTargets {
+		runs += len(t.runs)
 		t.reset()
 	}
+	p.log("ownership", "outcome", "stepped down", "jobs", len(p.jobs), "runs", runs)
 	p.reset()
 }
 
