Runs last only while the coordinator of their job vouches for them

Callers saw a task run twice at one time: a leader started it while the run of the leader before it still went on (in the users' record for 113 ms), so a top-up could be booked twice.

Cause: a coordinator that moves a job counted 0.9 s, one lease and some, from its own decision. The former leader may not know of that for up to half a second (the link is lost at one end first, or the other end takes the new connection for a replacement and never notices), goes on starting and renewing runs, and may step down or lose the target right then, so that nobody stops the last run. Nothing bounded what a leader may do after the last word of a coordinator: the wait of the next leader, the grace for lost links, the lease and the time after which callers return were added up for the usual case only.

Now the bound is part of the permission. A coordinator vouches for its jobs by answering the leader's heartbeats. A leader starts a run only with a whole lease left of 1.1 s after the heartbeat that was answered last, and no lease on a target outlasts the least permission of its runs. The coordinator knows when it answered last and passes that on, so the next leader waits exactly as long as the former one may act, whatever that one has heard. Answers and withdrawals travel in order on one link; a relay passes both on. A greeting on a link that is up tells that the peer had lost it. Runs of unknown jobs are not renewed, and those of orphaned or ended jobs for one lease at most. All that is over 1.15 s after the last answer, and callers return after 1.3 s.

Lease 0.8 to 0.7 s, so that the sum fits; leaders send heartbeats each 0.3 s at most.

--- a/internal/node/contain_test.go
+++ b/internal/node/contain_test.go
@@ -130,6 +130,8 @@
 		{wire.PoolEnded, endedBody{Job: "a"}}, {wire.PoolAbandon, abandonBody{Job: "a", Reason: 99}},
 		{wire.JobQuery, jobQueryBody{Job: "a", Cancel: true}}, {wire.JobReply, jobReplyBody{Number: 1}},
 		{wire.JobStore, jobStoreBody{Job: fleet.Job{ID: "a"}}},
+		{wire.PoolVouch, vouchBody{HeartbeatAt: 1 << 62, Leader: "other"}}, {wire.PoolBeat, vouchBody{HeartbeatAt: -1 << 62}},
+		{wire.PoolSubmit, submitBody{Job: fleet.Job{ID: "a", Steps: []fleet.Step{{Count: 1}}}, MayHaveRun: true, VouchedAgo: -1 << 63, Vouches: true, HeartbeatAt: -1 << 63}},
 		{wire.Directory, directoryBody{Layout: &fleet.Layout{Version: 1 << 60, Pools: make([]fleet.Scope, 20)}, Targets: []fleet.Target{{}, {}}, HasTargets: true}},
 	} {
 		encoded, err := wire.Encode(b.body)
--- a/internal/node/directory.go
+++ b/internal/node/directory.go
@@ -89,6 +89,8 @@
 	Layout *fleet.Layout `cbor:"7,keyasint,omitempty"`
 	// Request asks the receiver for parts of its directory.
 	Request *directoryRequest `cbor:"8,keyasint,omitempty"`
+	// Greeting marks the first message on a link.
+	Greeting bool `cbor:"9,keyasint,omitempty"`
 }
 
 func newDirectory() directory {
@@ -244,6 +246,9 @@
 
 // handleDirectory handles a peer's directory, and sends what the peer requests.
 func (n *Node) handleDirectory(now time.Duration, from string, b directoryBody) {
+	if b.Greeting {
+		n.greeted(now, from)
+	}
 	n.mergeDirectory(now, b)
 	if b.Request == nil {
 		return
--- a/internal/node/jobs.go
+++ b/internal/node/jobs.go
@@ -21,8 +21,10 @@
 	sentTo       string               // the leader that has the job, "" while none has
 	mayHaveRun   bool                 // an earlier leader had the job and may have started it
 	leaderLostAt time.Duration        // when that leader was lost
+	vouchedAt    time.Duration        // when the earlier leaders were last permitted to run the job
 	waiters      []chan fleet.Outcome // of the callers
 	relayFor     string               // the entry for which the job is relayed, "" if none
+	vouches      bool                 // that entry vouches for the job
 }
 
 // leaderlessTimeout is how long a job waits for a leader before it is rejected.
@@ -33,15 +35,21 @@
 type submitBody struct {
 	Job    fleet.Job     `cbor:"1,keyasint"`
 	Waited time.Duration `cbor:"2,keyasint"` // since the job's arrival
-	// MayHaveRun is set if an earlier leader had the job, and LostAgo is the
-	// time since that leader was lost.
+	// MayHaveRun is set if an earlier leader had the job, and VouchedAgo is the time since
+	// the coordinator last vouched for the job to that leader.
 	MayHaveRun bool          `cbor:"3,keyasint,omitempty"`
-	LostAgo    time.Duration `cbor:"4,keyasint,omitempty"`
+	VouchedAgo time.Duration `cbor:"4,keyasint,omitempty"`
 	// Relayed jobs come from an entry that relays them, and are not relayed again.
 	Relayed bool `cbor:"5,keyasint,omitempty"`
 	// Pool is the index of the pool in the layout of the given version.
 	Pool   int    `cbor:"6,keyasint,omitempty"`
 	Layout uint64 `cbor:"7,keyasint,omitempty"`
+	// Vouches is set if the coordinator vouches for its jobs, which those of earlier releases
+	// do not. HeartbeatAt is SentAt of the receiver's last heartbeat, if there was one.
+	Vouches     bool          `cbor:"8,keyasint,omitempty"`
+	HeartbeatAt time.Duration `cbor:"9,keyasint,omitempty"`
+	// Origin is the entry for which the sender relays the job.
+	Origin string `cbor:"10,keyasint,omitempty"`
 }
 
 // endedBody is the body of wire.PoolEnded, with which the leader sends the outcome of
@@ -160,7 +168,9 @@
 	case p.sentTo == n.cfg.Self.Name:
 		n.withdrawFromPool(now, n.cfg.Self.Name, b)
 	case p.sentTo != "":
-		n.send(p.sentTo, wire.PoolAbandon, b)
+		if !n.send(p.sentTo, wire.PoolAbandon, b) {
+			n.vouching.muted[p.sentTo] = true
+		}
 	case b.Reason == cancelled:
 		n.settle(now, b.Job, fleet.Outcome{Verdict: p.cancelVerdict(), Reason: verdict.Cancelled})
 	}
@@ -226,21 +236,28 @@
 // submitTo submits a pending job to the leader of a pool, which may be this entry.
 func (n *Node) submitTo(now time.Duration, s *shard, p *pendingJob) {
 	p.pool = s.index
-	lostAgo := now - p.leaderLostAt
+	vouchedAgo := now - p.vouchedAt
 	leader := s.decision.Leader
 	if leader == n.cfg.Self.Name {
 		p.sentTo = leader
 		s.pool.Submit(now, pool.Submit{
-			Coordinator: leader, Job: p.job, Waited: now - p.arrived, MayHaveRun: p.mayHaveRun, LostAgo: lostAgo,
+			Coordinator: leader, Job: p.job, Waited: now - p.arrived, MayHaveRun: p.mayHaveRun, VouchedAgo: vouchedAgo,
+			NeedsVouch: p.relayFor != "" && p.vouches, Origin: p.relayFor,
 		})
+		n.passBeatOn(now, p)
 		return
 	}
-	sent := n.send(leader, wire.PoolSubmit, submitBody{
-		Job: p.job, Waited: now - p.arrived, MayHaveRun: p.mayHaveRun, LostAgo: lostAgo, Relayed: p.relayFor != "",
-		Pool: s.index, Layout: n.layout.Version,
-	})
+	b := submitBody{
+		Job: p.job, Waited: now - p.arrived, MayHaveRun: p.mayHaveRun, VouchedAgo: vouchedAgo, Relayed: p.relayFor != "",
+		Pool: s.index, Layout: n.layout.Version, Vouches: p.relayFor == "" || p.vouches, Origin: p.relayFor,
+	}
+	if p.relayFor == "" {
+		b.HeartbeatAt = n.vouching.answer(leader)
+	}
+	sent := n.send(leader, wire.PoolSubmit, b)
 	if sent {
 		p.sentTo = leader
+		n.passBeatOn(now, p)
 	} else {
 		p.retryAt = now + resubmitPause
 	}
@@ -269,6 +286,7 @@
 	linked := n.linked[p.sentTo]
 	n.log.Info("job", "job", p.job.ID, "outcome", "leader given up", "leader", p.sentTo, "pool", p.pool, "told", linked || p.sentTo == n.cfg.Self.Name,
 		"ms", (now - p.arrived).Milliseconds())
+	p.vouchedAt = max(p.vouchedAt, n.lastVouch(now, p.sentTo))
 	if linked {
 		n.sendAbandon(now, p, abandonBody{p.job.ID, otherLeader})
 	}
@@ -296,6 +314,9 @@
 		return // from a leader that no longer has the job
 	}
 	if o.Reason == verdict.NotReady {
+		if o.Verdict == verdict.MayHaveRun { // a relay returns it
+			p.mayHaveRun, p.leaderLostAt, p.vouchedAt = true, now, max(p.vouchedAt, n.lastVouch(now, from))
+		}
 		p.sentTo, p.retryAt = "", now+resubmitPause
 		return
 	}
@@ -370,10 +391,12 @@
 		n.acceptStored(now, b.Job, b.Waited)
 		return
 	}
+	b.VouchedAgo, b.HeartbeatAt = max(b.VouchedAgo, 0), max(b.HeartbeatAt, 0)
 	known := b.Layout == n.layout.Version && b.Pool >= 0 && b.Pool < len(n.shards)
 	if known && n.shards[b.Pool].pool.Leading() {
 		n.shards[b.Pool].pool.Submit(now, pool.Submit{
-			Coordinator: from, Job: b.Job, Waited: b.Waited, MayHaveRun: b.MayHaveRun, LostAgo: b.LostAgo,
+			Coordinator: from, Job: b.Job, Waited: b.Waited, MayHaveRun: b.MayHaveRun, VouchedAgo: b.VouchedAgo,
+			NeedsVouch: b.Vouches, Origin: b.Origin, HeartbeatAt: min(b.HeartbeatAt, now),
 		})
 		return
 	}
@@ -387,7 +410,8 @@
 	}
 	n.log.Info("job", "job", b.Job.ID, "outcome", "relayed", "for", from, "pool", b.Pool, "leader", leader)
 	n.pending[b.Job.ID] = &pendingJob{
-		job: b.Job, pool: b.Pool, arrived: now - b.Waited, mayHaveRun: b.MayHaveRun, leaderLostAt: now - b.LostAgo, relayFor: from,
+		job: b.Job, pool: b.Pool, arrived: now - b.Waited, mayHaveRun: b.MayHaveRun, leaderLostAt: now, vouchedAt: now - b.VouchedAgo, relayFor: from,
+		vouches: b.Vouches,
 	}
 }
 
--- a/internal/node/layout.go
+++ b/internal/node/layout.go
@@ -7,8 +7,6 @@
 
 	"currantstall/internal/election"
 	"currantstall/internal/fleet"
-	"currantstall/internal/verdict"
-	"currantstall/internal/wire"
 )
 
 // Layouts keeps the layout of the pools in the platform's store.
@@ -69,8 +67,7 @@
 	}
 	for id, p := range n.pending {
 		if p.relayFor != "" {
-			n.send(p.relayFor, wire.PoolEnded, endedBody{id, fleet.Outcome{Verdict: verdict.NotRun, Reason: verdict.NotReady}})
-			delete(n.pending, id)
+			n.returnRelayed(now, id, p)
 			continue
 		}
 		if p.sentTo != "" {
--- a/internal/node/links.go
+++ b/internal/node/links.go
@@ -17,10 +17,8 @@
 func (h *peerHandler) LinkUp(p peer.Peer) {
 	n := (*Node)(h)
 	n.post(func(now time.Duration) {
-		n.linked[p.Name] = true
 		n.log.Info("link", "peer", p.Name, "outcome", "up")
-		n.greet(now, p.Name)
-		n.policiesDue = true
+		n.peerLinked(now, p.Name)
 	})
 }
 
@@ -28,23 +26,48 @@
 func (h *peerHandler) LinkDown(p peer.Peer) {
 	n := (*Node)(h)
 	n.post(func(now time.Duration) {
-		delete(n.linked, p.Name)
-		delete(n.relaxed, p.Name)
-		delete(n.stored.peerStoreReadAt, p.Name)
-		delete(n.stored.peerClocks, p.Name)
 		n.log.Info("link", "peer", p.Name, "outcome", "down")
-		n.electionsDue = true
-		for _, s := range n.shards {
-			s.election.RemovePeer(p.Name)
-			delete(s.reports, p.Name)
-			n.reclaimFromLeader(now, p.Name, s)
-			s.pool.CoordinatorLost(now, p.Name)
-		}
-		n.policiesDue = true
-		n.dropRelayed(now, p.Name)
+		n.peerLost(now, p.Name)
 	})
 }
 
+// peerLinked handles a new link.
+func (n *Node) peerLinked(now time.Duration, name string) {
+	n.linked[name] = true
+	n.greet(now, name)
+	n.policiesDue = true
+}
+
+// peerLost handles the loss of a link.
+func (n *Node) peerLost(now time.Duration, name string) {
+	delete(n.linked, name)
+	delete(n.relaxed, name)
+	delete(n.stored.peerStoreReadAt, name)
+	delete(n.stored.peerClocks, name)
+	n.electionsDue = true
+	for _, s := range n.shards {
+		s.election.RemovePeer(name)
+		delete(s.reports, name)
+		n.reclaimFromLeader(now, name, s)
+		s.pool.CoordinatorLost(now, name)
+	}
+	n.policiesDue = true
+	n.dropRelayed(now, name)
+	n.vouching.forget(name)
+}
+
+// greeted handles the greeting of a peer. A second one on a link that is up means that the
+// peer had lost the link, and with it what it had submitted, while this entry took the new
+// connection for a replacement.
+func (n *Node) greeted(now time.Duration, from string) {
+	if n.vouching.greeted[from] {
+		n.log.Info("link", "peer", from, "outcome", "lost by the peer")
+		n.peerLost(now, from)
+		n.peerLinked(now, from)
+	}
+	n.vouching.greeted[from] = true
+}
+
 // Receive implements peer.Handler.
 func (h *peerHandler) Receive(from peer.Peer, m wire.Message) {
 	n := (*Node)(h)
@@ -60,6 +83,10 @@
 		err = decodeAndPost(n, m, func(now time.Duration, b abandonBody) { n.handleAbandon(now, from.Name, b) })
 	case wire.PoolStart:
 		err = decodeAndPost(n, m, func(now time.Duration, b startBody) { n.handleStart(now, from.Name, b) })
+	case wire.PoolBeat:
+		err = decodeAndPost(n, m, func(now time.Duration, b vouchBody) { n.handleRelayedBeat(now, from.Name, b) })
+	case wire.PoolVouch:
+		err = decodeAndPost(n, m, func(now time.Duration, b vouchBody) { n.handleVouch(now, from.Name, b) })
 	case wire.PoolStarted:
 		err = decodeAndPost(n, m, func(now time.Duration, b startedBody) { n.handleStarted(now, from.Name, b) })
 	case wire.JobQuery:
@@ -136,6 +163,9 @@
 	// while the sender does not know the layout.
 	LayoutVersion uint64       `cbor:"9,keyasint,omitempty"`
 	Pools         []poolReport `cbor:"10,keyasint,omitempty"`
+	// SentAt is the time on the clock of the sender's loop. Coordinators repeat it when they
+	// vouch for their jobs. It is 0 in heartbeats of earlier releases, which need no vouches.
+	SentAt time.Duration `cbor:"11,keyasint,omitempty"`
 }
 
 // leadState is the part of a heartbeat whose change is sent at once.
@@ -166,7 +196,7 @@
 func (n *Node) sendHeartbeat(now time.Duration) {
 	st, interval := n.leadState(), followerHeartbeatInterval
 	if st.leads > 0 {
-		interval = min(heartbeatInterval+time.Duration(len(n.linked))*heartbeatIntervalPerLink, interval)
+		interval = min(heartbeatInterval+time.Duration(len(n.linked))*heartbeatIntervalPerLink, maxLeaderHeartbeatInterval)
 	}
 	if st == n.lastState && now < n.lastHeartbeatAt+interval {
 		return
@@ -189,7 +219,7 @@
 	b := heartbeatBody{
 		Election:      election.Heartbeat{Entry: n.entryState(now), Claim: n.shards[0].election.Heartbeat().Claim},
 		ConfigVersion: n.configVersion(), TargetsAge: n.directory.targetsAge(now),
-		HasStored: n.stored.expected, StoreAge: n.storeAge(now), WallMS: time.Now().UnixMilli(),
+		HasStored: n.stored.expected, StoreAge: n.storeAge(now), WallMS: time.Now().UnixMilli(), SentAt: max(now, 1),
 	}
 	b.NoStored = n.storedPool().KnowsAllStored() && !n.stored.expected
 	if n.storedPool().OwnsStored() {
@@ -223,6 +253,7 @@
 		n.electionsDue = true
 	}
 	n.dialNamedLeaders(now, &b)
+	n.noteBeat(now, from, &b)
 	n.stored.peerStoreReadAt[from] = now - b.StoreAge
 	n.stored.peerClocks[from] = b.WallMS - now.Milliseconds()
 	if b.NoStored {
@@ -242,7 +273,7 @@
 
 // greet tells a new peer what it needs to know of this entry at once.
 func (n *Node) greet(now time.Duration, to string) {
-	hello := directoryBody{Self: n.cfg.Self}
+	hello := directoryBody{Self: n.cfg.Self, Greeting: true}
 	if n.layoutKnown {
 		l := n.layout
 		hello.Layout = &l
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -62,10 +62,13 @@
 	queueBytes = 8 << 20
 	// heartbeatInterval is the time between two heartbeats to the peers of an entry that
 	// leads a pool, whose load they report. It grows by heartbeatIntervalPerLink for each
-	// link, up to the interval of other entries, followerHeartbeatInterval. Links notice
-	// the loss of a peer by themselves.
-	heartbeatInterval         = 200 * time.Millisecond
-	heartbeatIntervalPerLink  = 2 * time.Millisecond
+	// link, up to maxLeaderHeartbeatInterval: an answer to the last heartbeat has to permit
+	// whole leases, so the interval stays below the difference of pool.DefaultVouchFor and
+	// pool.DefaultLease. Links notice the loss of a peer by themselves.
+	heartbeatInterval          = 200 * time.Millisecond
+	heartbeatIntervalPerLink   = 2 * time.Millisecond
+	maxLeaderHeartbeatInterval = 300 * time.Millisecond
+	// followerHeartbeatInterval is the interval of entries that lead nothing.
 	followerHeartbeatInterval = 500 * time.Millisecond
 	// tickInterval is the interval at which the loop checks timeouts and due work.
 	tickInterval = 20 * time.Millisecond
@@ -102,6 +105,7 @@
 	keeper          layoutKeeper
 	lane            startLane
 	delegated       delegations
+	vouching        vouching
 	containment     containment
 	shards          []*shard        // one for each pool of the layout
 	electionsDue    bool            // something that the elections depend on has changed
@@ -129,7 +133,7 @@
 		ctx: ctx, cancel: cancel,
 		linked: make(map[string]bool), linkPlan: linkPlanner{wantedAt: make(map[string]time.Duration), redialedAt: make(map[string]time.Duration)}, relaxed: make(map[string]bool), pending: make(map[string]*pendingJob),
 		directory: newDirectory(), stored: newStoredJobs(&cfg),
-		lane: startLane{bytesPerSecond: cfg.LinkBytesPerSecond, delegatedBytes: make(map[string]int)}, delegated: delegations{open: make(map[uint64]delegatedStart)},
+		lane: startLane{bytesPerSecond: cfg.LinkBytesPerSecond, delegatedBytes: make(map[string]int)}, delegated: delegations{open: make(map[uint64]delegatedStart)}, vouching: newVouching(),
 	}
 	n.joined = uint64(time.Now().UnixMilli())
 	n.targetInterval.Store(int64(minTargetInterval))
--- /dev/null
+++ b/internal/node/vouch.go
@@ -0,0 +1,188 @@
+package node
+
+import (
+	"time"
+
+	"currantstall/internal/fleet"
+	"currantstall/internal/pool"
+	"currantstall/internal/verdict"
+	"currantstall/internal/wire"
+)
+
+// A coordinator vouches for the jobs that a leader has from it by answering the leader's
+// heartbeats; the leader starts and renews their runs for pool.DefaultVouchFor after the
+// heartbeat that was answered last. Answers and withdrawals travel in order on one link, so an
+// answer covers what was not withdrawn before it. A relay passes the leader's heartbeats on to
+// the coordinator and its answers back, so that they mean the same.
+
+// vouchBody is the body of wire.PoolVouch, and of wire.PoolBeat, with which a relay passes on a
+// heartbeat.
+type vouchBody struct {
+	HeartbeatAt time.Duration `cbor:"1,keyasint"` // SentAt of the leader's heartbeat
+	// Leader is the sender of the heartbeat, if it is not the receiver of a vouch.
+	Leader string `cbor:"2,keyasint,omitempty"`
+	// Origin is the entry that vouches, if the sender relays its jobs.
+	Origin string `cbor:"3,keyasint,omitempty"`
+}
+
+// beat is the last heartbeat of a peer.
+type beat struct {
+	sentAt     time.Duration // on the peer's clock; 0 from a release without vouches
+	receivedAt time.Duration
+}
+
+// vouching is what an entry has vouched for. It belongs to the node's loop.
+type vouching struct {
+	beats map[string]beat // by linked peer
+	// vouchedAt is when the newest heartbeat that this entry has answered arrived, by leader or
+	// relay. No run of a job that it has from this entry lasts longer than
+	// pool.DefaultTakeoverDelay from then.
+	vouchedAt map[string]time.Duration
+	// muted holds the leaders that could not be told of a withdrawal. They get no answers until
+	// the link is lost.
+	muted   map[string]bool
+	greeted map[string]bool // peers whose greeting has arrived on the present link
+}
+
+func newVouching() vouching {
+	return vouching{beats: make(map[string]beat), vouchedAt: make(map[string]time.Duration), muted: make(map[string]bool), greeted: make(map[string]bool)}
+}
+
+// forget drops what belongs to the link to a peer.
+func (v *vouching) forget(peer string) {
+	delete(v.beats, peer)
+	delete(v.vouchedAt, peer)
+	delete(v.muted, peer)
+	delete(v.greeted, peer)
+}
+
+// answer records that the last heartbeat of a peer is answered now, and returns its time on
+// the peer's clock, or 0 if it can't be answered.
+func (v *vouching) answer(peer string) time.Duration {
+	b := v.beats[peer]
+	if b.sentAt == 0 || v.muted[peer] {
+		return 0
+	}
+	v.vouchedAt[peer] = max(v.vouchedAt[peer], b.receivedAt)
+	return b.sentAt
+}
+
+// lastVouch returns the time from which a leader's permission to run the jobs of this entry
+// counts, when it is given up now.
+func (n *Node) lastVouch(now time.Duration, leader string) time.Duration {
+	if leader == n.cfg.Self.Name {
+		// Its leases last at most DefaultLease from now.
+		return now - (pool.DefaultVouchFor - pool.DefaultLease)
+	}
+	if b, heard := n.vouching.beats[leader]; !heard || b.sentAt == 0 {
+		return now // it may be of a release that needs no vouches
+	}
+	if at, vouched := n.vouching.vouchedAt[leader]; vouched {
+		return at
+	}
+	return now - pool.DefaultVouchFor
+}
+
+// noteBeat answers a heartbeat if the sender has jobs of this entry, and passes it on to the
+// entries for which this one relays jobs to the sender.
+func (n *Node) noteBeat(now time.Duration, from string, b *heartbeatBody) {
+	v := &n.vouching
+	v.beats[from] = beat{sentAt: b.SentAt, receivedAt: now}
+	if b.SentAt == 0 || v.muted[from] {
+		return
+	}
+	own, origins := false, make(map[string]bool)
+	for _, p := range n.pending {
+		switch {
+		case p.sentTo != from:
+		case p.relayFor == "":
+			own = true
+		case p.vouches:
+			origins[p.relayFor] = true
+		}
+	}
+	if own {
+		n.send(from, wire.PoolVouch, vouchBody{HeartbeatAt: v.answer(from)})
+	}
+	for origin := range origins {
+		n.send(origin, wire.PoolBeat, vouchBody{HeartbeatAt: b.SentAt, Leader: from})
+	}
+}
+
+// passBeatOn passes the last heartbeat of the leader that has just got a relayed job on to the
+// job's coordinator.
+func (n *Node) passBeatOn(now time.Duration, p *pendingJob) {
+	if p.relayFor == "" || !p.vouches {
+		return
+	}
+	at := n.vouching.beats[p.sentTo].sentAt
+	if p.sentTo == n.cfg.Self.Name {
+		at = max(now, 1)
+	}
+	if at > 0 {
+		n.send(p.relayFor, wire.PoolBeat, vouchBody{HeartbeatAt: at, Leader: p.sentTo})
+	}
+}
+
+// handleRelayedBeat answers a heartbeat that a relay has passed on, if the relay has jobs of
+// this entry.
+func (n *Node) handleRelayedBeat(now time.Duration, relay string, b vouchBody) {
+	if n.vouching.muted[relay] {
+		return
+	}
+	for _, p := range n.pending {
+		if p.sentTo == relay && p.relayFor == "" {
+			n.vouching.vouchedAt[relay] = now
+			n.send(relay, wire.PoolVouch, vouchBody{HeartbeatAt: b.HeartbeatAt, Leader: b.Leader})
+			return
+		}
+	}
+}
+
+// handleVouch handles an answer to a heartbeat of this entry, or passes on one to a leader to
+// which this entry relays jobs of the sender.
+func (n *Node) handleVouch(now time.Duration, from string, b vouchBody) {
+	if b.Leader != "" && b.Leader != n.cfg.Self.Name {
+		n.relayVouch(now, from, b)
+		return
+	}
+	if b.HeartbeatAt > now {
+		n.counts.invalid.Inc(1)
+		n.log.Warn("vouch ignored: it answers a heartbeat that was not sent", "peer", from, "heartbeat_at", b.HeartbeatAt, "now", now)
+		return
+	}
+	for _, s := range n.shards {
+		s.pool.Vouched(pool.Voucher{Coordinator: from, Origin: b.Origin}, b.HeartbeatAt)
+		if b.Origin == "" {
+			// Jobs that this entry relayed for the sender may have come to its own pool.
+			s.pool.Vouched(pool.Voucher{Coordinator: n.cfg.Self.Name, Origin: from}, b.HeartbeatAt)
+		}
+	}
+}
+
+// relayVouch passes a vouch on to the leader that has jobs of the sender.
+func (n *Node) relayVouch(now time.Duration, from string, b vouchBody) {
+	if n.vouching.muted[b.Leader] {
+		return
+	}
+	for _, p := range n.pending {
+		if p.relayFor == from && p.sentTo == b.Leader {
+			n.vouching.vouchedAt[b.Leader] = now
+			n.send(b.Leader, wire.PoolVouch, vouchBody{HeartbeatAt: b.HeartbeatAt, Origin: from})
+			return
+		}
+	}
+}
+
+// returnRelayed gives a relayed job back to its coordinator, which submits it again.
+func (n *Node) returnRelayed(now time.Duration, id string, p *pendingJob) {
+	v := verdict.NotRun
+	if p.sentTo != "" || p.mayHaveRun {
+		v = verdict.MayHaveRun
+	}
+	if p.sentTo != "" {
+		n.sendAbandon(now, p, abandonBody{id, otherLeader})
+	}
+	n.send(p.relayFor, wire.PoolEnded, endedBody{id, fleet.Outcome{Verdict: v, Reason: verdict.NotReady}})
+	delete(n.pending, id)
+}
--- a/internal/pool/job.go
+++ b/internal/pool/job.go
@@ -59,6 +59,9 @@
 	endRecorded         bool          // the record of its end was emitted
 	parent              *recurringJob // the recurring job of which it is an occurrence, or nil
 	occurrence          int
+	vouch               *vouch // of its coordinator; nil if its runs need none
+	withdrawn           bool   // its runs may continue until withdrawnUntil only
+	withdrawnUntil      time.Duration
 	orphaned            bool          // its caller or coordinator has disconnected, or its coordinator has withdrawn it
 	orphanUntil         time.Duration // when the runs of the orphaned job are stopped
 }
@@ -69,10 +72,16 @@
 	Job         fleet.Job
 	// Waited is the time since the job arrived from the caller.
 	Waited time.Duration
-	// MayHaveRun is set if a former owner may have started the job. LostAgo is the time
-	// since that owner was lost.
+	// MayHaveRun is set if a former owner may have started the job. VouchedAgo is the time
+	// since the coordinator last vouched for the job to that owner.
 	MayHaveRun bool
-	LostAgo    time.Duration
+	VouchedAgo time.Duration
+	// NeedsVouch is set if runs of the job may continue only while the coordinator, or the
+	// entry Origin for which it relays the job, vouches for them. HeartbeatAt is the time of
+	// the heartbeat of this entry that the submission answers.
+	NeedsVouch  bool
+	Origin      string
+	HeartbeatAt time.Duration
 }
 
 // Submit accepts a job, or attaches the coordinator to the job if it is known already.
@@ -84,7 +93,7 @@
 		return
 	}
 	if !p.leading {
-		p.emit(Ended{s.Coordinator, s.Job.ID, fleet.Outcome{Verdict: notRunVerdict(s.MayHaveRun), Reason: verdict.NotReady}})
+		p.emit(Ended{s.Coordinator, s.Job.ID, fleet.Outcome{Verdict: verdict.NotRun, Reason: verdict.NotReady}})
 		return
 	}
 	if k, ok := p.keptOutcomes[s.Job.ID]; ok {
@@ -94,7 +103,8 @@
 	}
 	if j := p.jobs[s.Job.ID]; j != nil {
 		p.log("job", "job", j.ID, "outcome", "attached", "coordinator", s.Coordinator, "orphan", j.orphaned)
-		j.coordinator, j.orphaned = s.Coordinator, false
+		j.coordinator, j.orphaned, j.withdrawn = s.Coordinator, false, false
+		p.attachVouch(j, &s)
 		j.waitForFormerOwner(now, &s, p.cfg.TakeoverDelay)
 		if s.MayHaveRun {
 			j.markMayHaveStarted()
@@ -134,6 +144,7 @@
 		mayHaveRunElsewhere: s.MayHaveRun, mayHaveStarted: s.MayHaveRun,
 		steps: make([][]*task, len(s.Job.Steps)), remaining: make([]int, len(s.Job.Steps)),
 	}
+	p.attachVouch(j, &s)
 	j.waitForFormerOwner(now, &s, p.cfg.TakeoverDelay)
 	ordinal := 0
 	for i := range j.Steps {
@@ -171,7 +182,7 @@
 func (j *job) waitForFormerOwner(now time.Duration, s *Submit, takeoverDelay time.Duration) {
 	if s.MayHaveRun {
 		j.mayHaveRunElsewhere = true
-		j.formerRunsEnd = max(j.formerRunsEnd, now+takeoverDelay-s.LostAgo)
+		j.formerRunsEnd = max(j.formerRunsEnd, now+takeoverDelay-s.VouchedAgo)
 	}
 }
 
@@ -326,6 +337,7 @@
 		return
 	}
 	delete(p.jobs, j.ID)
+	p.limitRuns(now, j)
 	j.queueState.remove(j)
 	p.dropAdvice(j)
 	for _, r := range j.currentRuns() {
@@ -392,6 +404,7 @@
 // down. Its callers may soon be served by another entry, so their runs are stopped
 // unless the coordinator is back within Settings.LinkGrace.
 func (p *Pool) CoordinatorLost(now time.Duration, name string) {
+	p.dropVouches(name)
 	for _, j := range p.jobs {
 		if j.coordinator == name && !j.orphaned && !j.Stored {
 			p.orphanJob(now, j, now+p.cfg.LinkGrace)
@@ -401,6 +414,7 @@
 
 // orphanJob marks a job as orphaned; its runs are stopped at the given time.
 func (p *Pool) orphanJob(now time.Duration, j *job, until time.Duration) {
+	p.limitRuns(now, j)
 	j.orphaned, j.orphanUntil = true, until
 	j.queueState.remove(j)
 	p.log("job", "job", j.ID, "outcome", "orphan", "coordinator", j.coordinator, "begun", j.mayHaveStarted)
--- a/internal/pool/place.go
+++ b/internal/pool/place.go
@@ -224,7 +224,7 @@
 	ticket, _ := p.ticketFor(tk, t)
 	p.emit(fleet.Start{
 		Target: t.Target, Task: tk.id, Run: r.number, Spec: tk.job.Spec, Coordinator: tk.job.coordinator, Ticket: ticket, Checkpoint: tk.checkpoint,
-		LeaseUntilMS: t.leaseUntil(now, p.cfg.Lease), Fence: t.fence,
+		LeaseUntilMS: p.grantLease(now, t), Fence: t.fence,
 	})
 }
 
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -19,8 +19,13 @@
 	Lease time.Duration
 	// HoldWait is how long a target may wait for a run to end before it answers a hold.
 	HoldWait time.Duration
-	// TakeoverDelay is how long runs of a lost owner may continue. A job that it may
-	// have started is not started again until then.
+	// VouchFor is how long runs may continue after the heartbeat that their coordinator
+	// answered last.
+	VouchFor time.Duration
+	// TakeoverDelay is how long runs of a former owner may continue after the last word of
+	// the job's coordinator to it: VouchFor, the drift of the target's clock and the time that
+	// a target takes to end a run. A job that the former owner may have started is not started
+	// again until then.
 	TakeoverDelay time.Duration
 	// OrphanGrace is how long runs continue after their caller disconnected, so that a
 	// caller that reconnects finds them.
@@ -31,12 +36,11 @@
 }
 
 // Defaults of Settings. A caller that lost its connection reconnects after 1.3 s at the
-// earliest, so a lease together with the detection of a lost link and the grace period
-// of an orphaned job stays below that.
+// earliest, so the takeover delay stays below that.
 const (
-	DefaultLease         = 800 * time.Millisecond
+	DefaultLease         = 700 * time.Millisecond
 	DefaultHoldWait      = 250 * time.Millisecond
-	DefaultTakeoverDelay = 900 * time.Millisecond
+	DefaultTakeoverDelay = 1150 * time.Millisecond
 	DefaultOrphanGrace   = 500 * time.Millisecond
 	DefaultLinkGrace     = 300 * time.Millisecond
 )
@@ -91,6 +95,7 @@
 	rankedQueues   []*queueState          // sorted by urgency
 	keptOutcomes   map[string]keptOutcome // by job ID
 	unclaimedRuns  map[string][]*run      // runs of unknown jobs, by job ID
+	vouches        map[Voucher]*vouch
 	stored         storedState
 	noStartsBefore time.Duration                // no task is started before
 	awaitTargets   time.Duration                // nor before this time, unless a current list of targets arrives
@@ -129,7 +134,7 @@
 
 // DefaultSettings returns the default Settings.
 func DefaultSettings() Settings {
-	return Settings{Lease: DefaultLease, HoldWait: DefaultHoldWait, TakeoverDelay: DefaultTakeoverDelay, OrphanGrace: DefaultOrphanGrace, LinkGrace: DefaultLinkGrace}
+	return Settings{Lease: DefaultLease, HoldWait: DefaultHoldWait, VouchFor: DefaultVouchFor, TakeoverDelay: DefaultTakeoverDelay, OrphanGrace: DefaultOrphanGrace, LinkGrace: DefaultLinkGrace}
 }
 
 func (p *Pool) reset() {
@@ -138,6 +143,7 @@
 	p.rankedQueues = nil
 	p.keptOutcomes = make(map[string]keptOutcome)
 	p.unclaimedRuns = make(map[string][]*run)
+	p.vouches = make(map[Voucher]*vouch)
 	p.stored.reset()
 	p.advice = make(map[fleet.TaskID]*stepAdvice)
 }
--- a/internal/pool/report.go
+++ b/internal/pool/report.go
@@ -17,11 +17,11 @@
 		}
 		if t.refreshDue && !t.refreshInFlight {
 			t.refreshDue, t.refreshInFlight = false, true
-			p.emit(fleet.Hold{Target: t.Target, Fence: t.fence, AckedEnd: t.ackNumber(), LeaseUntilMS: t.leaseUntil(now, p.cfg.Lease)})
+			p.emit(fleet.Hold{Target: t.Target, Fence: t.fence, AckedEnd: t.ackNumber(), LeaseUntilMS: p.grantLease(now, t)})
 		}
 		if !t.holdInFlight && now >= t.nextHoldAt && (len(t.runs) > 0 || t.ackDue || len(t.heldEnds) > 0) {
 			t.holdInFlight, t.ackDue = true, false
-			p.emit(fleet.Hold{Target: t.Target, Fence: t.fence, AckedEnd: t.ackNumber(), LeaseUntilMS: t.leaseUntil(now, p.cfg.Lease), Wait: p.holdWait(t)})
+			p.emit(fleet.Hold{Target: t.Target, Fence: t.fence, AckedEnd: t.ackNumber(), LeaseUntilMS: p.grantLease(now, t), Wait: p.holdWait(t)})
 		}
 	}
 }
--- a/internal/pool/stored.go
+++ b/internal/pool/stored.go
@@ -188,7 +188,7 @@
 // mayStart reports whether tasks of the job may be started now.
 func (p *Pool) mayStart(now time.Duration, j *job) bool {
 	if !j.Stored {
-		return now >= j.formerRunsEnd
+		return now >= j.formerRunsEnd && p.permittedUntil(j) >= now+p.cfg.Lease
 	}
 	return now < p.stored.startsUntil && (!j.restored || now >= p.stored.formerRunsEnd)
 }
--- /dev/null
+++ b/internal/pool/vouch_test.go
@@ -0,0 +1,230 @@
+package pool
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"currantstall/internal/fleet"
+)
+
+// The longest time that a run may last after the word of its coordinator, by all that can
+// delay its end, leaves time for the next leader, and that one for callers that return.
+func TestTakeoverDelayCoversThePermissionOfRuns(t *testing.T) {
+	const timeToStop = 10 * ms // of a target whose lease has expired
+	drift := time.Duration(maxClockDrift * float64(DefaultLease+DefaultHoldWait))
+	assert.Assert(t, DefaultVouchFor+drift+timeToStop < DefaultTakeoverDelay)
+	assert.Assert(t, DefaultTakeoverDelay < callerReturns)
+}
+
+func TestJobWaitsForTheWordOfItsCoordinator(t *testing.T) {
+	b := newHarness(t, 1)
+	patient := queue("q", 0)
+	patient.Slack = time.Second
+	j := jobOf("j", patient, 1, 14000, 60*ms)
+	b.p.Submit(b.now, Submit{Coordinator: "e1", Job: j, NeedsVouch: true})
+	b.tick(ms)
+	assert.Equal(t, len(takeEffects[fleet.Start](b)), 0, "the coordinator has answered no heartbeat")
+	b.p.Vouched(Voucher{Coordinator: "e1"}, b.now-(DefaultVouchFor-DefaultLease))
+	b.p.Vouched(Voucher{Coordinator: "e2"}, b.now)
+	b.p.Vouched(Voucher{Coordinator: "e1", Origin: "e2"}, b.now)
+	b.tick(ms)
+	assert.Equal(t, len(takeEffects[fleet.Start](b)), 0, "other leases of the target may outlast an old answer, and those of others do not count")
+	b.hear("e1")
+	b.tick(ms)
+	assert.Equal(t, len(takeEffects[fleet.Start](b)), 1)
+}
+
+// The caller of a job is gone and its target out of reach for stops. The caller may return at
+// another entry.
+func TestRunsOfAnAbandonedJobOutlastItByOneLease(t *testing.T) {
+	b := newHarness(t, 1)
+	b.submitFrom("e1", jobOf("j", queue("q", 0), 1, 14000, 3*time.Second))
+	b.tick(ms)
+	start := takeEffects[fleet.Start](b)[0]
+	b.replyStart(start, fleet.Accepted)
+	b.p.Abandon(b.now, "e1", "j")
+	gone := b.clock()
+	for range 40 {
+		b.tick(20 * ms)
+		b.hear("e1")
+		lease := b.answerHolds([]fleet.Running{{Task: start.Task, Run: start.Run, PercentDone: 10}})
+		assert.Assert(t, lease <= gone+DefaultLease.Milliseconds())
+	}
+}
+
+func TestRelayedJobNeedsTheWordOfItsOrigin(t *testing.T) {
+	b := newHarness(t, 1)
+	b.p.Submit(b.now, Submit{Coordinator: "relay", Origin: "e1", Job: jobOf("j", queue("q", 0), 1, 14000, 60*ms), NeedsVouch: true})
+	b.hear("relay")
+	b.tick(ms)
+	assert.Equal(t, len(takeEffects[fleet.Start](b)), 0)
+	b.p.Vouched(Voucher{Coordinator: "relay", Origin: "e1"}, b.now)
+	b.tick(ms)
+	assert.Equal(t, len(takeEffects[fleet.Start](b)), 1)
+}
+
+// A lease holds for all runs of a target, so that one silent coordinator limits it.
+func TestLeaseEndsWithTheLeastPermissionOnTheTarget(t *testing.T) {
+	b := newHarness(t, 1)
+	b.submitFrom("e1", jobOf("a", queue("q", 0), 1, 14000, 3*time.Second))
+	b.submitFrom("e2", jobOf("b", queue("q", 0), 1, 14000, 3*time.Second))
+	b.tick(ms)
+	var running []fleet.Running
+	for _, s := range takeEffects[fleet.Start](b) {
+		b.replyStart(s, fleet.Accepted)
+		running = append(running, fleet.Running{Task: s.Task, Run: s.Run, PercentDone: 10})
+	}
+	assert.Equal(t, len(running), 2)
+	silentSince := b.clock()
+	for range 40 {
+		b.tick(20 * ms)
+		b.hear("e2")
+		assert.Assert(t, b.answerHolds(running) <= silentSince+DefaultVouchFor.Milliseconds())
+	}
+	b.hear("e1")
+	b.tick(ms)
+	assert.Equal(t, b.answerHolds(running), b.clock()+DefaultLease.Milliseconds())
+}
+
+// handoverSim adds a coordinator to faultSim, which moves its jobs between two leaders. Both may
+// lead at the same time. The coordinator may lose its link to a leader without that one
+// noticing.
+type handoverSim struct {
+	*faultSim
+	has      [2]map[string]bool // jobs that the coordinator has with each leader
+	linked   [2]bool
+	lostAt   [2]time.Duration // when the link was lost, if the leader has not noticed
+	noticed  [2]bool
+	vouched  [2]time.Duration // time of the last heartbeat that was answered
+	beat     [2]time.Duration // time of the last heartbeat that arrived
+	beatDue  [2]time.Duration
+	oldVouch map[string]time.Duration // when former leaders were last permitted to run a job
+	begun    map[string]bool          // a leader had the job before
+}
+
+func newHandoverSim(t *rapid.T) *handoverSim {
+	s := &handoverSim{faultSim: newFaultSim(t, rapid.IntRange(2, 4).Draw(t, "targets")), oldVouch: map[string]time.Duration{}, begun: map[string]bool{}}
+	s.coordinated, s.longestRunMS = true, 3000
+	for _, x := range s.targets {
+		if side := rapid.IntRange(-1, 1).Draw(t, "unreachable for"); side >= 0 {
+			x.cut[side] = true
+		}
+	}
+	for i := range 2 {
+		s.has[i], s.linked[i], s.noticed[i] = map[string]bool{}, true, true
+		s.pools[i].BecomeLeader(s.now, uint64(1+i))
+	}
+	return s
+}
+
+// run advances the simulation and exchanges heartbeats and answers.
+func (s *handoverSim) run(d time.Duration) {
+	for end := s.now + d; s.now < end; {
+		s.advance(5 * ms)
+		for i, p := range s.pools {
+			if !s.linked[i] {
+				if !s.noticed[i] && s.now >= s.lostAt[i]+linkLossNoticed {
+					s.noticed[i] = true
+					p.CoordinatorLost(s.now, "e")
+				}
+				continue
+			}
+			if s.now >= s.beatDue[i] && p.Leading() {
+				s.beatDue[i], s.beat[i] = s.now+200*ms, s.now
+				if len(s.has[i]) > 0 {
+					s.vouched[i] = s.now
+					p.Vouched(Voucher{Coordinator: "e"}, s.now)
+				}
+			}
+		}
+	}
+}
+
+// submit submits a job to a leader.
+func (s *handoverSim) submit(to int, id string) {
+	if !s.linked[to] || !s.pools[to].Leading() {
+		return
+	}
+	s.vouched[to] = max(s.vouched[to], s.beat[to])
+	s.has[to][id] = true
+	s.pools[to].Submit(s.now, Submit{
+		Coordinator: "e", Job: s.jobs[id], NeedsVouch: true, HeartbeatAt: s.beat[to],
+		MayHaveRun: s.begun[id], VouchedAgo: s.now - s.oldVouch[id],
+	})
+	s.begun[id] = true
+}
+
+// giveUp moves the jobs of a leader to the other one.
+func (s *handoverSim) giveUp(leader int, tell bool) {
+	for id := range s.has[leader] {
+		s.oldVouch[id] = max(s.oldVouch[id], s.vouched[leader])
+		if tell && s.linked[leader] {
+			s.pools[leader].Withdraw(s.now, "e", id)
+		}
+	}
+	moved := s.has[leader]
+	s.has[leader] = map[string]bool{}
+	for i := range 60 { // in a fixed order
+		id := fmt.Sprintf("j%d", i)
+		if _, over := s.ended[leader][id]; moved[id] && !over {
+			s.submit(1-leader, id)
+		}
+	}
+}
+
+// loseLink loses the link to a leader, which notices later, and gives it up.
+func (s *handoverSim) loseLink(leader int) {
+	if s.linked[leader] {
+		s.linked[leader], s.noticed[leader], s.lostAt[leader] = false, false, s.now
+		s.giveUp(leader, false)
+	}
+}
+
+// relink restores the link to a leader, which learns from the greeting that it was lost.
+func (s *handoverSim) relink(leader int) {
+	if !s.linked[leader] {
+		s.pools[leader].CoordinatorLost(s.now, "e")
+		s.linked[leader], s.noticed[leader] = true, true
+	}
+}
+
+// Under lost links that a leader notices late, leaders that step down with runs, two leaders
+// that compete for targets, and lost or late messages: no task has two runs at one time.
+func TestNoTaskRunsTwiceWhileItsCoordinatorMovesIt(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := newHandoverSim(t)
+		for i := range rapid.IntRange(5, 50).Draw(t, "events") {
+			leader := rapid.IntRange(0, 1).Draw(t, "leader")
+			switch rapid.IntRange(0, 9).Draw(t, "event") {
+			case 0, 1, 2, 3:
+				id := fmt.Sprintf("j%d", i)
+				j := jobOf(id, queue("q", 0), rapid.IntRange(1, 4).Draw(t, "tasks"), int64(rapid.IntRange(8000, 20000).Draw(t, "cpu")), 300*ms)
+				j.Queue.Slack = 2 * time.Second
+				s.needs[id], s.jobs[id] = j.Steps[0].Needs.MilliCPU, j
+				s.submit(leader, id)
+			case 4:
+				x := s.targets[rapid.IntRange(0, len(s.targets)-1).Draw(t, "target")]
+				x.cut[leader] = !x.cut[leader]
+			case 5:
+				s.giveUp(leader, true)
+			case 6, 7:
+				s.loseLink(leader)
+			case 8:
+				s.relink(leader)
+			case 9:
+				if p := s.pools[leader]; p.Leading() {
+					p.StepDown()
+					s.giveUp(leader, false)
+				} else {
+					p.BecomeLeader(s.now, s.pools[1-leader].lastFence)
+				}
+			}
+			s.run(time.Duration(rapid.IntRange(1, 60).Draw(t, "pause")) * 5 * ms)
+		}
+		s.run(2 * time.Second)
+	})
+}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -49,6 +49,8 @@
 	JobStore                      // node: a job to store, from an entry whose writes the store rejects
 	PoolStart                     // node: a start order that the job's coordinator is to send
 	PoolStarted                   // node: the target's answer to a PoolStart
+	PoolBeat                      // node: a leader's heartbeat, passed on to the entry for which the sender relays jobs
+	PoolVouch                     // node: a coordinator still wants the jobs that it has submitted
 	maxType
 )
 
@@ -72,7 +74,7 @@
 	"", "hello", "hello_ack", "ping", "pong", "ack", "membership", "ledger", "run", "run_done", "run_cancel",
 	"forward", "forward_done", "load", "manifest_new", "manifest_get", "manifest_all",
 	"pool_beat", "pool_submit", "pool_ended", "pool_abandon", "directory", "job_ask", "job_told", "job_store",
-	"pool_start", "pool_started",
+	"pool_start", "pool_started", "pool_relayed_beat", "pool_vouch",
 }
 
 // String returns the name of the type in metrics.
