A job that returns to its leader waits for other leaders only

A coordinator whose link to a leader is reset submits its jobs there again within milliseconds. The leader made their tasks wait for 1.15 s, though it had started all that ran itself. The coordinator now names the leaders that it has given up apart from the receiver; the receiver does not wait for itself if it has led since before the job arrived and accounts for all its runs.

TestJobThatReturnsToItsLeaderWaitsForOthersOnly fails without it, and without the check of the leadership; the property test moves jobs back to their leader too.

--- a/internal/node/jobs.go
+++ b/internal/node/jobs.go
@@ -15,16 +15,16 @@
 type pendingJob struct {
 	job          fleet.Job
 	arrived      time.Duration
-	pool         int                  // the pool that the job was last submitted to, -1 before
-	tried        []int                // pools that have rejected the job
-	retryAt      time.Duration        // no submission before, after a leader was not ready
-	sentTo       string               // the leader that has the job, "" while none has
-	mayHaveRun   bool                 // an earlier leader had the job and may have started it
-	leaderLostAt time.Duration        // when that leader was lost
-	vouchedAt    time.Duration        // when the earlier leaders were last permitted to run the job
-	waiters      []chan fleet.Outcome // of the callers
-	relayFor     string               // the entry for which the job is relayed, "" if none
-	vouches      bool                 // that entry vouches for the job
+	pool         int                      // the pool that the job was last submitted to, -1 before
+	tried        []int                    // pools that have rejected the job
+	retryAt      time.Duration            // no submission before, after a leader was not ready
+	sentTo       string                   // the leader that has the job, "" while none has
+	mayHaveRun   bool                     // an earlier leader had the job and may have started it
+	leaderLostAt time.Duration            // when that leader was lost
+	formers      map[string]time.Duration // earlier leaders, and when this entry last vouched to each for the job
+	waiters      []chan fleet.Outcome     // of the callers
+	relayFor     string                   // the entry for which the job is relayed, "" if none
+	vouches      bool                     // that entry vouches for the job
 }
 
 // leaderlessTimeout is how long a job waits for a leader before it is rejected.
@@ -39,6 +39,10 @@
 	// the coordinator last vouched for the job to that leader.
 	MayHaveRun bool          `cbor:"3,keyasint,omitempty"`
 	VouchedAgo time.Duration `cbor:"4,keyasint,omitempty"`
+	// HereBefore is set if the receiver is one of the earlier leaders. VouchedElsewhereAgo then
+	// regards the others.
+	HereBefore          bool          `cbor:"11,keyasint,omitempty"`
+	VouchedElsewhereAgo time.Duration `cbor:"12,keyasint,omitempty"`
 	// Relayed jobs come from an entry that relays them, and are not relayed again.
 	Relayed bool `cbor:"5,keyasint,omitempty"`
 	// Pool is the index of the pool in the layout of the given version.
@@ -236,19 +240,21 @@
 // submitTo submits a pending job to the leader of a pool, which may be this entry.
 func (n *Node) submitTo(now time.Duration, s *shard, p *pendingJob) {
 	p.pool = s.index
-	vouchedAgo := now - p.vouchedAt
 	leader := s.decision.Leader
+	f := p.formerVouches(now, leader)
 	if leader == n.cfg.Self.Name {
 		p.sentTo = leader
 		s.pool.Submit(now, pool.Submit{
-			Coordinator: leader, Job: p.job, Waited: now - p.arrived, MayHaveRun: p.mayHaveRun, VouchedAgo: vouchedAgo,
+			Coordinator: leader, Job: p.job, Waited: now - p.arrived, MayHaveRun: p.mayHaveRun,
+			VouchedAgo: f.ago, HereBefore: f.hereBefore, VouchedElsewhereAgo: f.elsewhereAgo,
 			NeedsVouch: p.relayFor != "" && p.vouches, Origin: p.relayFor,
 		})
 		n.passBeatOn(now, p)
 		return
 	}
 	b := submitBody{
-		Job: p.job, Waited: now - p.arrived, MayHaveRun: p.mayHaveRun, VouchedAgo: vouchedAgo, Relayed: p.relayFor != "",
+		Job: p.job, Waited: now - p.arrived, MayHaveRun: p.mayHaveRun, Relayed: p.relayFor != "",
+		VouchedAgo: f.ago, HereBefore: f.hereBefore, VouchedElsewhereAgo: f.elsewhereAgo,
 		Pool: s.index, Layout: n.layout.Version, Vouches: p.relayFor == "" || p.vouches, Origin: p.relayFor,
 	}
 	if p.relayFor == "" {
@@ -286,7 +292,7 @@
 	linked := n.linked[p.sentTo]
 	n.log.Info("job", "job", p.job.ID, "outcome", "leader given up", "leader", p.sentTo, "pool", p.pool, "told", linked || p.sentTo == n.cfg.Self.Name,
 		"ms", (now - p.arrived).Milliseconds())
-	p.vouchedAt = max(p.vouchedAt, n.lastVouch(now, p.sentTo))
+	p.addFormer(p.sentTo, n.lastVouch(now, p.sentTo))
 	if linked {
 		n.sendAbandon(now, p, abandonBody{p.job.ID, otherLeader})
 	}
@@ -315,7 +321,8 @@
 	}
 	if o.Reason == verdict.NotReady {
 		if o.Verdict == verdict.MayHaveRun { // a relay returns it
-			p.mayHaveRun, p.leaderLostAt, p.vouchedAt = true, now, max(p.vouchedAt, n.lastVouch(now, from))
+			p.mayHaveRun, p.leaderLostAt = true, now
+			p.addFormer(from, n.lastVouch(now, from))
 		}
 		p.sentTo, p.retryAt = "", now+resubmitPause
 		return
@@ -391,11 +398,12 @@
 		n.acceptStored(now, b.Job, b.Waited)
 		return
 	}
-	b.VouchedAgo, b.HeartbeatAt = max(b.VouchedAgo, 0), max(b.HeartbeatAt, 0)
+	b.VouchedAgo, b.VouchedElsewhereAgo, b.HeartbeatAt = max(b.VouchedAgo, 0), max(b.VouchedElsewhereAgo, 0), max(b.HeartbeatAt, 0)
 	known := b.Layout == n.layout.Version && b.Pool >= 0 && b.Pool < len(n.shards)
 	if known && n.shards[b.Pool].pool.Leading() {
 		n.shards[b.Pool].pool.Submit(now, pool.Submit{
-			Coordinator: from, Job: b.Job, Waited: b.Waited, MayHaveRun: b.MayHaveRun, VouchedAgo: b.VouchedAgo,
+			Coordinator: from, Job: b.Job, Waited: b.Waited, MayHaveRun: b.MayHaveRun,
+			VouchedAgo: b.VouchedAgo, HereBefore: b.HereBefore, VouchedElsewhereAgo: b.VouchedElsewhereAgo,
 			NeedsVouch: b.Vouches, Origin: b.Origin, HeartbeatAt: min(b.HeartbeatAt, now),
 		})
 		return
@@ -410,8 +418,8 @@
 	}
 	n.log.Info("job", "job", b.Job.ID, "outcome", "relayed", "for", from, "pool", b.Pool, "leader", leader)
 	n.pending[b.Job.ID] = &pendingJob{
-		job: b.Job, pool: b.Pool, arrived: now - b.Waited, mayHaveRun: b.MayHaveRun, leaderLostAt: now, vouchedAt: now - b.VouchedAgo, relayFor: from,
-		vouches: b.Vouches,
+		job: b.Job, pool: b.Pool, arrived: now - b.Waited, mayHaveRun: b.MayHaveRun, leaderLostAt: now, relayFor: from,
+		vouches: b.Vouches, formers: map[string]time.Duration{from: now - b.VouchedAgo},
 	}
 }
 
--- a/internal/node/vouch.go
+++ b/internal/node/vouch.go
@@ -186,3 +186,35 @@
 	n.send(p.relayFor, wire.PoolEnded, endedBody{id, fleet.Outcome{Verdict: v, Reason: verdict.NotReady}})
 	delete(n.pending, id)
 }
+
+// addFormer records that a leader or relay is given up, and when this entry last vouched for
+// the job to it.
+func (p *pendingJob) addFormer(leader string, vouchedAt time.Duration) {
+	if p.formers == nil {
+		p.formers = make(map[string]time.Duration)
+	}
+	if at, known := p.formers[leader]; !known || vouchedAt > at {
+		p.formers[leader] = vouchedAt
+	}
+}
+
+// formerVouches tells how long ago an entry last vouched for a job to its earlier leaders.
+type formerVouches struct {
+	ago          time.Duration // to any of them
+	hereBefore   bool          // the next leader is one of them
+	elsewhereAgo time.Duration // to the others
+}
+
+// formerVouches returns what the next leader of a job needs to know of the earlier ones.
+func (p *pendingJob) formerVouches(now time.Duration, next string) formerVouches {
+	f := formerVouches{ago: pool.DefaultTakeoverDelay, elsewhereAgo: pool.DefaultTakeoverDelay}
+	for leader, at := range p.formers {
+		f.ago = min(f.ago, now-at)
+		if leader == next {
+			f.hereBefore = true
+		} else {
+			f.elsewhereAgo = min(f.elsewhereAgo, now-at)
+		}
+	}
+	return f
+}
--- a/internal/pool/job.go
+++ b/internal/pool/job.go
@@ -76,6 +76,11 @@
 	// since the coordinator last vouched for the job to that owner.
 	MayHaveRun bool
 	VouchedAgo time.Duration
+	// HereBefore is set if this owner is one of the former ones. VouchedElsewhereAgo is then
+	// the time since the coordinator last vouched for the job to another one, a long time if
+	// there is none.
+	HereBefore          bool
+	VouchedElsewhereAgo time.Duration
 	// NeedsVouch is set if runs of the job may continue only while the coordinator, or the
 	// entry Origin for which it relays the job, vouches for them. HeartbeatAt is the time of
 	// the heartbeat of this entry that the submission answers.
@@ -105,7 +110,7 @@
 		p.log("job", "job", j.ID, "outcome", "attached", "coordinator", s.Coordinator, "orphan", j.orphaned)
 		j.coordinator, j.orphaned, j.withdrawn = s.Coordinator, false, false
 		p.attachVouch(j, &s)
-		j.waitForFormerOwner(now, &s, p.cfg.TakeoverDelay)
+		p.waitForFormerOwners(now, j, &s)
 		if s.MayHaveRun {
 			j.markMayHaveStarted()
 		}
@@ -145,7 +150,7 @@
 		steps: make([][]*task, len(s.Job.Steps)), remaining: make([]int, len(s.Job.Steps)),
 	}
 	p.attachVouch(j, &s)
-	j.waitForFormerOwner(now, &s, p.cfg.TakeoverDelay)
+	p.waitForFormerOwners(now, j, &s)
 	ordinal := 0
 	for i := range j.Steps {
 		step := &j.Steps[i]
@@ -177,13 +182,38 @@
 	return j
 }
 
-// waitForFormerOwner delays the start of a job that another owner may have started,
-// until all runs of that owner are over.
-func (j *job) waitForFormerOwner(now time.Duration, s *Submit, takeoverDelay time.Duration) {
-	if s.MayHaveRun {
-		j.mayHaveRunElsewhere = true
-		j.formerRunsEnd = max(j.formerRunsEnd, now+takeoverDelay-s.VouchedAgo)
+// waitForFormerOwners delays the start of a job that other owners may have started, until all
+// their runs are over. Its own runs an owner knows.
+func (p *Pool) waitForFormerOwners(now time.Duration, j *job, s *Submit) {
+	if !s.MayHaveRun {
+		return
+	}
+	j.mayHaveRunElsewhere = true
+	vouchedAgo := s.VouchedAgo
+	if s.HereBefore && p.knowsOwnRuns(now, s) {
+		vouchedAgo = s.VouchedElsewhereAgo
+	}
+	j.formerRunsEnd = max(j.formerRunsEnd, now+p.cfg.TakeoverDelay-vouchedAgo)
+}
+
+// knowsOwnRuns reports whether this owner knows all runs that it has started of a submitted
+// job: it has led all the while since the job arrived, and still has the job or has no runs of
+// it left.
+func (p *Pool) knowsOwnRuns(now time.Duration, s *Submit) bool {
+	if p.leadingSince > now-s.Waited {
+		return false
+	}
+	if p.jobs[s.Job.ID] != nil {
+		return true
+	}
+	for _, t := range p.sortedTargets {
+		for k := range t.runs {
+			if k.taskID.Job == s.Job.ID {
+				return false
+			}
+		}
 	}
+	return true
 }
 
 // criticalPath returns the expected run time of the longest chain of dependent steps.
--- a/internal/pool/vouch_test.go
+++ b/internal/pool/vouch_test.go
@@ -56,6 +56,35 @@
 	}
 }
 
+// A coordinator's link to a leader is reset, and it submits its job again there. The leader knows
+// what it has started; after it has stepped down meanwhile, it does not.
+func TestJobThatReturnsToItsLeaderWaitsForOthersOnly(t *testing.T) {
+	for _, steppedDown := range []bool{false, true} {
+		b := newHarness(t, 1)
+		j := jobOf("j", queue("q", 0), 2, 20000, 900*ms)
+		b.submitFrom("e1", j)
+		b.tick(ms)
+		start := takeEffects[fleet.Start](b)[0]
+		b.replyStart(start, fleet.Accepted)
+		b.now += 100 * ms
+		if steppedDown {
+			b.p.StepDown()
+			b.p.BecomeLeader(b.now, 1<<30)
+			b.acquireTargets()
+		}
+		b.p.CoordinatorLost(b.now, "e1")
+		b.p.Submit(b.now, Submit{
+			Coordinator: "e1", Job: j, Waited: 101 * ms, NeedsVouch: true, HeartbeatAt: b.now,
+			MayHaveRun: true, HereBefore: true, VouchedElsewhereAgo: DefaultTakeoverDelay,
+		})
+		if !steppedDown {
+			b.endRun(start, 1, fleet.EndDone, "")
+		}
+		b.tick(ms)
+		assert.Equal(t, len(takeEffects[fleet.Start](b)) > 0, !steppedDown)
+	}
+}
+
 func TestRelayedJobNeedsTheWordOfItsOrigin(t *testing.T) {
 	b := newHarness(t, 1)
 	b.p.Submit(b.now, Submit{Coordinator: "relay", Origin: "e1", Job: jobOf("j", queue("q", 0), 1, 14000, 60*ms), NeedsVouch: true})
@@ -102,12 +131,12 @@
 	vouched  [2]time.Duration // time of the last heartbeat that was answered
 	beat     [2]time.Duration // time of the last heartbeat that arrived
 	beatDue  [2]time.Duration
-	oldVouch map[string]time.Duration // when former leaders were last permitted to run a job
-	begun    map[string]bool          // a leader had the job before
+	oldVouch [2]map[string]time.Duration // when each leader that was given up was last permitted to run a job
+	arrived  map[string]time.Duration
 }
 
 func newHandoverSim(t *rapid.T) *handoverSim {
-	s := &handoverSim{faultSim: newFaultSim(t, rapid.IntRange(2, 4).Draw(t, "targets")), oldVouch: map[string]time.Duration{}, begun: map[string]bool{}}
+	s := &handoverSim{faultSim: newFaultSim(t, rapid.IntRange(2, 4).Draw(t, "targets")), arrived: map[string]time.Duration{}}
 	s.coordinated, s.longestRunMS = true, 3000
 	for _, x := range s.targets {
 		if side := rapid.IntRange(-1, 1).Draw(t, "unreachable for"); side >= 0 {
@@ -115,7 +144,7 @@
 		}
 	}
 	for i := range 2 {
-		s.has[i], s.linked[i], s.noticed[i] = map[string]bool{}, true, true
+		s.has[i], s.linked[i], s.noticed[i], s.oldVouch[i] = map[string]bool{}, true, true, map[string]time.Duration{}
 		s.pools[i].BecomeLeader(s.now, uint64(1+i))
 	}
 	return s
@@ -151,17 +180,24 @@
 	}
 	s.vouched[to] = max(s.vouched[to], s.beat[to])
 	s.has[to][id] = true
+	ago := [2]time.Duration{DefaultTakeoverDelay, DefaultTakeoverDelay}
+	var before [2]bool
+	for i := range 2 {
+		var at time.Duration
+		if at, before[i] = s.oldVouch[i][id]; before[i] {
+			ago[i] = s.now - at
+		}
+	}
 	s.pools[to].Submit(s.now, Submit{
-		Coordinator: "e", Job: s.jobs[id], NeedsVouch: true, HeartbeatAt: s.beat[to],
-		MayHaveRun: s.begun[id], VouchedAgo: s.now - s.oldVouch[id],
+		Coordinator: "e", Job: s.jobs[id], Waited: s.now - s.arrived[id], NeedsVouch: true, HeartbeatAt: s.beat[to],
+		MayHaveRun: before[0] || before[1], VouchedAgo: min(ago[0], ago[1]), HereBefore: before[to], VouchedElsewhereAgo: ago[1-to],
 	})
-	s.begun[id] = true
 }
 
-// giveUp moves the jobs of a leader to the other one.
-func (s *handoverSim) giveUp(leader int, tell bool) {
+// giveUp moves the jobs of a leader to another one, or back to it.
+func (s *handoverSim) giveUp(leader, to int, tell bool) {
 	for id := range s.has[leader] {
-		s.oldVouch[id] = max(s.oldVouch[id], s.vouched[leader])
+		s.oldVouch[leader][id] = max(s.oldVouch[leader][id], s.vouched[leader])
 		if tell && s.linked[leader] {
 			s.pools[leader].Withdraw(s.now, "e", id)
 		}
@@ -171,7 +207,7 @@
 	for i := range 60 { // in a fixed order
 		id := fmt.Sprintf("j%d", i)
 		if _, over := s.ended[leader][id]; moved[id] && !over {
-			s.submit(1-leader, id)
+			s.submit(to, id)
 		}
 	}
 }
@@ -180,7 +216,15 @@
 func (s *handoverSim) loseLink(leader int) {
 	if s.linked[leader] {
 		s.linked[leader], s.noticed[leader], s.lostAt[leader] = false, false, s.now
-		s.giveUp(leader, false)
+		s.giveUp(leader, 1-leader, false)
+	}
+}
+
+// resetLink breaks and restores the link to a leader, which gets its jobs again.
+func (s *handoverSim) resetLink(leader int) {
+	if s.linked[leader] {
+		s.pools[leader].CoordinatorLost(s.now, "e")
+		s.giveUp(leader, leader, false)
 	}
 }
 
@@ -199,26 +243,28 @@
 		s := newHandoverSim(t)
 		for i := range rapid.IntRange(5, 50).Draw(t, "events") {
 			leader := rapid.IntRange(0, 1).Draw(t, "leader")
-			switch rapid.IntRange(0, 9).Draw(t, "event") {
+			switch rapid.IntRange(0, 11).Draw(t, "event") {
 			case 0, 1, 2, 3:
 				id := fmt.Sprintf("j%d", i)
 				j := jobOf(id, queue("q", 0), rapid.IntRange(1, 4).Draw(t, "tasks"), int64(rapid.IntRange(8000, 20000).Draw(t, "cpu")), 300*ms)
 				j.Queue.Slack = 2 * time.Second
-				s.needs[id], s.jobs[id] = j.Steps[0].Needs.MilliCPU, j
+				s.needs[id], s.jobs[id], s.arrived[id] = j.Steps[0].Needs.MilliCPU, j, s.now
 				s.submit(leader, id)
 			case 4:
 				x := s.targets[rapid.IntRange(0, len(s.targets)-1).Draw(t, "target")]
 				x.cut[leader] = !x.cut[leader]
 			case 5:
-				s.giveUp(leader, true)
-			case 6, 7:
+				s.giveUp(leader, 1-leader, true)
+			case 6:
+				s.resetLink(leader)
+			case 7, 8:
 				s.loseLink(leader)
-			case 8:
-				s.relink(leader)
 			case 9:
+				s.relink(leader)
+			case 10, 11:
 				if p := s.pools[leader]; p.Leading() {
 					p.StepDown()
-					s.giveUp(leader, false)
+					s.giveUp(leader, 1-leader, false)
 				} else {
 					p.BecomeLeader(s.now, s.pools[1-leader].lastFence)
 				}
