--- a/internal/node/greeting_test.go
+++ b/internal/node/greeting_test.go
@@ -74,7 +74,7 @@
 	assert.Equal(t, nodes[0].Linked(), 1)
 	time.Sleep(200 * time.Millisecond) // greetings arrive
 	before := log.count("lost by the peer")
-	nodes[0].post(func(now time.Duration) { nodes[0].greet(now, "b") })
+	nodes[0].post(func(now time.Duration) { nodes[0].greet(now, "b", true) })
 	time.Sleep(300 * time.Millisecond)
 	lost := log.count("lost by the peer") - before
 	assert.Assert(t, lost <= 2, "the link was taken for lost %d times in 0.3 s", lost)
--- a/internal/node/links.go
+++ b/internal/node/links.go
@@ -18,7 +18,7 @@
 	n := (*Node)(h)
 	n.post(func(now time.Duration) {
 		n.log.Info("link", "peer", p.Name, "outcome", "up")
-		n.peerLinked(now, p.Name)
+		n.peerLinked(now, p.Name, true)
 	})
 }
 
@@ -31,10 +31,11 @@
 	})
 }
 
-// peerLinked handles a new link.
-func (n *Node) peerLinked(now time.Duration, name string) {
+// peerLinked handles a new link, or one that the peer had lost, whose greeting must not be
+// answered by another one.
+func (n *Node) peerLinked(now time.Duration, name string, greeting bool) {
 	n.linked[name] = true
-	n.greet(now, name)
+	n.greet(now, name, greeting)
 	n.policiesDue = true
 }
 
@@ -62,9 +63,17 @@
 func (n *Node) greeted(now time.Duration, from string) {
 	if n.vouching.greeted[from] {
 		n.log.Info("link", "peer", from, "outcome", "lost by the peer")
+		for _, s := range n.shards {
+			n.reclaimFromLeader(now, from, s) // with withdrawals, as the peer may have got some of these jobs since
+		}
 		n.peerLost(now, from)
-		n.peerLinked(now, from)
+		n.peerLinked(now, from, false)
+	}
+	// What came on this link before the first greeting was sent for the one before it.
+	for _, s := range n.shards {
+		s.pool.CoordinatorLost(now, from)
 	}
+	n.dropRelayed(now, from)
 	n.vouching.greeted[from] = true
 }
 
@@ -272,8 +281,8 @@
 }
 
 // greet tells a new peer what it needs to know of this entry at once.
-func (n *Node) greet(now time.Duration, to string) {
-	hello := directoryBody{Self: n.cfg.Self, Greeting: true}
+func (n *Node) greet(now time.Duration, to string, greeting bool) {
+	hello := directoryBody{Self: n.cfg.Self, Greeting: greeting}
 	if n.layoutKnown {
 		l := n.layout
 		hello.Layout = &l
