Leases on targets that were idle end with the permission of their runs

The end of a lease is reckoned from the last reading of the target's clock, which may lag by 2%. A target that was idle for 20 s had no reading since, so a run there could outlast its permission by 0.27 s, and the next leader's wait. The lag is now taken off. TestLeaseOnATargetThatWasIdleEndsWithThePermission failed before.

--- a/internal/pool/target.go
+++ b/internal/pool/target.go
@@ -79,7 +79,8 @@
 	if t.clockMS == 0 {
 		return 0
 	}
-	until := t.clockMS + (now - t.clockReadAt).Milliseconds() + length.Milliseconds()
+	elapsed := float64((now - t.clockReadAt).Milliseconds()) * (1 - maxClockDrift) // the clock may be slow
+	until := t.clockMS + int64(elapsed) + length.Milliseconds()
 	t.latestLeaseMS = max(t.latestLeaseMS, until)
 	return until
 }
