Runs end in time where a coordinator is silent or a job has two

- A lease holds for all runs of a target, so one silent coordinator let the runs of others on its targets lapse after 0.8 s.
- A caller that submits its job again at another entry makes that its coordinator.
The first coordinator is now told (resubmitted) and gives the job up; until it has, its permission bounds the runs.

The harness of the tests knows that two coordinators of one job get an answer each.

--- a/internal/pool/flood_test.go
+++ b/internal/pool/flood_test.go
@@ -136,7 +136,7 @@
 
 func TestMinorityLeavesTargetsToActiveOwner(t *testing.T) {
 	p := New(DefaultSettings(), nil)
-	b := &harness{t: t, p: p, now: time.Second, ended: map[string]fleet.Outcome{}}
+	b := &harness{t: t, p: p, now: time.Second, ended: map[string]fleet.Outcome{}, resubmitted: map[string]bool{}}
 	p.SetTargets(b.now, targetList(2))
 	p.SetAcquirePolicy(b.now, func(id string) AcquirePolicy {
 		if id == "t00" {
@@ -160,7 +160,7 @@
 // late, but there is capacity for them.
 func TestJobsDelayedByTakeoverAreStarted(t *testing.T) {
 	p := New(DefaultSettings(), nil)
-	b := &harness{t: t, p: p, now: time.Second, ended: map[string]fleet.Outcome{}}
+	b := &harness{t: t, p: p, now: time.Second, ended: map[string]fleet.Outcome{}, resubmitted: map[string]bool{}}
 	p.SetTargets(b.now, targetList(8))
 	p.BecomeLeader(b.now, 1)
 	for i := range 8 {
@@ -195,7 +195,7 @@
 // targets must still be acquired within seconds.
 func TestAcquireOutbidsFencesFromClockHoursAhead(t *testing.T) {
 	p := New(DefaultSettings(), nil)
-	b := &harness{t: t, p: p, now: time.Second, ended: map[string]fleet.Outcome{}}
+	b := &harness{t: t, p: p, now: time.Second, ended: map[string]fleet.Outcome{}, resubmitted: map[string]bool{}}
 	const ahead = uint64(12 * 3600 * 1000 * fenceStep)
 	highest := map[string]uint64{}
 	p.SetTargets(b.now, targetList(6))
@@ -243,7 +243,7 @@
 // still be in time.
 func TestJobsInTimeStartBeforeLateJobs(t *testing.T) {
 	p := New(DefaultSettings(), nil)
-	b := &harness{t: t, p: p, now: time.Second, ended: map[string]fleet.Outcome{}}
+	b := &harness{t: t, p: p, now: time.Second, ended: map[string]fleet.Outcome{}, resubmitted: map[string]bool{}}
 	p.SetTargets(b.now, targetList(3))
 	p.BecomeLeader(b.now, 1)
 	for i := range 6 {
@@ -293,7 +293,7 @@
 // They are started late, but after jobs in time, and not once their latest useful start
 // has passed.
 func TestTakeoverBacklogStartsLate(t *testing.T) {
-	b := &harness{t: t, p: New(DefaultSettings(), nil), now: 10 * time.Second, ended: map[string]fleet.Outcome{}}
+	b := &harness{t: t, p: New(DefaultSettings(), nil), now: 10 * time.Second, ended: map[string]fleet.Outcome{}, resubmitted: map[string]bool{}}
 	b.p.SetTargets(b.now, targetList(1))
 	b.p.BecomeLeader(b.now, 1)
 	waited := func(id string, d time.Duration) {
--- a/internal/pool/handover_test.go
+++ b/internal/pool/handover_test.go
@@ -100,7 +100,7 @@
 // Another leader has the job of a run that this owner finds on a target, and starts its
 // task again once the lease must have expired.
 func TestLeasesOfUnknownRunsAreNotRenewed(t *testing.T) {
-	b := &harness{t: t, p: New(DefaultSettings(), nil), now: time.Second, ended: map[string]fleet.Outcome{}}
+	b := &harness{t: t, p: New(DefaultSettings(), nil), now: time.Second, ended: map[string]fleet.Outcome{}, resubmitted: map[string]bool{}}
 	b.p.SetTargets(b.now, targetList(1))
 	b.p.BecomeLeader(b.now, 7)
 	running := []fleet.Running{{Task: fleet.TaskID{Job: "elsewhere"}, Run: 3, PercentDone: 10}}
--- a/internal/pool/job.go
+++ b/internal/pool/job.go
@@ -59,8 +59,11 @@
 	endRecorded         bool          // the record of its end was emitted
 	parent              *recurringJob // the recurring job of which it is an occurrence, or nil
 	occurrence          int
+	number              uint64 // of the coordinator's last submission
 	vouch               *vouch // of its coordinator; nil if its runs need none
-	withdrawn           bool   // its runs may continue until withdrawnUntil only
+	earlier             []earlierCoordinator
+	movedAway           bool // its coordinator submits it to another owner
+	withdrawn           bool // its runs may continue until withdrawnUntil only
 	withdrawnUntil      time.Duration
 	orphaned            bool          // its caller or coordinator has disconnected, or its coordinator has withdrawn it
 	orphanUntil         time.Duration // when the runs of the orphaned job are stopped
@@ -70,6 +73,7 @@
 type Submit struct {
 	Coordinator string // entry that keeps the caller's connection
 	Job         fleet.Job
+	Number      uint64 // chosen by the coordinator, which expects it in the answer
 	// Waited is the time since the job arrived from the caller.
 	Waited time.Duration
 	// MayHaveRun is set if a former owner may have started the job. VouchedAgo is the time
@@ -98,17 +102,18 @@
 		return
 	}
 	if !p.leading {
-		p.emit(Ended{s.Coordinator, s.Job.ID, fleet.Outcome{Verdict: verdict.NotRun, Reason: verdict.NotReady}})
+		p.emit(Ended{s.Coordinator, s.Job.ID, s.Number, fleet.Outcome{Verdict: verdict.NotRun, Reason: verdict.NotReady}})
 		return
 	}
 	if k, ok := p.keptOutcomes[s.Job.ID]; ok {
 		p.log("job", "job", s.Job.ID, "outcome", "answered from kept outcome", "coordinator", s.Coordinator)
-		p.emit(Ended{s.Coordinator, s.Job.ID, k.outcome})
+		p.emit(Ended{s.Coordinator, s.Job.ID, s.Number, k.outcome})
 		return
 	}
 	if j := p.jobs[s.Job.ID]; j != nil {
 		p.log("job", "job", j.ID, "outcome", "attached", "coordinator", s.Coordinator, "orphan", j.orphaned)
-		j.coordinator, j.orphaned, j.withdrawn = s.Coordinator, false, false
+		p.changeCoordinator(now, j, &s)
+		j.coordinator, j.number, j.orphaned, j.withdrawn, j.movedAway = s.Coordinator, s.Number, false, false, false
 		p.attachVouch(j, &s)
 		p.waitForFormerOwners(now, j, &s)
 		if s.MayHaveRun {
@@ -145,7 +150,7 @@
 func (p *Pool) newJob(now time.Duration, s Submit) *job {
 	q := p.queueFor(&s.Job.Queue)
 	j := &job{
-		Job: s.Job, queueState: q, coordinator: s.Coordinator, arrived: now - s.Waited,
+		Job: s.Job, queueState: q, coordinator: s.Coordinator, number: s.Number, arrived: now - s.Waited,
 		mayHaveRunElsewhere: s.MayHaveRun, mayHaveStarted: s.MayHaveRun,
 		steps: make([][]*task, len(s.Job.Steps)), remaining: make([]int, len(s.Job.Steps)),
 	}
@@ -383,7 +388,7 @@
 		p.keptOutcomes[j.ID] = keptOutcome{o, now + keepOutcomeFor}
 	}
 	if !j.orphaned {
-		p.emit(Ended{j.coordinator, j.ID, o})
+		p.emit(Ended{j.coordinator, j.ID, j.number, o})
 	}
 }
 
@@ -405,7 +410,11 @@
 // reconnects.
 func (p *Pool) Abandon(now time.Duration, coordinator, id string) {
 	j := p.jobs[id]
-	if j == nil || j.Stored || j.coordinator != coordinator {
+	if j == nil || j.Stored {
+		return
+	}
+	if j.coordinator != coordinator {
+		j.dropEarlier(coordinator)
 		return
 	}
 	p.orphanJob(now, j, now+p.cfg.OrphanGrace)
@@ -418,6 +427,7 @@
 	if j == nil || j.Stored || j.coordinator != coordinator {
 		return
 	}
+	j.movedAway = true
 	p.orphanJob(now, j, now)
 }
 
@@ -456,7 +466,7 @@
 func (p *Pool) dropOrphan(now time.Duration, j *job) {
 	if len(j.currentRuns()) == 0 {
 		delete(p.jobs, j.ID)
-	} else if now >= j.orphanUntil {
+	} else if now >= min(j.orphanUntil, j.withdrawnUntil-stopMargin) {
 		for _, r := range j.currentRuns() {
 			p.stopRun(now, r, "caller or coordinator gone")
 		}
@@ -466,7 +476,7 @@
 // expireOrphans stops the runs of orphaned jobs whose grace period is over.
 func (p *Pool) expireOrphans(now time.Duration) {
 	for _, j := range p.jobs {
-		if j.orphaned && now >= j.orphanUntil {
+		if j.orphaned {
 			p.dropOrphan(now, j)
 		}
 	}
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -73,6 +73,7 @@
 type Ended struct {
 	Coordinator string
 	Job         string
+	Number      uint64 // of the submission that this answers
 	Outcome     fleet.Outcome
 }
 
@@ -226,6 +227,7 @@
 	p.sendHolds(now)
 	p.stopUnclaimed(now)
 	p.expireOrphans(now)
+	p.stopUnpermitted(now)
 	p.endEjections(now)
 	p.removeUnlisted(now)
 	p.tickStored(now)
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -21,12 +21,14 @@
 	now     time.Duration
 	ended   map[string]fleet.Outcome
 	pending []Effect // effects that no test took yet
+	// resubmitted holds "coordinator job" of those whose job has another coordinator.
+	resubmitted map[string]bool
 }
 
 // newHarness returns a harness whose pool owns its targets.
 func newHarness(t *testing.T, targets int) *harness {
 	t.Helper()
-	b := &harness{t: t, p: New(DefaultSettings(), nil), now: 10 * time.Second, ended: map[string]fleet.Outcome{}}
+	b := &harness{t: t, p: New(DefaultSettings(), nil), now: 10 * time.Second, ended: map[string]fleet.Outcome{}, resubmitted: map[string]bool{}}
 	b.p.SetTargets(b.now, targetList(targets))
 	b.p.BecomeLeader(b.now, 1)
 	b.acquireTargets()
@@ -99,9 +101,15 @@
 func (b *harness) submit(j fleet.Job) { b.p.Submit(b.now, Submit{Coordinator: "e1", Job: j}) }
 
 // outcomes returns the outcomes of all jobs that have ended. It fails the test if a job
-// ended twice.
+// ended twice. A coordinator that is told of another one for its job gets that answer only.
 func (b *harness) outcomes() map[string]fleet.Outcome {
 	for _, e := range takeEffects[Ended](b) {
+		if e.Outcome.Reason == verdict.Resubmitted {
+			assert.Assert(b.t, !b.resubmitted[e.Coordinator+" "+e.Job], "%s was told twice", e.Coordinator)
+			b.resubmitted[e.Coordinator+" "+e.Job] = true
+			continue
+		}
+		assert.Assert(b.t, !b.resubmitted[e.Coordinator+" "+e.Job], "%s has two answers", e.Coordinator)
 		_, twice := b.ended[e.Job]
 		assert.Assert(b.t, !twice, "%s ended twice", e.Job)
 		b.ended[e.Job] = e.Outcome
@@ -201,7 +209,7 @@
 
 func TestTakeoverAdoptsKnownRunsAndStopsUnclaimedRuns(t *testing.T) {
 	p := New(DefaultSettings(), nil)
-	b := &harness{t: t, p: p, now: time.Second, ended: map[string]fleet.Outcome{}}
+	b := &harness{t: t, p: p, now: time.Second, ended: map[string]fleet.Outcome{}, resubmitted: map[string]bool{}}
 	p.SetTargets(b.now, targetList(1))
 	p.BecomeLeader(b.now, 7)
 	patient := queue("patient", 1)
--- a/internal/pool/vouch.go
+++ b/internal/pool/vouch.go
@@ -2,7 +2,11 @@
 
 import (
 	"math"
+	"slices"
 	"time"
+
+	"currantstall/internal/fleet"
+	"currantstall/internal/verdict"
 )
 
 // A leader starts and renews the runs of a job only on the word of the job's coordinator: the
@@ -55,7 +59,9 @@
 	if s.NeedsVouch {
 		by := Voucher{s.Coordinator, s.Origin}
 		j.vouch = p.vouchOf(by)
-		p.Vouched(by, s.HeartbeatAt)
+		if s.HeartbeatAt > 0 {
+			p.Vouched(by, s.HeartbeatAt)
+		}
 	}
 }
 
@@ -71,15 +77,66 @@
 // permittedUntil returns until when the runs of a job may continue. Those of stored jobs are
 // bounded by the ownership of these jobs.
 func (p *Pool) permittedUntil(j *job) time.Duration {
+	until := forever
 	switch {
 	case j.withdrawn:
 		return j.withdrawnUntil
 	case j.Stored || j.vouch == nil:
-		return forever
 	case !j.vouch.known:
 		return 0
+	default:
+		until = j.vouch.heardAt + p.cfg.VouchFor
+	}
+	for _, e := range j.earlier {
+		until = min(until, e.permittedUntil)
+	}
+	return until
+}
+
+// earlierCoordinator is a coordinator of a job whose caller has submitted the job again at
+// another entry. Until it has given the job up, it may hand it to another leader.
+type earlierCoordinator struct {
+	name           string
+	permittedUntil time.Duration
+}
+
+// changeCoordinator prepares a job that is known here for a submission, which may be of another
+// coordinator than the present one.
+func (p *Pool) changeCoordinator(now time.Duration, j *job, s *Submit) {
+	if s.Coordinator == j.coordinator {
+		return
+	}
+	if j.movedAway {
+		j.formerRunsEnd = max(j.formerRunsEnd, now+p.cfg.TakeoverDelay)
+	}
+	if until := p.permittedUntil(j); until > now && until < forever {
+		j.earlier = append(j.earlier, earlierCoordinator{j.coordinator, until})
+	}
+	if !j.orphaned {
+		p.emit(Ended{j.coordinator, j.ID, j.number, fleet.Outcome{Verdict: verdict.MayHaveRun, Reason: verdict.Resubmitted}})
+	}
+}
+
+// dropEarlier forgets an earlier coordinator, which has given the job up.
+func (j *job) dropEarlier(coordinator string) {
+	j.earlier = slices.DeleteFunc(j.earlier, func(e earlierCoordinator) bool { return e.name == coordinator })
+}
+
+// stopMargin is how long before the end of their permission runs are stopped, so that the leases
+// of other runs on the same target need not end with it.
+const stopMargin = 250 * time.Millisecond
+
+// stopUnpermitted stops the runs of jobs whose permission is about to end.
+func (p *Pool) stopUnpermitted(now time.Duration) {
+	for _, j := range p.jobs {
+		if j.orphaned || p.permittedUntil(j) > now+stopMargin {
+			continue
+		}
+		for _, r := range j.currentRuns() {
+			p.stopRun(now, r, "coordinator silent")
+		}
+		j.earlier = slices.DeleteFunc(j.earlier, func(e earlierCoordinator) bool { return e.permittedUntil <= now })
 	}
-	return j.vouch.heardAt + p.cfg.VouchFor
 }
 
 // limitRuns ends the permission of a job that is orphaned or has ended: its runs may outlast
--- a/internal/verdict/reason.go
+++ b/internal/verdict/reason.go
@@ -32,7 +32,10 @@
 	Draining           Reason = "draining"
 	NotReady           Reason = "not_ready"
 	Cancelled          Reason = "cancelled"
-	MemoryFull         Reason = "memory_full"
+	// Resubmitted means that the caller has submitted the job again at another entry, which
+	// answers it.
+	Resubmitted Reason = "resubmitted"
+	MemoryFull  Reason = "memory_full"
 )
 
 // Reasons from claiming a key.
