Jobs reach a leader over several entries

Callers of one entry were told not_run (no_target) 0.8 s after their job, though the entry said it was ready and the jobs of all others ran. Seen once after the restart of all entries, in TestLargeDeploymentServesAfterTheLossOfAllEntries (33 of 40 complete). The seven refused jobs are those of one entry whose IDs choose the first pool; its three jobs for the second pool ran.

Entries that start at nearly the same time are not all linked at first. One without a link to the leader follows a linked entry that follows it, which relays its jobs; that entry may itself follow another one. The election allowed any number of entries in between, but a job that had been relayed once was refused as not ready until its time was over.

Such a job is now relayed on. Entries tell how many others are between them and the leader; the nearest is followed, and MaxRelays limits the number, for jobs too. The limit also ends a circle of entries that follow each other without a leader, which lasted until they were linked. A job that comes back to an entry which has it is still refused.

The log of the run that was seen has not been kept, so that the missing links are inferred from the jobs that were refused.

--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -50,8 +50,14 @@
 	// Successor is the entry to which a leader that yields or stops hands the pool over. A
 	// former leader still names it for a while.
 	Successor string `cbor:"12,keyasint,omitempty"`
+	// Relays is the number of entries between this one and the leader.
+	Relays int `cbor:"13,keyasint,omitempty"`
 }
 
+// MaxRelays is the largest number of entries between an entry and the leader that it
+// follows. The limit ends a circle of entries that follow each other without a leader.
+const MaxRelays = 3
+
 // leadPenalty orders the entries for succession: an entry with a higher value
 // should lead only if none with a lower one can.
 func (hb *Heartbeat) leadPenalty() int {
@@ -223,7 +229,7 @@
 	e.considerYielding(now)
 	e.chooseSuccessor(now)
 	if relay, ok := e.relay(); ok && e.leadsNothing(now) {
-		return e.follow(relay)
+		return e.followRelay(relay)
 	}
 	if leader, ok := e.strongestLeader(); ok {
 		e.leaderless = false
@@ -236,7 +242,7 @@
 		if now < e.leaderlessSince+relayGrace {
 			return e.follow("") // the relay may not have noticed the loss yet
 		}
-		return e.follow(relay)
+		return e.followRelay(relay)
 	}
 	if now >= max(e.mayLeadAt, e.leaderlessSince)+e.leadDelay() {
 		return e.lead(now)
@@ -323,13 +329,20 @@
 	if leader == e.self {
 		return Decision{Leader: e.self, Leading: true, Term: e.heartbeat.Term}
 	}
-	e.heartbeat.Leading, e.heartbeat.Leader = false, leader
+	e.heartbeat.Leading, e.heartbeat.Leader, e.heartbeat.Relays = false, leader, 0
 	if leader != "" {
 		e.heartbeat.Yielding = false
 	}
 	return Decision{Leader: leader}
 }
 
+// followRelay follows a peer that follows a leader.
+func (e *Election) followRelay(relay string) Decision {
+	d := e.follow(relay)
+	e.heartbeat.Relays = e.peers[relay].Relays + 1
+	return d
+}
+
 // leadsNothing reports whether this entry leads without any target, so that a leader out
 // of its reach may have them.
 func (e *Election) leadsNothing(now time.Duration) bool {
@@ -362,6 +375,7 @@
 func (e *Election) lead(now time.Duration) Decision {
 	e.heartbeat.Term = e.highestTerm() + 1
 	e.heartbeat.Leading, e.heartbeat.Leader, e.heartbeat.Yielding, e.heartbeat.Successor = true, "", false, ""
+	e.heartbeat.Relays = 0
 	e.leaderless, e.leadsSince = false, now
 	return Decision{Leader: e.self, Leading: true, Term: e.heartbeat.Term}
 }
@@ -415,15 +429,15 @@
 	return false
 }
 
-// relay returns a peer that follows a leader out of this entry's reach.
+// relay returns the peer over which this entry reaches a leader that it is not linked to.
 func (e *Election) relay() (string, bool) {
 	best := ""
 	for name, hb := range e.peers {
 		_, linked := e.peers[hb.Leader]
-		if hb.Leader == "" || hb.Leader == e.self || linked || hb.Stopping {
+		if hb.Leader == "" || hb.Leader == e.self || linked || hb.Stopping || hb.Relays < 0 || hb.Relays >= MaxRelays {
 			continue
 		}
-		if best == "" || name < best {
+		if best == "" || cmp.Or(cmp.Compare(hb.Relays, e.peers[best].Relays), cmp.Compare(name, best)) < 0 {
 			best = name
 		}
 	}
--- a/internal/election/election_test.go
+++ b/internal/election/election_test.go
@@ -125,3 +125,21 @@
 	assert.Equal(t, countLeaders(got), 1)
 	assert.Assert(t, got["e1"].Leader != "")
 }
+
+// Entries that follow each other in a circle would have no leader for as long as the links
+// between them are missing.
+func TestCircleOfRelaysWithoutLeaderIsLeft(t *testing.T) {
+	c := newCluster(4)
+	c.cutLink("e0", "e2")
+	c.cutLink("e1", "e3")
+	c.now = time.Minute
+	for name, next := range map[string]string{"e0": "e1", "e1": "e2", "e2": "e3", "e3": "e0"} {
+		e := c.entries[name]
+		e.heartbeat.Claim, e.leaderless = Claim{Leader: next, Term: 1}, true
+	}
+	got := c.run(5 * time.Second)
+	assert.Assert(t, countLeaders(got) > 0, "%v", got)
+	for name, d := range got {
+		assert.Assert(t, d.Leader != "", "%s follows no leader", name)
+	}
+}
--- a/internal/node/jobs.go
+++ b/internal/node/jobs.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"currantstall/internal/election"
 	"currantstall/internal/fleet"
 	"currantstall/internal/pool"
 	"currantstall/internal/verdict"
@@ -23,6 +24,7 @@
 	leaderLostAt time.Duration        // when that leader was lost
 	waiters      []chan fleet.Outcome // of the callers
 	relayFor     string               // the entry for which the job is relayed, "" if none
+	relays       int                  // how many entries have relayed the job, this one included
 }
 
 // leaderlessTimeout is how long a job waits for a leader before it is rejected.
@@ -37,11 +39,12 @@
 	// time since that leader was lost.
 	MayHaveRun bool          `cbor:"3,keyasint,omitempty"`
 	LostAgo    time.Duration `cbor:"4,keyasint,omitempty"`
-	// Relayed jobs come from an entry that relays them, and are not relayed again.
+	// Relayed jobs come from an entry that relays them. Relays counts these entries.
 	Relayed bool `cbor:"5,keyasint,omitempty"`
 	// Pool is the index of the pool in the layout of the given version.
 	Pool   int    `cbor:"6,keyasint,omitempty"`
 	Layout uint64 `cbor:"7,keyasint,omitempty"`
+	Relays int    `cbor:"8,keyasint,omitempty"`
 }
 
 // endedBody is the body of wire.PoolEnded, with which the leader sends the outcome of
@@ -237,7 +240,7 @@
 	}
 	sent := n.send(leader, wire.PoolSubmit, submitBody{
 		Job: p.job, Waited: now - p.arrived, MayHaveRun: p.mayHaveRun, LostAgo: lostAgo, Relayed: p.relayFor != "",
-		Pool: s.index, Layout: n.layout.Version,
+		Pool: s.index, Layout: n.layout.Version, Relays: p.relays,
 	})
 	if sent {
 		p.sentTo = leader
@@ -355,7 +358,7 @@
 
 // handleSubmit handles a job from another entry. A stored job goes to this entry's pool.
 // Another job goes to its pool if this entry leads it; otherwise it is relayed to the
-// leader, or rejected as not ready if it is relayed already, is pending here, has no
+// leader, or rejected as not ready if it was relayed too often, is pending here, has no
 // leader other than the sender, or names a pool of another layout.
 func (n *Node) handleSubmit(now time.Duration, from string, b submitBody) {
 	if err := b.Job.Validate(); err != nil {
@@ -378,16 +381,26 @@
 	if known {
 		leader = n.shards[b.Pool].decision.Leader
 	}
-	if b.Relayed || leader == "" || leader == from || n.pending[b.Job.ID] != nil {
+	if b.relays() >= election.MaxRelays || leader == "" || leader == from || n.pending[b.Job.ID] != nil {
 		n.send(from, wire.PoolEnded, endedBody{b.Job.ID, fleet.Outcome{Verdict: verdict.NotRun, Reason: verdict.NotReady}})
 		return
 	}
 	n.log.Info("job", "job", b.Job.ID, "outcome", "relayed", "for", from, "pool", b.Pool, "leader", leader)
 	n.pending[b.Job.ID] = &pendingJob{
 		job: b.Job, pool: b.Pool, arrived: now - b.Waited, mayHaveRun: b.MayHaveRun, leaderLostAt: now - b.LostAgo, relayFor: from,
+		relays: b.relays() + 1,
 	}
 }
 
+// relays returns how many entries have relayed the job. Entries of earlier releases do not
+// count them.
+func (b *submitBody) relays() int {
+	if b.Relayed {
+		return max(b.Relays, 1)
+	}
+	return 0
+}
+
 // rejectInvalid counts and logs an invalid job from a peer.
 func (n *Node) rejectInvalid(from string, err error) {
 	n.counts.invalid.Inc(1)
--- a/internal/node/links.go
+++ b/internal/node/links.go
@@ -156,6 +156,7 @@
 				flags |= 1 << i
 			}
 		}
+		flags |= uint64(c.Relays) << 3
 		st.changes = rendezvous.WeightHashed(st.changes, rendezvous.Hash(c.Leader)+c.Term<<8+flags)
 	}
 	return st
