A refusal after a lost forward may have run

Callers could be told not_run for a key that ran. An entry outside the view forwards work to a member. If the link to that member ends first, it forwards the work to another one. When that one refused the key, its not_run went to the caller, though it only covers copies that entries have received. The first member may have been paused or cut off with the copy still unread: it can run the work once the refusal mark of the key is over.

The verdict is now may_have_run if an entry was sent the work and neither answered nor declined.

TestRefusalAfterADeclinedForwardIsNotRun holds that a declined copy still permits not_run.

--- a/internal/engine/cancel.go
+++ b/internal/engine/cancel.go
@@ -57,10 +57,10 @@
 	for _, name := range e.Links.Linked(e.DC) {
 		g.Go(func() error {
 			req := &forward{Op: opCancelLocal, Key: k, Remaining: remaining(ctx)}
-			o, answered := e.forwarder.callPeer(ctx, name, req)
-			if answered && o != nil && o.Reason != verdict.NotFound {
+			d, _ := e.forwarder.callPeer(ctx, name, req)
+			if d != nil && !d.Declined && d.Outcome != nil && d.Outcome.Reason != verdict.NotFound {
 				select {
-				case found <- o:
+				case found <- d.Outcome:
 				default:
 				}
 			}
--- a/internal/engine/forward.go
+++ b/internal/engine/forward.go
@@ -153,14 +153,19 @@
 // call sends the request to one linked entry of the key's data centre after the
 // other until one responds or ctx ends.
 func (f *forwarder) call(ctx context.Context, req *forward) (*structs.Outcome, error) {
+	lost := false // an entry got the request and did not respond
 	for try := 0; ; try++ {
 		names := f.e.Links.Linked(req.Key.DC)
 		if len(names) > 0 {
 			to := names[(int(req.Key.Hash()%uint64(len(names)))+try)%len(names)]
-			o, answered := f.callPeer(ctx, to, req)
-			if answered {
-				return o, nil
+			d, sent := f.callPeer(ctx, to, req)
+			switch {
+			case d != nil && !d.Declined && lost && req.Op == opSubmit:
+				return weakenAfterLoss(d.Outcome), nil
+			case d != nil && !d.Declined:
+				return d.Outcome, nil
 			}
+			lost = lost || sent && d == nil
 		}
 		if sleep.For(ctx, forwardRetryDelay) != nil {
 			return nil, unreachable(req.Key)
@@ -168,9 +173,21 @@
 	}
 }
 
-// callPeer sends the request to one entry. answered is false if the entry
-// declined, was lost or did not respond in time.
-func (f *forwarder) callPeer(ctx context.Context, to string, req *forward) (o *structs.Outcome, answered bool) {
+// weakenAfterLoss turns NotRun into MayHaveRun. An entry that was paused or cut off
+// may read the work that it was sent after another entry has refused the key.
+func weakenAfterLoss(o *structs.Outcome) *structs.Outcome {
+	if o == nil || o.Verdict != verdict.NotRun {
+		return o
+	}
+	weak := *o
+	weak.Verdict = verdict.MayHaveRun
+	return &weak
+}
+
+// callPeer sends the request to one entry and returns its response, nil if the entry
+// was lost or did not respond in time. sent is false if the entry can't have got the
+// request.
+func (f *forwarder) callPeer(ctx context.Context, to string, req *forward) (d *forwardDone, sent bool) {
 	c := f.register(to, req)
 	defer f.unregister(req.ID)
 	m, err := wire.NewMessage(wire.Forward, req)
@@ -183,11 +200,11 @@
 	}
 	select {
 	case d := <-c.done:
-		return d.Outcome, !d.Declined
+		return d, true
 	case <-c.lost:
-		return nil, false
+		return nil, true
 	case <-ctx.Done():
-		return nil, false
+		return nil, true
 	}
 }
 
