A job that is about to start at a peer leaves room for others

Callers of an entry that owns no target were told not_run (no_target) while workers of its peers were free. A peer's load report can be made between the moment at which a job is queued there and the one at which it starts. It then shows a queue beside free slots, and the entry took a peer with a queue for one without room. It refused every job until the next report, which a busy peer sends late.

An entry without targets has no better option than to wait at a peer. It now counts the free or guaranteed slots of a peer with a queue as well; before, it did so for guaranteed slots only if they were more than the free ones.

--- a/internal/engine/load.go
+++ b/internal/engine/load.go
@@ -134,10 +134,10 @@
 			continue
 		}
 		free, queued := k.Free, k.Queued
-		if s.pool.index.Len() == 0 && k.GuaranteedRoom > free {
+		if s.pool.index.Len() == 0 {
 			// This entry has no target, so waiting for the next guaranteed slots
-			// of a peer is the best option.
-			free, queued = k.GuaranteedRoom, 0
+			// of a peer is the best option, behind the tasks that wait there.
+			free, queued = max(free, k.GuaranteedRoom), 0
 		}
 		loads = append(loads, placement.PeerLoad{
 			Member: name,
