Entries without targets count a peer's room until its load is stale

Callers of an entry that owns no target could be told not_run (no_target) while a peer had room. The free slots in a load report count for less as the report grows older, and the tasks sent since are subtracted from what is left. With one task under way, a report of two free slots counted as no room after half a second, so that jobs were refused until a busy peer sent the next report.

The discount spreads offloads. An entry with targets of its own has something else to do with a job; one without has not, so it now queues the job until a newer report or the result of a task makes room, for as many slots as the last report shows. What is offloaded when has not changed.

TestEntryWithoutTargetsCountsThePeersRoomUntilTheLoadIsStale and TestEntryWithoutTargetsQueuesJobsUntilTheNextLoadReport failed without it.

--- a/internal/engine/load.go
+++ b/internal/engine/load.go
@@ -174,7 +174,7 @@
 // start. The caller holds the lock.
 func (s *scheduler) setPeerCapacity(now time.Time) {
 	for _, name := range s.queue.Kinds() {
-		units, wait := placement.PeerCapacity(s.placementLoads(now, name))
+		units, wait := placement.PeerCapacity(s.placementLoads(now, name), s.pool.index.Len() == 0)
 		s.queue.SetPeerCapacity(name, units, wait)
 	}
 }
--- a/internal/engine/load_test.go
+++ b/internal/engine/load_test.go
@@ -39,3 +39,21 @@
 	<-first.done
 	assert.Equal(t, len(w.Starts()), 2)
 }
+
+// With a task under way at the peer, a load report that was some 100 ms old counted as no
+// room.
+func TestEntryWithoutTargetsQueuesJobsUntilTheNextLoadReport(t *testing.T) {
+	n, c := newFakeNet(), newFakeClaims()
+	e := n.newEngine(t, "e2", "a", c)
+	t.Cleanup(e.Close)
+	n.newEngine(t, "e1", "a", c)
+	s := e.jobs
+	s.receiveLoad("e1", &loadReport{Class: structs.Job, Member: true, Kinds: []kindLoad{{Kind: "dusk", Free: 2}}})
+	ex := newExecution(context.Background(), newWork(t, "dusk", structs.Job, 1), e.answerMemory, func(structs.Outcome) {})
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.peerLoads["e1"].kinds["dusk"].sent = 1
+	s.setPeerCapacity(s.peerLoads["e1"].receivedAt.Add(600 * time.Millisecond))
+	err := s.enqueue(newTasks(ex, false))
+	assert.Assert(t, err == nil, "%v", err)
+}
--- a/internal/placement/handoff.go
+++ b/internal/placement/handoff.go
@@ -114,11 +114,16 @@
 }
 
 // PeerCapacity returns how many units peers could start now, and the shortest
-// time until one of them could. See admission.Queue.SetPeerCapacity.
-func PeerCapacity(peers []PeerLoad) (units int, wait time.Duration) {
+// time until one of them could. See admission.Queue.SetPeerCapacity. If this entry
+// has no target, its units can only wait for a newer load of a peer, so a load
+// counts in full until it is stale.
+func PeerCapacity(peers []PeerLoad, noTarget bool) (units int, wait time.Duration) {
 	for i := range peers {
-		p := &peers[i]
-		n := usableCapacity(p, 1)
+		p := peers[i]
+		if noTarget && p.Age < loadStaleAfter {
+			p.Age = 0
+		}
+		n := usableCapacity(&p, 1)
 		if n <= 0 {
 			continue
 		}
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -331,3 +331,19 @@
 		AssignOwners(members, targets)
 	}
 }
+
+// An entry without targets refused jobs while a peer had room: with a task under way there,
+// a load report that was some 100 ms old counted as no room.
+func TestEntryWithoutTargetsCountsThePeersRoomUntilTheLoadIsStale(t *testing.T) {
+	const ms = time.Millisecond
+	for _, c := range []struct {
+		age                time.Duration
+		noTarget, atTarget int
+	}{{0, 2, 2}, {400 * ms, 2, 0}, {loadStaleAfter - ms, 2, 0}, {loadStaleAfter, 0, 0}} {
+		peers := []PeerLoad{{Member: "e1", Free: 3, Sent: 1, Age: c.age}}
+		units, _ := PeerCapacity(peers, true)
+		assert.Equal(t, units, c.noTarget, "%v", c.age)
+		units, _ = PeerCapacity(peers, false)
+		assert.Equal(t, units, c.atTarget, "%v", c.age)
+	}
+}
