An entry asks for the members when a peer names a leader that it does not know

Entries that start at nearly the same time read the list of members before the other one is in it, and read it again after 2 s. Until then they are not linked, and each reaches the pools of the other over a third entry only.

If a heartbeat names a leader that is not a known member, the entry now asks that peer for the members that it knows, at most every 2 s. It does so only where all entries link to each other: there the list is short.

TestMembersAreRequestedFromAPeerThatNamesAnUnknownLeader failed before. TestJobsReachALeaderOverTwoOtherEntries refuses links other than those of the chain, which the entries would now find.

--- a/internal/node/directory.go
+++ b/internal/node/directory.go
@@ -59,6 +59,7 @@
 // directory is a node's knowledge of the deployment, with its age. It belongs to the
 // node's loop.
 type directory struct {
+	self      string
 	targets   []fleet.Target
 	targetsAt time.Duration // when the list was current at the platform
 	hasList   bool
@@ -128,7 +129,7 @@
 		}
 		want.Config = config == 0 || now >= d.behindSince+configGrace
 	}
-	if d.membersOld(now) && now >= d.membersAskedAt+memberRequestInterval {
+	if (d.membersOld(now) || d.lacksLeader(&b)) && now >= d.membersAskedAt+memberRequestInterval {
 		want.Members = true
 	}
 	want.Targets = (d.hasList || trusted) && d.targetsAge(now) > d.targetInterval+maxTargetListAge && b.TargetsAge+maxTargetListAge/2 < d.targetsAge(now)
--- a/internal/node/directory_test.go
+++ b/internal/node/directory_test.go
@@ -1,10 +1,14 @@
 package node
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"currantstall/internal/election"
+	"currantstall/internal/fleet"
 )
 
 const ms = time.Millisecond
@@ -60,3 +64,31 @@
 	assert.Assert(t, ok)
 	assert.Equal(t, want, directoryRequest{Config: true, Targets: true})
 }
+
+// Entries that started at the same time did not know each other for as long as 2 s. One that
+// led a pool was out of reach of the other, which had its jobs relayed.
+func TestMembersAreRequestedFromAPeerThatNamesAnUnknownLeader(t *testing.T) {
+	const now = 10 * time.Second
+	d := newDirectory()
+	d.self, d.hasList, d.targetsAt, d.liveAt = "e1", true, now, now
+	d.members["e2"] = fleet.Member{Name: "e2"}
+	named := func(leader string) heartbeatBody {
+		return heartbeatBody{Pools: []poolReport{{Claim: election.Claim{Leader: leader}}}}
+	}
+	for _, known := range []string{"", "e1", "e2"} {
+		_, ok := d.requestFrom(now, "e2", named(known), 0, 0)
+		assert.Assert(t, !ok, "leader %q", known)
+	}
+	want, ok := d.requestFrom(now, "e2", named("e3"), 0, 0)
+	assert.Assert(t, ok)
+	assert.Equal(t, want, directoryRequest{Members: true})
+	want, _ = d.requestFrom(now+memberRequestInterval-ms, "e2", named("e3"), 0, 0)
+	assert.Assert(t, !want.Members, "the peer may not know it either")
+
+	d.membersAskedAt, d.requestedAt, d.requestedOf = 0, 0, ""
+	for i := range fullMeshEntries {
+		d.members[fmt.Sprint("f", i)] = fleet.Member{}
+	}
+	_, ok = d.requestFrom(now, "e2", named("e3"), 0, 0)
+	assert.Assert(t, !ok, "a long list is not sent over many links")
+}
--- a/internal/node/linkplan.go
+++ b/internal/node/linkplan.go
@@ -153,6 +153,19 @@
 	return !maps.EqualFunc(before, p.wantedAt, func(a, b time.Duration) bool { return true })
 }
 
+// lacksLeader reports whether a heartbeat names a leader that is not a known member. Entries
+// that start at the same time read the platform's list before they are both in it. In a
+// large deployment, where lists are long, they wait for the next read.
+func (d *directory) lacksLeader(b *heartbeatBody) bool {
+	if len(d.members) > fullMeshEntries {
+		return false
+	}
+	return slices.ContainsFunc(b.Pools, func(r poolReport) bool {
+		_, known := d.members[r.Claim.Leader]
+		return !known && r.Claim.Leader != "" && r.Claim.Leader != d.self
+	})
+}
+
 // redialInterval is the time between two early dials of one entry.
 const redialInterval = 200 * time.Millisecond
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -131,6 +131,7 @@
 		directory: newDirectory(), stored: newStoredJobs(&cfg),
 		lane: startLane{bytesPerSecond: cfg.LinkBytesPerSecond, delegatedBytes: make(map[string]int)}, delegated: delegations{open: make(map[uint64]delegatedStart)},
 	}
+	n.directory.self = cfg.Self.Name
 	n.joined = uint64(time.Now().UnixMilli())
 	n.targetInterval.Store(int64(minTargetInterval))
 	n.layout, n.layoutKnown = fleet.DefaultLayout(), cfg.Layouts == nil
--- a/internal/node/relay_test.go
+++ b/internal/node/relay_test.go
@@ -23,8 +23,10 @@
 // only. The first one leads.
 func startChain(t *testing.T, length int) []*Node {
 	nodes, list := make([]*Node, length), make([]fleet.Member, length)
+	var before *httptest.Server // of the entry before
 	for i := range nodes {
-		// Entries can't be dialled at the address that they tell others.
+		// Other entries can't be dialled: the address that they tell is wrong, and where they
+		// listen, they accept the link to the next entry only.
 		self := fleet.Member{Name: fmt.Sprintf("e%d", i), DC: "dc-1", Addr: "127.0.0.1:1"}
 		n, err := Start(Config{
 			Self: self, Secret: []byte("a secret of the tests"), Targets: &idleTargets{},
@@ -50,6 +52,10 @@
 			awaitOwned(t, n)
 		}
 		awaitReady(t, n)
+		if before != nil {
+			assert.NilError(t, before.Listener.Close())
+		}
+		before = srv
 	}
 	return nodes
 }
