A relayed job that a leader had may have run after a change of the layout

When a new layout comes into force, an entry gives up the jobs that it relays and says that they have not run. It said so also of jobs that it had passed to a leader, which may have started them. The coordinator then had no trace of that leader: if the job was older than 0.8 s and no pool had a leader yet, its caller was told not_run (no_target), else the next leader got it without a word of the earlier one.

The answer is now may_have_run for such a job, and the coordinator keeps that when it submits the job again, as after the loss of a leader.

TestRelayedJobThatALeaderHadMayHaveRun failed with the verdicts of before.

--- a/internal/node/jobs.go
+++ b/internal/node/jobs.go
@@ -296,6 +296,9 @@
 		return // from a leader that no longer has the job
 	}
 	if o.Reason == verdict.NotReady {
+		if o.Verdict == verdict.MayHaveRun && !p.mayHaveRun {
+			p.mayHaveRun, p.leaderLostAt = true, now
+		}
 		p.sentTo, p.retryAt = "", now+resubmitPause
 		return
 	}
@@ -308,6 +311,16 @@
 	n.settle(now, id, o)
 }
 
+// notReady returns the outcome of a job that this entry gives up relaying. A leader that
+// has the job may have started it.
+func (p *pendingJob) notReady() fleet.Outcome {
+	o := fleet.Outcome{Verdict: verdict.NotRun, Reason: verdict.NotReady}
+	if p.mayHaveRun || p.sentTo != "" {
+		o.Verdict = verdict.MayHaveRun
+	}
+	return o
+}
+
 // tryOtherPool submits a job to another pool after one has rejected it, and reports
 // whether there is such a pool. A job that does not fit the targets of one pool may fit
 // those of another, and one that is rejected to shed load goes to a pool with spare
--- a/internal/node/layout.go
+++ b/internal/node/layout.go
@@ -7,7 +7,6 @@
 
 	"currantstall/internal/election"
 	"currantstall/internal/fleet"
-	"currantstall/internal/verdict"
 	"currantstall/internal/wire"
 )
 
@@ -69,7 +68,7 @@
 	}
 	for id, p := range n.pending {
 		if p.relayFor != "" {
-			n.send(p.relayFor, wire.PoolEnded, endedBody{id, fleet.Outcome{Verdict: verdict.NotRun, Reason: verdict.NotReady}})
+			n.send(p.relayFor, wire.PoolEnded, endedBody{id, p.notReady()})
 			delete(n.pending, id)
 			continue
 		}
--- a/internal/node/relay_test.go
+++ b/internal/node/relay_test.go
@@ -84,3 +84,31 @@
 		assert.Equal(t, o.Reason, verdict.NeverFits, "the leader's answer to a job of entry %d", i)
 	}
 }
+
+// With a new layout, an entry that relayed a job to a leader told its coordinator that the
+// job had not run. The coordinator rejected it as not run, or submitted it to a new leader
+// without a word of the old one, which may have started it.
+func TestRelayedJobThatALeaderHadMayHaveRun(t *testing.T) {
+	for _, c := range []struct {
+		relayed pendingJob
+		want    verdict.Verdict
+	}{
+		{pendingJob{}, verdict.NotRun},
+		{pendingJob{sentTo: "leader"}, verdict.MayHaveRun},
+		{pendingJob{mayHaveRun: true}, verdict.MayHaveRun},
+	} {
+		o := c.relayed.notReady()
+		assert.Equal(t, o.Verdict, c.want)
+		n, _ := startNode(t)
+		got := make(chan pendingJob, 1)
+		n.post(func(now time.Duration) {
+			n.pending["a"] = &pendingJob{pool: 0, sentTo: "relay", arrived: now}
+			n.handleOutcome(now, "relay", "a", o)
+			got <- *n.pending["a"]
+			delete(n.pending, "a")
+		})
+		p := <-got
+		assert.Equal(t, p.mayHaveRun, c.want == verdict.MayHaveRun)
+		assert.Equal(t, p.sentTo, "", "the job is submitted again")
+	}
+}
