--- a/internal/node/jobs.go
+++ b/internal/node/jobs.go
@@ -1,9 +1,11 @@
 package node
 
 import (
+	"cmp"
 	"context"
 	"time"
 
+	"currantstall/internal/election"
 	"currantstall/internal/fleet"
 	"currantstall/internal/pool"
 	"currantstall/internal/verdict"
@@ -28,6 +30,8 @@
 	relayFor     string                   // the entry for which the job is relayed, "" if none
 	relayNumber  uint64                   // of that entry's submission
 	vouches      bool                     // that entry vouches for the job
+	origin       string                   // the coordinator, if the job is relayed
+	relays       int                      // how many entries have relayed the job, this one included
 }
 
 // leaderlessTimeout is how long a job waits for a leader before it is rejected.
@@ -46,7 +50,7 @@
 	// regards the others.
 	HereBefore          bool          `cbor:"11,keyasint,omitempty"`
 	VouchedElsewhereAgo time.Duration `cbor:"12,keyasint,omitempty"`
-	// Relayed jobs come from an entry that relays them, and are not relayed again.
+	// Relayed jobs come from an entry that relays them. Relays counts these entries.
 	Relayed bool `cbor:"5,keyasint,omitempty"`
 	// Pool is the index of the pool in the layout of the given version.
 	Pool   int    `cbor:"6,keyasint,omitempty"`
@@ -55,10 +59,11 @@
 	// do not. HeartbeatAt is SentAt of the receiver's last heartbeat, if there was one.
 	Vouches     bool          `cbor:"8,keyasint,omitempty"`
 	HeartbeatAt time.Duration `cbor:"9,keyasint,omitempty"`
-	// Origin is the entry for which the sender relays the job.
+	// Origin is the coordinator, if the sender relays the job.
 	Origin string `cbor:"10,keyasint,omitempty"`
 	// Number is repeated in the answer.
 	Number uint64 `cbor:"13,keyasint,omitempty"`
+	Relays int    `cbor:"14,keyasint,omitempty"`
 }
 
 // endedBody is the body of wire.PoolEnded, with which the leader sends the outcome of
@@ -257,7 +262,7 @@
 		s.pool.Submit(now, pool.Submit{
 			Coordinator: leader, Job: p.job, Number: p.number, Waited: now - p.arrived, MayHaveRun: p.mayHaveRun,
 			VouchedAgo: f.ago, HereBefore: f.hereBefore, VouchedElsewhereAgo: f.elsewhereAgo,
-			NeedsVouch: p.relayFor != "" && p.vouches, Origin: p.relayFor,
+			NeedsVouch: p.relayFor != "" && p.vouches, Origin: p.origin,
 		})
 		n.passBeatOn(now, p)
 		return
@@ -265,7 +270,7 @@
 	b := submitBody{
 		Job: p.job, Number: p.number, Waited: now - p.arrived, MayHaveRun: p.mayHaveRun, Relayed: p.relayFor != "",
 		VouchedAgo: f.ago, HereBefore: f.hereBefore, VouchedElsewhereAgo: f.elsewhereAgo,
-		Pool: s.index, Layout: n.layout.Version, Vouches: p.relayFor == "" || p.vouches, Origin: p.relayFor,
+		Pool: s.index, Layout: n.layout.Version, Vouches: p.relayFor == "" || p.vouches, Origin: p.origin, Relays: p.relays,
 	}
 	if p.relayFor == "" {
 		b.HeartbeatAt = n.vouching.answer(leader)
@@ -356,6 +361,16 @@
 	n.settle(now, id, o)
 }
 
+// notReady returns the outcome of a job that this entry gives up relaying. A leader that
+// has the job may have started it.
+func (p *pendingJob) notReady() fleet.Outcome {
+	o := fleet.Outcome{Verdict: verdict.NotRun, Reason: verdict.NotReady}
+	if p.mayHaveRun || p.sentTo != "" {
+		o.Verdict = verdict.MayHaveRun
+	}
+	return o
+}
+
 // tryOtherPool submits a job to another pool after one has rejected it, and reports
 // whether there is such a pool. A job that does not fit the targets of one pool may fit
 // those of another, and one that is rejected to shed load goes to a pool with spare
@@ -406,7 +421,7 @@
 
 // handleSubmit handles a job from another entry. A stored job goes to this entry's pool.
 // Another job goes to its pool if this entry leads it; otherwise it is relayed to the
-// leader, or rejected as not ready if it is relayed already, is pending here, has no
+// leader, or rejected as not ready if it was relayed too often, is pending here, has no
 // leader other than the sender, or names a pool of another layout.
 func (n *Node) handleSubmit(now time.Duration, from string, b submitBody) {
 	if err := b.Job.Validate(); err != nil {
@@ -432,7 +447,7 @@
 	if known {
 		leader = n.shards[b.Pool].decision.Leader
 	}
-	if b.Relayed || leader == "" || leader == from || n.pending[b.Job.ID] != nil {
+	if b.relays() >= election.MaxRelays || leader == "" || leader == from || n.pending[b.Job.ID] != nil {
 		n.send(from, wire.PoolEnded, endedBody{b.Job.ID, fleet.Outcome{Verdict: verdict.NotRun, Reason: verdict.NotReady}, b.Number})
 		return
 	}
@@ -440,9 +455,19 @@
 	n.pending[b.Job.ID] = &pendingJob{
 		job: b.Job, pool: b.Pool, arrived: now - b.Waited, mayHaveRun: b.MayHaveRun, leaderLostAt: now, relayFor: from, relayNumber: b.Number,
 		vouches: b.Vouches, formers: map[string]time.Duration{from: now - b.VouchedAgo},
+		origin: cmp.Or(b.Origin, from), relays: b.relays() + 1,
 	}
 }
 
+// relays returns how many entries have relayed the job. Entries of earlier releases do not
+// count them.
+func (b *submitBody) relays() int {
+	if b.Relayed {
+		return max(b.Relays, 1)
+	}
+	return 0
+}
+
 // rejectInvalid counts and logs an invalid job from a peer.
 func (n *Node) rejectInvalid(from string, err error) {
 	n.counts.invalid.Inc(1)
--- a/internal/node/vouch.go
+++ b/internal/node/vouch.go
@@ -1,11 +1,10 @@
 package node
 
 import (
+	"cmp"
 	"time"
 
-	"currantstall/internal/fleet"
 	"currantstall/internal/pool"
-	"currantstall/internal/verdict"
 	"currantstall/internal/wire"
 )
 
@@ -21,7 +20,7 @@
 	HeartbeatAt time.Duration `cbor:"1,keyasint"` // SentAt of the leader's heartbeat
 	// Leader is the sender of the heartbeat, if it is not the receiver of a vouch.
 	Leader string `cbor:"2,keyasint,omitempty"`
-	// Origin is the entry that vouches, if the sender relays its jobs.
+	// Origin is the coordinator that vouches, if the sender relays its jobs.
 	Origin string `cbor:"3,keyasint,omitempty"`
 }
 
@@ -91,24 +90,27 @@
 	if b.SentAt == 0 || v.muted[from] && !n.unmute(now, from) {
 		return
 	}
-	own, origins := false, make(map[string]bool)
+	own, relayed := false, make(map[relayedFor]bool)
 	for _, p := range n.pending {
 		switch {
 		case p.sentTo != from:
 		case p.relayFor == "":
 			own = true
 		case p.vouches:
-			origins[p.relayFor] = true
+			relayed[relayedFor{p.relayFor, p.origin}] = true
 		}
 	}
 	if own {
 		n.send(from, wire.PoolVouch, vouchBody{HeartbeatAt: v.answer(from)})
 	}
-	for origin := range origins {
-		n.send(origin, wire.PoolBeat, vouchBody{HeartbeatAt: b.SentAt, Leader: from})
+	for r := range relayed {
+		n.send(r.entry, wire.PoolBeat, vouchBody{HeartbeatAt: b.SentAt, Leader: from, Origin: r.origin})
 	}
 }
 
+// relayedFor is an entry for which this one relays jobs, and the coordinator of these.
+type relayedFor struct{ entry, origin string }
+
 // passBeatOn passes the last heartbeat of the leader that has just got a relayed job on to the
 // job's coordinator.
 func (n *Node) passBeatOn(now time.Duration, p *pendingJob) {
@@ -120,20 +122,25 @@
 		at = max(now, 1)
 	}
 	if at > 0 {
-		n.send(p.relayFor, wire.PoolBeat, vouchBody{HeartbeatAt: at, Leader: p.sentTo})
+		n.send(p.relayFor, wire.PoolBeat, vouchBody{HeartbeatAt: at, Leader: p.sentTo, Origin: p.origin})
 	}
 }
 
 // handleRelayedBeat answers a heartbeat that a relay has passed on, if the relay has jobs of
-// this entry.
+// this entry. One for the jobs of another coordinator is passed on to that one.
 func (n *Node) handleRelayedBeat(now time.Duration, relay string, b vouchBody) {
 	if n.vouching.muted[relay] {
 		return
 	}
 	for _, p := range n.pending {
-		if p.sentTo == relay && p.relayFor == "" {
+		switch {
+		case p.sentTo != relay:
+		case p.relayFor == "" && b.Origin == n.cfg.Self.Name:
 			n.vouching.vouchedAt[relay] = now
-			n.send(relay, wire.PoolVouch, vouchBody{HeartbeatAt: b.HeartbeatAt, Leader: b.Leader})
+			n.send(relay, wire.PoolVouch, b)
+			return
+		case p.relayFor != "" && b.Origin == p.origin:
+			n.send(p.relayFor, wire.PoolBeat, b)
 			return
 		}
 	}
@@ -151,39 +158,37 @@
 		n.log.Warn("vouch ignored: it answers a heartbeat that was not sent", "peer", from, "heartbeat_at", b.HeartbeatAt, "now", now)
 		return
 	}
+	origin := cmp.Or(b.Origin, from)
 	for _, s := range n.shards {
 		s.pool.Vouched(pool.Voucher{Coordinator: from, Origin: b.Origin}, b.HeartbeatAt)
-		if b.Origin == "" {
-			// Jobs that this entry relayed for the sender may have come to its own pool.
-			s.pool.Vouched(pool.Voucher{Coordinator: n.cfg.Self.Name, Origin: from}, b.HeartbeatAt)
-		}
+		// Jobs that this entry relayed may have come to its own pool.
+		s.pool.Vouched(pool.Voucher{Coordinator: n.cfg.Self.Name, Origin: origin}, b.HeartbeatAt)
 	}
 }
 
-// relayVouch passes a vouch on to the leader that has jobs of the sender.
+// relayVouch passes a vouch on to the leader that has jobs of its origin, or to the next relays
+// on the way there.
 func (n *Node) relayVouch(now time.Duration, from string, b vouchBody) {
-	if n.vouching.muted[b.Leader] {
-		return
-	}
+	passed := make(map[string]bool)
 	for _, p := range n.pending {
-		if p.relayFor == from && p.sentTo == b.Leader {
-			n.vouching.vouchedAt[b.Leader] = now
-			n.send(b.Leader, wire.PoolVouch, vouchBody{HeartbeatAt: b.HeartbeatAt, Origin: from})
-			return
+		to := p.sentTo
+		if p.relayFor != from || p.origin != b.Origin || to == "" || to == n.cfg.Self.Name || passed[to] || n.vouching.muted[to] {
+			continue
+		}
+		passed[to] = true
+		n.vouching.vouchedAt[to] = now
+		next := b
+		if to == b.Leader {
+			next.Leader = ""
 		}
+		n.send(to, wire.PoolVouch, next)
 	}
 }
 
 // returnRelayed gives a relayed job back to its coordinator, which submits it again.
 func (n *Node) returnRelayed(now time.Duration, id string, p *pendingJob) {
-	v := verdict.NotRun
-	if p.sentTo != "" || p.mayHaveRun {
-		v = verdict.MayHaveRun
-	}
-	if p.sentTo != "" {
-		n.sendAbandon(now, p, abandonBody{id, otherLeader})
-	}
-	n.send(p.relayFor, wire.PoolEnded, endedBody{id, fleet.Outcome{Verdict: v, Reason: verdict.NotReady}, p.relayNumber})
+	n.send(p.relayFor, wire.PoolEnded, endedBody{id, p.notReady(), p.relayNumber})
+	n.leaveLeader(now, p, otherLeader)
 	delete(n.pending, id)
 }
 
