A task that crashes its targets is given up after two of them

Callers saw: a task that crashes each target that starts it was started without end, one target after another; within seconds most of a service was down, and other jobs were refused or lost their work.

Cause: a run on a lost target was started elsewhere, and nothing counted how often.

Why it works: the loss of a target makes suspects of the tasks that had not been at work there for 200 ms. A suspect starts where nothing else can be blamed, so its second crash is proof; docs/design/crashing-tasks.md. Another ID that answers at a target's address ends the runs there at once, as a later incarnation did.

The suspicions are in the record of a stored job, so they outlive the owner.

--- a/internal/fleet/record.go
+++ b/internal/fleet/record.go
@@ -35,6 +35,8 @@
 	Failures map[int]int `cbor:"3,keyasint,omitempty"`
 	// Occurrences holds the records of a recurring job's occurrences.
 	Occurrences map[int]Record `cbor:"4,keyasint,omitempty"`
+	// Suspicions are those against the tasks that may crash their targets.
+	Suspicions Suspicions `cbor:"5,keyasint,omitempty"`
 }
 
 // IsDone reports whether a task is done.
--- /dev/null
+++ b/internal/fleet/suspicion.go
@@ -0,0 +1,103 @@
+package fleet
+
+import "slices"
+
+// Suspicion records that a target was lost while it had a run of a task that had not
+// proved harmless.
+type Suspicion struct {
+	Target      string `cbor:"1,keyasint"`
+	Incarnation int64  `cbor:"2,keyasint,omitempty"`
+	// Alone is set if no task of another job is suspected of this loss.
+	Alone bool `cbor:"3,keyasint,omitempty"`
+	// Crashed is set if the target is known to have crashed: another incarnation has
+	// taken its place.
+	Crashed bool `cbor:"4,keyasint,omitempty"`
+}
+
+// Suspicions holds the suspicions against the tasks of a job. Tasks are numbered from 0
+// through all steps.
+type Suspicions map[int][]Suspicion
+
+const (
+	// crashesToCondemn is the number of targets that have to crash under a task for it
+	// to count as the cause, if at least one of these crashes has no suspect of another
+	// job.
+	crashesToCondemn = 2
+	// sharedCrashesToCondemn is that number if all of them have suspects of other jobs too.
+	sharedCrashesToCondemn = 3
+	// maxSuspicions limits the suspicions against one task that are kept.
+	maxSuspicions = 8
+)
+
+// Condemns reports whether the crashes among the suspicions against a task show that it
+// crashes its targets.
+func Condemns(list []Suspicion) bool {
+	crashes, alone := 0, 0
+	for _, s := range list {
+		if s.Crashed {
+			crashes++
+			if s.Alone {
+				alone++
+			}
+		}
+	}
+	return crashes >= crashesToCondemn && alone > 0 || crashes >= sharedCrashesToCondemn
+}
+
+// MayCondemn reports whether the suspicions would condemn a task if all the targets had
+// crashed.
+func MayCondemn(list []Suspicion) bool {
+	all := make([]Suspicion, len(list))
+	for i, s := range list {
+		s.Crashed = true
+		all[i] = s
+	}
+	return Condemns(all)
+}
+
+// Add adds a suspicion against a task, and reports whether that changed anything. Of two
+// that concern the same incarnation of a target, one is kept. If there are too many, the
+// oldest loss that has not proved to be a crash is dropped.
+func (s Suspicions) Add(task int, n Suspicion) bool {
+	list := s[task]
+	for i := range list {
+		if o := &list[i]; o.Target == n.Target && o.Incarnation == n.Incarnation {
+			changed := n.Crashed && !o.Crashed
+			o.Crashed = o.Crashed || n.Crashed
+			return changed
+		}
+	}
+	if len(list) >= maxSuspicions {
+		unproven := slices.IndexFunc(list, func(o Suspicion) bool { return !o.Crashed })
+		if unproven < 0 {
+			return false
+		}
+		list = slices.Delete(list, unproven, unproven+1)
+	}
+	s[task] = append(list, n)
+	return true
+}
+
+// Clone returns a deep copy, nil if there are no suspicions.
+func (s Suspicions) Clone() Suspicions {
+	if len(s) == 0 {
+		return nil
+	}
+	c := make(Suspicions, len(s))
+	for task, list := range s {
+		c[task] = append([]Suspicion(nil), list...)
+	}
+	return c
+}
+
+// AnyCrash reports whether any of the targets is known to have crashed.
+func (s Suspicions) AnyCrash() bool {
+	for _, list := range s {
+		for i := range list {
+			if list[i].Crashed {
+				return true
+			}
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/pool/crash.go
@@ -0,0 +1,302 @@
+package pool
+
+import (
+	"maps"
+	"reflect"
+	"slices"
+	"time"
+
+	"currantstall/internal/fleet"
+	"currantstall/internal/verdict"
+)
+
+// A task may crash each target that starts it. When a target is lost, the pool suspects
+// the tasks of its runs, except those that have proved harmless. A suspect is started
+// apart from other runs that have not, so that a second crash has no other suspect. See
+// docs/design/crashing-tasks.md.
+
+const (
+	// harmlessAfter is how long a run must have been at work to prove that its task does
+	// not crash targets: one that does, does so at its start.
+	harmlessAfter = 200 * time.Millisecond
+	// apartWait is how long a suspect waits for a target on which no other run could be
+	// blamed for a crash.
+	apartWait = 2 * time.Second
+	// judgementWait is how long a task is not started while it is not known whether the
+	// targets that were lost under it have crashed. A crashed target is back within some
+	// seconds.
+	judgementWait = 5 * time.Second
+	// keepSuspicionsFor is how long the suspicions against the tasks of a job that has
+	// gone are kept, since its caller may submit it again.
+	keepSuspicionsFor = 30 * time.Second
+	// replacedPause is the pause before a target is acquired again at whose address
+	// another incarnation has answered.
+	replacedPause = time.Second
+)
+
+// Suspected is an effect: it tells a job's coordinator of all suspicions against the
+// tasks of the job, so that the next owner learns of them.
+type Suspected struct {
+	Coordinator string
+	Job         string
+	Suspicions  fleet.Suspicions
+}
+
+// suspectJob holds the suspicions against the tasks of one job.
+type suspectJob struct {
+	tasks   fleet.Suspicions
+	addedAt time.Duration // when the last suspicion was added
+	knownAt time.Duration // when the job was last known
+}
+
+// suspect is a task that may have crashed a target.
+type suspect struct {
+	task      *task
+	suspicion fleet.Suspicion
+}
+
+// harmless reports whether the run has proved that its task does not crash targets.
+func (r *run) harmless() bool {
+	return r.startClockMS > 0 && r.target.seenMS-r.startClockMS >= harmlessAfter.Milliseconds()
+}
+
+// noteStarted notes the target's clock in the answer that first showed the run at work.
+func (r *run) noteStarted(clock int64) {
+	if r.startClockMS == 0 {
+		r.startClockMS = clock
+	}
+}
+
+// suspectsOn returns the tasks that may have crashed a target that is lost. A target that
+// was leaving was expected to go, and a start that is still in flight was sent after the
+// loss.
+func suspectsOn(t *target) []suspect {
+	if t.Leaving {
+		return nil
+	}
+	var list []suspect
+	jobs := make(map[string]bool)
+	for _, r := range sortedRuns(t.runs) {
+		if r.harmless() || r.state == runOrdered || r.incarnation != 0 && r.incarnation != t.Incarnation {
+			continue
+		}
+		jobs[r.taskID.Job] = true
+		if r.task != nil {
+			list = append(list, suspect{task: r.task})
+		}
+	}
+	for i := range list {
+		list[i].suspicion = fleet.Suspicion{Target: t.ID, Incarnation: t.Incarnation, Alone: len(jobs) == 1}
+	}
+	return list
+}
+
+// suspectRuns records suspicions for the loss of a target. It does so once for each loss.
+func (p *Pool) suspectRuns(now time.Duration, t *target) {
+	if t.lossRecorded {
+		return
+	}
+	t.lossRecorded = true
+	p.suspectTasks(now, suspectsOn(t), false)
+}
+
+// suspectTasks records suspicions, and gives up the jobs of the tasks that they condemn.
+func (p *Pool) suspectTasks(now time.Duration, list []suspect, crashed bool) {
+	for _, s := range list {
+		tk := s.task
+		j := tk.job
+		open := p.jobs[j.ID] == j
+		if tk.state == taskDone || !open && j.Stored {
+			continue
+		}
+		s.suspicion.Crashed = crashed
+		sj := p.suspectJobFor(now, j)
+		if !sj.tasks.Add(tk.ordinal, s.suspicion) {
+			continue
+		}
+		sj.addedAt = now
+		p.log("suspect", "task", tk.id.String(), "target", s.suspicion.Target, "alone", s.suspicion.Alone,
+			"crashed", crashed, "suspicions", len(sj.tasks[tk.ordinal]))
+		if open {
+			p.suspicionsChanged(now, j)
+		}
+	}
+}
+
+// suspectJobFor returns the suspicions against the tasks of a job, and creates them if
+// necessary.
+func (p *Pool) suspectJobFor(now time.Duration, j *job) *suspectJob {
+	sj := p.suspected[j.ID]
+	if sj == nil {
+		sj = &suspectJob{tasks: fleet.Suspicions{}}
+		p.suspected[j.ID] = sj
+	}
+	sj.knownAt = now
+	j.suspected = sj
+	return sj
+}
+
+// suspicionsChanged judges an open job after a change of the suspicions against its
+// tasks, and passes them on to whoever may own the job next. The record of a stored job is
+// not saved for losses that may turn out to be no crashes.
+func (p *Pool) suspicionsChanged(now time.Duration, j *job) {
+	switch {
+	case p.judge(now, j):
+	case j.Stored:
+		if j.suspected.tasks.AnyCrash() || j.suspicionsSaved {
+			p.saveRecord(j, fleet.JobRunning)
+		}
+	case !j.orphaned:
+		p.emit(Suspected{j.coordinator, j.ID, j.suspected.tasks.Clone()})
+	}
+}
+
+// judge marks the suspects among the tasks of a job, and ends the job if the suspicions
+// condemn one. It reports whether it has.
+func (p *Pool) judge(now time.Duration, j *job) bool {
+	for _, tasks := range j.steps {
+		for _, tk := range tasks {
+			list := j.suspected.tasks[tk.ordinal]
+			tk.suspect = len(list) > 0
+			if tk.state != taskDone && fleet.Condemns(list) {
+				p.log("suspect", "task", tk.id.String(), "outcome", "given up", "suspicions", len(list))
+				p.endJob(now, j, fleet.Outcome{Verdict: verdict.Failed, Reason: verdict.CrashesTargets})
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// learnSuspicions adds the suspicions that a former owner had against the tasks of a job
+// that was just submitted or restored, and those that this one still has.
+func (p *Pool) learnSuspicions(now time.Duration, j *job, known fleet.Suspicions) {
+	if len(known) == 0 && p.suspected[j.ID] == nil {
+		return
+	}
+	sj := p.suspectJobFor(now, j)
+	tasks := j.TaskCount()
+	for ordinal, list := range known {
+		for _, s := range list {
+			if ordinal >= 0 && ordinal < tasks && sj.tasks.Add(ordinal, s) {
+				sj.addedAt = now
+			}
+		}
+	}
+	for _, t := range p.sortedTargets {
+		sj.review(t)
+	}
+	if reflect.DeepEqual(sj.tasks, known) {
+		p.judge(now, j)
+		return
+	}
+	p.suspicionsChanged(now, j)
+}
+
+// review applies what is known of a target to the suspicions of its loss: another
+// incarnation has taken its place, so it has crashed, or it answers as before. It reports
+// whether that changed any.
+func (sj *suspectJob) review(t *target) bool {
+	changed := false
+	for ordinal, list := range sj.tasks {
+		var kept []fleet.Suspicion
+		for _, s := range list {
+			if s.Target == t.ID && !s.Crashed {
+				if t.owned && t.Incarnation == s.Incarnation {
+					changed = true
+					continue
+				}
+				s.Crashed = t.replaced || s.Incarnation != 0 && t.Incarnation > s.Incarnation
+				changed = changed || s.Crashed
+			}
+			kept = append(kept, s)
+		}
+		if sj.tasks[ordinal] = kept; len(kept) == 0 {
+			delete(sj.tasks, ordinal)
+		}
+	}
+	return changed
+}
+
+// reviewSuspicions reviews the suspicions against all jobs after a target has answered or
+// another incarnation has taken its place.
+func (p *Pool) reviewSuspicions(now time.Duration, t *target) {
+	if len(p.suspected) == 0 {
+		return
+	}
+	for _, id := range slices.Sorted(maps.Keys(p.suspected)) {
+		if j := p.jobs[id]; p.suspected[id].review(t) && j != nil {
+			p.suspicionsChanged(now, j)
+		}
+	}
+}
+
+// acquit drops the suspicions against the task of a run that has proved harmless.
+func (p *Pool) acquit(now time.Duration, r *run) {
+	tk := r.task
+	if tk == nil || !tk.suspect || !r.harmless() || p.jobs[tk.job.ID] != tk.job {
+		return
+	}
+	p.log("suspect", "task", tk.id.String(), "run", r.number, "target", r.target.ID, "outcome", "proved harmless")
+	delete(tk.job.suspected.tasks, tk.ordinal)
+	p.suspicionsChanged(now, tk.job)
+}
+
+// targetReplaced handles an answer that shows another incarnation at the address of a
+// target whose incarnations have different IDs: this one is over, with all its runs.
+func (p *Pool) targetReplaced(now time.Duration, t *target, addr string) {
+	if addr != t.Addr {
+		return // it has moved
+	}
+	if !t.replaced {
+		p.log("target", "target", t.ID, "outcome", "replaced", "runs", len(t.runs))
+		p.suspectRuns(now, t)
+	}
+	t.replaced = true
+	p.markUnreachable(now, t)
+	t.nextAcquireAt = now + replacedPause
+	for _, r := range sortedRuns(t.runs) {
+		if r.state != runOrdered { // its own answer is on its way
+			p.releaseAndRequeue(now, r)
+		}
+	}
+	p.reviewSuspicions(now, t)
+}
+
+// awaitsJudgement reports whether a task must not be started yet, because it would be
+// given up if the targets that were lost under it turn out to have crashed.
+func (p *Pool) awaitsJudgement(now time.Duration, tk *task) bool {
+	return tk.suspect && now < tk.job.suspected.addedAt+judgementWait && fleet.MayCondemn(tk.job.suspected.tasks[tk.ordinal])
+}
+
+// apart reports whether a task may be started on the target as far as suspicions go: a
+// suspect is kept apart from runs of other jobs that have not proved harmless. After
+// apartWait it is kept apart from other suspects only.
+func (p *Pool) apart(t *target, tk *task) bool {
+	if !tk.suspect && t.suspectRuns == 0 {
+		return true
+	}
+	if tk.suspect && tk.apartSince == 0 {
+		tk.apartSince = p.lastTick
+	}
+	for _, r := range t.runs {
+		if r.harmless() || r.taskID.Job == tk.id.Job {
+			continue
+		}
+		if r.suspect || tk.suspect && p.lastTick < tk.apartSince+apartWait {
+			return false
+		}
+	}
+	return true
+}
+
+// tickSuspicions forgets the suspicions against jobs that have been gone for long.
+func (p *Pool) tickSuspicions(now time.Duration) {
+	for id, sj := range p.suspected {
+		if p.jobs[id] != nil && len(sj.tasks) > 0 {
+			sj.knownAt = now
+		} else if now > sj.knownAt+keepSuspicionsFor {
+			delete(p.suspected, id)
+		}
+	}
+}
--- a/internal/pool/gang.go
+++ b/internal/pool/gang.go
@@ -9,7 +9,7 @@
 // members have the same number.
 func (p *Pool) placeGang(now time.Duration, j *job, step int) int {
 	tasks := j.steps[step]
-	if slices.ContainsFunc(tasks, func(tk *task) bool { return tk.state != taskWaiting }) {
+	if slices.ContainsFunc(tasks, func(tk *task) bool { return tk.state != taskWaiting || p.awaitsJudgement(now, tk) }) {
 		return 0
 	}
 	picks := p.pickGang(tasks)
--- a/internal/pool/job.go
+++ b/internal/pool/job.go
@@ -35,6 +35,8 @@
 	checkpoint string
 	failedOn   []*target // targets on which it failed or made no progress
 	currentRun *run
+	suspect    bool          // it may crash its targets
+	apartSince time.Duration // when it first looked for a target as a suspect, 0 before
 }
 
 // job is a job, or an occurrence of a recurring job, that has not ended.
@@ -61,6 +63,8 @@
 	occurrence          int
 	orphaned            bool          // its caller or coordinator has disconnected, or its coordinator has withdrawn it
 	orphanUntil         time.Duration // when the runs of the orphaned job are stopped
+	suspected           *suspectJob   // the suspicions against its tasks, nil if there are none
+	suspicionsSaved     bool          // a record with suspicions was emitted
 }
 
 // Submit is a job that a coordinator submits to the owner.
@@ -73,6 +77,8 @@
 	// since that owner was lost.
 	MayHaveRun bool
 	LostAgo    time.Duration
+	// Suspicions are those of former owners against the job's tasks.
+	Suspicions fleet.Suspicions
 }
 
 // Submit accepts a job, or attaches the coordinator to the job if it is known already.
@@ -100,12 +106,15 @@
 			j.markMayHaveStarted()
 		}
 		p.enqueue(j)
+		p.learnSuspicions(now, j, s.Suspicions)
 		return
 	}
 	j := p.newJob(now, s)
 	p.jobs[j.ID] = j
 	p.adopt(now, j)
+	p.learnSuspicions(now, j, s.Suspicions)
 	switch reason := p.neverFits(j); {
+	case p.jobs[j.ID] != j: // given up
 	case reason != "" && !j.mayHaveRunElsewhere:
 		p.endJob(now, j, fleet.Outcome{Verdict: verdict.Failed, Reason: reason})
 	case p.shouldShed(now, j):
--- a/internal/pool/ownership.go
+++ b/internal/pool/ownership.go
@@ -109,6 +109,8 @@
 		return
 	}
 	t.owned, t.wasUnreachable, t.fencedInARow = true, false, 0
+	t.lossRecorded, t.replaced = false, false
+	p.reviewSuspicions(now, t)
 	p.log("ownership", "target", t.ID, "outcome", "acquired", "fence", t.fence, "running", len(rep.Running))
 	listed := make(map[runKey]bool, len(rep.Running))
 	for _, row := range rep.Running {
@@ -154,6 +156,7 @@
 	if t.owned || t.unansweredHolds == 1 {
 		p.log("ownership", "target", t.ID, "outcome", "unreachable", "misses", t.unansweredHolds, "runs", len(t.runs))
 	}
+	p.suspectRuns(now, t)
 	t.owned, t.acquiring, t.wasUnreachable, t.probed = false, false, true, false
 	t.nextAcquireAt = now + reacquireBackoff
 }
--- a/internal/pool/place.go
+++ b/internal/pool/place.go
@@ -120,7 +120,7 @@
 			continue
 		}
 		for _, tk := range j.steps[i] {
-			if tk.state != taskWaiting {
+			if tk.state != taskWaiting || p.awaitsJudgement(now, tk) {
 				continue
 			}
 			t := p.chooseTarget(tk, "")
@@ -145,7 +145,7 @@
 	var bestScore int64
 	for _, t := range p.sortedTargets {
 		left := t.Capacity.MilliCPU - t.used.MilliCPU - tk.needs.MilliCPU
-		if left < 0 || rack != "" && t.Rack() != rack || !t.hasCapacity(tk) || !t.eligible(tk) || !p.hasTicket(tk, t) || slices.Contains(tk.failedOn, t) {
+		if left < 0 || rack != "" && t.Rack() != rack || !t.hasCapacity(tk) || !t.eligible(tk) || !p.apart(t, tk) || !p.hasTicket(tk, t) || slices.Contains(tk.failedOn, t) {
 			continue
 		}
 		score := left + t.penalty()
@@ -173,7 +173,7 @@
 		if !slices.Contains(tk.failedOn, t) {
 			return nil
 		}
-		if t.hasCapacity(tk) && p.hasTicket(tk, t) {
+		if t.hasCapacity(tk) && p.apart(t, tk) && p.hasTicket(tk, t) {
 			failed = t
 		}
 	}
@@ -213,9 +213,12 @@
 // startTask sends the start of a task to a target.
 func (p *Pool) startTask(now time.Duration, t *target, tk *task) {
 	tk.lastRun++
-	r := &run{taskID: tk.id, number: tk.lastRun, target: t, needs: tk.needs, task: tk, orderedAt: now, expected: tk.expected}
+	r := &run{taskID: tk.id, number: tk.lastRun, target: t, needs: tk.needs, task: tk, orderedAt: now, expected: tk.expected, incarnation: t.Incarnation, suspect: tk.suspect}
 	t.runs[r.key()] = r
 	t.used = t.used.Plus(r.needs)
+	if tk.apartSince = 0; r.suspect {
+		t.suspectRuns++
+	}
 	tk.job.queueState.usedMilliCPU += r.needs.MilliCPU
 	tk.job.queueState.placements.add(now, 1)
 	p.markPlaced(tk, r)
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -62,7 +62,7 @@
 )
 
 // Effect is an action that the pool asks its entry to carry out: a fleet.Start,
-// fleet.Stop, fleet.Hold, fleet.AdviceRequest, Ended or jobstore.Save.
+// fleet.Stop, fleet.Hold, fleet.AdviceRequest, Ended, Suspected or jobstore.Save.
 type Effect any
 
 // Ended reports a job's outcome to its coordinator.
@@ -91,6 +91,7 @@
 	rankedQueues   []*queueState          // sorted by urgency
 	keptOutcomes   map[string]keptOutcome // by job ID
 	unclaimedRuns  map[string][]*run      // runs of unknown jobs, by job ID
+	suspected      map[string]*suspectJob // by job ID
 	stored         storedState
 	noStartsBefore time.Duration                // no task is started before
 	awaitTargets   time.Duration                // nor before this time, unless a current list of targets arrives
@@ -138,6 +139,7 @@
 	p.rankedQueues = nil
 	p.keptOutcomes = make(map[string]keptOutcome)
 	p.unclaimedRuns = make(map[string][]*run)
+	p.suspected = make(map[string]*suspectJob)
 	p.stored.reset()
 	p.advice = make(map[fleet.TaskID]*stepAdvice)
 }
@@ -220,6 +222,7 @@
 	p.endEjections(now)
 	p.removeUnlisted(now)
 	p.tickStored(now)
+	p.tickSuspicions(now)
 	p.placeWaiting(now)
 	p.rejectOverdue(now)
 	for id, kept := range p.keptOutcomes {
--- a/internal/pool/report.go
+++ b/internal/pool/report.go
@@ -53,6 +53,8 @@
 		return
 	}
 	switch rep.Answer {
+	case fleet.OtherIncarnation:
+		p.targetReplaced(now, t, o.Target.Addr)
 	case fleet.Accepted:
 		// After an unanswered or slow call, a run may have ended long before the report.
 		prompt := t.unansweredHolds == 0 && now-sent <= o.Wait+promptSlack
@@ -181,6 +183,8 @@
 		if r.state == runOrdered || r.state == runUnconfirmed {
 			r.state, r.startedAt = runRunning, now
 		}
+		r.noteStarted(rep.ClockMS)
+		p.acquit(now, r)
 		if r.state == runStopping {
 			p.stopRun(now, r, "not stopped yet")
 		}
@@ -212,7 +216,7 @@
 // addUnclaimed adds a run that a former owner started. Its job is known, or may be
 // resubmitted or restored soon.
 func (p *Pool) addUnclaimed(now time.Duration, t *target, row fleet.Running) {
-	r := &run{taskID: row.Task, number: row.Run, target: t, state: runRunning, orderedAt: now, startedAt: now, checkpoint: row.Checkpoint}
+	r := &run{taskID: row.Task, number: row.Run, target: t, state: runRunning, orderedAt: now, startedAt: now, checkpoint: row.Checkpoint, incarnation: t.Incarnation}
 	t.runs[r.key()] = r
 	t.unclaimed++
 	p.unclaimedRuns[row.Task.Job] = append(p.unclaimedRuns[row.Task.Job], r)
--- a/internal/pool/run.go
+++ b/internal/pool/run.go
@@ -35,6 +35,11 @@
 	// checkpoint is the last checkpoint of the run when it was first reported.
 	checkpoint string
 	stopAt     time.Duration // when a stop was last sent or accepted
+	// startClockMS is the target's clock in the answer that first showed the run at work,
+	// 0 before.
+	startClockMS int64
+	incarnation  int64 // of the target that it was ordered from
+	suspect      bool  // its task was a suspect at the start
 }
 
 const (
@@ -71,6 +76,7 @@
 	case fleet.Accepted:
 		if r.state == runOrdered || r.state == runUnconfirmed {
 			r.state, r.startedAt, r.startTimeKnown = runRunning, now, true
+			r.noteStarted(rep.ClockMS)
 		}
 	case fleet.Unanswered:
 		if r.state == runOrdered {
@@ -92,7 +98,7 @@
 		p.releaseAndRequeue(now, r)
 	case fleet.OtherIncarnation:
 		p.releaseAndRequeue(now, r)
-		t.refreshDue = true
+		p.targetReplaced(now, t, o.Target.Addr)
 	case fleet.NotSent:
 		p.releaseAndRequeue(now, r) // the target is not to blame
 	default:
@@ -173,6 +179,9 @@
 		return
 	}
 	delete(t.runs, r.key())
+	if r.suspect {
+		t.suspectRuns--
+	}
 	if r.task == nil {
 		t.unclaimed--
 		p.removeUnclaimed(r)
--- a/internal/pool/stored.go
+++ b/internal/pool/stored.go
@@ -233,13 +233,13 @@
 	j.formerRunsEnd = 0
 	p.jobs[j.ID] = j
 	p.applyRecord(j, rec)
-	p.reconcileStored(now, j)
+	p.reconcileStored(now, j, rec)
 	return j
 }
 
 // reconcileStored applies held ends and unclaimed runs to a job that was just added, and
 // queues it unless that ended it.
-func (p *Pool) reconcileStored(now time.Duration, j *job) {
+func (p *Pool) reconcileStored(now time.Duration, j *job, rec fleet.Record) {
 	for _, h := range p.takeHeldEnds(j.ID) {
 		p.handleUnknownEnd(now, h.end)
 		p.holdEnd(h.target, h.end)
@@ -248,6 +248,9 @@
 		return // ended by the held ends
 	}
 	p.adopt(now, j)
+	if p.learnSuspicions(now, j, rec.Suspicions); p.jobs[j.ID] != j {
+		return // given up
+	}
 	if reason := p.neverFits(j); reason != "" && !j.restored {
 		p.endJob(now, j, fleet.Outcome{Verdict: verdict.Failed, Reason: reason})
 		return
@@ -279,6 +282,10 @@
 // record returns the progress of a job that must survive its owner.
 func (j *job) record(state fleet.JobState) fleet.Record {
 	rec := fleet.Record{State: state}
+	if j.suspected != nil {
+		rec.Suspicions = j.suspected.tasks.Clone()
+		j.suspicionsSaved = j.suspicionsSaved || len(rec.Suspicions) > 0
+	}
 	for _, tasks := range j.steps {
 		for _, tk := range tasks {
 			if tk.state == taskDone {
--- a/internal/pool/target.go
+++ b/internal/pool/target.go
@@ -44,6 +44,10 @@
 	// unknownLeasesEnd is when all leases have expired that were granted to an
 	// incarnation before its clock was known.
 	unknownLeasesEnd time.Duration
+	seenMS           int64 // the latest time of its clock at which it has answered
+	lossRecorded     bool  // its runs are suspected of the loss of this incarnation
+	replaced         bool  // another incarnation has answered at its address, under another ID
+	suspectRuns      int   // runs of tasks that were suspects at their start
 
 	health
 }
@@ -68,7 +72,7 @@
 	t.lastEnd, t.heldEnds = t.ackNumber(), nil
 	t.owned, t.acquiring, t.holdInFlight, t.refreshDue, t.refreshInFlight, t.ackDue = false, false, false, false, false, false
 	t.fence, t.unansweredHolds, t.unclaimed, t.fencedInARow = 0, 0, 0, 0
-	t.used = structs.Resources{}
+	t.used, t.suspectRuns = structs.Resources{}, 0
 	t.runs = make(map[runKey]*run)
 	t.latestLeaseMS, t.wasUnreachable, t.probing, t.probed = 0, false, false, false
 }
@@ -102,6 +106,7 @@
 func (t *target) setClock(now time.Duration, clock int64) {
 	if clock > 0 {
 		t.clockMS, t.clockReadAt = clock, now
+		t.seenMS = max(t.seenMS, clock)
 	}
 }
 
@@ -132,6 +137,7 @@
 	t := &target{Target: info, nextAcquireAt: now, health: newHealth()}
 	t.reset()
 	p.targets[info.ID] = t
+	p.reviewSuspicions(now, t)
 	at, _ := slices.BinarySearchFunc(p.sortedTargets, info.ID, func(t *target, id string) int { return strings.Compare(t.ID, id) })
 	p.sortedTargets = slices.Insert(p.sortedTargets, at, t)
 	return t
@@ -178,17 +184,20 @@
 // shows which did.
 func (p *Pool) newIncarnation(now time.Duration, t *target, incarnation int64) {
 	p.log("target", "target", t.ID, "outcome", "reborn", "runs", len(t.runs))
-	before := t.runs
+	before, suspects := t.runs, suspectsOn(t)
 	t.reset()
 	t.health = newHealth()
 	t.Incarnation, t.clockMS, t.clockReadAt, t.lastEnd = incarnation, 0, 0, 0
 	t.nextAcquireAt, t.unknownLeasesEnd = now, now+maxLease
+	t.seenMS, t.lossRecorded, t.replaced = 0, false, false
 	for _, r := range sortedRuns(before) {
 		t.carryOver(r)
 		if r.state == runRunning {
 			p.releaseAndRequeue(now, r)
 		}
 	}
+	p.suspectTasks(now, suspects, true)
+	p.reviewSuspicions(now, t)
 }
 
 // maxLease is the longest lease that a target grants, including clock drift and the
@@ -198,6 +207,9 @@
 // carryOver keeps a run of an earlier incarnation and its used capacity.
 func (t *target) carryOver(r *run) {
 	t.runs[r.key()] = r
+	if r.suspect {
+		t.suspectRuns++
+	}
 	if r.task == nil {
 		t.unclaimed++
 		return
--- a/internal/pool/timed.go
+++ b/internal/pool/timed.go
@@ -83,7 +83,7 @@
 	p.jobs[j.ID] = j
 	p.log("job", "job", rj.ID, "occurrence", k, "outcome", "due", "late_ms", late.Milliseconds())
 	p.applyRecord(j, rec)
-	p.reconcileStored(now, j)
+	p.reconcileStored(now, j, rec)
 }
 
 // saveRecurring emits the records of all occurrences to be saved as one.
--- a/internal/verdict/reason.go
+++ b/internal/verdict/reason.go
@@ -77,6 +77,7 @@
 	MismatchedAnswer Reason = "mismatched_answer"
 	LateAnswer       Reason = "late_answer"
 	TaskFailed       Reason = "task_failed"
+	CrashesTargets   Reason = "crashes_targets" // targets crash when they start the task
 	Timeout          Reason = "timeout"
 	HedgeLatency     Reason = "hedge_latency"
 	RetryBudget      Reason = "retry_budget"
