Suspicions against a best-effort job's tasks reach its next leader

Callers saw: a job whose task crashes its targets crashed as many again after each change of the leader.

Cause: only the leader knew of the crashes. It now tells the job's coordinator at each change, which submits the job to the next leader with them; a relay passes them on. An entry of an earlier release, which would close the link at an unknown type of message, is not sent it.

--- a/internal/node/fuzz_test.go
+++ b/internal/node/fuzz_test.go
@@ -20,6 +20,7 @@
 		endedBody{Job: "a"}, abandonBody{Job: "a", Reason: cancelled}, heartbeatBody{ConfigVersion: 3},
 		heartbeatBody{LayoutVersion: 2, Pools: []poolReport{{Claim: election.Claim{Leading: true, Term: 3}, Capacity: 32000}}}, directoryBody{Request: &directoryRequest{Layout: true}},
 		directoryBody{Layout: &fleet.Layout{Version: 1, Pools: []fleet.Scope{{DC: "a"}}}, Config: &fleet.Config{Version: 1}, Targets: []fleet.Target{{ID: "t"}}, Members: []fleet.Member{{Name: "e"}}},
+		suspicionsBody{Job: "a", Suspicions: fleet.Suspicions{1: {{Target: "t", Crashed: true}}}},
 	} {
 		b, err := wire.Encode(body)
 		assert.NilError(f, err)
@@ -27,7 +28,7 @@
 		f.Add(uint8(i), b[:len(b)/2])
 	}
 	f.Fuzz(func(t *testing.T, kind uint8, b []byte) {
-		switch kind % 8 {
+		switch kind % 9 {
 		case 0:
 			checkRoundTrip[submitBody](t, b)
 		case 1:
@@ -42,6 +43,8 @@
 			checkRoundTrip[jobReplyBody](t, b)
 		case 6:
 			checkRoundTrip[jobStoreBody](t, b)
+		case 7:
+			checkRoundTrip[suspicionsBody](t, b)
 		default:
 			checkRoundTrip[directoryBody](t, b)
 		}
--- a/internal/node/jobs.go
+++ b/internal/node/jobs.go
@@ -23,6 +23,7 @@
 	leaderLostAt time.Duration        // when that leader was lost
 	waiters      []chan fleet.Outcome // of the callers
 	relayFor     string               // the entry for which the job is relayed, "" if none
+	suspicions   fleet.Suspicions     // against its tasks, as the last leader has told
 }
 
 // leaderlessTimeout is how long a job waits for a leader before it is rejected.
@@ -42,6 +43,11 @@
 	// Pool is the index of the pool in the layout of the given version.
 	Pool   int    `cbor:"6,keyasint,omitempty"`
 	Layout uint64 `cbor:"7,keyasint,omitempty"`
+	// Suspicions are those of earlier leaders against the job's tasks.
+	Suspicions fleet.Suspicions `cbor:"20,keyasint,omitempty"`
+	// TakesSuspicions is set if the sender reads wire.PoolSuspects, as earlier releases
+	// do not.
+	TakesSuspicions bool `cbor:"21,keyasint,omitempty"`
 }
 
 // endedBody is the body of wire.PoolEnded, with which the leader sends the outcome of
@@ -232,12 +238,13 @@
 		p.sentTo = leader
 		s.pool.Submit(now, pool.Submit{
 			Coordinator: leader, Job: p.job, Waited: now - p.arrived, MayHaveRun: p.mayHaveRun, LostAgo: lostAgo,
+			Suspicions: p.suspicions,
 		})
 		return
 	}
 	sent := n.send(leader, wire.PoolSubmit, submitBody{
 		Job: p.job, Waited: now - p.arrived, MayHaveRun: p.mayHaveRun, LostAgo: lostAgo, Relayed: p.relayFor != "",
-		Pool: s.index, Layout: n.layout.Version,
+		Pool: s.index, Layout: n.layout.Version, Suspicions: p.suspicions, TakesSuspicions: true,
 	})
 	if sent {
 		p.sentTo = leader
@@ -367,10 +374,14 @@
 		n.acceptStored(now, b.Job, b.Waited)
 		return
 	}
+	if b.TakesSuspicions {
+		n.takesSuspicions[from] = true
+	}
 	known := b.Layout == n.layout.Version && b.Pool >= 0 && b.Pool < len(n.shards)
 	if known && n.shards[b.Pool].pool.Leading() {
 		n.shards[b.Pool].pool.Submit(now, pool.Submit{
 			Coordinator: from, Job: b.Job, Waited: b.Waited, MayHaveRun: b.MayHaveRun, LostAgo: b.LostAgo,
+			Suspicions: b.Suspicions,
 		})
 		return
 	}
@@ -385,6 +396,7 @@
 	n.log.Info("job", "job", b.Job.ID, "outcome", "relayed", "for", from, "pool", b.Pool, "leader", leader)
 	n.pending[b.Job.ID] = &pendingJob{
 		job: b.Job, pool: b.Pool, arrived: now - b.Waited, mayHaveRun: b.MayHaveRun, leaderLostAt: now - b.LostAgo, relayFor: from,
+		suspicions: b.Suspicions,
 	}
 }
 
--- a/internal/node/links.go
+++ b/internal/node/links.go
@@ -30,6 +30,7 @@
 	n.post(func(now time.Duration) {
 		delete(n.linked, p.Name)
 		delete(n.relaxed, p.Name)
+		delete(n.takesSuspicions, p.Name)
 		delete(n.stored.peerStoreReadAt, p.Name)
 		delete(n.stored.peerClocks, p.Name)
 		n.log.Info("link", "peer", p.Name, "outcome", "down")
@@ -56,6 +57,8 @@
 		err = decodeAndPost(n, m, func(now time.Duration, b submitBody) { n.handleSubmit(now, from.Name, b) })
 	case wire.PoolEnded:
 		err = decodeAndPost(n, m, func(now time.Duration, b endedBody) { n.handleOutcome(now, from.Name, b.Job, b.Outcome) })
+	case wire.PoolSuspects:
+		err = decodeAndPost(n, m, func(_ time.Duration, b suspicionsBody) { n.handleSuspicions(from.Name, b) })
 	case wire.PoolAbandon:
 		err = decodeAndPost(n, m, func(now time.Duration, b abandonBody) { n.handleAbandon(now, from.Name, b) })
 	case wire.PoolStart:
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -49,6 +49,7 @@
 	JobStore                      // node: a job to store, from an entry whose writes the store rejects
 	PoolStart                     // node: a start order that the job's coordinator is to send
 	PoolStarted                   // node: the target's answer to a PoolStart
+	PoolSuspects                  // node: which tasks of a submitted job may crash their targets
 	maxType
 )
 
@@ -72,7 +73,7 @@
 	"", "hello", "hello_ack", "ping", "pong", "ack", "membership", "ledger", "run", "run_done", "run_cancel",
 	"forward", "forward_done", "load", "manifest_new", "manifest_get", "manifest_all",
 	"pool_beat", "pool_submit", "pool_ended", "pool_abandon", "directory", "job_ask", "job_told", "job_store",
-	"pool_start", "pool_started",
+	"pool_start", "pool_started", "pool_suspects",
 }
 
 // String returns the name of the type in metrics.
