--- a/internal/pool/crash.go
+++ b/internal/pool/crash.go
@@ -29,6 +29,8 @@
 	// keepSuspicionsFor is how long the suspicions against the tasks of a job that has
 	// gone are kept, since its caller may submit it again.
 	keepSuspicionsFor = 30 * time.Second
+	// suspicionSweep is the time between two rounds of forgetting them.
+	suspicionSweep = time.Second
 	// replacedPause is the pause before a target is acquired again at whose address
 	// another incarnation has answered.
 	replacedPause = time.Second
@@ -292,6 +294,10 @@
 
 // tickSuspicions forgets the suspicions against jobs that have been gone for long.
 func (p *Pool) tickSuspicions(now time.Duration) {
+	if now < p.nextSweepAt {
+		return
+	}
+	p.nextSweepAt = now + suspicionSweep
 	for id, sj := range p.suspected {
 		if p.jobs[id] != nil && len(sj.tasks) > 0 {
 			sj.knownAt = now
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -92,6 +92,7 @@
 	keptOutcomes   map[string]keptOutcome // by job ID
 	unclaimedRuns  map[string][]*run      // runs of unknown jobs, by job ID
 	suspected      map[string]*suspectJob // by job ID
+	nextSweepAt    time.Duration          // when the suspicions are swept next
 	stored         storedState
 	noStartsBefore time.Duration                // no task is started before
 	awaitTargets   time.Duration                // nor before this time, unless a current list of targets arrives
