Jobs that fit only a room that has shrunk wait for it to grow

Callers saw: while the capacity of targets was shrunk, a job that needs more than any target has just now was failed as never_fits, though it had fitted and would fit again. A stored job was shown as failed for good.

Cause: neverFits looked at the listed capacity only. It now looks at the largest capacity of each target's incarnation too: a stored job waits, another one is refused as not run, with Retry-After, when its time is over. A job that has never fitted fails at once as before.

--- a/internal/pool/place.go
+++ b/internal/pool/place.go
@@ -232,8 +232,8 @@
 }
 
 // neverFits returns a reason if some step of the job does not fit any target of its
-// service, even an idle one, or "" otherwise. It is "" while no target of the service is
-// known.
+// service, even an idle one whose room has grown to its largest, or "" otherwise. It is ""
+// while no target of the service is known.
 func (p *Pool) neverFits(j *job) verdict.Reason {
 	for i := range j.Steps {
 		known, fits := false, false
@@ -242,7 +242,7 @@
 				continue
 			}
 			known = true
-			if j.Steps[i].Needs.Fits(t.Capacity) && t.HasLabel(j.Steps[i].RequiredLabel) {
+			if t.mayFit(j.Steps[i].Needs) && t.HasLabel(j.Steps[i].RequiredLabel) {
 				fits = true
 				break
 			}
--- /dev/null
+++ b/internal/pool/room.go
@@ -0,0 +1,22 @@
+package pool
+
+import "currantstall/internal/structs"
+
+// A target's room may shrink and grow again while it runs. Runs that are over the room
+// stay, and nothing is started until the room holds all that runs or is being stopped.
+
+// noteRoom notes the listed capacity, so that a job that fits the target only when its room
+// has grown again waits rather than fails.
+func (t *target) noteRoom(c structs.Resources) {
+	t.largestRoom = structs.Resources{
+		MilliCPU:     max(t.largestRoom.MilliCPU, c.MilliCPU),
+		MemoryMB:     max(t.largestRoom.MemoryMB, c.MemoryMB),
+		Accelerators: max(t.largestRoom.Accelerators, c.Accelerators),
+	}
+}
+
+// mayFit reports whether the needs fit the target when it is idle, now or with the largest
+// room that this incarnation has had.
+func (t *target) mayFit(needs structs.Resources) bool {
+	return needs.Fits(t.Capacity) || needs.Fits(t.largestRoom)
+}
--- a/internal/pool/target.go
+++ b/internal/pool/target.go
@@ -44,10 +44,11 @@
 	// unknownLeasesEnd is when all leases have expired that were granted to an
 	// incarnation before its clock was known.
 	unknownLeasesEnd time.Duration
-	seenMS           int64 // the latest time of its clock at which it has answered
-	lossRecorded     bool  // its runs are suspected of the loss of this incarnation
-	replaced         bool  // another incarnation has answered at its address, under another ID
-	suspectRuns      int   // runs of tasks that were suspects at their start
+	seenMS           int64             // the latest time of its clock at which it has answered
+	lossRecorded     bool              // its runs are suspected of the loss of this incarnation
+	replaced         bool              // another incarnation has answered at its address, under another ID
+	suspectRuns      int               // runs of tasks that were suspects at their start
+	largestRoom      structs.Resources // largest capacity listed for this incarnation, by resource
 
 	health
 }
@@ -158,6 +159,7 @@
 		t.nextAcquireAt = now
 	}
 	t.Target, t.listed = info, true
+	t.noteRoom(info.Capacity)
 	if info.Leaving {
 		t.step(statechart.TargetHealthOnLeave)
 	} else {
@@ -189,7 +191,7 @@
 	t.health = newHealth()
 	t.Incarnation, t.clockMS, t.clockReadAt, t.lastEnd = incarnation, 0, 0, 0
 	t.nextAcquireAt, t.unknownLeasesEnd = now, now+maxLease
-	t.seenMS, t.lossRecorded, t.replaced = 0, false, false
+	t.seenMS, t.lossRecorded, t.replaced, t.largestRoom = 0, false, false, structs.Resources{}
 	for _, r := range sortedRuns(before) {
 		t.carryOver(r)
 		if r.state == runRunning {
