What a target uses over its shrunk room is not taken from the spare room of others

Callers saw nothing; coordinators that look for a pool with spare capacity found less than there was.

Cause: the pool's load summed up all use and subtracted it from the sum of capacities. It now counts the use of a target up to its capacity.

--- a/internal/pool/load.go
+++ b/internal/pool/load.go
@@ -27,7 +27,7 @@
 		s.Owned++
 		if t.listed && !t.Leaving {
 			s.Capacity = s.Capacity.Plus(t.Capacity)
-			s.Used = s.Used.Plus(t.used)
+			s.Used = s.Used.Plus(t.usedRoom())
 		}
 	}
 	for _, q := range p.rankedQueues {
--- a/internal/pool/room.go
+++ b/internal/pool/room.go
@@ -20,3 +20,12 @@
 func (t *target) mayFit(needs structs.Resources) bool {
 	return needs.Fits(t.Capacity) || needs.Fits(t.largestRoom)
 }
+
+// usedRoom returns the part of the target's capacity that is in use.
+func (t *target) usedRoom() structs.Resources {
+	return structs.Resources{
+		MilliCPU:     min(t.used.MilliCPU, t.Capacity.MilliCPU),
+		MemoryMB:     min(t.used.MemoryMB, t.Capacity.MemoryMB),
+		Accelerators: min(t.used.Accelerators, t.Capacity.Accelerators),
+	}
+}
--- a/internal/pool/room_test.go
+++ b/internal/pool/room_test.go
@@ -106,6 +106,14 @@
 	assert.Equal(t, len(takeEffects[fleet.Start](b)), 1)
 }
 
+// What a target uses beyond its room is not taken from the room of another.
+func TestUseOverOneRoomLeavesTheSpareOfOthers(t *testing.T) {
+	b := newHarness(t, 2)
+	b.submitAndStart(patientJob("a", 2, 14000))
+	b.setRooms(10000, 32000)
+	assert.Equal(t, b.p.Load().Spare(), int64(32000))
+}
+
 // roomAt is the room of a simulated target from a time on.
 type roomAt struct {
 	from time.Duration
