Targets whose successor has their address do not delay the jobs of a new owner

Callers saw: after a loss of the leader, stored jobs stood still for 12 s if a target had crashed shortly before.

Cause: a new owner starts no restored task until it owns all targets or the runs of its predecessor are over for certain, 12 s for a target that may be cut off. It took a target that has crashed for one that is cut off, for its row stays listed for seconds, and then goes. A target at whose address another one answers runs nothing.

Evidence: TestReplacedTargetsDoNotDelayRestoredJobs failed before. While a target listed no more has a successor at its address, the owner still waits until it owns the successor, which proves the address.

--- a/internal/pool/crash_test.go
+++ b/internal/pool/crash_test.go
@@ -433,3 +433,26 @@
 	assert.Assert(b.t, len(saves) > 0, "no record")
 	return saves[len(saves)-1]
 }
+
+// A new owner of the stored jobs finds a target that has crashed, whether it still stands in
+// the list or not. Another one has its address: it holds no runs of the former owner.
+func TestReplacedTargetsDoNotDelayRestoredJobs(t *testing.T) {
+	for _, unlisted := range []bool{false, true} {
+		s := newCrashSim(t, 3)
+		s.newNames = true
+		s.crash("t02")
+		s.run(3200 * ms) // until its successor is there
+		s.p = New(DefaultSettings(), nil)
+		s.p.SetTargets(s.now, s.list)
+		if unlisted {
+			s.list = slices.Delete(s.list, 2, 3)
+			s.p.SetTargets(s.now, s.list)
+		}
+		s.run(5 * time.Second)
+		s.p.BecomeLeader(s.now, 1<<40)
+		s.run(100 * ms)
+		s.ownStored(restoredJob(storedJob("j", 1)))
+		s.run(500 * ms)
+		assert.Equal(t, s.started[fleet.TaskID{Job: "j"}], 1, "unlisted: %v", unlisted)
+	}
+}
--- a/internal/pool/stored.go
+++ b/internal/pool/stored.go
@@ -171,14 +171,14 @@
 	return p.ownsListedTargets(now)
 }
 
-// ownsListedTargets reports whether all targets are owned, and none was unlisted
-// recently.
+// ownsListedTargets reports whether all targets are owned, except those that are known to
+// be over, and none was unlisted recently.
 func (p *Pool) ownsListedTargets(now time.Duration) bool {
 	if p.lastUnlistedAt > 0 && now < p.lastUnlistedAt+unreachableWait {
 		return false
 	}
 	for _, t := range p.sortedTargets {
-		if !t.owned {
+		if !t.owned && !t.replaced {
 			return false
 		}
 	}
--- a/internal/pool/target.go
+++ b/internal/pool/target.go
@@ -113,12 +113,12 @@
 
 // SetTargets replaces the list of targets that discovery has found.
 func (p *Pool) SetTargets(now time.Duration, list []fleet.Target) {
-	present := make(map[string]bool, len(list))
+	present, addrs := make(map[string]bool, len(list)), make(map[string]bool, len(list))
 	if p.firstListedAt == 0 && len(list) > 0 {
 		p.firstListedAt = now
 	}
 	for _, info := range list {
-		present[info.ID] = true
+		present[info.ID], addrs[info.Addr] = true, true
 		t := p.targets[info.ID]
 		if t == nil {
 			t = p.addTarget(info, now)
@@ -127,7 +127,10 @@
 	}
 	for _, t := range slices.Clone(p.sortedTargets) {
 		if !present[t.ID] && t.listed {
-			t.listed, p.lastUnlistedAt = false, now
+			t.listed = false
+			if !t.replaced && !addrs[t.Addr] { // a successor at its address, once owned, proves that it is over
+				p.lastUnlistedAt = now
+			}
 			p.log("target", "target", t.ID, "outcome", "not listed", "owned", t.owned, "runs", len(t.runs))
 		}
 	}
