--- a/internal/node/fuzz_test.go
+++ b/internal/node/fuzz_test.go
@@ -21,6 +21,7 @@
 		heartbeatBody{SentAt: 1, LayoutVersion: 2, Pools: []poolReport{{Claim: election.Claim{Leading: true, Term: 3}, Capacity: 32000}}}, directoryBody{Request: &directoryRequest{Layout: true}},
 		directoryBody{Layout: &fleet.Layout{Version: 1, Pools: []fleet.Scope{{DC: "a"}}}, Config: &fleet.Config{Version: 1}, Targets: []fleet.Target{{ID: "t"}}, Members: []fleet.Member{{Name: "e"}}},
 		vouchBody{HeartbeatAt: 1, Leader: "e", Origin: "f"},
+		suspicionsBody{Job: "a", Suspicions: fleet.Suspicions{1: {{Target: "t", Crashed: true}}}},
 	} {
 		b, err := wire.Encode(body)
 		assert.NilError(f, err)
@@ -28,7 +29,7 @@
 		f.Add(uint8(i), b[:len(b)/2])
 	}
 	f.Fuzz(func(t *testing.T, kind uint8, b []byte) {
-		switch kind % 9 {
+		switch kind % 10 {
 		case 0:
 			checkRoundTrip[submitBody](t, b)
 		case 1:
@@ -45,6 +46,8 @@
 			checkRoundTrip[jobStoreBody](t, b)
 		case 7:
 			checkRoundTrip[vouchBody](t, b)
+		case 8:
+			checkRoundTrip[suspicionsBody](t, b)
 		default:
 			checkRoundTrip[directoryBody](t, b)
 		}
--- a/internal/node/jobs.go
+++ b/internal/node/jobs.go
@@ -32,6 +32,7 @@
 	vouches      bool                     // that entry vouches for the job
 	origin       string                   // the coordinator, if the job is relayed
 	relays       int                      // how many entries have relayed the job, this one included
+	suspicions   fleet.Suspicions         // against its tasks, as the last leader has told
 }
 
 // leaderlessTimeout is how long a job waits for a leader before it is rejected.
@@ -64,6 +65,11 @@
 	// Number is repeated in the answer.
 	Number uint64 `cbor:"13,keyasint,omitempty"`
 	Relays int    `cbor:"14,keyasint,omitempty"`
+	// Suspicions are those of earlier leaders against the job's tasks.
+	Suspicions fleet.Suspicions `cbor:"20,keyasint,omitempty"`
+	// TakesSuspicions is set if the sender reads wire.PoolSuspects, as earlier releases
+	// do not.
+	TakesSuspicions bool `cbor:"21,keyasint,omitempty"`
 }
 
 // endedBody is the body of wire.PoolEnded, with which the leader sends the outcome of
@@ -263,6 +269,7 @@
 			Coordinator: leader, Job: p.job, Number: p.number, Waited: now - p.arrived, MayHaveRun: p.mayHaveRun,
 			VouchedAgo: f.ago, HereBefore: f.hereBefore, VouchedElsewhereAgo: f.elsewhereAgo,
 			NeedsVouch: p.relayFor != "" && p.vouches, Origin: p.origin,
+			Suspicions: p.suspicions,
 		})
 		n.passBeatOn(now, p)
 		return
@@ -271,6 +278,7 @@
 		Job: p.job, Number: p.number, Waited: now - p.arrived, MayHaveRun: p.mayHaveRun, Relayed: p.relayFor != "",
 		VouchedAgo: f.ago, HereBefore: f.hereBefore, VouchedElsewhereAgo: f.elsewhereAgo,
 		Pool: s.index, Layout: n.layout.Version, Vouches: p.relayFor == "" || p.vouches, Origin: p.origin, Relays: p.relays,
+		Suspicions: p.suspicions, TakesSuspicions: true,
 	}
 	if p.relayFor == "" {
 		b.HeartbeatAt = n.vouching.answer(leader)
@@ -434,12 +442,16 @@
 		return
 	}
 	b.VouchedAgo, b.VouchedElsewhereAgo, b.HeartbeatAt = max(b.VouchedAgo, 0), max(b.VouchedElsewhereAgo, 0), max(b.HeartbeatAt, 0)
+	if b.TakesSuspicions {
+		n.takesSuspicions[from] = true
+	}
 	known := b.Layout == n.layout.Version && b.Pool >= 0 && b.Pool < len(n.shards)
 	if known && n.shards[b.Pool].pool.Leading() {
 		n.shards[b.Pool].pool.Submit(now, pool.Submit{
 			Coordinator: from, Job: b.Job, Number: b.Number, Waited: b.Waited, MayHaveRun: b.MayHaveRun,
 			VouchedAgo: b.VouchedAgo, HereBefore: b.HereBefore, VouchedElsewhereAgo: b.VouchedElsewhereAgo,
 			NeedsVouch: b.Vouches, Origin: b.Origin, HeartbeatAt: min(b.HeartbeatAt, now),
+			Suspicions: b.Suspicions,
 		})
 		return
 	}
@@ -456,6 +468,7 @@
 		job: b.Job, pool: b.Pool, arrived: now - b.Waited, mayHaveRun: b.MayHaveRun, leaderLostAt: now, relayFor: from, relayNumber: b.Number,
 		vouches: b.Vouches, formers: map[string]time.Duration{from: now - b.VouchedAgo},
 		origin: cmp.Or(b.Origin, from), relays: b.relays() + 1,
+		suspicions: b.Suspicions,
 	}
 }
 
--- a/internal/node/links.go
+++ b/internal/node/links.go
@@ -45,6 +45,7 @@
 	delete(n.relaxed, name)
 	delete(n.stored.peerStoreReadAt, name)
 	delete(n.stored.peerClocks, name)
+	delete(n.takesSuspicions, name)
 	n.electionsDue = true
 	for _, s := range n.shards {
 		s.election.RemovePeer(name)
@@ -88,6 +89,8 @@
 		err = decodeAndPost(n, m, func(now time.Duration, b submitBody) { n.handleSubmit(now, from.Name, b) })
 	case wire.PoolEnded:
 		err = decodeAndPost(n, m, func(now time.Duration, b endedBody) { n.handleOutcome(now, from.Name, b) })
+	case wire.PoolSuspects:
+		err = decodeAndPost(n, m, func(_ time.Duration, b suspicionsBody) { n.handleSuspicions(from.Name, b) })
 	case wire.PoolAbandon:
 		err = decodeAndPost(n, m, func(now time.Duration, b abandonBody) { n.handleAbandon(now, from.Name, b) })
 	case wire.PoolStart:
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -66,7 +66,7 @@
 )
 
 // Effect is an action that the pool asks its entry to carry out: a fleet.Start,
-// fleet.Stop, fleet.Hold, fleet.AdviceRequest, Ended or jobstore.Save.
+// fleet.Stop, fleet.Hold, fleet.AdviceRequest, Ended, Suspected or jobstore.Save.
 type Effect any
 
 // Ended reports a job's outcome to its coordinator.
@@ -97,6 +97,8 @@
 	keptOutcomes   map[string]keptOutcome // by job ID
 	unclaimedRuns  map[string][]*run      // runs of unknown jobs, by job ID
 	vouches        map[Voucher]*vouch
+	suspected      map[string]*suspectJob // by job ID
+	nextSweepAt    time.Duration          // when the suspicions are swept next
 	stored         storedState
 	noStartsBefore time.Duration                // no task is started before
 	awaitTargets   time.Duration                // nor before this time, unless a current list of targets arrives
@@ -145,6 +147,7 @@
 	p.keptOutcomes = make(map[string]keptOutcome)
 	p.unclaimedRuns = make(map[string][]*run)
 	p.vouches = make(map[Voucher]*vouch)
+	p.suspected = make(map[string]*suspectJob)
 	p.stored.reset()
 	p.advice = make(map[fleet.TaskID]*stepAdvice)
 }
@@ -231,6 +234,7 @@
 	p.endEjections(now)
 	p.removeUnlisted(now)
 	p.tickStored(now)
+	p.tickSuspicions(now)
 	p.placeWaiting(now)
 	p.rejectOverdue(now)
 	for id, kept := range p.keptOutcomes {
