--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -49,6 +49,9 @@
 	StoreBytesIn  = "store_bytes_in"  // bytes of response bodies
 )
 
+// StoreInvalidRows counts the rows of the platform's store that were turned away, by table.
+const StoreInvalidRows = "store_invalid_rows"
+
 const (
 	tagTable       = "table"
 	tagCall        = "call"
@@ -118,6 +121,13 @@
 	s.Counter(StoreBytesIn).Inc(int64(in))
 }
 
+// CountInvalidRows counts rows of a table of the platform's store that were turned away.
+func (m *Metrics) CountInvalidRows(table string, n int) {
+	if n > 0 {
+		m.scope.Tagged(map[string]string{tagTable: table}).Counter(StoreInvalidRows).Inc(int64(n))
+	}
+}
+
 // CountRefused adds one to the refusals under the reason and verdict of e.
 func (m *Metrics) CountRefused(e *verdict.Error) {
 	tags := map[string]string{tagReason: string(e.Reason), tagVerdict: e.Verdict.String()}
