--- a/internal/structs/structs.go
+++ b/internal/structs/structs.go
@@ -43,6 +43,20 @@
 	Accelerators int64 `cbor:"3,keyasint,omitempty" json:"accelerators,omitempty" yaml:"accelerators,omitempty"` // whole devices
 }
 
+// Limits of an amount from another process: sums over a deployment's targets or tasks
+// don't overflow.
+const (
+	MaxMilliCPU     = 1_000_000_000
+	MaxMemoryMB     = 1 << 32
+	MaxAccelerators = 1 << 16
+)
+
+// Valid reports whether no resource is negative or above its limit.
+func (r Resources) Valid() bool {
+	return r.MilliCPU >= 0 && r.MemoryMB >= 0 && r.Accelerators >= 0 &&
+		r.Fits(Resources{MaxMilliCPU, MaxMemoryMB, MaxAccelerators})
+}
+
 // Fits reports whether r is within free in every resource.
 func (r Resources) Fits(free Resources) bool {
 	return r.MilliCPU <= free.MilliCPU && r.MemoryMB <= free.MemoryMB && r.Accelerators <= free.Accelerators
