Odd targets and entries in a peer's directory are left out

An entry took the lists of a peer, or of a seed, as they were and passed them on: a target with a capacity near 2^63, an incarnation that can't be true or a port out of range, one that is listed twice, an entry without an address. A list with a negative age counted as newer than all later ones and was never replaced. Peers of this release check the rows of the store, but another release may run beside it.

The directory of a peer is now cleared of such items before it is merged, with the limits of the store's rows; they are counted in invalid_messages and logged once a minute.

TestOddTargetsAndMembersOfPeersAreLeftOut failed before.

--- a/internal/node/directory.go
+++ b/internal/node/directory.go
@@ -7,7 +7,6 @@
 	"io"
 	"maps"
 	"net/http"
-	"slices"
 	"strings"
 	"time"
 
@@ -72,6 +71,7 @@
 	requestedOf string        // the peer that was asked, "" once it has answered
 	// targetInterval is the time between two reads of the targets beyond minTargetInterval.
 	targetInterval time.Duration
+	oddLoggedAt    time.Duration // when odd items in a peer's directory were last logged
 	// membersAskedAt is when a peer was last asked for the members that it knows.
 	membersAskedAt time.Duration
 }
@@ -264,6 +264,7 @@
 // mergeDirectory adds another entry's directory to this entry's: a newer
 // configuration, a newer list of targets, and members that were not known.
 func (n *Node) mergeDirectory(now time.Duration, b directoryBody) {
+	b = n.withoutOdd(now, b)
 	if b.Self.Name == n.directory.requestedOf && (b.Config != nil || b.HasTargets || b.Layout != nil) {
 		n.directory.requestedOf = ""
 	}
@@ -277,8 +278,8 @@
 		n.setTargets(now, b.Targets, now-b.TargetsAge)
 	}
 	added := false
-	for _, m := range append(slices.Clone(b.Members), b.Self) {
-		if _, known := n.directory.members[m.Name]; !known && m.Name != "" {
+	for _, m := range append(b.Members, b.Self) {
+		if _, known := n.directory.members[m.Name]; !known && m.Validate() == nil {
 			n.directory.members[m.Name] = m
 			added = true
 		}
