An odd layout in the store is replaced

While the row of the layout was invalid, an entry that started knew no layout: it believed no claim of a peer and made none, so that after a restart of all entries none became ready. The row stayed as it was, since a new layout was saved only on the version of a valid one.

An entry that finds the row invalid keeps the layout in force, or takes the default one if it knows none, so that all such entries divide the targets up in the same way. The entry that plans layouts saves a sound one over the version that it found invalid.

--- a/internal/node/layout.go
+++ b/internal/node/layout.go
@@ -35,6 +35,9 @@
 	targets     int           // counted at the last check
 	steadySince time.Duration // since when that number is steady
 	saving      bool
+	// invalidVersion is the version of the layout's row in the store when it was last found
+	// to be invalid.
+	invalidVersion uint64
 }
 
 // SetLayout puts the layout of the platform's store in force, unless the one in force has
@@ -43,6 +46,18 @@
 	n.post(func(now time.Duration) { n.setLayout(now, l) })
 }
 
+// SetInvalidLayout tells that the layout in the platform's store is invalid as of a version
+// of its row. The layout in force stays, or the default one, so that all entries that know
+// of no other use the same; the entry that plans layouts replaces the row.
+func (n *Node) SetInvalidLayout(version uint64) {
+	n.post(func(now time.Duration) {
+		n.keeper.invalidVersion = version
+		if !n.layoutKnown {
+			n.setLayout(now, fleet.DefaultLayout())
+		}
+	})
+}
+
 // setLayout puts a newer layout in force. The jobs that leaders under the former one have
 // are submitted again, as after the loss of a leader.
 func (n *Node) setLayout(now time.Duration, l fleet.Layout) {
@@ -98,15 +113,19 @@
 		return
 	}
 	want := fleet.PlanLayout(n.directory.targets, n.entrySizes())
-	if n.stored.expected {
+	replace := k.invalidVersion > n.layout.Version
+	switch {
+	case n.stored.expected:
 		want.Pools = []fleet.Scope{{}}
-	} else if now < k.steadySince+layoutSettle || n.layout.Version != 0 && !n.layout.Outgrown(count) {
+	case now < k.steadySince+layoutSettle:
 		return
+	case n.layout.Version != 0 && !n.layout.Outgrown(count):
+		want = n.layout
 	}
-	if slices.Equal(want.Pools, n.layout.Pools) {
+	if slices.Equal(want.Pools, n.layout.Pools) && !replace {
 		return
 	}
-	want.Version = n.layout.Version
+	want.Version = max(n.layout.Version, k.invalidVersion)
 	k.saving = true
 	go n.saveLayout(want)
 }
