Jobs with numbers whose sums overflow are rejected

A job could ask for 2^63 thousandths of a core for each of 10000 tasks, so that the CPU of the job overflowed, or have a first due time or an interval near 2^63 ms, so that the due times of later occurrences were negative and all of them due at once.

The needs of a step, due times, intervals and the number of occurrences have limits in internal/fleet, which hold for jobs from callers (400), peers and rows of the store.

--- a/internal/fleet/validate.go
+++ b/internal/fleet/validate.go
@@ -10,6 +10,8 @@
 const (
 	MaxSteps = 1000
 	MaxTasks = 10000 // in all steps
+	// MaxOccurrences is so low that the records of so many fit into one row of the store.
+	MaxOccurrences = 4000
 )
 
 var errNegative = errors.New("a field is negative")
@@ -26,6 +28,9 @@
 	if j.Timeout < 0 || j.Occurrences < 0 || j.Queue.Stretch < 0 || j.Queue.Slack < 0 {
 		return fmt.Errorf("job %.40q: %w", j.ID, errNegative)
 	}
+	if j.Occurrences > MaxOccurrences || !validTime(j.FirstDueMS) || !validTime(j.IntervalMS) {
+		return fmt.Errorf("job %.40q: %d occurrences, the first at %d ms, one each %d ms: %w", j.ID, j.Occurrences, j.FirstDueMS, j.IntervalMS, errOutOfRange)
+	}
 	total := 0
 	for i := range j.Steps {
 		if err := j.Steps[i].validate(i); err != nil {
@@ -38,13 +43,18 @@
 	return nil
 }
 
+func validTime(ms int64) bool { return ms >= 0 && ms <= MaxTimeMS }
+
 func (s *Step) validate(index int) error {
 	if s.Count < 1 || s.Count > MaxTasks {
 		return fmt.Errorf("%d tasks, want 1 to %d", s.Count, MaxTasks)
 	}
-	if s.Needs.MilliCPU < 0 || s.Needs.MemoryMB < 0 || s.Needs.Accelerators < 0 || s.Estimate < 0 || s.MaxPerTarget < 0 {
+	if s.Estimate < 0 || s.MaxPerTarget < 0 {
 		return errNegative
 	}
+	if !s.Needs.Valid() {
+		return fmt.Errorf("needs %v: %w", s.Needs, errOutOfRange)
+	}
 	if slices.ContainsFunc(s.DependsOn, func(d int) bool { return d < 0 || d >= index }) {
 		return errors.New("depends on a step that is not earlier")
 	}
