A task taken back from a peer that became unreachable may have run

Callers were told not_run (deadline_unmeetable) for repeatable work that a runner had started. A repeatable task that was offloaded to a peer is queued here again when the link to the peer ends. If the queue had no room for it, or its deadline became infeasible there, it ended as not run, though the peer may have started it.

The task now keeps may_have_run for that case, as one does that ran here and is queued again.

Seen with both messages in a run of all integration tests beside other work (load average 32, runs of TestRunnersAddedWhileRunning, TestRunnerThatStraggles and TestHalfTheRunnersDie; those tests were not run again after the change on a machine with less to do). TestReclaimedTaskThatThePeerStartedMayHaveRun failed before in every run with the same verdict, reason and message.

--- a/internal/engine/handoff.go
+++ b/internal/engine/handoff.go
@@ -196,6 +196,9 @@
 	s.mu.Lock()
 	delete(s.peerLoads, name)
 	repeatable := s.offloadedTo(name, func(t *task) bool { return t.Repeatable })
+	for _, t := range repeatable {
+		t.keepMayHaveRun(verdict.New(verdict.MayHaveRun, verdict.HolderLost, "entry %s, which held the task, became unreachable", name))
+	}
 	s.mu.Unlock()
 	for _, t := range repeatable {
 		s.reclaim(t)
