A new owner of stored jobs trusts reports that it has asked for, not targets that it owned before

Callers saw, at loads of 27 to 35 on 8 cores, tasks of stored jobs started again after they were done (3 of 209 runs of TestStoredJobThatCrashesTargetsFails). Cause, traced in one of them: two entries led for 0.3 s, and the later owner of the stored jobs took targets for owned that the other had taken since; an idle target gets no messages, so it had not noticed. Now it asks all of them, and a target counts once it has answered a report that was requested after the former owner could start its last run. One that turns out to have another owner is waited for as one that is out of reach. Targets that have answered once count also if they are lost later, so that targets that crash no longer delay restored jobs.

TestNewOwnerOfStoredJobsAsksTargetsThatItOwnedBefore failed before. TestReplacedTargetsDoNotDelayRestoredJobs names the time at which the former owner can start nothing any more, as a claim does; it said that the former owner was seen at that very moment, when 1.1 s are to be waited for.

--- a/internal/pool/crash_test.go
+++ b/internal/pool/crash_test.go
@@ -451,7 +451,10 @@
 		s.run(5 * time.Second)
 		s.p.BecomeLeader(s.now, 1<<40)
 		s.run(100 * ms)
-		s.ownStored(restoredJob(storedJob("j", 1)))
+		s.p.ExpectStored()
+		lastSeen := s.now - jobstore.StartLease - formerStartsMargin // the former owner may start nothing any more
+		s.p.TakeOverStored(s.now, lastSeen, 1, []jobstore.StoredJob{restoredJob(storedJob("j", 1))})
+		s.p.RenewStored(s.now+time.Minute, s.now+time.Minute)
 		s.run(500 * ms)
 		assert.Equal(t, s.started[fleet.TaskID{Job: "j"}], 1, "unlisted: %v", unlisted)
 	}
--- a/internal/pool/report.go
+++ b/internal/pool/report.go
@@ -66,6 +66,7 @@
 		if !t.owned {
 			return
 		}
+		t.reportedAt = max(t.reportedAt, sent)
 		p.processEnds(now, t, rep.Ended, prompt)
 		if len(t.heldEnds) > 0 {
 			t.nextHoldAt = now + t.heldEndPause()
--- a/internal/pool/stored.go
+++ b/internal/pool/stored.go
@@ -21,6 +21,9 @@
 	// longer than the usual network cut, during which the rows of targets that are cut
 	// off from the store are removed as well.
 	unreachableWait = 12 * time.Second
+	// formerStartsMargin is the drift of clocks over the start lease of a former owner, and the
+	// time of its last order.
+	formerStartsMargin = 100 * time.Millisecond
 	// stableListFor is how long no target must have been unlisted, so that owning all
 	// listed targets proves that no runs are left elsewhere.
 	stableListFor = 4 * time.Second
@@ -32,16 +35,19 @@
 
 // storedState is the pool's state of stored jobs.
 type storedState struct {
-	owned          bool                     // the pool owns the stored jobs, and knows them all
-	expected       bool                     // stored jobs exist, whether restored or not
-	unknown        bool                     // it is not known yet whether stored jobs exist
-	epoch          int                      // of the ownership
-	startsUntil    time.Duration            // tasks may be started until then
-	renewedAt      time.Duration            // when the ownership was last renewed
-	formerRunsEnd  time.Duration            // when all runs of a former owner are over
-	ended          map[string]*endedJob     // by job ID
-	recurring      map[string]*recurringJob // by job ID
-	unknownJobEnds map[string][]heldEnd     // held ends of jobs that are not restored yet, by job ID
+	owned           bool                     // the pool owns the stored jobs, and knows them all
+	expected        bool                     // stored jobs exist, whether restored or not
+	unknown         bool                     // it is not known yet whether stored jobs exist
+	epoch           int                      // of the ownership
+	startsUntil     time.Duration            // tasks may be started until then
+	renewedAt       time.Duration            // when the ownership was last renewed
+	lastSeen        time.Duration            // when the former owner may last have renewed its ownership
+	formerRunsEnd   time.Duration            // when all runs of a former owner are over
+	formerStartsEnd time.Duration            // when a former owner has started its last run
+	reportsAsked    bool                     // all owned targets were asked for a report since then
+	ended           map[string]*endedJob     // by job ID
+	recurring       map[string]*recurringJob // by job ID
+	unknownJobEnds  map[string][]heldEnd     // held ends of jobs that are not restored yet, by job ID
 }
 
 // endedJob is the final state of a stored job. It is shown once its record is saved.
@@ -82,6 +88,8 @@
 		return
 	}
 	p.stored.owned, p.stored.unknown, p.stored.epoch = true, false, epoch
+	p.stored.lastSeen, p.stored.reportsAsked = lastSeen, false
+	p.stored.formerStartsEnd = lastSeen + jobstore.StartLease + formerStartsMargin
 	p.stored.formerRunsEnd = lastSeen + formerRunsTimeout
 	if !p.ownsListedTargets(now) {
 		p.stored.formerRunsEnd = lastSeen + unreachableWait
@@ -141,9 +149,7 @@
 		p.ReleaseStored(now, "ownership not renewed in time")
 		return
 	}
-	if now < p.stored.formerRunsEnd && p.noRunsElsewhere(now) {
-		p.stored.formerRunsEnd = now
-	}
+	p.awaitFormerRuns(now)
 	p.tickRecurring(now)
 	for id, e := range p.stored.ended {
 		if e.saved && now > e.endedAt+keepEndedFor {
@@ -152,6 +158,27 @@
 	}
 }
 
+// awaitFormerRuns ends the wait for the runs of a former owner once every target has reported
+// since that one could start its last run. A target that has another owner by now may have runs,
+// or ends, that no report has shown.
+func (p *Pool) awaitFormerRuns(now time.Duration) {
+	if now >= p.stored.formerRunsEnd {
+		return
+	}
+	if now >= p.stored.formerStartsEnd && !p.stored.reportsAsked {
+		p.stored.reportsAsked = true
+		for _, t := range p.sortedTargets {
+			t.refreshDue = t.refreshDue || t.owned // an idle target gets no messages
+		}
+	}
+	switch {
+	case p.noRunsElsewhere(now):
+		p.stored.formerRunsEnd = now
+	case !p.ownsListedTargets(now):
+		p.stored.formerRunsEnd = p.stored.lastSeen + unreachableWait
+	}
+}
+
 // hasStoredRuns reports whether a stored job has runs.
 func (p *Pool) hasStoredRuns() bool {
 	for _, j := range p.jobs {
@@ -163,12 +190,17 @@
 }
 
 // noRunsElsewhere reports whether all targets on which a former owner could have runs
-// are owned.
+// have reported since it could start the last one.
 func (p *Pool) noRunsElsewhere(now time.Duration) bool {
 	if now < max(p.firstListedAt, p.lastUnlistedAt)+stableListFor {
 		return false
 	}
-	return p.ownsListedTargets(now)
+	for _, t := range p.sortedTargets {
+		if !t.replaced && t.reportedAt < p.stored.formerStartsEnd {
+			return false
+		}
+	}
+	return p.lastUnlistedAt == 0 || now >= p.lastUnlistedAt+unreachableWait
 }
 
 // ownsListedTargets reports whether all targets are owned, except those that are known to
@@ -178,7 +210,7 @@
 		return false
 	}
 	for _, t := range p.sortedTargets {
-		if !t.owned && !t.replaced {
+		if !t.owned && !t.replaced && t.reportedAt < p.stored.formerStartsEnd {
 			return false
 		}
 	}
--- a/internal/pool/stored_test.go
+++ b/internal/pool/stored_test.go
@@ -236,6 +236,32 @@
 	assert.DeepEqual(t, b.p.Pending(), map[string]int{"q": 1})
 }
 
+// Another leader has taken the idle targets since and started tasks there. A new owner of the
+// stored jobs has not noticed, for idle targets get no messages.
+func TestNewOwnerOfStoredJobsAsksTargetsThatItOwnedBefore(t *testing.T) {
+	b := newHarness(t, 2)
+	b.p.ExpectStored()
+	b.now += stableListFor
+	b.p.TakeOverStored(b.now, b.now-2*time.Second, 2, []jobstore.StoredJob{restoredJob(storedJob("j", 1))})
+	b.p.RenewStored(b.now+time.Minute, b.now+time.Minute)
+	b.tick(ms)
+	b.tick(ms)
+	assert.Equal(t, len(takeEffects[fleet.Start](b)), 0, "the targets have not been asked")
+	holds := takeEffects[fleet.Hold](b)
+	assert.Equal(t, len(holds), 2)
+	for _, h := range holds {
+		b.p.HoldDone(b.now, b.now, h, fleet.HoldReply{Answer: fleet.Fenced})
+	}
+	b.tick(ms)
+	assert.Equal(t, len(takeEffects[fleet.Start](b)), 0, "they have another owner")
+	holds = takeEffects[fleet.Hold](b)
+	assert.Equal(t, len(holds), 2)
+	b.acceptHold(holds[0], []fleet.Running{{Task: fleet.TaskID{Job: "j"}, Run: runsPerEpoch + 1, PercentDone: 10}}, nil)
+	b.acceptHold(holds[1], nil, nil)
+	b.tick(ms)
+	assert.Equal(t, len(takeEffects[fleet.Start](b)), 0, "the run is adopted")
+}
+
 func TestStoredTaskWaitsForUnreachableTarget(t *testing.T) {
 	b := newHarness(t, 2)
 	b.ownStored()
--- a/internal/pool/target.go
+++ b/internal/pool/target.go
@@ -28,6 +28,7 @@
 	fencedInARow    int               // acquisitions in a row that were rejected as fenced
 	holdInFlight    bool              // the hold that waits for ends is in flight
 	unansweredHolds int               // in a row
+	reportedAt      time.Duration     // when the last report under this or an earlier ownership was requested
 	refreshDue      bool              // an immediate report is wanted
 	refreshInFlight bool              // the hold for an immediate report is in flight
 	lastEnd         int64             // number of the last end that was processed
