--- /dev/null
+++ b/internal/pool/orphan.go
@@ -0,0 +1,85 @@
+package pool
+
+import (
+	"time"
+
+	"currantstall/internal/fleet"
+	"currantstall/internal/verdict"
+)
+
+// Abandon marks a job as orphaned because its caller disconnected. The job is dropped if
+// it has no runs; its runs continue for Settings.OrphanGrace, in case the caller
+// reconnects.
+func (p *Pool) Abandon(now time.Duration, coordinator, id string) {
+	j := p.jobs[id]
+	if j == nil || j.Stored {
+		return
+	}
+	if j.coordinator != coordinator {
+		j.dropEarlier(coordinator)
+		return
+	}
+	p.orphanJob(now, j, now+p.cfg.OrphanGrace)
+}
+
+// Withdraw marks a job as orphaned because its coordinator submits it to another owner.
+// Its runs are stopped at once.
+func (p *Pool) Withdraw(now time.Duration, coordinator, id string) {
+	j := p.jobs[id]
+	if j == nil || j.Stored || j.coordinator != coordinator {
+		return
+	}
+	j.movedAway = true
+	p.orphanJob(now, j, now)
+}
+
+// Cancel ends a job at the request of its caller.
+func (p *Pool) Cancel(now time.Duration, id string) {
+	if rj := p.stored.recurring[id]; rj != nil {
+		p.endRecurring(now, rj, fleet.JobCancelled)
+	} else if j := p.jobs[id]; j != nil {
+		p.endJob(now, j, fleet.Outcome{Verdict: notRunVerdict(j.mayHaveStarted), Reason: verdict.Cancelled})
+	}
+}
+
+// CoordinatorLost marks all jobs of a coordinator as orphaned because the link to it is
+// down. Its callers may soon be served by another entry, so their runs are stopped
+// unless the coordinator is back within Settings.LinkGrace.
+func (p *Pool) CoordinatorLost(now time.Duration, name string) {
+	p.dropVouches(name)
+	for _, j := range p.jobs {
+		if j.coordinator == name && !j.orphaned && !j.Stored {
+			p.orphanJob(now, j, now+p.cfg.LinkGrace)
+		}
+	}
+}
+
+// orphanJob marks a job as orphaned; its runs are stopped at the given time.
+func (p *Pool) orphanJob(now time.Duration, j *job, until time.Duration) {
+	p.limitRuns(now, j)
+	j.orphaned, j.orphanUntil = true, until
+	j.queueState.remove(j)
+	p.log("job", "job", j.ID, "outcome", "orphan", "coordinator", j.coordinator, "begun", j.mayHaveStarted)
+	p.dropOrphan(now, j)
+}
+
+// dropOrphan drops an orphaned job without runs, and stops the runs of one whose grace
+// period is over.
+func (p *Pool) dropOrphan(now time.Duration, j *job) {
+	if len(j.currentRuns()) == 0 {
+		delete(p.jobs, j.ID)
+	} else if now >= min(j.orphanUntil, j.withdrawnUntil-stopMargin) {
+		for _, r := range j.currentRuns() {
+			p.stopRun(now, r, "caller or coordinator gone")
+		}
+	}
+}
+
+// expireOrphans stops the runs of orphaned jobs whose grace period is over.
+func (p *Pool) expireOrphans(now time.Duration) {
+	for _, j := range p.jobs {
+		if j.orphaned {
+			p.dropOrphan(now, j)
+		}
+	}
+}
--- a/internal/pool/vouch.go
+++ b/internal/pool/vouch.go
@@ -171,3 +171,37 @@
 	}
 	return t.leaseUntil(now, until-now)
 }
+
+// waitForFormerOwners delays the start of a job that other owners may have started, until all
+// their runs are over. Its own runs an owner knows.
+func (p *Pool) waitForFormerOwners(now time.Duration, j *job, s *Submit) {
+	if !s.MayHaveRun {
+		return
+	}
+	j.mayHaveRunElsewhere = true
+	vouchedAgo := s.VouchedAgo
+	if s.HereBefore && p.knowsOwnRuns(now, s) {
+		vouchedAgo = s.VouchedElsewhereAgo
+	}
+	j.formerRunsEnd = max(j.formerRunsEnd, now+p.cfg.TakeoverDelay-vouchedAgo)
+}
+
+// knowsOwnRuns reports whether this owner knows all runs that it has started of a submitted
+// job: it has led all the while since the job arrived, and still has the job or has no runs of
+// it left.
+func (p *Pool) knowsOwnRuns(now time.Duration, s *Submit) bool {
+	if p.leadingSince > now-s.Waited {
+		return false
+	}
+	if p.jobs[s.Job.ID] != nil {
+		return true
+	}
+	for _, t := range p.sortedTargets {
+		for k := range t.runs {
+			if k.taskID.Job == s.Job.ID {
+				return false
+			}
+		}
+	}
+	return true
+}
