Runs adopted for a relayed job wait for the first word of its coordinator

The word of a coordinator behind a relay comes a round trip after the job. The next leader stopped the runs that it had just adopted, as if their coordinator were silent. TestAdoptedRunWaitsForTheFirstWordOfItsCoordinator failed before.

--- a/internal/pool/job.go
+++ b/internal/pool/job.go
@@ -120,7 +120,7 @@
 		p.log("job", "job", j.ID, "outcome", "attached", "coordinator", s.Coordinator, "orphan", j.orphaned)
 		p.changeCoordinator(now, j, &s)
 		j.coordinator, j.number, j.orphaned, j.withdrawn, j.movedAway = s.Coordinator, s.Number, false, false, false
-		p.attachVouch(j, &s)
+		p.attachVouch(now, j, &s)
 		p.waitForFormerOwners(now, j, &s)
 		if s.MayHaveRun {
 			j.markMayHaveStarted()
@@ -163,7 +163,7 @@
 		mayHaveRunElsewhere: s.MayHaveRun, mayHaveStarted: s.MayHaveRun,
 		steps: make([][]*task, len(s.Job.Steps)), remaining: make([]int, len(s.Job.Steps)),
 	}
-	p.attachVouch(j, &s)
+	p.attachVouch(now, j, &s)
 	p.waitForFormerOwners(now, j, &s)
 	ordinal := 0
 	for i := range j.Steps {
--- a/internal/pool/vouch.go
+++ b/internal/pool/vouch.go
@@ -33,6 +33,7 @@
 type vouch struct {
 	heardAt time.Duration // time of the last heartbeat that it answered
 	known   bool
+	since   time.Duration // when its first job was submitted
 }
 
 // Vouched records that a voucher has answered the heartbeat that this entry sent at the given
@@ -44,21 +45,21 @@
 }
 
 // vouchOf returns the last word of a voucher, for jobs to share.
-func (p *Pool) vouchOf(by Voucher) *vouch {
+func (p *Pool) vouchOf(now time.Duration, by Voucher) *vouch {
 	v := p.vouches[by]
 	if v == nil {
-		v = &vouch{}
+		v = &vouch{since: now}
 		p.vouches[by] = v
 	}
 	return v
 }
 
 // attachVouch makes a job depend on the word of its present voucher.
-func (p *Pool) attachVouch(j *job, s *Submit) {
+func (p *Pool) attachVouch(now time.Duration, j *job, s *Submit) {
 	j.vouch = nil
 	if s.NeedsVouch {
 		by := Voucher{s.Coordinator, s.Origin}
-		j.vouch = p.vouchOf(by)
+		j.vouch = p.vouchOf(now, by)
 		if s.HeartbeatAt > 0 {
 			p.Vouched(by, s.HeartbeatAt)
 		}
@@ -132,6 +133,9 @@
 		if j.orphaned || p.permittedUntil(j) > now+stopMargin {
 			continue
 		}
+		if j.vouch != nil && !j.vouch.known && now < j.vouch.since+adoptTimeout {
+			continue // the first word is on its way; until then adopted runs are not renewed
+		}
 		for _, r := range j.currentRuns() {
 			p.stopRun(now, r, "coordinator silent")
 		}
--- a/internal/pool/vouch_test.go
+++ b/internal/pool/vouch_test.go
@@ -85,6 +85,26 @@
 	}
 }
 
+// A relayed job finds its run at the next leader before the word of its origin has come.
+func TestAdoptedRunWaitsForTheFirstWordOfItsCoordinator(t *testing.T) {
+	for _, comes := range []bool{true, false} {
+		b := &harness{t: t, p: New(DefaultSettings(), nil), now: time.Second, ended: map[string]fleet.Outcome{}, resubmitted: map[string]bool{}}
+		b.p.SetTargets(b.now, targetList(1))
+		b.p.BecomeLeader(b.now, 7)
+		running := []fleet.Running{{Task: fleet.TaskID{Job: "j"}, Run: 3, PercentDone: 10}}
+		b.answerHolds(running)
+		b.p.Submit(b.now, Submit{Coordinator: "relay", Origin: "e1", Job: jobOf("j", queue("q", 0), 1, 14000, 3*time.Second), NeedsVouch: true, MayHaveRun: true})
+		b.tick(20 * ms)
+		assert.Equal(t, b.answerHolds(running), int64(0))
+		if comes {
+			b.p.Vouched(Voucher{Coordinator: "relay", Origin: "e1"}, b.now)
+		}
+		b.tick(adoptTimeout)
+		assert.Equal(t, len(takeEffects[fleet.Stop](b)) == 0, comes)
+		assert.Equal(t, b.answerHolds(running) > 0, comes)
+	}
+}
+
 func TestRelayedJobNeedsTheWordOfItsOrigin(t *testing.T) {
 	b := newHarness(t, 1)
 	b.p.Submit(b.now, Submit{Coordinator: "relay", Origin: "e1", Job: jobOf("j", queue("q", 0), 1, 14000, 60*ms), NeedsVouch: true})
