--- a/internal/pool/crash_test.go
+++ b/internal/pool/crash_test.go
@@ -18,7 +18,7 @@
 // crash. A crashed target answers nothing, and is back as a new incarnation after 3 s.
 type crashSim struct {
 	*harness
-	deadly   map[fleet.TaskID]bool
+	crashing map[fleet.TaskID]bool
 	list     []fleet.Target
 	backAt   map[string]time.Duration
 	running  map[string][]fleet.Running // by target
@@ -32,14 +32,14 @@
 	lives    int
 }
 
-func newCrashSim(t *testing.T, targets int, deadly ...fleet.TaskID) *crashSim {
+func newCrashSim(t *testing.T, targets int, crashing ...fleet.TaskID) *crashSim {
 	s := &crashSim{
-		harness: newHarness(t, targets), list: targetList(targets), deadly: map[fleet.TaskID]bool{}, backAt: map[string]time.Duration{},
+		harness: newHarness(t, targets), list: targetList(targets), crashing: map[fleet.TaskID]bool{}, backAt: map[string]time.Duration{},
 		running: map[string][]fleet.Running{}, ended: map[string][]fleet.End{}, lastEnd: map[string]int64{},
 		started: map[fleet.TaskID]int{}, crashes: map[fleet.TaskID]int{}, told: map[string]fleet.Suspicions{}, until: map[runKey]time.Duration{},
 	}
-	for _, id := range deadly {
-		s.deadly[id] = true
+	for _, id := range crashing {
+		s.crashing[id] = true
 	}
 	return s
 }
@@ -121,7 +121,7 @@
 		s.started[o.Task]++
 		s.running[o.Target.ID] = append(s.running[o.Target.ID], fleet.Running{Task: o.Task, Run: o.Run, PercentDone: 1})
 		s.until[runKey{o.Task, o.Run}] = s.now + 300*ms
-		if s.deadly[o.Task] {
+		if s.crashing[o.Task] {
 			s.crash(o.Target.ID)
 			s.replyStart(o, fleet.Unanswered)
 			continue
@@ -171,8 +171,8 @@
 	for _, newNames := range []bool{false, true} {
 		for _, stored := range []bool{false, true} {
 			t.Run(fmt.Sprintf("newNames=%v,stored=%v", newNames, stored), func(t *testing.T) {
-				deadly := fleet.TaskID{Job: "j", Index: 1}
-				s := newCrashSim(t, 6, deadly)
+				crashing := fleet.TaskID{Job: "j", Index: 1}
+				s := newCrashSim(t, 6, crashing)
 				s.newNames = newNames
 				j := patientJob("j", 3, 20000)
 				if j.Stored = stored; stored {
@@ -180,7 +180,7 @@
 				}
 				s.submit(j)
 				s.run(20 * time.Second)
-				assert.Equal(t, s.started[deadly], 2)
+				assert.Equal(t, s.started[crashing], 2)
 				if stored {
 					assert.Equal(t, s.p.stored.ended["j"].state, fleet.JobFailed)
 					return
@@ -196,7 +196,7 @@
 func TestNeighboursOfACrashingTaskAreNotFailed(t *testing.T) {
 	s := newCrashSim(t, 8)
 	for i := range 6 {
-		s.deadly[fleet.TaskID{Job: fmt.Sprintf("bad%d", i), Index: i % 3}] = true
+		s.crashing[fleet.TaskID{Job: fmt.Sprintf("bad%d", i), Index: i % 3}] = true
 	}
 	for i := range 30 {
 		if i%5 == 0 {
@@ -215,7 +215,7 @@
 		assert.Check(t, o.Verdict == want, "%s: %s (%s)", id, o.Verdict, o.Reason)
 	}
 	assert.Equal(t, len(out), 36)
-	for task := range s.deadly {
+	for task := range s.crashing {
 		assert.Check(t, s.started[task] <= 3, "%s was started %d times", task, s.started[task])
 	}
 }
@@ -223,14 +223,14 @@
 // The coordinator of a job submits it to the next leader with the suspicions that it was
 // told of. The next leader started the task until two more targets had crashed.
 func TestSuspicionsSurviveAChangeOfLeader(t *testing.T) {
-	deadly := fleet.TaskID{Job: "j"}
+	crashing := fleet.TaskID{Job: "j"}
 	for _, newNames := range []bool{false, true} {
-		s := newCrashSim(t, 4, deadly)
+		s := newCrashSim(t, 4, crashing)
 		s.newNames = newNames
 		j := patientJob("j", 1, 20000)
 		s.submit(j)
 		s.run(500 * ms)
-		assert.Equal(t, s.started[deadly], 1)
+		assert.Equal(t, s.started[crashing], 1)
 		assert.Equal(t, len(s.told["j"][0]), 1)
 
 		s.p.StepDown()
@@ -239,35 +239,35 @@
 		s.p.BecomeLeader(s.now, 1<<40)
 		s.p.Submit(s.now, Submit{Coordinator: "e1", Job: j, MayHaveRun: true, Suspicions: s.told["j"]})
 		s.run(20 * time.Second)
-		assert.Equal(t, s.started[deadly], 2)
+		assert.Equal(t, s.started[crashing], 2)
 		assert.Equal(t, s.outcomes()["j"].Reason, verdict.CrashesTargets)
 	}
 }
 
 // A caller that has no answer in time submits its job again.
 func TestSuspicionsSurviveAResubmission(t *testing.T) {
-	deadly := fleet.TaskID{Job: "j"}
-	s := newCrashSim(t, 6, deadly)
+	crashing := fleet.TaskID{Job: "j"}
+	s := newCrashSim(t, 6, crashing)
 	j := patientJob("j", 1, 20000)
 	j.Timeout = 1500 * ms
 	for range 8 {
 		s.submit(j)
 		s.run(1600 * ms)
 		if o, over := s.outcomes()["j"]; over && o.Verdict == verdict.Failed {
-			assert.Equal(t, s.started[deadly], 2)
+			assert.Equal(t, s.started[crashing], 2)
 			return
 		}
 		delete(s.harness.ended, "j")
 	}
-	t.Fatalf("not given up, %d starts", s.started[deadly])
+	t.Fatalf("not given up, %d starts", s.started[crashing])
 }
 
 // The owner of the stored jobs is lost, before or after the first crash is proved. The next
 // one finds the losses in the record, proved or not.
 func TestSuspicionsSurviveInTheRecord(t *testing.T) {
-	deadly := fleet.TaskID{Job: "j"}
+	crashing := fleet.TaskID{Job: "j"}
 	for lostAfter, starts := range map[time.Duration]int{500 * ms: 2, 3020 * ms: 2, 3200 * ms: 2, 5 * time.Second: 2} {
-		s := newCrashSim(t, 5, deadly)
+		s := newCrashSim(t, 5, crashing)
 		s.ownStored()
 		j := patientJob("j", 1, 20000)
 		j.Stored = true
@@ -284,7 +284,7 @@
 		s.p.BecomeLeader(s.now, 1<<40)
 		s.ownStored(restored)
 		s.run(40 * time.Second)
-		assert.Equal(t, s.started[deadly], starts, "owner lost after %v", lostAfter)
+		assert.Equal(t, s.started[crashing], starts, "owner lost after %v", lostAfter)
 		assert.Equal(t, lastSave(s.harness).Record.State, fleet.JobFailed)
 	}
 }
@@ -398,14 +398,14 @@
 }
 
 func TestGangThatCrashesEachTargetIsGivenUp(t *testing.T) {
-	deadly := fleet.TaskID{Job: "j", Index: 2}
-	s := newCrashSim(t, 8, deadly)
+	crashing := fleet.TaskID{Job: "j", Index: 2}
+	s := newCrashSim(t, 8, crashing)
 	j := patientJob("j", 3, 12000)
 	j.Steps[0].Gang = true
 	s.submit(j)
 	s.run(30 * time.Second)
 	assert.Equal(t, s.outcomes()["j"].Reason, verdict.CrashesTargets)
-	assert.Assert(t, s.started[deadly] <= 3)
+	assert.Assert(t, s.started[crashing] <= 3)
 }
 
 // While a suspect has not proved harmless, it shares its target with nothing else that
