--- a/internal/node/vouch.go
+++ b/internal/node/vouch.go
@@ -38,7 +38,7 @@
 	// pool.DefaultTakeoverDelay from then.
 	vouchedAt map[string]time.Duration
 	// muted holds the leaders that could not be told of a withdrawal. They get no answers until
-	// the link is lost.
+	// they were greeted anew, or the link is lost.
 	muted   map[string]bool
 	greeted map[string]bool // peers whose greeting has arrived on the present link
 }
@@ -70,7 +70,7 @@
 // counts, when it is given up now.
 func (n *Node) lastVouch(now time.Duration, leader string) time.Duration {
 	if leader == n.cfg.Self.Name {
-		// Its leases last at most DefaultLease from now.
+		// The leases of its own pools end at most pool.DefaultLease from now.
 		return now - (pool.DefaultVouchFor - pool.DefaultLease)
 	}
 	if b, heard := n.vouching.beats[leader]; !heard || b.sentAt == 0 {
