--- a/review/_standin/cluster.go
+++ b/review/_standin/cluster.go
@@ -81,7 +81,7 @@
 }
 
 // start starts the deployment and waits until all entries are ready. attempts is that of the
-// queue.
+// queue. With an error it returns the deployment too if processes may have been started.
 func start(root, dir string, rec *record, attempts int) (*cluster, error) {
 	n := newNetwork()
 	s, err := newStoreStandin(n)
@@ -120,17 +120,17 @@
 	}
 	for _, e := range c.entries {
 		if err := c.connect(e); err != nil {
-			return nil, err
+			return c, err
 		}
 	}
 	for _, e := range c.entries {
 		if err := c.launch(e, seeds); err != nil {
-			return nil, err
+			return c, err
 		}
 	}
 	for _, e := range c.entries {
 		if err := c.awaitReady(e); err != nil {
-			return nil, err
+			return c, err
 		}
 	}
 	time.Sleep(4 * time.Second) // the leader reads all lists
