--- a/review/_standin/cases.go
+++ b/review/_standin/cases.go
@@ -123,8 +123,8 @@
 		}
 		time.Sleep(200 * time.Millisecond)
 		if trouble && i == 22 {
-			c.rec.add("connections go silent", "entry", leader.name)
-			c.store.silence(leader.name)
+			n := c.store.silence(leader.name)
+			c.rec.add("connections go silent", "entry", leader.name, "connections", n)
 		}
 	}
 	time.Sleep(250 * time.Millisecond)
--- a/review/_standin/store.go
+++ b/review/_standin/store.go
@@ -29,6 +29,7 @@
 	down   bool
 	cut    chan struct{}            // closed when an outage begins
 	silent map[string]chan struct{} // by entry: closed when the connections with waiting reads go silent
+	waits  map[string]int           // by entry: reads that wait for changes
 }
 
 func newStoreStandin(n *network) (*storeStandin, error) {
@@ -37,7 +38,7 @@
 		return nil, err
 	}
 	server.Store.SetFaults(platformd.Faults{})
-	return &storeStandin{server: server, handler: server.Handler(), net: n, cut: make(chan struct{}), silent: map[string]chan struct{}{}}, nil
+	return &storeStandin{server: server, handler: server.Handler(), net: n, cut: make(chan struct{}), silent: map[string]chan struct{}{}, waits: map[string]int{}}, nil
 }
 
 // listen returns an address at which the store serves one entry, so that it knows the caller.
@@ -56,12 +57,21 @@
 }
 
 // silence lets the connections of an entry on which a read waits for changes go silent for
-// good, without a reset. New connections, and those in use for other calls, work.
-func (s *storeStandin) silence(entry string) {
+// good, without a reset. New connections, and those in use for other calls, work. It returns
+// how many go silent.
+func (s *storeStandin) silence(entry string) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	close(s.silent[entry])
 	s.silent[entry] = make(chan struct{})
+	return s.waits[entry]
+}
+
+// countWait counts a read that waits for changes from now on, or no longer.
+func (s *storeStandin) countWait(entry string, by int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.waits[entry] += by
 }
 
 func (s *storeStandin) put(table, key string, v any) {
@@ -112,7 +122,13 @@
 		}
 	}()
 	b := &buffer{header: http.Header{}, status: http.StatusOK}
+	if q.URL.Path == store.PathFeed {
+		s.countWait(entry, 1)
+	}
 	s.handler.ServeHTTP(b, q.WithContext(ctx))
+	if q.URL.Path == store.PathFeed {
+		s.countWait(entry, -1)
+	}
 	select {
 	case <-silent:
 		<-q.Context().Done() // the client has closed the connection
