Stored jobs run on while the feed of accepted jobs is silent

Cause: two parts judged whether the ownership of the stored jobs still holds, by different facts. The owner renewed it while the feed had reported an open job; the pool runs jobs that entries hand to it directly, and dropped all stored jobs when no renewal had come for the run lease. The owner was not told, found nothing wrong at its next renewal, as it knew of no open job, and went on renewing an ownership that the pool no longer used.

Now the entry tells the owner of each job that it gives to the pool, so that both know the same jobs. Only the pool decides that the jobs have to be dropped, since it knows the runs that may not go on, and it tells the owner the epoch: the owner restores the jobs in a new one. The owner's own guess is gone.

The tests of the owner and the pool (TestOwnerRenewsForJobsThatTheStoreHasNotReported, TestOwnerRestoresJobsThatTheEntryHasDropped, TestOwnerIsToldOfDroppedStoredJobs) use calls that did not exist before.

--- a/internal/jobstore/claim.go
+++ b/internal/jobstore/claim.go
@@ -80,7 +80,8 @@
 		var conflict *ConflictError
 		switch {
 		case err == nil:
-			return o.recordRenewal(sent, version)
+			o.recordRenewal(sent, version)
+			return nil
 		case errors.As(err, &conflict):
 			done, err := o.resolveConflict(conflict, sent)
 			if done || err != nil {
@@ -117,26 +118,18 @@
 		return false, errNotOwner
 	}
 	if value.Write == o.writeNumber {
-		return true, o.recordRenewal(sent, version)
+		o.recordRenewal(sent, version)
+		return true, nil
 	}
 	o.ownerRowVersion = version
 	return false, nil
 }
 
 // recordRenewal records a renewal that was sent at a time and returned a version of
-// the owner's row. It returns errLeaseExpired if the run lease expired before, with
-// jobs open: the owner then has to restore all jobs again.
-func (o *Owner) recordRenewal(sent time.Duration, version uint64) error {
-	expired := o.serving && o.hadOpenJobs && o.clock() > o.renewedAt+RunLease-expiryMargin
+// the owner's row.
+func (o *Owner) recordRenewal(sent time.Duration, version uint64) {
 	o.ownerRowVersion, o.renewedAt = version, sent
-	o.mu.Lock()
-	o.hadOpenJobs = len(o.open) > 0
-	o.mu.Unlock()
-	if expired {
-		return errLeaseExpired
-	}
 	o.events.Renewed(sent, sent+StartLease)
-	return nil
 }
 
 // release ends the ownership in the store, so that the next owner need not wait for
--- a/internal/jobstore/jobstore_test.go
+++ b/internal/jobstore/jobstore_test.go
@@ -257,3 +257,48 @@
 	s1.eventually(t, "the first owner is notified of the loss", func() bool { return s1.lost == 1 })
 	s1.locked(func() { assert.Equal(t, s1.saved[job(1).ID], 0, "a record was saved without the ownership") })
 }
+
+// silentFeed are tables whose changes never arrive.
+type silentFeed struct{ jobstore.Tables }
+
+func (silentFeed) Changes(ctx context.Context, _ string, _ uint64, _ time.Duration) ([]jobstore.Row, uint64, error) {
+	<-ctx.Done()
+	return nil, 0, ctx.Err()
+}
+
+// Guards against an owner that lets its ownership lapse while the entry runs jobs that the
+// store has not reported yet.
+func TestOwnerRenewsForJobsThatTheStoreHasNotReported(t *testing.T) {
+	_, tables := startStore(t)
+	a := jobstore.NewAccepter(tables, discard())
+	_, err := a.Accept(job(0))
+	assert.NilError(t, err)
+	o, s, _ := runOwner(t, silentFeed{tables}, "e1")
+	s.eventually(t, "the owner has acquired the jobs", func() bool { return s.epoch == 1 })
+	o.Save(jobstore.Save{Job: job(0).ID, Seq: 1, Record: fleet.Record{State: fleet.JobComplete}})
+	s.eventually(t, "the only job has ended", func() bool { return s.saved[job(0).ID] == 1 })
+	_, err = a.Accept(job(1))
+	assert.NilError(t, err)
+
+	o.AddJob(job(1).ID)
+
+	from := monotonicClock()
+	s.eventually(t, "starts are permitted after the run lease", func() bool { return s.startUntil > from+jobstore.RunLease })
+}
+
+func TestOwnerRestoresJobsThatTheEntryHasDropped(t *testing.T) {
+	_, tables := startStore(t)
+	_, err := jobstore.NewAccepter(tables, discard()).Accept(job(0))
+	assert.NilError(t, err)
+	o, s, _ := runOwner(t, tables, "e1")
+	s.eventually(t, "the owner has acquired the jobs", func() bool { return s.epoch == 1 })
+	s.locked(func() { clear(s.restored) })
+
+	o.JobsDropped(1)
+
+	s.eventually(t, "the jobs are restored in the next epoch", func() bool { return s.epoch == 2 && len(s.restored) == 1 })
+	o.JobsDropped(1) // of an epoch that is over
+	o.Save(jobstore.Save{Job: job(0).ID, Seq: 1})
+	s.eventually(t, "the record is saved", func() bool { return s.saved[job(0).ID] == 1 })
+	s.locked(func() { assert.Equal(t, s.epoch, 2) })
+}
--- a/internal/jobstore/owner.go
+++ b/internal/jobstore/owner.go
@@ -19,9 +19,6 @@
 	// RunLease is how long after a renewal of the ownership running tasks of stored
 	// jobs may continue.
 	RunLease = 2500 * time.Millisecond
-	// expiryMargin is how much earlier the owner itself regards its run lease as
-	// expired.
-	expiryMargin = 200 * time.Millisecond
 	// claimDelay is how long an owner must have failed to renew its ownership
 	// before another entry may claim it: StartLease plus a margin for different
 	// clock rates.
@@ -47,8 +44,8 @@
 )
 
 var (
-	errNotOwner     = errors.New("another entry owns the stored jobs")
-	errLeaseExpired = errors.New("the ownership of stored jobs was renewed after its run lease had expired")
+	errNotOwner    = errors.New("another entry owns the stored jobs")
+	errJobsDropped = errors.New("the entry dropped the stored jobs, since the ownership was not renewed in time")
 )
 
 // Save is a request to save a job's record. Seq numbers the saves of a job.
@@ -96,22 +93,21 @@
 	events Events
 	log    *slog.Logger
 
-	mu            sync.Mutex
-	pendingSaves  map[string]Save
-	saveOrder     []string                 // jobs with a pending save, oldest first
-	cleanUpQueue  map[string][]string      // ended jobs with rows to delete, by part
-	endedAt       map[string]time.Duration // when each ended job was first known to have ended
-	open          map[string]bool          // jobs that have not ended
-	saveRequested chan struct{}
-	jobAccepted   chan struct{}
+	mu           sync.Mutex
+	pendingSaves map[string]Save
+	saveOrder    []string                 // jobs with a pending save, oldest first
+	cleanUpQueue map[string][]string      // ended jobs with rows to delete, by part
+	endedAt      map[string]time.Duration // when each ended job was first known to have ended
+	open         map[string]bool          // jobs that have not ended
+	droppedEpoch int                      // the last epoch whose jobs the entry has dropped
+	wake         chan struct{}            // wakes serve
+	jobAccepted  chan struct{}
 
 	// Owned by Run.
 	epoch           int
 	ownerRowVersion uint64
 	writeNumber     uint64 // of the last write of the owner's row
 	renewedAt       time.Duration
-	serving         bool // the jobs have been restored
-	hadOpenJobs     bool // jobs were open at the last renewal
 }
 
 // NewOwner returns an Owner for one process of an entry, whose name is self. The
@@ -121,7 +117,7 @@
 		tables: tables, self: self, clock: clock, events: events, log: log,
 		pendingSaves: make(map[string]Save), cleanUpQueue: make(map[string][]string),
 		endedAt: make(map[string]time.Duration), open: make(map[string]bool),
-		saveRequested: make(chan struct{}, 1), jobAccepted: make(chan struct{}, 1),
+		wake: make(chan struct{}, 1), jobAccepted: make(chan struct{}, 1),
 	}
 }
 
@@ -134,12 +130,33 @@
 	}
 	o.pendingSaves[s.Job] = s
 	o.mu.Unlock()
-	signal(o.saveRequested)
+	signal(o.wake)
 }
 
-// NotifyAccepted tells the owner that a job was accepted, so that it claims the
-// ownership without waiting for the store to report the job.
-func (o *Owner) NotifyAccepted() { signal(o.jobAccepted) }
+// JobsExist tells the owner that there are stored jobs, so that it claims the ownership
+// without waiting for the store to report one.
+func (o *Owner) JobsExist() { signal(o.jobAccepted) }
+
+// AddJob tells the owner of an accepted job that the entry may run from now on. The owner
+// renews the ownership for it even if the store has not reported the job yet.
+func (o *Owner) AddJob(id string) {
+	o.mu.Lock()
+	if _, ended := o.endedAt[id]; !ended {
+		o.open[id] = true
+	}
+	o.mu.Unlock()
+	signal(o.jobAccepted)
+}
+
+// JobsDropped tells the owner that the entry has dropped the jobs of an epoch, since it knew
+// of no renewal within RunLease. The entry alone decides that, by the runs it has. The
+// owner restores the jobs in a new epoch.
+func (o *Owner) JobsDropped(epoch int) {
+	o.mu.Lock()
+	o.droppedEpoch = max(o.droppedEpoch, epoch)
+	o.mu.Unlock()
+	signal(o.wake)
+}
 
 // signal wakes the receiver of a channel with a buffer of 1.
 func signal(c chan struct{}) {
@@ -191,8 +208,6 @@
 	if err != nil {
 		return err
 	}
-	o.serving = true
-	defer func() { o.serving = false }()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	var wg sync.WaitGroup
--- a/internal/jobstore/restore.go
+++ b/internal/jobstore/restore.go
@@ -11,7 +11,7 @@
 	"currantstall/internal/fleet"
 )
 
-// awaitJobs returns once tableOpen has a job, or NotifyAccepted was called.
+// awaitJobs returns once tableOpen has a job, or the entry has told of one.
 func (o *Owner) awaitJobs(ctx context.Context) error {
 	rows, after, err := o.readOpen(ctx, 1)
 	if err == nil && len(rows) == 0 {
@@ -37,7 +37,7 @@
 	}()
 	got, next, err := o.tables.Changes(wait, tableOpen, after, idleChangesWait)
 	if err != nil && wait.Err() != nil && ctx.Err() == nil {
-		*rows = []Row{{}} // NotifyAccepted was called: there is a job, whose row is not known
+		*rows = []Row{{}} // there is a job, whose row is not known
 		return after, nil
 	}
 	for _, r := range got {
--- a/internal/jobstore/save.go
+++ b/internal/jobstore/save.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"time"
 
@@ -10,18 +9,21 @@
 	"currantstall/internal/wire"
 )
 
-// serve saves records and renews the ownership until a call fails or the context
-// ends.
+// serve saves records and renews the ownership until the entry has dropped the jobs, a
+// call fails or the context ends.
 func (o *Owner) serve(ctx context.Context) error {
 	for {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
-		case <-o.saveRequested:
+		case <-o.wake:
 		case <-o.jobAccepted:
 		case <-time.After(renewInterval):
 		}
 		for {
+			if o.jobsDropped() {
+				return errJobsDropped
+			}
 			saves := o.takeSaves()
 			if len(saves) == 0 && !o.renewalDue() {
 				break
@@ -46,6 +48,13 @@
 	return open > 0 && o.clock() >= o.renewedAt+renewInterval
 }
 
+// jobsDropped reports whether the entry has dropped the jobs of the present epoch.
+func (o *Owner) jobsDropped() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.droppedEpoch >= o.epoch
+}
+
 // takeSaves removes the oldest pending saves, as many as fit into one transaction.
 func (o *Owner) takeSaves() []Save {
 	o.mu.Lock()
@@ -85,7 +94,6 @@
 // save saves records in one transaction, with the final states of jobs that have
 // ended. Records that exceed maxBatchBytes are queued again.
 func (o *Owner) save(ctx context.Context, saves []Save) error {
-	var expired error
 	var puts []Row
 	size := 0
 	for i, s := range saves {
@@ -107,11 +115,9 @@
 			puts = append(puts, Row{Table: tableEnded, Part: ownerPart, Key: s.Job, Value: state})
 		}
 	}
-	if err := o.apply(ctx, puts, nil); err != nil && !errors.Is(err, errLeaseExpired) {
+	if err := o.apply(ctx, puts, nil); err != nil {
 		o.requeueSaves(saves)
 		return err
-	} else if err != nil {
-		expired = err // the records are saved nevertheless
 	}
 	for _, s := range saves {
 		o.events.RecordSaved(s.Job, s.Seq)
@@ -124,7 +130,7 @@
 			o.mu.Unlock()
 		}
 	}
-	return expired
+	return nil
 }
 
 // requeueSaves queues saves again that were not carried out, except where a later
--- a/internal/node/shard.go
+++ b/internal/node/shard.go
@@ -178,6 +178,10 @@
 			if n.stored.owner != nil {
 				n.stored.owner.Save(e)
 			}
+		case pool.StoredDropped:
+			if n.stored.owner != nil {
+				n.stored.owner.JobsDropped(e.Epoch)
+			}
 		}
 	}
 }
--- a/internal/node/store.go
+++ b/internal/node/store.go
@@ -141,13 +141,13 @@
 	}
 }
 
-// acceptStored submits a stored job to this entry's pool and notifies the owner of the
-// stored jobs, if it is this entry.
+// acceptStored submits a stored job to this entry's pool and to the owner of the stored jobs,
+// if it is this entry: the owner renews the ownership for the jobs that the pool may run.
 func (n *Node) acceptStored(now time.Duration, j fleet.Job, waited time.Duration) {
 	n.stored.foundJobs()
 	n.storedPool().ExpectStored()
 	if n.stored.owner != nil {
-		n.stored.owner.NotifyAccepted()
+		n.stored.owner.AddJob(j.ID)
 	}
 	n.storedPool().Submit(now, pool.Submit{Job: j, Waited: waited})
 }
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -66,7 +66,8 @@
 )
 
 // Effect is an action that the pool asks its entry to carry out: a fleet.Start,
-// fleet.Stop, fleet.Hold, fleet.AdviceRequest, Ended, Suspected or jobstore.Save.
+// fleet.Stop, fleet.Hold, fleet.AdviceRequest, Ended, Suspected, StoredDropped or
+// jobstore.Save.
 type Effect any
 
 // Ended reports a job's outcome to its coordinator.
--- a/internal/pool/stored.go
+++ b/internal/pool/stored.go
@@ -101,6 +101,10 @@
 	p.releaseUnknownEnds()
 }
 
+// StoredDropped tells the owner of the stored jobs that the pool has dropped the jobs of an
+// epoch. The owner has to restore them, for the pool takes no stored job until then.
+type StoredDropped struct{ Epoch int }
+
 // ReleaseStored drops all stored jobs and stops their runs, because another owner has
 // taken over or the ownership was not renewed.
 func (p *Pool) ReleaseStored(now time.Duration, reason string) {
@@ -146,6 +150,7 @@
 		return
 	}
 	if now > p.stored.renewedAt+jobstore.RunLease && p.hasStoredRuns() {
+		p.emit(StoredDropped{p.stored.epoch})
 		p.ReleaseStored(now, "ownership not renewed in time")
 		return
 	}
--- a/internal/pool/stored_test.go
+++ b/internal/pool/stored_test.go
@@ -204,6 +204,19 @@
 	assert.Assert(t, !b.p.OwnsStored())
 }
 
+// Guards against an owner that goes on to renew the ownership of jobs that the pool has dropped.
+func TestOwnerIsToldOfDroppedStoredJobs(t *testing.T) {
+	b := newHarness(t, 1)
+	b.p.ExpectStored()
+	b.p.TakeOverStored(b.now, b.now, 7, nil)
+	b.p.RenewStored(b.now, b.now+jobstore.StartLease)
+	b.submitAndStart(storedJob("j", 1))
+
+	b.tick(jobstore.RunLease + ms)
+
+	assert.DeepEqual(t, takeEffects[StoredDropped](b), []StoredDropped{{Epoch: 7}})
+}
+
 func TestFailureAfterEndDoesNotOverwriteRecord(t *testing.T) {
 	b := newHarness(t, 1)
 	b.ownStored()
