Answers to holds are matched by the number of the hold

Cause: which of the two holds in flight an answer belongs to was guessed by its wait and by whether a report was being asked for. A target that became unreachable while a report was asked for kept that mark, since the answer of the earlier ownership was rightly ignored. When the target was acquired again, the answer to the hold that had acquired it was taken for the report, and the hold that waits for ends counted as in flight for good.

Each hold now has a number, a target keeps those of its holds in flight, and all of them are void when its ownership ends. The same guess stood in two more places, which are gone with it: an answer was taken for that of a probe while a probe was marked as in flight, also after a fenced stop had ended the probe, and the target was then not acquired; and a probe replaced the fencing token of the stops that are repeated meanwhile by one too low to be carried out.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -225,6 +225,9 @@
 // Hold is the order to a target to renew the lease of all its runs and to
 // return its lists of current and ended runs.
 type Hold struct {
+	// Number identifies the order at its sender, which matches the answer to it by that.
+	// The target does not get it.
+	Number uint64
 	Target Target
 	Fence  uint64
 	// AckedEnd acknowledges the ended runs up to this number; the target need
--- a/internal/pool/gang_test.go
+++ b/internal/pool/gang_test.go
@@ -20,7 +20,9 @@
 // endRun reports the end of a run by its target.
 func (b *harness) endRun(s fleet.Start, number int64, kind fleet.EndKind, checkpoint string) {
 	t := b.p.targets[s.Target.ID]
-	b.p.HoldDone(b.now, b.now, fleet.Hold{Target: t.Target, Fence: t.fence, Wait: 1}, fleet.HoldReply{
+	b.p.sendHolds(b.now)
+	assert.Assert(b.t, t.holds.wait != 0, "no hold of target %s waits for ends", t.ID)
+	b.p.HoldDone(b.now, b.now, fleet.Hold{Number: t.holds.wait, Target: t.Target, Fence: t.fence}, fleet.HoldReply{
 		Answer: fleet.Accepted, ClockMS: b.clock(), Incarnation: t.Incarnation,
 		Ended: []fleet.End{{Number: number, Task: s.Task, Run: s.Run, Kind: kind, Checkpoint: checkpoint}},
 	})
--- a/internal/pool/ownership.go
+++ b/internal/pool/ownership.go
@@ -45,7 +45,7 @@
 func (p *Pool) SetAcquirePolicy(now time.Duration, policy func(id string) AcquirePolicy) {
 	for _, t := range p.sortedTargets {
 		c := policy(t.ID)
-		if c.Delay != t.acquirePolicy.Delay && !t.owned && !t.acquiring {
+		if c.Delay != t.acquirePolicy.Delay && !t.owned && !t.acquiring() {
 			t.nextAcquireAt = now + c.Delay
 		}
 		t.acquirePolicy = c
@@ -57,7 +57,7 @@
 func (p *Pool) acquireTargets(now time.Duration) {
 	for _, t := range p.sortedTargets {
 		switch {
-		case t.owned || t.acquiring || now < t.nextAcquireAt || !t.listed:
+		case t.owned || t.acquiring() || now < t.nextAcquireAt || !t.listed:
 		case t.acquirePolicy.CutOff && !t.probed:
 			p.probe(t)
 		default:
@@ -70,19 +70,18 @@
 // shows that the target is in reach.
 func (p *Pool) probe(t *target) {
 	p.probes = p.probes%maxProbeFence + 1
-	t.fence, t.acquiring, t.probing = p.probes, true, true
-	p.emit(fleet.Hold{Target: t.Target, Fence: t.fence})
+	t.disown()
+	t.holds.probe = p.sendHold(fleet.Hold{Target: t.Target, Fence: p.probes}) // stops keep the token of the last ownership
 }
 
 // probeDone handles the answer to a probe.
 func (p *Pool) probeDone(now time.Duration, t *target, a fleet.Answer) {
-	t.probing = false
 	if a == fleet.Unanswered {
 		t.unansweredHolds++
 		p.markUnreachable(now, t)
 		return
 	}
-	t.acquiring, t.probed, t.nextAcquireAt = false, true, now+cutOffPause
+	t.probed, t.nextAcquireAt = true, now+cutOffPause
 	p.log("ownership", "target", t.ID, "outcome", "in reach", "answer", a.String(), "retry_ms", cutOffPause.Milliseconds())
 }
 
@@ -93,16 +92,14 @@
 	elapsed := uint64((now - p.leadingSince).Milliseconds()) * fenceStep
 	p.lastFence = max(p.lastFence+fenceStep<<min(t.fencedInARow*fenceShift, maxFenceShift), p.fenceBase+elapsed)
 	t.fence = p.lastFence
-	t.acquiring, t.holdInFlight = true, true
-	t.owned = false
+	t.disown()
 	// The hold renews no lease, so that the leases of an unreachable target expire.
-	p.emit(fleet.Hold{Target: t.Target, Fence: t.fence})
+	t.holds.acquire = p.sendHold(fleet.Hold{Target: t.Target, Fence: t.fence})
 }
 
 // handleAcquired handles the first report under a new fencing token. A target that
 // another active owner uses is left to it, except a home target.
 func (p *Pool) handleAcquired(now time.Duration, t *target, rep fleet.HoldReply) {
-	t.acquiring = false
 	if !t.acquirePolicy.Home && (t.acquirePolicy.Delay > 0 || t.wasUnreachable) && t.runsForOther(rep.Running) {
 		t.nextAcquireAt = now + otherOwnerPause
 		p.log("ownership", "target", t.ID, "outcome", "left to another owner", "fence", t.fence, "running", len(rep.Running))
@@ -141,7 +138,7 @@
 // markFenced marks a target as not owned because another owner has used a higher fencing
 // token.
 func (p *Pool) markFenced(now time.Duration, t *target) {
-	t.owned, t.acquiring = false, false
+	t.disown()
 	backoff := min(firstBackoff<<min(t.fencedInARow, 4), maxBackoff)
 	if t.acquirePolicy.Delay == 0 && t.fencedInARow < quickAcquires {
 		backoff = 0 // the token may just have been too low
@@ -157,7 +154,8 @@
 		p.log("ownership", "target", t.ID, "outcome", "unreachable", "misses", t.unansweredHolds, "runs", len(t.runs))
 	}
 	p.suspectRuns(now, t)
-	t.owned, t.acquiring, t.wasUnreachable, t.probed = false, false, true, false
+	t.disown()
+	t.wasUnreachable, t.probed = true, false
 	t.nextAcquireAt = now + reacquireBackoff
 }
 
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -89,6 +89,7 @@
 	fenceBase uint64
 	lastFence uint64 // the last fencing token used
 	probes    uint64 // the last fencing token used for a probe
+	lastHold  uint64 // number of the last hold
 
 	targets        map[string]*target
 	sortedTargets  []*target // sorted by ID
--- a/internal/pool/report.go
+++ b/internal/pool/report.go
@@ -15,17 +15,25 @@
 		if !t.owned {
 			continue
 		}
-		if t.refreshDue && !t.refreshInFlight {
-			t.refreshDue, t.refreshInFlight = false, true
-			p.emit(fleet.Hold{Target: t.Target, Fence: t.fence, AckedEnd: t.ackNumber(), LeaseUntilMS: p.grantLease(now, t)})
+		if t.refreshDue && t.holds.report == 0 {
+			t.refreshDue = false
+			t.holds.report = p.sendHold(fleet.Hold{Target: t.Target, Fence: t.fence, AckedEnd: t.ackNumber(), LeaseUntilMS: p.grantLease(now, t)})
 		}
-		if !t.holdInFlight && now >= t.nextHoldAt && (len(t.runs) > 0 || t.ackDue || len(t.heldEnds) > 0) {
-			t.holdInFlight, t.ackDue = true, false
-			p.emit(fleet.Hold{Target: t.Target, Fence: t.fence, AckedEnd: t.ackNumber(), LeaseUntilMS: p.grantLease(now, t), Wait: p.holdWait(t)})
+		if t.holds.wait == 0 && now >= t.nextHoldAt && (len(t.runs) > 0 || t.ackDue || len(t.heldEnds) > 0) {
+			t.ackDue = false
+			t.holds.wait = p.sendHold(fleet.Hold{Target: t.Target, Fence: t.fence, AckedEnd: t.ackNumber(), LeaseUntilMS: p.grantLease(now, t), Wait: p.holdWait(t)})
 		}
 	}
 }
 
+// sendHold sends a hold and returns its number.
+func (p *Pool) sendHold(h fleet.Hold) uint64 {
+	p.lastHold++
+	h.Number = p.lastHold
+	p.emit(h)
+	return h.Number
+}
+
 // holdWait returns how long a target may wait for a run to end before it answers a hold.
 func (p *Pool) holdWait(t *target) time.Duration {
 	if len(t.runs) == 0 || len(t.heldEnds) > 0 {
@@ -34,20 +42,27 @@
 	return p.cfg.HoldWait
 }
 
-// HoldDone handles the answer to a hold that was sent at the given time.
+// HoldDone handles the answer to a hold that was sent at the given time. It ignores the answer
+// to a hold of an ownership that is over.
 func (p *Pool) HoldDone(now, sent time.Duration, o fleet.Hold, rep fleet.HoldReply) {
 	t := p.targets[o.Target.ID]
-	if t == nil || !p.leading || o.Fence != t.fence {
+	if t == nil || !p.leading || o.Number == 0 {
 		return
 	}
-	if t.probing {
+	acquires := false
+	switch o.Number {
+	case t.holds.probe:
+		t.holds.probe = 0
 		p.probeDone(now, t, rep.Answer)
 		return
-	}
-	if o.Wait == 0 && t.refreshInFlight {
-		t.refreshInFlight = false
-	} else {
-		t.holdInFlight = false
+	case t.holds.acquire:
+		t.holds.acquire, acquires = 0, true
+	case t.holds.wait:
+		t.holds.wait = 0
+	case t.holds.report:
+		t.holds.report = 0
+	default:
+		return
 	}
 	if p.otherIncarnation(now, t, rep.Incarnation) {
 		return
@@ -60,7 +75,7 @@
 		prompt := t.unansweredHolds == 0 && now-sent <= o.Wait+promptSlack
 		t.unansweredHolds = 0
 		t.setClock(now, rep.ClockMS)
-		if t.acquiring {
+		if acquires {
 			p.handleAcquired(now, t, rep)
 		}
 		if !t.owned {
@@ -76,7 +91,7 @@
 		p.markFenced(now, t)
 	default:
 		t.unansweredHolds++
-		if t.acquiring || t.unansweredHolds > 1 {
+		if acquires || t.unansweredHolds > 1 {
 			p.markUnreachable(now, t)
 		} else {
 			t.refreshDue = true
--- a/internal/pool/target.go
+++ b/internal/pool/target.go
@@ -17,20 +17,16 @@
 	listed         bool // listed by discovery
 	acquirePolicy  AcquirePolicy
 	wasUnreachable bool          // became unreachable since it was last acquired
-	probing        bool          // a probe is in flight
 	probed         bool          // has answered a probe since it was last unreachable
 	lastOwnedAt    time.Duration // the last time at which it was owned
 
 	fence           uint64 // fencing token of the orders sent to it
 	owned           bool   // a report was received under the current fence
-	acquiring       bool   // the hold that acquires the target is in flight
 	nextAcquireAt   time.Duration
 	fencedInARow    int               // acquisitions in a row that were rejected as fenced
-	holdInFlight    bool              // the hold that waits for ends is in flight
 	unansweredHolds int               // in a row
 	reportedAt      time.Duration     // when the last report under this or an earlier ownership was requested
 	refreshDue      bool              // an immediate report is wanted
-	refreshInFlight bool              // the hold for an immediate report is in flight
 	lastEnd         int64             // number of the last end that was processed
 	ackDue          bool              // processed ends were not acknowledged yet
 	heldEnds        []heldEnd         // ends that must not be acknowledged yet
@@ -51,9 +47,26 @@
 	suspectRuns      int               // runs of tasks that were suspects at their start
 	largestRoom      structs.Resources // largest capacity listed for this incarnation, by resource
 
+	holds holdsInFlight
 	health
 }
 
+// holdsInFlight are the numbers of the holds that a target has not answered, 0 where there is
+// none. The answers to all others are void.
+type holdsInFlight struct {
+	probe   uint64 // shows whether the target is in reach
+	acquire uint64 // acquires the target
+	wait    uint64 // waits for a run to end
+	report  uint64 // asks for an immediate report
+}
+
+// acquiring reports whether a hold is in flight that acquires the target, or prepares that.
+func (t *target) acquiring() bool { return t.holds.acquire != 0 || t.holds.probe != 0 }
+
+// disown ends the ownership of the target. The answers to the holds that were sent under it, or
+// to acquire it, are void.
+func (t *target) disown() { t.owned, t.holds = false, holdsInFlight{} }
+
 // runKey identifies a run on a target.
 type runKey struct {
 	taskID fleet.TaskID
@@ -72,11 +85,12 @@
 // reset drops the ownership of the target and all state that depends on it.
 func (t *target) reset() {
 	t.lastEnd, t.heldEnds = t.ackNumber(), nil
-	t.owned, t.acquiring, t.holdInFlight, t.refreshDue, t.refreshInFlight, t.ackDue = false, false, false, false, false, false
+	t.disown()
+	t.refreshDue, t.ackDue = false, false
 	t.fence, t.unansweredHolds, t.unclaimed, t.fencedInARow = 0, 0, 0, 0
 	t.used, t.suspectRuns = structs.Resources{}, 0
 	t.runs = make(map[runKey]*run)
-	t.latestLeaseMS, t.wasUnreachable, t.probing, t.probed = 0, false, false, false
+	t.latestLeaseMS, t.wasUnreachable, t.probed = 0, false, false
 }
 
 // leaseUntil grants a lease of the given length from now and returns its end in ms of
