A lost acknowledgement of ends is sent again

Operators would see ends that stay listed at a target until its next run: the hold that carried the acknowledgement was lost with the connection, the target was acquired again, listed the end once more, and got no message from then on, as it was idle.

Cause: an acknowledgement counted as given when its hold was sent. Now it counts when that hold was answered.

Before: TestLostAcknowledgementIsSentAgain failed ("no hold for target t00"). After: it passes, and an idle target still gets no messages.

--- a/internal/pool/held.go
+++ b/internal/pool/held.go
@@ -66,13 +66,15 @@
 	return n
 }
 
+// ackDue reports whether there are ends to acknowledge. An acknowledgement counts once the hold
+// that carried it was answered.
+func (t *target) ackDue() bool { return t.ackNumber() > t.ackedEnd }
+
 // releaseHeld releases the held ends that match.
 func (t *target) releaseHeld(match func(heldEnd) bool) {
 	kept := t.heldEnds[:0]
 	for _, h := range t.heldEnds {
-		if match(h) {
-			t.ackDue = true
-		} else {
+		if !match(h) {
 			kept = append(kept, h)
 		}
 	}
--- a/internal/pool/holds_test.go
+++ b/internal/pool/holds_test.go
@@ -84,3 +84,26 @@
 	b.replyHolds(fleet.Accepted)
 	assert.Equal(t, b.p.Owned(), 1)
 }
+
+// Guards against ends that are never acknowledged: the hold that carried the acknowledgement was
+// lost, and the target was idle from then on.
+func TestLostAcknowledgementIsSentAgain(t *testing.T) {
+	b := newHarness(t, 1)
+	s := b.submitAndStart(jobOf("j", queue("q", 0), 1, 14000, 60*ms))[0]
+	b.tick(ms)
+	end := fleet.End{Number: 1, Task: s.Task, Run: s.Run, Kind: fleet.EndDone}
+	b.answerHold("t00", nil, []fleet.End{end})
+	b.tick(ms)
+	b.replyHolds(fleet.Unanswered)
+	b.tick(ms)
+	b.replyHolds(fleet.Unanswered)
+	assert.Equal(t, b.p.Owned(), 0)
+	b.tick(reacquireBackoff)
+	b.answerHold("t00", nil, []fleet.End{end})
+
+	b.tick(ms)
+
+	assert.Equal(t, b.answerHold("t00", nil, nil).AckedEnd, int64(1))
+	b.tick(ms)
+	assert.Equal(t, len(takeEffects[fleet.Hold](b)), 0, "an idle target gets no messages")
+}
--- a/internal/pool/report.go
+++ b/internal/pool/report.go
@@ -19,8 +19,7 @@
 			t.refreshDue = false
 			t.holds.report = p.sendHold(fleet.Hold{Target: t.Target, Fence: t.fence, AckedEnd: t.ackNumber(), LeaseUntilMS: p.grantLease(now, t)})
 		}
-		if t.holds.wait == 0 && now >= t.nextHoldAt && (len(t.runs) > 0 || t.ackDue || len(t.heldEnds) > 0) {
-			t.ackDue = false
+		if t.holds.wait == 0 && now >= t.nextHoldAt && (len(t.runs) > 0 || t.ackDue() || len(t.heldEnds) > 0) {
 			t.holds.wait = p.sendHold(fleet.Hold{Target: t.Target, Fence: t.fence, AckedEnd: t.ackNumber(), LeaseUntilMS: p.grantLease(now, t), Wait: p.holdWait(t)})
 		}
 	}
@@ -73,7 +72,7 @@
 	case fleet.Accepted:
 		// After an unanswered or slow call, a run may have ended long before the report.
 		prompt := t.unansweredHolds == 0 && now-sent <= o.Wait+promptSlack
-		t.unansweredHolds = 0
+		t.unansweredHolds, t.ackedEnd = 0, max(t.ackedEnd, o.AckedEnd)
 		t.setClock(now, rep.ClockMS)
 		if acquires {
 			p.handleAcquired(now, t, rep)
@@ -105,7 +104,7 @@
 		if e.Number <= t.lastEnd {
 			continue
 		}
-		t.lastEnd, t.ackDue = e.Number, true
+		t.lastEnd = e.Number
 		r := t.runs[runKey{e.Task, e.Run}]
 		if r == nil {
 			p.handleUnknownEnd(now, e)
--- a/internal/pool/target.go
+++ b/internal/pool/target.go
@@ -28,7 +28,7 @@
 	reportedAt      time.Duration     // when the last report under this or an earlier ownership was requested
 	refreshDue      bool              // an immediate report is wanted
 	lastEnd         int64             // number of the last end that was processed
-	ackDue          bool              // processed ends were not acknowledged yet
+	ackedEnd        int64             // number of the last end that the target knows to be acknowledged
 	heldEnds        []heldEnd         // ends that must not be acknowledged yet
 	nextHoldAt      time.Duration     // earliest time of the next hold while ends are held
 	used            structs.Resources // by runs of known size
@@ -86,7 +86,7 @@
 func (t *target) reset() {
 	t.lastEnd, t.heldEnds = t.ackNumber(), nil
 	t.disown()
-	t.refreshDue, t.ackDue = false, false
+	t.refreshDue = false
 	t.fence, t.unansweredHolds, t.unclaimed, t.fencedInARow = 0, 0, 0, 0
 	t.used, t.suspectRuns = structs.Resources{}, 0
 	t.runs = make(map[runKey]*run)
@@ -208,7 +208,7 @@
 	before, suspects := t.runs, suspectsOn(t)
 	t.reset()
 	t.health = newHealth()
-	t.Incarnation, t.clockMS, t.clockReadAt, t.lastEnd = incarnation, 0, 0, 0
+	t.Incarnation, t.clockMS, t.clockReadAt, t.lastEnd, t.ackedEnd = incarnation, 0, 0, 0, 0
 	t.nextAcquireAt, t.unknownLeasesEnd = now, now+maxLease
 	t.seenMS, t.lossRecorded, t.replaced, t.largestRoom = 0, false, false, structs.Resources{}
 	for _, r := range sortedRuns(before) {
