A second submission of a stored job is found among rows that do not exist

Callers would be told 503 (not accepted) for a job that is stored, where the store lists the rows that do not exist, with version 0, in the answer to a conflict; the protocol's page leaves that open, and the stand-in lists only those that do.

Cause: a job has a row in the table of open jobs or in that of used IDs, and the rows of a conflict were matched to the jobs by the ID alone, the last one counting.

Before: TestDuplicateIsFoundAmongRowsThatDoNotExist failed after 1.2 s. After: it passes.

--- a/internal/jobstore/accept.go
+++ b/internal/jobstore/accept.go
@@ -171,7 +171,7 @@
 func settleDuplicates(batch []*acceptance, current []Row) []*acceptance {
 	stored := make(map[string]bool, len(current))
 	for _, r := range current {
-		stored[r.Key] = r.Version > 0
+		stored[r.Key] = stored[r.Key] || r.Version > 0 // a job has a row in one of two tables
 	}
 	var remaining []*acceptance
 	for _, acc := range batch {
--- a/internal/jobstore/jobstore_test.go
+++ b/internal/jobstore/jobstore_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"log/slog"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -258,6 +260,34 @@
 	s1.locked(func() { assert.Equal(t, s1.saved[job(1).ID], 0, "a record was saved without the ownership") })
 }
 
+// absentRowsTables are tables whose conflicts also list the rows that do not exist, with version 0.
+type absentRowsTables struct{ jobstore.Tables }
+
+func (a absentRowsTables) Apply(ctx context.Context, tx jobstore.Tx) (uint64, error) {
+	version, err := a.Tables.Apply(ctx, tx)
+	var conflict *jobstore.ConflictError
+	if errors.As(err, &conflict) {
+		for _, c := range tx.Conditions {
+			if !slices.ContainsFunc(conflict.Current, func(r jobstore.Row) bool { return r.Table == c.Table && r.Key == c.Key }) {
+				conflict.Current = append(conflict.Current, jobstore.Row{Table: c.Table, Part: c.Part, Key: c.Key})
+			}
+		}
+	}
+	return version, err
+}
+
+// Guards against a stored job whose second submission is told that it was not accepted, because its
+// row in one table was taken for that in another.
+func TestDuplicateIsFoundAmongRowsThatDoNotExist(t *testing.T) {
+	_, tables := startStore(t)
+	a := jobstore.NewAccepter(absentRowsTables{tables}, discard())
+	_, err := a.Accept(job(1))
+	assert.NilError(t, err)
+	fresh, err := a.Accept(job(1))
+	assert.NilError(t, err)
+	assert.Assert(t, !fresh)
+}
+
 // silentFeed are tables whose changes never arrive.
 type silentFeed struct{ jobstore.Tables }
 
