Failures that a lost owner of stored jobs did not note count

Cause: the next owner took note of the end of a run that it had not started itself, and counted it only if it was `done`. A failure was acknowledged, so that its target forgot it, and neither counted nor saved. The same happened to the failure of a run that the next owner had found running, where it ended before its job was restored.

Such a failure now counts like one of its own, and its end is acknowledged once the record with the count is saved. A failure that the record has already must not count twice when its target lists it again, so the record says which run of each task was counted last; the runs of a stored job have one sequence of numbers over all owners. Records of earlier releases lack it: with them, all runs of former owners count as counted, as before. Jobs that are not stored are left alone: each leader numbers their runs anew.

--- a/internal/fleet/record.go
+++ b/internal/fleet/record.go
@@ -37,6 +37,9 @@
 	Occurrences map[int]Record `cbor:"4,keyasint,omitempty"`
 	// Suspicions are those against the tasks that may crash their targets.
 	Suspicions Suspicions `cbor:"5,keyasint,omitempty"`
+	// FailedRuns has the number of the last run of each task whose failure is counted in
+	// Failures. Records of earlier releases lack it.
+	FailedRuns map[int]int `cbor:"6,keyasint,omitempty"`
 }
 
 // IsDone reports whether a task is done.
--- a/internal/pool/job.go
+++ b/internal/pool/job.go
@@ -30,7 +30,7 @@
 	lastRun   int // number of the last run
 	ordinal   int // position among the tasks of all steps
 	failures  int
-	failedRun int // of a gang: the last run whose failure was counted
+	failedRun int // the last run whose failure was counted; of a gang, on its first task
 	// checkpoint is the last checkpoint that a run of the task has saved.
 	checkpoint string
 	failedOn   []*target // targets on which it failed or made no progress
@@ -319,26 +319,33 @@
 	p.enqueue(j)
 }
 
-// taskFailed counts the failure of a run. The job fails after as many failures of one
-// task as its queue permits; else the task is requeued.
+// taskFailed counts the failure of a task's current run, and requeues the task unless that
+// ended the job.
 func (p *Pool) taskFailed(now time.Duration, tk *task, r *run) {
+	p.countFailure(now, tk, r.number, r.target)
+	if p.jobs[tk.job.ID] == tk.job {
+		p.requeue(now, tk)
+	}
+}
+
+// countFailure counts the failure of a run once. The job fails after as many failures of one
+// task as its queue permits. Failures of a gang are counted on its first task, once for each run.
+func (p *Pool) countFailure(now time.Duration, tk *task, number int, on *target) {
 	if tk.step.Gang {
-		tk = tk.job.steps[tk.id.Step][0] // failures of a gang are counted on its first task, once for each run
-		if tk.failedRun == r.number {
-			p.requeue(now, r.task)
-			return
-		}
-		tk.failedRun = r.number
+		tk = tk.job.steps[tk.id.Step][0]
+	}
+	if number <= tk.failedRun {
+		return
 	}
+	tk.failedRun = number
 	tk.failures++
-	tk.failedOn = append(tk.failedOn, r.target)
-	p.log("run", "task", tk.id.String(), "run", r.number, "target", r.target.ID, "outcome", "failed", "failures", tk.failures)
+	tk.failedOn = append(tk.failedOn, on)
+	p.log("run", "task", tk.id.String(), "run", number, "target", on.ID, "outcome", "failed", "failures", tk.failures)
 	if tk.failures >= max(tk.job.Queue.MaxAttempts, 1) {
 		p.endJob(now, tk.job, fleet.Outcome{Verdict: verdict.Failed, Reason: verdict.TaskFailed})
 		return
 	}
 	p.saveRecord(tk.job, fleet.JobRunning)
-	p.requeue(now, r.task)
 }
 
 // endJob removes a job, stops its runs and reports the outcome to its coordinator.
--- a/internal/pool/report.go
+++ b/internal/pool/report.go
@@ -107,7 +107,7 @@
 		t.lastEnd = e.Number
 		r := t.runs[runKey{e.Task, e.Run}]
 		if r == nil {
-			p.handleUnknownEnd(now, e)
+			p.handleUnknownEnd(now, t, e)
 		} else {
 			if r.task != nil && e.Checkpoint != "" {
 				r.task.checkpoint = e.Checkpoint
@@ -170,10 +170,17 @@
 }
 
 // handleUnknownEnd handles the end of a run that the pool does not know because a former
-// owner started it. A completed run completes the task.
-func (p *Pool) handleUnknownEnd(now time.Duration, e fleet.End) {
+// owner started it. A completed run completes the task. A failed one counts for a stored job, the
+// runs of which all owners number in one sequence.
+func (p *Pool) handleUnknownEnd(now time.Duration, t *target, e fleet.End) {
 	tk := p.task(e.Task)
-	if tk == nil || tk.state == taskDone || e.Kind != fleet.EndDone {
+	if tk == nil || tk.state == taskDone {
+		return
+	}
+	if e.Kind == fleet.EndFailed && tk.job.Stored && !tk.step.LongRunning {
+		p.countFailure(now, tk, e.Run, t)
+	}
+	if e.Kind != fleet.EndDone {
 		return
 	}
 	if tk.currentRun != nil {
--- a/internal/pool/stored.go
+++ b/internal/pool/stored.go
@@ -278,7 +278,7 @@
 // queues it unless that ended it.
 func (p *Pool) reconcileStored(now time.Duration, j *job, rec fleet.Record) {
 	for _, h := range p.takeHeldEnds(j.ID) {
-		p.handleUnknownEnd(now, h.end)
+		p.handleUnknownEnd(now, h.target, h.end)
 		p.holdEnd(h.target, h.end)
 	}
 	if p.jobs[j.ID] != j {
@@ -300,7 +300,10 @@
 	for _, tasks := range j.steps {
 		for _, tk := range tasks {
 			tk.lastRun = p.stored.epoch * runsPerEpoch
-			tk.failures = rec.Failures[tk.ordinal]
+			tk.failures, tk.failedRun = rec.Failures[tk.ordinal], rec.FailedRuns[tk.ordinal]
+			if tk.failures > 0 && tk.failedRun == 0 {
+				tk.failedRun = tk.lastRun // not known: all runs of former owners count as counted
+			}
 			j.started = j.started || tk.failures > 0 || rec.IsDone(tk.ordinal)
 			j.mayHaveStarted = j.started
 			if !rec.IsDone(tk.ordinal) {
@@ -330,9 +333,9 @@
 			}
 			if tk.failures > 0 {
 				if rec.Failures == nil {
-					rec.Failures = make(map[int]int)
+					rec.Failures, rec.FailedRuns = make(map[int]int), make(map[int]int)
 				}
-				rec.Failures[tk.ordinal] = tk.failures
+				rec.Failures[tk.ordinal], rec.FailedRuns[tk.ordinal] = tk.failures, tk.failedRun
 			}
 		}
 	}
--- a/internal/pool/stored_test.go
+++ b/internal/pool/stored_test.go
@@ -383,3 +383,51 @@
 	assert.Equal(t, len(takeEffects[fleet.Start](b)), 1)
 	assert.Equal(t, len(b.outcomes()), 0)
 }
+
+// Guards against a task that runs more often than its queue permits: the failure of a run that a lost
+// owner had started was acknowledged and not counted.
+func TestFailureThatALostOwnerDidNotNoteCounts(t *testing.T) {
+	b := newHarness(t, 1)
+	s := restoredJob(storedJob("j", 1))
+	s.Record.Failures, s.Record.FailedRuns = map[int]int{0: 1}, map[int]int{0: runsPerEpoch + 1}
+	task := fleet.TaskID{Job: "j"}
+	counted := fleet.End{Number: 1, Task: task, Run: runsPerEpoch + 1, Kind: fleet.EndFailed}
+	b.p.ExpectStored()
+	b.p.TakeOverStored(b.now, b.now, 2, []jobstore.StoredJob{s})
+	b.p.RenewStored(b.now+time.Minute, b.now+time.Minute)
+	b.p.targets["t00"].refreshDue = true
+	b.tick(ms)
+	b.answerHold("t00", nil, []fleet.End{counted})
+	state, _ := b.p.JobState("j")
+	assert.Equal(t, state, fleet.JobRunning, "a failure in the record was counted again")
+	b.tick(heldEndPause)
+
+	b.answerHold("t00", nil, []fleet.End{{Number: 2, Task: task, Run: runsPerEpoch + 2, Kind: fleet.EndFailed}})
+
+	saves := takeEffects[jobstore.Save](b)
+	assert.Equal(t, len(saves), 1)
+	assert.Equal(t, saves[0].Record.State, fleet.JobFailed)
+	assert.Equal(t, b.p.targets["t00"].ackNumber(), int64(1), "acknowledged before its record was saved")
+	b.tick(formerRunsTimeout + 100*ms)
+	assert.Equal(t, len(takeEffects[fleet.Start](b)), 0, "started beyond the attempts of its queue")
+}
+
+// Guards against failures that are forgotten while the job is being restored.
+func TestFailureBeforeTheJobIsRestoredCounts(t *testing.T) {
+	b := newHarness(t, 1)
+	b.p.ExpectStored()
+	task := fleet.TaskID{Job: "j"}
+	b.p.targets["t00"].refreshDue = true
+	b.tick(ms)
+	b.answerHold("t00", []fleet.Running{{Task: task, Run: runsPerEpoch + 2, PercentDone: 10}}, nil)
+	b.tick(ms)
+	b.answerHold("t00", nil, []fleet.End{{Number: 1, Task: task, Run: runsPerEpoch + 2, Kind: fleet.EndFailed}})
+	s := restoredJob(storedJob("j", 1))
+	s.Record.Failures, s.Record.FailedRuns = map[int]int{0: 1}, map[int]int{0: runsPerEpoch + 1}
+
+	b.p.TakeOverStored(b.now, b.now, 2, []jobstore.StoredJob{s})
+
+	saves := takeEffects[jobstore.Save](b)
+	assert.Equal(t, len(saves), 1)
+	assert.Equal(t, saves[0].Record.State, fleet.JobFailed)
+}
