Long-running tasks start again after the loss of the owner of stored jobs

Cause: an owner started a long-running task again after an end of a run of its own, but took a `done` end of a run that a former owner had started for the completion of the task, and the last task's for that of the job.

--- a/internal/pool/report.go
+++ b/internal/pool/report.go
@@ -174,10 +174,10 @@
 // runs of which all owners number in one sequence.
 func (p *Pool) handleUnknownEnd(now time.Duration, t *target, e fleet.End) {
 	tk := p.task(e.Task)
-	if tk == nil || tk.state == taskDone {
-		return
+	if tk == nil || tk.state == taskDone || tk.step.LongRunning {
+		return // a long-running task is started again, however a run of it ended
 	}
-	if e.Kind == fleet.EndFailed && tk.job.Stored && !tk.step.LongRunning {
+	if e.Kind == fleet.EndFailed && tk.job.Stored {
 		p.countFailure(now, tk, e.Run, t)
 	}
 	if e.Kind != fleet.EndDone {
--- a/internal/pool/stored_test.go
+++ b/internal/pool/stored_test.go
@@ -431,3 +431,22 @@
 	assert.Equal(t, len(saves), 1)
 	assert.Equal(t, saves[0].Record.State, fleet.JobFailed)
 }
+
+// Guards against a long-running task that is never started again: the end of a run that a lost owner
+// had started completed it, and with the last task the job.
+func TestLongRunningTaskIsStartedAgainAfterTheLossOfItsOwner(t *testing.T) {
+	b := newHarness(t, 1)
+	j := storedJob("j", 1)
+	j.Steps[0].LongRunning = true
+	b.p.ExpectStored()
+	b.p.targets["t00"].refreshDue = true
+	b.tick(ms)
+	b.answerHold("t00", nil, []fleet.End{{Number: 1, Task: fleet.TaskID{Job: "j"}, Run: runsPerEpoch + 1, Kind: fleet.EndDone}})
+
+	b.p.TakeOverStored(b.now, b.now, 2, []jobstore.StoredJob{restoredJob(j)})
+	b.p.RenewStored(b.now+time.Minute, b.now+time.Minute)
+
+	assert.Equal(t, len(takeEffects[jobstore.Save](b)), 0, "recorded as done")
+	b.tick(formerRunsTimeout + 100*ms)
+	assert.Equal(t, len(takeEffects[fleet.Start](b)), 1)
+}
