Runs whose lease has expired get time to end before their task starts elsewhere

Cause: two places judge when a run is over by different facts. The wait of the next leader allows for the time that a target takes to end a run (stop_ms, 50 ms); the leader itself, which waits for the leases of a target out of reach, allowed for the drift of the clock only.

Before: TestExpiredRunsHaveTimeToEnd failed (started 34 ms early). After: it passes. Whether this was the cause of the users' cases is not known: their record does not show the leases.

--- a/internal/pool/handover_test.go
+++ b/internal/pool/handover_test.go
@@ -112,3 +112,23 @@
 	}
 	assert.Assert(t, len(takeEffects[fleet.Stop](b)) > 0, "it is stopped")
 }
+
+// Guards against two runs of a task at one time: a leader started the task of a target out of reach
+// elsewhere at the very end of its lease, while the target was still about to end the run.
+func TestExpiredRunsHaveTimeToEnd(t *testing.T) {
+	b := newHarness(t, 2)
+	s := func() fleet.Start {
+		b.submit(jobOf("j", queue("q", 0), 1, 14000, 900*ms))
+		b.tick(ms)
+		return b.acceptStarts()[0]
+	}()
+	b.p.markUnreachable(b.now, b.p.targets[s.Target.ID])
+	ends := time.Duration(s.LeaseUntilMS)*ms + timeToEnd
+	for b.now < ends {
+		b.p.targets[s.Target.ID].nextAcquireAt = ends + time.Second // still out of reach
+		assert.Equal(t, len(takeEffects[fleet.Start](b)), 0, "%v before the run must have ended", ends-b.now)
+		b.tick(5 * ms)
+	}
+	b.tick(time.Duration(maxClockDrift*float64(DefaultLease)) + 10*ms)
+	assert.Equal(t, len(takeEffects[fleet.Start](b)), 1)
+}
--- a/internal/pool/ownership.go
+++ b/internal/pool/ownership.go
@@ -26,6 +26,9 @@
 	// before it is acquired: links to entries near it come up meanwhile, and show whether
 	// it has an owner there.
 	cutOffPause = 1500 * time.Millisecond
+	// timeToEnd is how long a target may take to end its runs, after a stop or once their lease
+	// has expired: stop_ms of the platform's bounds.
+	timeToEnd = 50 * time.Millisecond
 	// maxProbeFence is the highest fencing token of probes. It is below all tokens of
 	// owners.
 	maxProbeFence = 1 << 20
@@ -160,14 +163,14 @@
 }
 
 // releaseExpired releases the runs on targets that are not owned once all their leases
-// have expired.
+// have expired and the targets have had time to end them.
 func (p *Pool) releaseExpired(now time.Duration) {
 	for _, t := range p.sortedTargets {
 		if t.owned {
 			t.lastOwnedAt = now
 			continue
 		}
-		if len(t.runs) == 0 || !t.leasesExpired(now) {
+		if len(t.runs) == 0 || !t.leasesExpired(now-timeToEnd) {
 			continue
 		}
 		// A task of a stored job may have completed on the target, and then must not run
