Stored jobs wait for targets that are being replaced

Cause: an accepted job that no listed target fits was taken for one that can never be done, from what was listed at that moment.

Now such a job waits 15 s for a target before it fails. One that is larger than every target of its service that was ever listed still fails at once. A restored job, which waited for good before, fails after the same time.

--- a/internal/pool/job.go
+++ b/internal/pool/job.go
@@ -69,6 +69,7 @@
 	withdrawnUntil      time.Duration
 	orphaned            bool          // its caller or coordinator has disconnected, or its coordinator has withdrawn it
 	orphanUntil         time.Duration // when the runs of the orphaned job are stopped
+	unfitSince          time.Duration // of a stored job: since when it has fitted no listed target, 0 if it fits
 	suspected           *suspectJob   // the suspicions against its tasks, nil if there are none
 	suspicionsSaved     bool          // a record with suspicions was emitted
 }
--- a/internal/pool/room.go
+++ b/internal/pool/room.go
@@ -1,18 +1,23 @@
 package pool
 
-import "currantstall/internal/structs"
+import (
+	"slices"
+
+	"currantstall/internal/fleet"
+	"currantstall/internal/structs"
+)
 
 // A target's room may shrink and grow again while it runs. Runs that are over the room
 // stay, and nothing is started until the room holds all that runs or is being stopped.
 
 // noteRoom notes the listed capacity, so that a job that fits the target only when its room
 // has grown again waits rather than fails.
-func (t *target) noteRoom(c structs.Resources) {
-	t.largestRoom = structs.Resources{
-		MilliCPU:     max(t.largestRoom.MilliCPU, c.MilliCPU),
-		MemoryMB:     max(t.largestRoom.MemoryMB, c.MemoryMB),
-		Accelerators: max(t.largestRoom.Accelerators, c.Accelerators),
-	}
+func (t *target) noteRoom(c structs.Resources) { t.largestRoom = t.largestRoom.Max(c) }
+
+// exceedsAllRooms reports whether a step of the job is too large for all targets of its service that
+// were ever listed.
+func (p *Pool) exceedsAllRooms(j *job) bool {
+	return slices.ContainsFunc(j.Steps, func(s fleet.Step) bool { return !s.Needs.Fits(p.largestRooms[j.Queue.Service]) })
 }
 
 // mayFit reports whether the needs fit the target when it is idle, now or with the largest
--- a/internal/pool/stored.go
+++ b/internal/pool/stored.go
@@ -27,6 +27,12 @@
 	// stableListFor is how long no target must have been unlisted, so that owning all
 	// listed targets proves that no runs are left elsewhere.
 	stableListFor = 4 * time.Second
+	// neverFitsAfter is how long a stored job that is not too large for all targets there have
+	// been waits for one that it fits before it fails. Targets that are replaced at short notice
+	// are missing for some seconds, and for longer while the store is away.
+	neverFitsAfter = 15 * time.Second
+	// fitCheckInterval is the time between two rounds of checks whether such jobs fit by now.
+	fitCheckInterval = time.Second
 	// keepEndedFor is how long the state of an ended job is kept in memory.
 	keepEndedFor = 30 * time.Second
 	// runsPerEpoch separates the run numbers that successive owners use.
@@ -45,6 +51,7 @@
 	formerRunsEnd   time.Duration            // when all runs of a former owner are over
 	formerStartsEnd time.Duration            // when a former owner has started its last run
 	reportsAsked    bool                     // all owned targets were asked for a report since then
+	nextFitCheck    time.Duration            // when it is checked next whether jobs fit
 	ended           map[string]*endedJob     // by job ID
 	recurring       map[string]*recurringJob // by job ID
 	unknownJobEnds  map[string][]heldEnd     // held ends of jobs that are not restored yet, by job ID
@@ -155,6 +162,7 @@
 		return
 	}
 	p.awaitFormerRuns(now)
+	p.endUnfitJobs(now)
 	p.tickRecurring(now)
 	for id, e := range p.stored.ended {
 		if e.saved && now > e.endedAt+keepEndedFor {
@@ -288,13 +296,36 @@
 	if p.learnSuspicions(now, j, rec.Suspicions); p.jobs[j.ID] != j {
 		return // given up
 	}
-	if reason := p.neverFits(j); reason != "" && !j.restored {
+	switch reason := p.neverFits(j); {
+	case reason != "" && !j.restored && p.exceedsAllRooms(j):
 		p.endJob(now, j, fleet.Outcome{Verdict: verdict.Failed, Reason: reason})
 		return
+	case reason != "":
+		j.unfitSince = now
 	}
 	p.enqueue(j)
 }
 
+// endUnfitJobs fails the stored jobs that have fitted no listed target for neverFitsAfter.
+func (p *Pool) endUnfitJobs(now time.Duration) {
+	if now < p.stored.nextFitCheck {
+		return
+	}
+	p.stored.nextFitCheck = now + fitCheckInterval
+	for _, j := range p.jobs {
+		if j.unfitSince == 0 {
+			continue
+		}
+		reason := p.neverFits(j)
+		switch {
+		case reason == "":
+			j.unfitSince = 0
+		case now >= j.unfitSince+neverFitsAfter:
+			p.endJob(now, j, fleet.Outcome{Verdict: verdict.Failed, Reason: reason})
+		}
+	}
+}
+
 // applyRecord applies the recorded progress to the tasks of a job.
 func (p *Pool) applyRecord(j *job, rec fleet.Record) {
 	for _, tasks := range j.steps {
--- a/internal/pool/stored_test.go
+++ b/internal/pool/stored_test.go
@@ -450,3 +450,44 @@
 	b.tick(formerRunsTimeout + 100*ms)
 	assert.Equal(t, len(takeEffects[fleet.Start](b)), 1)
 }
+
+// Guards against accepted jobs that fail without a run: the targets that they require were being
+// replaced, and for some seconds none was listed.
+func TestStoredJobWaitsForTargetsThatAreReplaced(t *testing.T) {
+	b := newHarness(t, 1)
+	labelled := fleet.Target{ID: "t01", Service: "s", Addr: "a01", Incarnation: 1, Capacity: b.p.targets["t00"].Capacity, Labels: []string{"g"}}
+	all := func(with ...fleet.Target) []fleet.Target { return append(targetList(1), with...) }
+	b.p.SetTargets(b.now, all(labelled))
+	b.ownStored()
+	b.p.SetTargets(b.now, all())
+	j := storedJob("j", 1)
+	j.Steps[0].RequiredLabel = "g"
+	b.submit(j)
+	b.tick(neverFitsAfter - fitCheckInterval)
+	state, _ := b.p.JobState("j")
+	assert.Equal(t, state, fleet.JobQueued)
+
+	labelled.ID, labelled.Addr = "t02", "a02"
+	b.p.SetTargets(b.now, all(labelled))
+	b.tick(ms)
+	b.acquireTargets()
+	b.tick(ms)
+
+	starts := takeEffects[fleet.Start](b)
+	assert.Equal(t, len(starts), 1)
+	assert.Equal(t, starts[0].Target.ID, "t02")
+}
+
+func TestStoredJobFailsWhereNoTargetItFitsComes(t *testing.T) {
+	b := newHarness(t, 1)
+	b.ownStored()
+	j := storedJob("j", 1)
+	j.Steps[0].RequiredLabel = "nowhere"
+	b.submit(j)
+	b.tick(ms)
+	assert.Equal(t, len(takeEffects[jobstore.Save](b)), 0)
+	b.tick(neverFitsAfter)
+	saves := takeEffects[jobstore.Save](b)
+	assert.Equal(t, len(saves), 1)
+	assert.Equal(t, saves[0].Record.State, fleet.JobFailed)
+}
--- a/internal/pool/target.go
+++ b/internal/pool/target.go
@@ -179,6 +179,7 @@
 	}
 	t.Target, t.listed = info, true
 	t.noteRoom(info.Capacity)
+	p.largestRooms[info.Service] = p.largestRooms[info.Service].Max(info.Capacity)
 	if info.Leaving {
 		t.step(statechart.TargetHealthOnLeave)
 	} else {
--- a/internal/structs/structs.go
+++ b/internal/structs/structs.go
@@ -72,6 +72,11 @@
 	return Resources{r.MilliCPU - o.MilliCPU, r.MemoryMB - o.MemoryMB, r.Accelerators - o.Accelerators}
 }
 
+// Max returns the larger of the two by resource.
+func (r Resources) Max(o Resources) Resources {
+	return Resources{max(r.MilliCPU, o.MilliCPU), max(r.MemoryMB, o.MemoryMB), max(r.Accelerators, o.Accelerators)}
+}
+
 // Work is one request or one submission (a job) as accepted from a caller.
 type Work struct {
 	Key   key.Key   `cbor:"1,keyasint"`
