Long-running tasks do not wait for a lost target

Cause: the task of a stored job waits for a target out of reach, on which it may have completed. A long-running task never completes, so there is nothing to wait for once the leases have expired. The same wait held back restored long-running jobs.

--- a/internal/pool/ownership.go
+++ b/internal/pool/ownership.go
@@ -174,12 +174,12 @@
 			continue
 		}
 		// A task of a stored job may have completed on the target, and then must not run
-		// again: the target gets time to come back.
+		// again: the target gets time to come back. A long-running task never completes.
 		left := !t.listed && t.Leaving
 		mayReturn := !left && now < t.lastOwnedAt+unreachableWait
 		released := 0
 		for _, r := range sortedRuns(t.runs) {
-			if mayReturn && r.task != nil && r.task.job.Stored {
+			if mayReturn && r.task != nil && r.task.job.Stored && !r.task.step.LongRunning {
 				continue
 			}
 			p.releaseAndRequeue(now, r)
--- a/internal/pool/stored.go
+++ b/internal/pool/stored.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"slices"
 	"time"
 
 	"currantstall/internal/fleet"
@@ -235,7 +236,16 @@
 	if !j.Stored {
 		return now >= j.formerRunsEnd && p.permittedUntil(j) >= now+p.cfg.Lease
 	}
-	return now < p.stored.startsUntil && (!j.restored || now >= p.stored.formerRunsEnd)
+	return now < p.stored.startsUntil && (!j.restored || now >= p.formerRunsOver(j))
+}
+
+// formerRunsOver returns from when on a restored job may be started. Tasks that may have completed
+// on a target out of reach wait for it, which is in vain for long-running ones.
+func (p *Pool) formerRunsOver(j *job) time.Duration {
+	if slices.ContainsFunc(j.Steps, func(s fleet.Step) bool { return !s.LongRunning }) {
+		return p.stored.formerRunsEnd
+	}
+	return min(p.stored.formerRunsEnd, p.stored.lastSeen+formerRunsTimeout)
 }
 
 // submitStored accepts a stored job that was just submitted. It does nothing if the pool
--- a/internal/pool/stored_test.go
+++ b/internal/pool/stored_test.go
@@ -491,3 +491,41 @@
 	assert.Equal(t, len(saves), 1)
 	assert.Equal(t, saves[0].Record.State, fleet.JobFailed)
 }
+
+// Guards against long-running tasks that stay away for long after the loss of their target: they waited
+// for a completion that can't come.
+func TestLongRunningTaskDoesNotWaitForALostTarget(t *testing.T) {
+	b := newHarness(t, 2)
+	b.ownStored()
+	j := storedJob("j", 1)
+	j.Steps[0].LongRunning = true
+	s := b.submitAndStart(j)[0]
+	lost := b.p.targets[s.Target.ID]
+	b.p.markUnreachable(b.now, lost)
+	lost.nextAcquireAt = b.now + time.Hour
+	b.tick(DefaultLease / 2)
+	assert.Equal(t, len(takeEffects[fleet.Start](b)), 0, "the run may still be at work")
+
+	b.tick(DefaultLease)
+
+	starts := takeEffects[fleet.Start](b)
+	assert.Equal(t, len(starts), 1)
+	assert.Assert(t, starts[0].Target.ID != lost.ID && starts[0].Run > s.Run)
+}
+
+func TestRestoredLongRunningJobDoesNotWaitForALostTarget(t *testing.T) {
+	b := newHarness(t, 2)
+	b.p.markUnreachable(b.now, b.p.targets["t01"])
+	b.p.targets["t01"].nextAcquireAt = b.now + time.Hour
+	j, ordinary := storedJob("j", 1), storedJob("ordinary", 1)
+	j.Steps[0].LongRunning = true
+	b.ownStored(restoredJob(j), restoredJob(ordinary))
+	b.tick(formerRunsTimeout - 100*ms)
+	assert.Equal(t, len(takeEffects[fleet.Start](b)), 0, "runs of the former owner may still be at work")
+
+	b.tick(200 * ms)
+
+	starts := takeEffects[fleet.Start](b)
+	assert.Equal(t, len(starts), 1)
+	assert.Equal(t, starts[0].Task.Job, "j")
+}
