Jobs whose starts are refused count as pending

Cause: a job counted as started once the order was sent. It now does so once a run of it is known to have begun: by the answer, a report, or its end.

--- a/internal/pool/job.go
+++ b/internal/pool/job.go
@@ -52,7 +52,7 @@
 	waiting             int           // tasks in state taskWaiting
 	queued              bool          // in the list of its queue
 	mayHaveStarted      bool          // a start was sent, or may have been by a former owner
-	started             bool          // a start is known to have been sent
+	started             bool          // a run is known to have begun
 	mayHaveRunElsewhere bool          // a former owner may have started a task
 	formerRunsEnd       time.Duration // when all runs of a former owner are over
 	restored            bool          // taken over from a former owner
@@ -227,7 +227,6 @@
 // markPlaced makes r the current run of a waiting task.
 func (p *Pool) markPlaced(tk *task, r *run) {
 	j := tk.job
-	j.started = true
 	tk.currentRun, tk.state = r, taskPlaced
 	j.waiting--
 	if j.waiting == 0 {
--- a/internal/pool/report.go
+++ b/internal/pool/report.go
@@ -149,6 +149,7 @@
 	if tk == nil {
 		return
 	}
+	tk.job.started = true
 	if !tk.step.LongRunning {
 		p.recordEnd(now, r, kind, prompt)
 	}
@@ -203,7 +204,7 @@
 			continue
 		}
 		if r.state == runOrdered || r.state == runUnconfirmed {
-			r.state, r.startedAt = runRunning, now
+			r.begin(now)
 		}
 		r.noteStarted(rep.ClockMS)
 		p.acquit(now, r)
@@ -274,6 +275,7 @@
 			continue
 		}
 		p.log("run", "task", r.taskID.String(), "run", r.number, "target", r.target.ID, "outcome", "adopted")
+		j.started = true
 		p.markPlaced(tk, r)
 	}
 }
--- a/internal/pool/run.go
+++ b/internal/pool/run.go
@@ -53,6 +53,14 @@
 
 func (r *run) key() runKey { return runKey{r.taskID, r.number} }
 
+// begin records that the run is known to be at work from now on.
+func (r *run) begin(now time.Duration) {
+	r.state, r.startedAt = runRunning, now
+	if r.task != nil {
+		r.task.job.started = true
+	}
+}
+
 // StartDone handles the answer to a start.
 func (p *Pool) StartDone(now time.Duration, o fleet.Start, rep fleet.Reply) {
 	t := p.targets[o.Target.ID]
@@ -75,7 +83,8 @@
 	switch rep.Answer {
 	case fleet.Accepted:
 		if r.state == runOrdered || r.state == runUnconfirmed {
-			r.state, r.startedAt, r.startTimeKnown = runRunning, now, true
+			r.startTimeKnown = true
+			r.begin(now)
 			r.noteStarted(rep.ClockMS)
 		}
 	case fleet.Unanswered:
--- a/internal/pool/stored_test.go
+++ b/internal/pool/stored_test.go
@@ -529,3 +529,26 @@
 	assert.Equal(t, len(starts), 1)
 	assert.Equal(t, starts[0].Task.Job, "j")
 }
+
+// Guards against a count of pending jobs that leaves out those whose starts were refused.
+func TestJobWhoseStartsAreRefusedIsPending(t *testing.T) {
+	b := newHarness(t, 1)
+	b.ownStored()
+	b.submit(storedJob("j", 1))
+	b.tick(ms)
+	s := takeEffects[fleet.Start](b)[0]
+	assert.DeepEqual(t, b.p.Pending(), map[string]int{"q": 1})
+	b.replyStart(s, fleet.Refused)
+	b.tick(ms)
+	assert.DeepEqual(t, b.p.Pending(), map[string]int{"q": 1})
+	state, _ := b.p.JobState("j")
+	assert.Equal(t, state, fleet.JobQueued)
+
+	b.tick(rejectedStartPause)
+	b.tick(ms)
+	b.acceptStarts()
+
+	assert.DeepEqual(t, b.p.Pending(), map[string]int{})
+	state, _ = b.p.JobState("j")
+	assert.Equal(t, state, fleet.JobRunning)
+}
