--- a/internal/jobstore/owner.go
+++ b/internal/jobstore/owner.go
@@ -133,9 +133,9 @@
 	signal(o.wake)
 }
 
-// JobsExist tells the owner that there are stored jobs, so that it claims the ownership
+// ExpectJobs tells the owner that there are stored jobs, so that it claims the ownership
 // without waiting for the store to report one.
-func (o *Owner) JobsExist() { signal(o.jobAccepted) }
+func (o *Owner) ExpectJobs() { signal(o.jobAccepted) }
 
 // AddJob tells the owner of an accepted job that the entry may run from now on. The owner
 // renews the ownership for it even if the store has not reported the job yet.
--- a/internal/node/stored.go
+++ b/internal/node/stored.go
@@ -118,7 +118,7 @@
 	}
 	if n.stored.expected {
 		n.storedPool().ExpectStored()
-		owner.JobsExist()
+		owner.ExpectJobs()
 	}
 	n.owners.Go(func() { owner.Run(ctx) })
 }
--- /dev/null
+++ b/internal/pool/former.go
@@ -0,0 +1,87 @@
+package pool
+
+import (
+	"slices"
+	"time"
+
+	"currantstall/internal/fleet"
+	"currantstall/internal/jobstore"
+)
+
+// A new owner of the stored jobs waits until the runs of the former one are over, or have shown
+// themselves in the reports of their targets, before it starts restored tasks.
+
+const (
+	// formerRunsTimeout is the time after which all runs of a former owner are over,
+	// including the leases of its last orders and clock drift.
+	formerRunsTimeout = jobstore.RunLease + 1100*time.Millisecond
+	// unreachableWait is how long tasks of a former owner are not started again while a
+	// target on which they may have ended is unreachable, unless it has left. It is
+	// longer than the usual network cut, during which the rows of targets that are cut
+	// off from the store are removed as well.
+	unreachableWait = 12 * time.Second
+	// formerStartsMargin is the drift of clocks over the start lease of a former owner, and the
+	// time of its last order.
+	formerStartsMargin = 100 * time.Millisecond
+	// stableListFor is how long no target must have been unlisted, so that owning all
+	// listed targets proves that no runs are left elsewhere.
+	stableListFor = 4 * time.Second
+)
+
+// awaitFormerRuns ends the wait for the runs of a former owner once every target has reported
+// since that one could start its last run. A target that has another owner by now may have runs,
+// or ends, that no report has shown.
+func (p *Pool) awaitFormerRuns(now time.Duration) {
+	if now >= p.stored.formerRunsEnd {
+		return
+	}
+	if now >= p.stored.formerStartsEnd && !p.stored.reportsAsked {
+		p.stored.reportsAsked = true
+		for _, t := range p.sortedTargets {
+			t.refreshDue = t.refreshDue || t.owned // an idle target gets no messages
+		}
+	}
+	switch {
+	case p.noRunsElsewhere(now):
+		p.stored.formerRunsEnd = now
+	case !p.ownsListedTargets(now):
+		p.stored.formerRunsEnd = p.stored.lastSeen + unreachableWait
+	}
+}
+
+// noRunsElsewhere reports whether all targets on which a former owner could have runs
+// have reported since it could start the last one.
+func (p *Pool) noRunsElsewhere(now time.Duration) bool {
+	if now < max(p.firstListedAt, p.lastUnlistedAt)+stableListFor {
+		return false
+	}
+	for _, t := range p.sortedTargets {
+		if !t.replaced && t.reportedAt < p.stored.formerStartsEnd {
+			return false
+		}
+	}
+	return p.lastUnlistedAt == 0 || now >= p.lastUnlistedAt+unreachableWait
+}
+
+// ownsListedTargets reports whether all targets are owned, except those that are known to
+// be over, and none was unlisted recently.
+func (p *Pool) ownsListedTargets(now time.Duration) bool {
+	if p.lastUnlistedAt > 0 && now < p.lastUnlistedAt+unreachableWait {
+		return false
+	}
+	for _, t := range p.sortedTargets {
+		if !t.owned && !t.replaced && t.reportedAt < p.stored.formerStartsEnd {
+			return false
+		}
+	}
+	return true
+}
+
+// formerRunsOver returns from when on a restored job may be started. Tasks that may have completed
+// on a target out of reach wait for it, which is in vain for long-running ones.
+func (p *Pool) formerRunsOver(j *job) time.Duration {
+	if slices.ContainsFunc(j.Steps, func(s fleet.Step) bool { return !s.LongRunning }) {
+		return p.stored.formerRunsEnd
+	}
+	return min(p.stored.formerRunsEnd, p.stored.lastSeen+formerRunsTimeout)
+}
--- a/internal/pool/room.go
+++ b/internal/pool/room.go
@@ -1,11 +1,6 @@
 package pool
 
-import (
-	"slices"
-
-	"currantstall/internal/fleet"
-	"currantstall/internal/structs"
-)
+import "currantstall/internal/structs"
 
 // A target's room may shrink and grow again while it runs. Runs that are over the room
 // stay, and nothing is started until the room holds all that runs or is being stopped.
@@ -14,12 +9,6 @@
 // has grown again waits rather than fails.
 func (t *target) noteRoom(c structs.Resources) { t.largestRoom = t.largestRoom.Max(c) }
 
-// exceedsAllRooms reports whether a step of the job is too large for all targets of its service that
-// were ever listed.
-func (p *Pool) exceedsAllRooms(j *job) bool {
-	return slices.ContainsFunc(j.Steps, func(s fleet.Step) bool { return !s.Needs.Fits(p.largestRooms[j.Queue.Service]) })
-}
-
 // mayFit reports whether the needs fit the target when it is idle, now or with the largest
 // room that this incarnation has had.
 func (t *target) mayFit(needs structs.Resources) bool {
--- a/internal/pool/stored.go
+++ b/internal/pool/stored.go
@@ -1,7 +1,6 @@
 package pool
 
 import (
-	"slices"
 	"time"
 
 	"currantstall/internal/fleet"
@@ -14,26 +13,6 @@
 // shown as ended, only once its record is saved.
 
 const (
-	// formerRunsTimeout is the time after which all runs of a former owner are over,
-	// including the leases of its last orders and clock drift.
-	formerRunsTimeout = jobstore.RunLease + 1100*time.Millisecond
-	// unreachableWait is how long tasks of a former owner are not started again while a
-	// target on which they may have ended is unreachable, unless it has left. It is
-	// longer than the usual network cut, during which the rows of targets that are cut
-	// off from the store are removed as well.
-	unreachableWait = 12 * time.Second
-	// formerStartsMargin is the drift of clocks over the start lease of a former owner, and the
-	// time of its last order.
-	formerStartsMargin = 100 * time.Millisecond
-	// stableListFor is how long no target must have been unlisted, so that owning all
-	// listed targets proves that no runs are left elsewhere.
-	stableListFor = 4 * time.Second
-	// neverFitsAfter is how long a stored job that is not too large for all targets there have
-	// been waits for one that it fits before it fails. Targets that are replaced at short notice
-	// are missing for some seconds, and for longer while the store is away.
-	neverFitsAfter = 15 * time.Second
-	// fitCheckInterval is the time between two rounds of checks whether such jobs fit by now.
-	fitCheckInterval = time.Second
 	// keepEndedFor is how long the state of an ended job is kept in memory.
 	keepEndedFor = 30 * time.Second
 	// runsPerEpoch separates the run numbers that successive owners use.
@@ -172,27 +151,6 @@
 	}
 }
 
-// awaitFormerRuns ends the wait for the runs of a former owner once every target has reported
-// since that one could start its last run. A target that has another owner by now may have runs,
-// or ends, that no report has shown.
-func (p *Pool) awaitFormerRuns(now time.Duration) {
-	if now >= p.stored.formerRunsEnd {
-		return
-	}
-	if now >= p.stored.formerStartsEnd && !p.stored.reportsAsked {
-		p.stored.reportsAsked = true
-		for _, t := range p.sortedTargets {
-			t.refreshDue = t.refreshDue || t.owned // an idle target gets no messages
-		}
-	}
-	switch {
-	case p.noRunsElsewhere(now):
-		p.stored.formerRunsEnd = now
-	case !p.ownsListedTargets(now):
-		p.stored.formerRunsEnd = p.stored.lastSeen + unreachableWait
-	}
-}
-
 // hasStoredRuns reports whether a stored job has runs.
 func (p *Pool) hasStoredRuns() bool {
 	for _, j := range p.jobs {
@@ -203,34 +161,6 @@
 	return false
 }
 
-// noRunsElsewhere reports whether all targets on which a former owner could have runs
-// have reported since it could start the last one.
-func (p *Pool) noRunsElsewhere(now time.Duration) bool {
-	if now < max(p.firstListedAt, p.lastUnlistedAt)+stableListFor {
-		return false
-	}
-	for _, t := range p.sortedTargets {
-		if !t.replaced && t.reportedAt < p.stored.formerStartsEnd {
-			return false
-		}
-	}
-	return p.lastUnlistedAt == 0 || now >= p.lastUnlistedAt+unreachableWait
-}
-
-// ownsListedTargets reports whether all targets are owned, except those that are known to
-// be over, and none was unlisted recently.
-func (p *Pool) ownsListedTargets(now time.Duration) bool {
-	if p.lastUnlistedAt > 0 && now < p.lastUnlistedAt+unreachableWait {
-		return false
-	}
-	for _, t := range p.sortedTargets {
-		if !t.owned && !t.replaced && t.reportedAt < p.stored.formerStartsEnd {
-			return false
-		}
-	}
-	return true
-}
-
 // mayStart reports whether tasks of the job may be started now.
 func (p *Pool) mayStart(now time.Duration, j *job) bool {
 	if !j.Stored {
@@ -239,15 +169,6 @@
 	return now < p.stored.startsUntil && (!j.restored || now >= p.formerRunsOver(j))
 }
 
-// formerRunsOver returns from when on a restored job may be started. Tasks that may have completed
-// on a target out of reach wait for it, which is in vain for long-running ones.
-func (p *Pool) formerRunsOver(j *job) time.Duration {
-	if slices.ContainsFunc(j.Steps, func(s fleet.Step) bool { return !s.LongRunning }) {
-		return p.stored.formerRunsEnd
-	}
-	return min(p.stored.formerRunsEnd, p.stored.lastSeen+formerRunsTimeout)
-}
-
 // submitStored accepts a stored job that was just submitted. It does nothing if the pool
 // does not own the stored jobs or knows the job already.
 func (p *Pool) submitStored(now time.Duration, s Submit) {
@@ -316,26 +237,6 @@
 	p.enqueue(j)
 }
 
-// endUnfitJobs fails the stored jobs that have fitted no listed target for neverFitsAfter.
-func (p *Pool) endUnfitJobs(now time.Duration) {
-	if now < p.stored.nextFitCheck {
-		return
-	}
-	p.stored.nextFitCheck = now + fitCheckInterval
-	for _, j := range p.jobs {
-		if j.unfitSince == 0 {
-			continue
-		}
-		reason := p.neverFits(j)
-		switch {
-		case reason == "":
-			j.unfitSince = 0
-		case now >= j.unfitSince+neverFitsAfter:
-			p.endJob(now, j, fleet.Outcome{Verdict: verdict.Failed, Reason: reason})
-		}
-	}
-}
-
 // applyRecord applies the recorded progress to the tasks of a job.
 func (p *Pool) applyRecord(j *job, rec fleet.Record) {
 	for _, tasks := range j.steps {
