Log why a task starts again, and how long messages wait for the loop

A task that ran twice left no trace of the ground on which its first run was released, of the age of the coordinator's word, or of a withdrawal that waited in the queue. The start line after a release or a takeover now has them; first starts keep their line. No decision changes.

--- a/internal/node/counts.go
+++ b/internal/node/counts.go
@@ -20,18 +20,22 @@
 	panics    tally.Counter
 	invalid   tally.Counter
 	latency   tally.Histogram
+	queueWait tally.Histogram
 	answers   map[string]tally.Counter
 }
 
 // latencyBuckets are the buckets of the time from a job's arrival to its answer.
 var latencyBuckets = tally.MustMakeExponentialDurationBuckets(10*time.Millisecond, 1.5, 16)
 
+// queueWaitBuckets are the buckets of the time that events wait for the loop.
+var queueWaitBuckets = tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 11)
+
 func newCounts(m *metrics.Metrics) *counts {
 	s := m.Scope().SubScope("node")
 	c := &counts{
 		m: m, starts: s.Counter("starts"), abandoned: s.Counter("abandoned"), late: s.Counter("late_outcomes"), otherPool: s.Counter("submitted_to_other_pool"),
 		panics: s.Counter("contained_panics"), invalid: s.Counter("invalid_messages"),
-		latency: s.Histogram("answer_seconds", latencyBuckets), answers: make(map[string]tally.Counter),
+		latency: s.Histogram("answer_seconds", latencyBuckets), queueWait: s.Histogram("queue_wait_seconds", queueWaitBuckets), answers: make(map[string]tally.Counter),
 	}
 	for _, order := range []string{"start", "stop", "hold", "delegated_start"} {
 		for _, a := range fleet.Answers() {
--- a/internal/node/jobs.go
+++ b/internal/node/jobs.go
@@ -251,10 +251,10 @@
 // reclaim marks a job to be submitted again. The former leader may have started it; if it
 // is still linked, the job is withdrawn from it.
 func (n *Node) reclaim(now time.Duration, p *pendingJob) {
-	linked := n.linked[p.sentTo]
+	linked, vouchedAt := n.linked[p.sentTo], n.lastVouch(now, p.sentTo)
 	n.log.Info("job", "job", p.job.ID, "outcome", "leader given up", "leader", p.sentTo, "pool", p.pool, "told", linked || p.sentTo == n.cfg.Self.Name,
-		"ms", (now - p.arrived).Milliseconds())
-	p.addFormer(p.sentTo, n.lastVouch(now, p.sentTo))
+		"ms", (now - p.arrived).Milliseconds(), "vouched_ago_ms", (now - vouchedAt).Milliseconds())
+	p.addFormer(p.sentTo, vouchedAt)
 	if p.cancelled {
 		n.settle(now, p.job.ID, fleet.Outcome{Verdict: verdict.MayHaveRun, Reason: verdict.Cancelled})
 		return
--- a/internal/node/links.go
+++ b/internal/node/links.go
@@ -16,7 +16,8 @@
 // LinkUp implements peer.Handler.
 func (h *peerHandler) LinkUp(p peer.Peer) {
 	n := (*Node)(h)
-	n.post(func(now time.Duration) {
+	n.postTimed(func(now time.Duration) {
+		n.noteLongWait(now, typeLinkUp, p.Name)
 		n.log.Info("link", "peer", p.Name, "outcome", "up")
 		n.peerLinked(now, p.Name, true)
 	})
@@ -25,7 +26,8 @@
 // LinkDown implements peer.Handler.
 func (h *peerHandler) LinkDown(p peer.Peer) {
 	n := (*Node)(h)
-	n.post(func(now time.Duration) {
+	n.postTimed(func(now time.Duration) {
+		n.noteLongWait(now, typeLinkDown, p.Name)
 		n.log.Info("link", "peer", p.Name, "outcome", "down")
 		n.peerLost(now, p.Name)
 	})
@@ -124,7 +126,7 @@
 	if err := wire.Decode(m.Body, &body); err != nil {
 		return err
 	}
-	n.post(func(now time.Duration) { handle(now, body) })
+	n.postTimed(func(now time.Duration) { handle(now, body) })
 	return nil
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -120,6 +120,7 @@
 	lastHeartbeatAt time.Duration
 	lastState       leadState // as of the heartbeat sent last
 	lag             lagMeter
+	waits           queueWaits
 	load            loadMeter
 	lastIterationAt time.Duration // boot clock at the last iteration of the loop
 	stored          storedJobs
@@ -322,7 +323,7 @@
 	defer cancel()
 	rep := send(ctx)
 	n.counts.answer(name, rep.Answer)
-	n.post(func(now time.Duration) { done(now, rep) })
+	n.postTimed(func(now time.Duration) { done(now, rep) })
 }
 
 func (n *Node) stop(s *shard, o fleet.Stop) {
@@ -349,7 +350,7 @@
 	defer cancel()
 	rep := n.cfg.Targets.Hold(ctx, o)
 	n.counts.answer("hold", rep.Answer)
-	n.post(func(now time.Duration) { s.pool.HoldDone(now, sent, o, rep) })
+	n.postTimed(func(now time.Duration) { s.pool.HoldDone(now, sent, o, rep) })
 }
 
 // logDecision writes a log line for the pool.
--- a/internal/node/submission.go
+++ b/internal/node/submission.go
@@ -133,6 +133,7 @@
 // handleAbandon handles the withdrawal of a job by another entry, which is its
 // coordinator or the entry for which this one relays it.
 func (n *Node) handleAbandon(now time.Duration, from string, b abandonBody) {
+	n.noteLateAbandon(now, from, b)
 	if p := n.pending[b.Job]; p != nil && p.relayFor == from {
 		p.cancelled = p.cancelled || b.Reason == cancelled
 		n.sendAbandon(now, p, b)
@@ -151,7 +152,9 @@
 		case cancelled:
 			s.pool.Cancel(now, b.Job)
 		case otherLeader:
-			s.pool.Withdraw(now, coordinator, b.Job)
+			if s.pool.Withdraw(now, coordinator, b.Job) {
+				n.log.Info("job", "job", b.Job, "outcome", "withdrawn", "coordinator", coordinator, "waited_ms", n.waits.current.Milliseconds())
+			}
 		default:
 			s.pool.Abandon(now, coordinator, b.Job)
 		}
--- a/internal/node/vouch.go
+++ b/internal/node/vouch.go
@@ -149,6 +149,7 @@
 // handleVouch handles an answer to a heartbeat of this entry, or passes on one to a leader to
 // which this entry relays jobs of the sender.
 func (n *Node) handleVouch(now time.Duration, from string, b vouchBody) {
+	n.noteLongWait(now, wire.PoolVouch.String(), from)
 	if b.Leader != "" && b.Leader != n.cfg.Self.Name {
 		n.relayVouch(now, from, b)
 		return
--- a/internal/pool/crash.go
+++ b/internal/pool/crash.go
@@ -262,7 +262,7 @@
 	t.nextAcquireAt = now + replacedPause
 	for _, r := range sortedRuns(t.runs) {
 		if r.state != runOrdered { // its own answer is on its way
-			p.releaseAndRequeue(now, r)
+			p.releaseAndRequeue(now, r, groundReplaced)
 		}
 	}
 	p.reviewSuspicions(now, t)
--- a/internal/pool/orphan.go
+++ b/internal/pool/orphan.go
@@ -23,14 +23,15 @@
 }
 
 // Withdraw marks a job as orphaned because its coordinator submits it to another owner.
-// Its runs are stopped at once.
-func (p *Pool) Withdraw(now time.Duration, coordinator, id string) {
+// Its runs are stopped at once. It reports whether the pool has the job from this coordinator.
+func (p *Pool) Withdraw(now time.Duration, coordinator, id string) bool {
 	j := p.jobs[id]
 	if j == nil || j.Stored || j.coordinator != coordinator {
-		return
+		return false
 	}
 	j.movedAway = true
 	p.orphanJob(now, j, now)
+	return true
 }
 
 // Cancel ends a job at the request of its caller.
--- a/internal/pool/ownership.go
+++ b/internal/pool/ownership.go
@@ -121,7 +121,7 @@
 	}
 	for _, r := range sortedRuns(t.runs) {
 		if !listed[r.key()] {
-			p.releaseAndRequeue(now, r) // its start had a lower fencing token and can't take effect
+			p.releaseAndRequeue(now, r, groundNotAcquired) // its start had a lower fencing token and can't take effect
 		}
 	}
 }
@@ -148,7 +148,7 @@
 	}
 	t.fencedInARow++
 	t.nextAcquireAt = now + backoff
-	p.log("ownership", "target", t.ID, "outcome", "fenced", "fence", t.fence, "lost", t.fencedInARow, "retry_ms", backoff.Milliseconds())
+	p.log("ownership", "target", t.ID, "outcome", "fenced", "fence", t.fence, "lost", t.fencedInARow, "retry_ms", backoff.Milliseconds(), "runs", len(t.runs))
 }
 
 // markUnreachable marks a target as not owned because it did not answer.
@@ -182,11 +182,11 @@
 			if mayReturn && r.task != nil && r.task.job.Stored && !r.task.step.LongRunning {
 				continue
 			}
-			p.releaseAndRequeue(now, r)
+			p.releaseAndRequeue(now, r, groundLapsed)
 			released++
 		}
 		if released > 0 {
-			p.log("ownership", "target", t.ID, "outcome", "lapsed", "runs", released)
+			p.log("ownership", "target", t.ID, "outcome", "lapsed", "runs", released, "lease_over_ms", (now - t.leasesEnd()).Milliseconds())
 		}
 	}
 }
--- a/internal/pool/place.go
+++ b/internal/pool/place.go
@@ -222,8 +222,10 @@
 	tk.job.queueState.usedMilliCPU += r.needs.MilliCPU
 	tk.job.queueState.placements.add(now, 1)
 	p.markPlaced(tk, r)
-	p.log("start", "task", tk.id.String(), "run", r.number, "target", t.ID, "fence", t.fence, "needs", tk.needs.MilliCPU,
-		"free_after", t.free().MilliCPU, "waited_ms", (now - tk.job.arrived).Milliseconds())
+	p.log("start", append([]any{
+		"task", tk.id.String(), "run", r.number, "target", t.ID, "fence", t.fence, "needs", tk.needs.MilliCPU,
+		"free_after", t.free().MilliCPU, "waited_ms", (now - tk.job.arrived).Milliseconds(),
+	}, p.restartFields(now, tk)...)...)
 	ticket, _ := p.ticketFor(tk, t)
 	p.emit(fleet.Start{
 		Target: t.Target, Task: tk.id, Run: r.number, Spec: tk.job.Spec, Coordinator: tk.job.coordinator, Ticket: ticket, Checkpoint: tk.checkpoint,
--- a/internal/pool/report.go
+++ b/internal/pool/report.go
@@ -160,12 +160,15 @@
 	switch {
 	case tk.step.LongRunning:
 		p.log("run", "task", r.taskID.String(), "run", r.number, "target", r.target.ID, "outcome", "long-running task ended, restarting", "kind", kind)
+		tk.noteRelease(now, r, groundEnded)
 		p.requeue(now, tk)
 	case kind == fleet.EndDone:
 		p.taskDone(now, tk)
 	case kind == fleet.EndFailed:
+		tk.noteRelease(now, r, groundFailed)
 		p.taskFailed(now, tk, r)
 	default:
+		tk.noteRelease(now, r, groundInterrupted)
 		p.requeue(now, tk)
 	}
 }
@@ -229,7 +232,7 @@
 			p.stopRun(now, r, "start unanswered and run not reported")
 		case r.state == runStopAccepted && r.stopAt < sent, r.state == runRunning && r.startedAt < sent:
 			p.log("run", "task", r.taskID.String(), "run", r.number, "target", t.ID, "outcome", "missing from the target's report")
-			p.releaseAndRequeue(now, r)
+			p.releaseAndRequeue(now, r, groundMissing)
 		case r.state == runStopping:
 			p.stopRun(now, r, "not stopped yet")
 		}
@@ -274,7 +277,8 @@
 			p.stopRun(now, r, "task is running elsewhere or done")
 			continue
 		}
-		p.log("run", "task", r.taskID.String(), "run", r.number, "target", r.target.ID, "outcome", "adopted")
+		p.log("run", "task", r.taskID.String(), "run", r.number, "target", r.target.ID, "outcome", "adopted",
+			"fence", r.target.fence, "coordinator", j.coordinator)
 		j.started = true
 		p.markPlaced(tk, r)
 	}
--- a/internal/pool/run.go
+++ b/internal/pool/run.go
@@ -96,23 +96,23 @@
 		if o.Fence == t.fence {
 			p.markFenced(now, t)
 		}
-		p.releaseAndRequeue(now, r)
+		p.releaseAndRequeue(now, r, groundOfAnswer(rep.Answer))
 	case fleet.StaleRun:
 		if r.task != nil {
 			r.task.lastRun += staleRunStep
 		}
-		p.releaseAndRequeue(now, r)
+		p.releaseAndRequeue(now, r, groundOfAnswer(rep.Answer))
 	case fleet.InvalidTicket:
 		p.dropTicket(t, o.Task)
-		p.releaseAndRequeue(now, r)
+		p.releaseAndRequeue(now, r, groundOfAnswer(rep.Answer))
 	case fleet.OtherIncarnation:
-		p.releaseAndRequeue(now, r)
+		p.releaseAndRequeue(now, r, groundOfAnswer(rep.Answer))
 		p.targetReplaced(now, t, o.Target.Addr)
 	case fleet.NotSent:
-		p.releaseAndRequeue(now, r) // the target is not to blame
+		p.releaseAndRequeue(now, r, groundOfAnswer(rep.Answer)) // the target is not to blame
 	default:
 		p.startRejected(now, t, rep.Answer)
-		p.releaseAndRequeue(now, r)
+		p.releaseAndRequeue(now, r, groundOfAnswer(rep.Answer))
 	}
 }
 
@@ -171,13 +171,14 @@
 
 // releaseAndRequeue releases the capacity of a run that is over or can't start, and
 // requeues its task if this is the task's current run.
-func (p *Pool) releaseAndRequeue(now time.Duration, r *run) {
+func (p *Pool) releaseAndRequeue(now time.Duration, r *run, why ground) {
 	p.releaseRun(r)
 	tk := r.task
 	if tk == nil || tk.currentRun != r {
 		return
 	}
 	tk.currentRun = nil
+	tk.noteRelease(now, r, why)
 	p.requeue(now, tk)
 }
 
--- a/internal/pool/target.go
+++ b/internal/pool/target.go
@@ -215,7 +215,7 @@
 	for _, r := range sortedRuns(before) {
 		t.carryOver(r)
 		if r.state == runRunning {
-			p.releaseAndRequeue(now, r)
+			p.releaseAndRequeue(now, r, groundReborn)
 		}
 	}
 	p.suspectTasks(now, suspects, true)
