--- a/internal/node/queuewait_test.go
+++ b/internal/node/queuewait_test.go
@@ -1,10 +1,15 @@
 package node
 
 import (
+	"log/slog"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"currantstall/internal/peer"
+	"currantstall/internal/structs"
+	"currantstall/internal/wire"
 )
 
 func TestLinesOfLongWaitsAreBoundedAndTheOthersCounted(t *testing.T) {
@@ -32,3 +37,25 @@
 	assert.Assert(t, <-waited > 0)
 	assert.Equal(t, n.ask(func() int { return int(n.waits.current) }), 0)
 }
+
+// The former leader logs a withdrawal once, and that it has waited in the queue of a busy loop.
+func TestLateWithdrawalIsLoggedWithItsWait(t *testing.T) {
+	n, _ := startNode(t)
+	log := &lockedBuffer{}
+	n.ask(func() int { n.log = slog.New(slog.NewTextHandler(log, nil)); return 0 })
+	other := peer.Peer{Member: structs.Member{Name: "other"}}
+	(*peerHandler)(n).LinkUp(other)
+	receive(t, n, wire.PoolSubmit, submitBody{Job: patientJob("a"), Vouches: true})
+	assert.Equal(t, poolJobs(n), 1)
+	m, err := wire.NewMessage(wire.PoolAbandon, abandonBody{"a", otherLeader})
+	assert.NilError(t, err)
+	busy := make(chan struct{})
+	n.post(func(time.Duration) { <-busy })
+	(*peerHandler)(n).Receive(other, m)
+	time.Sleep(2 * longQueueWait)
+	close(busy)
+	receive(t, n, wire.PoolAbandon, abandonBody{"a", otherLeader}) // the pool no longer has the job
+	assert.Equal(t, poolJobs(n), 0)
+	assert.Equal(t, log.count("outcome=withdrawn coordinator=other"), 1)
+	assert.Assert(t, log.count("msg=\"message waited in the queue\" type="+wire.PoolAbandon.String()+" peer=other") > 0)
+}
