A leader starts a task again only by a word from after the end of its last run

Callers saw two runs of one task at once, started by one leader; the first was never stopped and ended done.

Cause: a leader takes a run that it can't see for over at a time that it works out (the end of its own leases on a lost target, or of the wait for former leaders), and started the task by any word of the coordinator that still covered a lease. If the coordinator had handed the job on since that word, another leader had the target and the job and renewed the run.

Fix: at such a time T the job asks for the answer to a heartbeat of T or later. Answers and withdrawals are handled by one loop and travel in order, so that answer proves that nobody else had the job until T, and a leader that gets the job later finds no run to renew. For a lost target T is the release of the run (lease and 50 ms), not the end of the lease: until then a new owner may still renew it. A submission that returns to its leader may be older than the lapse of a run that was dropped with its job, so that it must be from after the last lapse there. Runs that the target shows to be over need nothing: a later leader starts none before the permission of this one has ended, it can only renew those that are at work.

Cost: such a task waits for the next heartbeat and its answer, 0.3 s at most (TestLostRunIsStartedAgainByTheNextWord).

--- a/internal/pool/job.go
+++ b/internal/pool/job.go
@@ -61,8 +61,9 @@
 	endRecorded         bool          // the record of its end was emitted
 	parent              *recurringJob // the recurring job of which it is an occurrence, or nil
 	occurrence          int
-	number              uint64 // of the coordinator's last submission
-	vouch               *vouch // of its coordinator; nil if its runs need none
+	number              uint64        // of the coordinator's last submission
+	vouch               *vouch        // of its coordinator; nil if its runs need none
+	vouchFrom           time.Duration // tasks are started by the answer to a heartbeat of this time or later
 	earlier             []earlierCoordinator
 	movedAway           bool // its coordinator submits it to another owner
 	withdrawn           bool // its runs may continue until withdrawnUntil only
--- a/internal/pool/ownership.go
+++ b/internal/pool/ownership.go
@@ -182,6 +182,9 @@
 			if mayReturn && r.task != nil && r.task.job.Stored && !r.task.step.LongRunning {
 				continue
 			}
+			if p.lapsedAt = now; r.task != nil {
+				r.task.job.requireVouchFrom(now)
+			}
 			p.releaseAndRequeue(now, r)
 			released++
 		}
--- a/internal/pool/stored.go
+++ b/internal/pool/stored.go
@@ -164,7 +164,7 @@
 // mayStart reports whether tasks of the job may be started now.
 func (p *Pool) mayStart(now time.Duration, j *job) bool {
 	if !j.Stored {
-		return now >= j.formerRunsEnd && p.permittedUntil(j) >= now+p.cfg.Lease
+		return p.mayStartVouched(now, j)
 	}
 	return now < p.stored.startsUntil && (!j.restored || now >= p.formerRunsOver(j))
 }
--- a/internal/pool/vouch.go
+++ b/internal/pool/vouch.go
@@ -15,6 +15,13 @@
 // when a leader's runs may last, from its own last answer, whatever the leader has heard
 // since; and the callers of a lost coordinator find no run of theirs when they return.
 
+// A leader takes a run that it can't see for over at a time that it works out: the end of its
+// own leases on a lost target, or of the permission of a former leader. The coordinator may have
+// handed the job to yet another leader by then, which has found the run and renews it. So the
+// task is started only by the answer to a heartbeat sent after that time: it proves that
+// nobody else had the job until then. A run that is shown to be over by its target needs no
+// such proof.
+
 // DefaultVouchFor is how long runs may continue after the heartbeat that their coordinator
 // answered last. New runs need a whole lease of that.
 const DefaultVouchFor = 1100 * time.Millisecond
@@ -108,7 +115,7 @@
 		return
 	}
 	if j.movedAway {
-		j.formerRunsEnd = max(j.formerRunsEnd, now+p.cfg.TakeoverDelay)
+		j.waitForRunsUntil(now, now+p.cfg.TakeoverDelay)
 	}
 	if until := p.permittedUntil(j); until > now && until < forever {
 		j.earlier = append(j.earlier, earlierCoordinator{j.coordinator, until})
@@ -123,6 +130,15 @@
 	j.earlier = slices.DeleteFunc(j.earlier, func(e earlierCoordinator) bool { return e.name == coordinator })
 }
 
+// requireVouchFrom makes the next starts of a job wait for the answer to a heartbeat of the given
+// time or later, of all its coordinators.
+func (j *job) requireVouchFrom(at time.Duration) { j.vouchFrom = max(j.vouchFrom, at) }
+
+// mayStartVouched reports whether tasks of a job that is not stored may be started now.
+func (p *Pool) mayStartVouched(now time.Duration, j *job) bool {
+	return now >= j.formerRunsEnd && p.permittedUntil(j) >= max(now+p.cfg.Lease, j.vouchFrom+p.cfg.VouchFor)
+}
+
 // stopMargin is how long before the end of their permission runs are stopped, so that the leases
 // of other runs on the same target need not end with it.
 const stopMargin = 250 * time.Millisecond
@@ -186,8 +202,17 @@
 	vouchedAgo := s.VouchedAgo
 	if s.HereBefore && p.knowsOwnRuns(now, s) {
 		vouchedAgo = s.VouchedElsewhereAgo
+		j.requireVouchFrom(p.lapsedAt) // the submission may be from before that
+	}
+	j.waitForRunsUntil(now, now+p.cfg.TakeoverDelay-vouchedAgo)
+}
+
+// waitForRunsUntil delays the start of a job until the runs of former owners are over.
+func (j *job) waitForRunsUntil(now, end time.Duration) {
+	j.formerRunsEnd = max(j.formerRunsEnd, end)
+	if end > now { // otherwise the submission itself is from after the end
+		j.requireVouchFrom(end)
 	}
-	j.formerRunsEnd = max(j.formerRunsEnd, now+p.cfg.TakeoverDelay-vouchedAgo)
 }
 
 // knowsOwnRuns reports whether this owner knows all runs that it has started of a submitted
