A leader asks for the word that its tasks wait for

A task whose lost run is over, or whose wait for former leaders is, started with the answer to the next regular heartbeat.

Now the pool asks for that answer at once by a heartbeat ahead of time, once for all jobs of a coordinator and at most every 50 ms, so that the wait is one round trip. TestCoordinatorIsAskedForItsWordOnce.

--- a/internal/node/shard.go
+++ b/internal/node/shard.go
@@ -172,6 +172,8 @@
 			go n.advise(s, e)
 		case pool.Ended:
 			n.deliverOutcome(now, e)
+		case pool.VouchRequest:
+			n.requestVouch(now, e)
 		case pool.Suspected:
 			n.tellSuspicions(e)
 		case jobstore.Save:
--- a/internal/node/vouch.go
+++ b/internal/node/vouch.go
@@ -108,6 +108,16 @@
 	}
 }
 
+// requestVouch sends a heartbeat ahead of time to a coordinator or relay. That of a job which
+// this entry has relayed to its own pool is the job's origin.
+func (n *Node) requestVouch(now time.Duration, r pool.VouchRequest) {
+	to := r.Coordinator
+	if to == n.cfg.Self.Name {
+		to = r.Origin
+	}
+	n.send(to, wire.PoolHeartbeat, n.newHeartbeat(now))
+}
+
 // relayedFor is an entry for which this one relays jobs, and the coordinator of these.
 type relayedFor struct{ entry, origin string }
 
--- a/internal/pool/lapsed_test.go
+++ b/internal/pool/lapsed_test.go
@@ -147,6 +147,32 @@
 	}
 }
 
+// Tasks that wait for nothing but the word of their coordinator ask for it, once for all of them.
+func TestCoordinatorIsAskedForItsWordOnce(t *testing.T) {
+	const roundTrip = 10 * ms
+	x := loseTarget(t, jobOf("j", queue("q", 0), 2, 14000, 3*time.Second), Submit{Coordinator: "relay", Origin: "e1"})
+	var askedAt []time.Duration
+	for range 300 {
+		started := x.step()
+		for _, r := range takeEffects[VouchRequest](x.leader) {
+			assert.Equal(t, r, VouchRequest{Coordinator: "relay", Origin: "e1"})
+			askedAt = append(askedAt, x.leader.now)
+		}
+		if started {
+			assert.Equal(t, len(askedAt), 1)
+			assert.Assert(t, x.leader.now <= askedAt[0]+roundTrip+5*ms)
+			return
+		}
+		switch {
+		case len(askedAt) > 0 && x.leader.now == askedAt[0]+roundTrip:
+			x.leader.p.Vouched(Voucher{"relay", "e1"}, askedAt[0])
+		case len(askedAt) == 0 && x.at()%(100*ms) == 0:
+			x.leader.p.Vouched(Voucher{"relay", "e1"}, x.leader.now)
+		}
+	}
+	t.Fatal("the tasks are not started again")
+}
+
 // Guards against a second run by a word from before the end of a wait: the job is handed back to its
 // first leader while the second one waits for the runs there, and the second one is not told.
 func TestNextLeaderDoesNotStartByAWordFromBeforeTheEndOfItsWait(t *testing.T) {
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -67,8 +67,8 @@
 )
 
 // Effect is an action that the pool asks its entry to carry out: a fleet.Start,
-// fleet.Stop, fleet.Hold, fleet.AdviceRequest, Ended, Suspected, StoredDropped or
-// jobstore.Save.
+// fleet.Stop, fleet.Hold, fleet.AdviceRequest, Ended, Suspected, VouchRequest,
+// StoredDropped or jobstore.Save.
 type Effect any
 
 // Ended reports a job's outcome to its coordinator.
@@ -240,6 +240,7 @@
 	p.removeUnlisted(now)
 	p.tickStored(now)
 	p.tickSuspicions(now)
+	p.requestVouches(now)
 	p.placeWaiting(now)
 	p.rejectOverdue(now)
 	for id, kept := range p.keptOutcomes {
--- a/internal/pool/vouch.go
+++ b/internal/pool/vouch.go
@@ -38,9 +38,11 @@
 
 // vouch is the last word of a voucher.
 type vouch struct {
+	origin  string
 	heardAt time.Duration // time of the last heartbeat that it answered
 	known   bool
 	since   time.Duration // when its first job was submitted
+	askedAt time.Duration // when it was last asked for an answer
 }
 
 // Vouched records that a voucher has answered the heartbeat that this entry sent at the given
@@ -55,7 +57,7 @@
 func (p *Pool) vouchOf(now time.Duration, by Voucher) *vouch {
 	v := p.vouches[by]
 	if v == nil {
-		v = &vouch{since: now}
+		v = &vouch{since: now, origin: by.Origin}
 		p.vouches[by] = v
 	}
 	return v
@@ -139,6 +141,25 @@
 	return now >= j.formerRunsEnd && p.permittedUntil(j) >= max(now+p.cfg.Lease, j.vouchFrom+p.cfg.VouchFor)
 }
 
+// VouchRequest asks a voucher to answer a heartbeat of this moment.
+type VouchRequest Voucher
+
+// vouchRequestPause is the least time between two requests to one voucher.
+const vouchRequestPause = 50 * time.Millisecond
+
+// requestVouches asks for the answers that are all that tasks wait for, since the next heartbeat
+// may be 0.3 s away.
+func (p *Pool) requestVouches(now time.Duration) {
+	for _, j := range p.jobs {
+		v := j.vouch
+		if v == nil || j.Stored || j.orphaned || j.waiting == 0 || now < j.vouchFrom || max(v.heardAt, v.askedAt) >= j.vouchFrom || now < v.askedAt+vouchRequestPause {
+			continue
+		}
+		v.askedAt = now
+		p.emit(VouchRequest{j.coordinator, v.origin})
+	}
+}
+
 // stopMargin is how long before the end of their permission runs are stopped, so that the leases
 // of other runs on the same target need not end with it.
 const stopMargin = 250 * time.Millisecond
