--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -67,8 +67,8 @@
 )
 
 // Effect is an action that the pool asks its entry to carry out: a fleet.Start,
-// fleet.Stop, fleet.Hold, fleet.AdviceRequest, Ended, Suspected, StoredDropped or
-// jobstore.Save.
+// fleet.Stop, fleet.Hold, fleet.AdviceRequest, Ended, Suspected, VouchRequest,
+// StoredDropped or jobstore.Save.
 type Effect any
 
 // Ended reports a job's outcome to its coordinator.
@@ -100,6 +100,7 @@
 	keptOutcomes   map[string]keptOutcome // by job ID
 	unclaimedRuns  map[string][]*run      // runs of unknown jobs, by job ID
 	vouches        map[Voucher]*vouch
+	lapsedAt       time.Duration          // when runs were last taken for over since their leases had expired
 	suspected      map[string]*suspectJob // by job ID
 	nextSweepAt    time.Duration          // when the suspicions are swept next
 	stored         storedState
@@ -239,6 +240,7 @@
 	p.removeUnlisted(now)
 	p.tickStored(now)
 	p.tickSuspicions(now)
+	p.requestVouches(now)
 	p.placeWaiting(now)
 	p.rejectOverdue(now)
 	for id, kept := range p.keptOutcomes {
