Tests: draws in which a lost target is taken by another leader

Now targets may also get orders while their answers are lost, and a leader loses such a target and then its coordinator while the target is one of the other leader's home.

--- a/internal/pool/property_test.go
+++ b/internal/pool/property_test.go
@@ -56,6 +56,7 @@
 	ends  []fleet.End
 	rooms []roomAt
 	cut   [2]bool // whether it is unreachable, by owner
+	muted [2]bool // whether it gets orders and its answers are lost, by owner
 }
 
 // simRun is a run in progress.
@@ -151,6 +152,9 @@
 			if !x.cut[owner] {
 				rep = fleet.Reply{Answer: s.doStop(x, e), ClockMS: x.clock(s.now), Incarnation: x.info.Incarnation}
 			}
+			if x.muted[owner] {
+				rep = fleet.Reply{Answer: fleet.Unanswered}
+			}
 			p.StopDone(s.now, e, rep)
 		case fleet.Hold:
 			s.holds = append(s.holds, pendingHold{owner, s.now, e, s.now + e.Wait})
@@ -173,7 +177,7 @@
 	switch {
 	case x.cut[owner]:
 		p.StartDone(s.now, o, unanswered)
-	case fate == 0: // carried out, its answer lost
+	case fate == 0 || x.muted[owner]: // carried out, its answer lost
 		s.doStart(x, o, s.now)
 		p.StartDone(s.now, o, unanswered)
 	case fate == 1: // carried out late
@@ -240,7 +244,11 @@
 		p := s.pools[h.owner]
 		unread := len(x.ends) > int(h.hold.AckedEnd)
 		switch {
-		case x.cut[h.owner]:
+		case x.cut[h.owner] || x.muted[h.owner]:
+			if !x.cut[h.owner] && h.hold.Fence >= x.fence {
+				x.fence = h.hold.Fence
+				x.lease = max(x.lease, min(h.hold.LeaseUntilMS, x.clock(s.now)+1000))
+			}
 			if s.now < h.due+200*time.Millisecond {
 				rest = append(rest, h)
 				continue
--- a/internal/pool/vouch_test.go
+++ b/internal/pool/vouch_test.go
@@ -304,6 +304,25 @@
 	s.submit(to, id)
 }
 
+// loseTargetAndLink makes a leader lose a target, whose answers no longer arrive, and then its
+// coordinator. The other leader takes the target as one of its home.
+func (s *handoverSim) loseTargetAndLink(leader, number int) {
+	x := s.targets[rapid.IntRange(0, len(s.targets)-1).Draw(s.t, "target")]
+	home := func(id string) AcquirePolicy { return AcquirePolicy{Home: id == x.info.ID} }
+	s.pools[1-leader].SetAcquirePolicy(s.now, home)
+	x.cut[leader], x.cut[1-leader], x.muted = false, true, [2]bool{}
+	s.runBetween(500*ms, 1000*ms)
+	s.submitNew(leader, number)
+	s.runBetween(5*ms, 300*ms)
+	x.muted[leader] = true
+	s.runBetween(300*ms, 1000*ms)
+	x.cut[1-leader] = false
+	s.runBetween(5*ms, 300*ms)
+	s.loseLink(leader)
+	s.runBetween(300*ms, 1000*ms)
+	x.muted[leader] = false
+}
+
 // runBetween advances the simulation by a drawn time.
 func (s *handoverSim) runBetween(from, to time.Duration) {
 	const step = 5 * ms
@@ -328,11 +347,7 @@
 			case 15, 16: // a target and then the coordinator are lost to one leader
 				s.restore(0)
 				s.restore(1)
-				s.submitNew(leader, i)
-				s.runBetween(5*ms, 300*ms)
-				s.toggleTarget(leader)
-				s.runBetween(50*ms, 1000*ms)
-				s.loseLink(leader)
+				s.loseTargetAndLink(leader, i)
 			case 17, 18: // a job is handed back while the other leader may wait
 				s.restore(0)
 				s.restore(1)
