Stored runs that another leader keeps: what the waits of their owner cover

What callers would see: two runs of one task of a stored job at one time (TWICE), after the owner of the stored jobs has lost a target that another leader reaches.

Cause: a leader that takes a target and does not own the stored jobs renews their runs, since it may have to restore them. The owner can't tell that from a target that is gone. It starts long-running tasks once its own lease has ended, and other tasks after 12 s.

run 4098 of j.0.0 starts 765ms after the target was lost, the lease of the lost run lasts 699 ms more

The other tasks: 12 s cover one such leader, which stops the run 5 s after its first report (new test TestLostStoredTaskIsNotStartedWhileAnotherLeader- KeepsItsRun passes).

The set-up of the first test is now a function that the three tests share; what it asks is the same.

--- a/internal/pool/lapsed_test.go
+++ b/internal/pool/lapsed_test.go
@@ -239,12 +239,11 @@
 	assert.Assert(t, x.lease > b.clock(), "the other leader renews the run")
 }
 
-// Guards against a second run of a long-running stored task: another leader that does not own the
-// stored jobs keeps the run, in case it has to restore the job.
-func TestLostLongRunningTaskIsNotStartedWhileAnotherLeaderKeepsItsRun(t *testing.T) {
-	x := &lostTarget{leader: newHarness(t, 2), job: storedJob("j", 1)}
+// loseStoredTarget makes the owner of the stored jobs start a job and lose its target. The other
+// leader does not own them.
+func loseStoredTarget(t *testing.T, j fleet.Job) *lostTarget {
+	x := &lostTarget{leader: newHarness(t, 2), job: j}
 	b := x.leader
-	x.job.Steps[0].LongRunning = true
 	b.ownStored()
 	start := b.submitAndStart(x.job)[0]
 	x.begin, x.target, x.lease = b.now, start.Target.ID, start.LeaseUntilMS
@@ -253,6 +252,24 @@
 	x.other = &harness{t: t, p: New(DefaultSettings(), nil), ended: map[string]fleet.Outcome{}, resubmitted: map[string]bool{}}
 	x.other.p.SetTargets(b.now, targetList(2))
 	x.other.p.ExpectStored()
+	return x
+}
+
+// answerStops ends the lost run if the other leader has ordered it.
+func (x *lostTarget) answerStops() {
+	for _, o := range takeEffects[fleet.Stop](x.other) {
+		x.running = nil
+		x.other.p.StopDone(x.other.now, o, fleet.Reply{Answer: fleet.Accepted, ClockMS: x.other.clock(), Incarnation: o.Target.Incarnation})
+	}
+}
+
+// Guards against a second run of a long-running stored task: another leader that does not own the
+// stored jobs keeps the run, in case it has to restore the job.
+func TestLostLongRunningTaskIsNotStartedWhileAnotherLeaderKeepsItsRun(t *testing.T) {
+	j := storedJob("j", 1)
+	j.Steps[0].LongRunning = true
+	x := loseStoredTarget(t, j)
+	b := x.leader
 	for x.at() < 1500*ms {
 		x.step()
 		if x.at() == 450*ms {
@@ -261,3 +278,36 @@
 	}
 	assert.Assert(t, x.lease > b.clock(), "the other leader keeps the run")
 }
+
+// A stored task that may complete waits longer for its lost target than another leader keeps its run.
+func TestLostStoredTaskIsNotStartedWhileAnotherLeaderKeepsItsRun(t *testing.T) {
+	x := loseStoredTarget(t, storedJob("j", 1))
+	keptUntil := time.Duration(0)
+	for !x.step() {
+		assert.Assert(t, x.at() < unreachableWait+DefaultLease)
+		if x.at() == 450*ms {
+			x.lead()
+		}
+		x.answerStops()
+		if x.lease > x.leader.clock() {
+			keptUntil = x.at()
+		}
+	}
+	assert.Assert(t, keptUntil >= restoreTimeout, "the other leader keeps the run")
+	assert.Assert(t, x.at() >= unreachableWait)
+}
+
+// Guards against a second run of a stored task where several leaders keep the first one in turn, each
+// for restoreTimeout, until its owner no longer waits for the lost target.
+func TestLostStoredTaskIsNotStartedWhileLeadersKeepItsRunInTurn(t *testing.T) {
+	const firstLeads, changes = 450 * ms, 4450 * ms
+	x := loseStoredTarget(t, storedJob("j", 1))
+	for !x.step() {
+		assert.Assert(t, x.at() < 2*unreachableWait, "the task is never started again")
+		if x.at() < unreachableWait && (x.at()-firstLeads)%changes == 0 {
+			x.other.p.StepDown()
+			x.lead()
+		}
+		x.answerStops()
+	}
+}
