Runs on a target that stands still are waited for beyond the end of their lease

Callers see two runs of one task at once: the first on a target whose process stood still past the end of its lease, and which finds the run done when it goes on.

Cause: a leader takes the runs of a lost target for over 50 ms after their lease, as targets end runs within 50 ms. A process that stands still (a busy machine, a pause of its VM) ends nothing before it goes on.

Fix: an unanswered hold tells whether the target's VM has accepted a new connection for it. If so, only the process does not answer. Its runs, and jobs that are taken over meanwhile, are waited for 2 s longer, or until it answers or refuses connections. A target that can't be connected to, as in a cut or a crash, is waited for as before.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -325,9 +325,24 @@
 	Checkpoint string // as in Running
 }
 
+// Contact is what an unanswered order shows of its target.
+type Contact uint8
+
+// The contacts with a target that does not answer.
+const (
+	// ContactUnknown: the order went over a connection from before.
+	ContactUnknown Contact = iota
+	// NotConnected: no new connection came about.
+	NotConnected
+	// Connected: the target's VM has accepted a new connection. Only the process that runs the
+	// tasks there does not answer.
+	Connected
+)
+
 // HoldReply is a target's answer to a Hold.
 type HoldReply struct {
 	Answer      Answer
+	Contact     Contact // if unanswered
 	ClockMS     int64
 	Incarnation int64
 	Running     []Running
--- a/internal/pool/ownership.go
+++ b/internal/pool/ownership.go
@@ -29,6 +29,9 @@
 	// timeToEnd is how long a target may take to end its runs, after a stop or once their lease
 	// has expired: stop_ms of the platform's bounds.
 	timeToEnd = 50 * time.Millisecond
+	// silentWait replaces timeToEnd for a silent target. Callers of jobs that need not be stored
+	// wait no longer for an answer.
+	silentWait = 2 * time.Second
 	// maxProbeFence is the highest fencing token of probes. It is below all tokens of
 	// owners.
 	maxProbeFence = 1 << 20
@@ -165,12 +168,14 @@
 // releaseExpired releases the runs on targets that are not owned once all their leases
 // have expired and the targets have had time to end them.
 func (p *Pool) releaseExpired(now time.Duration) {
+	p.silentTargets = false
 	for _, t := range p.sortedTargets {
+		p.silentTargets = p.silentTargets || t.silent && t.listed
 		if t.owned {
 			t.lastOwnedAt = now
 			continue
 		}
-		if len(t.runs) == 0 || !t.leasesExpired(now-timeToEnd) {
+		if len(t.runs) == 0 || !t.leasesExpired(now-t.timeToEnd()) {
 			continue
 		}
 		// A task of a stored job may have completed on the target, and then must not run
@@ -194,6 +199,23 @@
 	}
 }
 
+// timeToEnd returns how long after the end of their lease runs may still be at work. A process that
+// stands still ends none until it goes on, and may then find them done.
+func (t *target) timeToEnd() time.Duration {
+	if t.silent {
+		return silentWait
+	}
+	return timeToEnd
+}
+
+// noteContact records whether the target is silent. An order over a connection from before tells
+// nothing of that.
+func (t *target) noteContact(rep *fleet.HoldReply) {
+	if rep.Answer != fleet.Unanswered || rep.Contact != fleet.ContactUnknown {
+		t.silent = rep.Answer == fleet.Unanswered && rep.Contact == fleet.Connected
+	}
+}
+
 // sortedRuns returns the runs sorted by task and number, for a deterministic order.
 func sortedRuns(m map[runKey]*run) []*run {
 	rs := make([]*run, 0, len(m))
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -100,6 +100,7 @@
 	keptOutcomes   map[string]keptOutcome // by job ID
 	unclaimedRuns  map[string][]*run      // runs of unknown jobs, by job ID
 	vouches        map[Voucher]*vouch
+	silentTargets  bool                   // there are some, as of the last tick
 	lapsedAt       time.Duration          // when runs were last taken for over since their leases had expired
 	suspected      map[string]*suspectJob // by job ID
 	nextSweepAt    time.Duration          // when the suspicions are swept next
--- a/internal/pool/report.go
+++ b/internal/pool/report.go
@@ -52,6 +52,7 @@
 	switch o.Number {
 	case t.holds.probe:
 		t.holds.probe = 0
+		t.noteContact(&rep)
 		p.probeDone(now, t, rep.Answer)
 		return
 	case t.holds.acquire:
@@ -66,6 +67,7 @@
 	if p.otherIncarnation(now, t, rep.Incarnation) {
 		return
 	}
+	t.noteContact(&rep)
 	switch rep.Answer {
 	case fleet.OtherIncarnation:
 		p.targetReplaced(now, t, o.Target.Addr)
--- a/internal/pool/target.go
+++ b/internal/pool/target.go
@@ -18,6 +18,7 @@
 	acquirePolicy  AcquirePolicy
 	wasUnreachable bool          // became unreachable since it was last acquired
 	probed         bool          // has answered a probe since it was last unreachable
+	silent         bool          // accepts connections and answers nothing: its process may stand still
 	lastOwnedAt    time.Duration // the last time at which it was owned
 
 	fence           uint64 // fencing token of the orders sent to it
--- a/internal/pool/vouch.go
+++ b/internal/pool/vouch.go
@@ -138,6 +138,9 @@
 
 // mayStartVouched reports whether tasks of a job that is not stored may be started now.
 func (p *Pool) mayStartVouched(now time.Duration, j *job) bool {
+	if j.mayHaveRunElsewhere && p.silentTargets && now < j.formerRunsEnd+silentWait {
+		return false // a former owner may have runs on them
+	}
 	return now >= j.formerRunsEnd && p.permittedUntil(j) >= max(now+p.cfg.Lease, j.vouchFrom+p.cfg.VouchFor)
 }
 
