A job that is submitted again waits for its runs from before it left the pool

Callers see two runs of one task at once, started by one entry: the first on a target out of reach, never stopped, ended done and noted by another owner.

Cause, found by a review by reading: a leader that loses a target and the coordinator of a job takes the lost run for over, and drops the job. The coordinator, cut off with the target, hands the job to another leader and vouches for it until the deadline of its caller, whose connection has ended without a sign. The caller returns after 1.3 s at another coordinator, and the leader knows nothing of the job any more. The same with a job that has ended while its stops are under way.

No run with real processes has shown it.

Fix: the leader remembers until when runs of a job that has left may be at work: the end of their permission, or the time until which the first coordinator may vouch for a job with a lost run. A job that is submitted again waits for that, and then for the word of its coordinator.

--- a/internal/pool/job.go
+++ b/internal/pool/job.go
@@ -66,6 +66,7 @@
 	vouch               *vouch        // of its coordinator; nil if its runs need none
 	vouchFrom           time.Duration // tasks are started by the answer to a heartbeat of this time or later
 	earlier             []earlierCoordinator
+	lostRun             bool // a run on a target out of reach was taken for over
 	movedAway           bool // its coordinator submits it to another owner
 	withdrawn           bool // its runs may continue until withdrawnUntil only
 	withdrawnUntil      time.Duration
@@ -168,6 +169,7 @@
 	}
 	p.attachVouch(now, j, &s)
 	p.waitForFormerOwners(now, j, &s)
+	p.waitForLeftRuns(now, j, &s)
 	ordinal := 0
 	for i := range j.Steps {
 		step := &j.Steps[i]
@@ -357,6 +359,7 @@
 	}
 	delete(p.jobs, j.ID)
 	p.limitRuns(now, j)
+	p.noteLeftRuns(now, j)
 	j.queueState.remove(j)
 	p.dropAdvice(j)
 	for _, r := range j.currentRuns() {
--- a/internal/pool/orphan.go
+++ b/internal/pool/orphan.go
@@ -69,6 +69,7 @@
 func (p *Pool) dropOrphan(now time.Duration, j *job) {
 	if len(j.currentRuns()) == 0 {
 		delete(p.jobs, j.ID)
+		p.noteLeftRuns(now, j)
 	} else if now >= min(j.orphanUntil, j.withdrawnUntil-stopMargin) {
 		for _, r := range j.currentRuns() {
 			p.stopRun(now, r, "caller or coordinator gone")
--- a/internal/pool/ownership.go
+++ b/internal/pool/ownership.go
@@ -189,6 +189,7 @@
 			}
 			if p.lapsedAt = now; r.task != nil {
 				r.task.job.requireVouchFrom(now)
+				r.task.job.lostRun = true
 			}
 			p.releaseAndRequeue(now, r, groundLapsed)
 			released++
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -98,6 +98,7 @@
 	queues         map[string]*queueState
 	rankedQueues   []*queueState          // sorted by urgency
 	keptOutcomes   map[string]keptOutcome // by job ID
+	leftRuns       map[string]leftRuns    // by job ID
 	unclaimedRuns  map[string][]*run      // runs of unknown jobs, by job ID
 	vouches        map[Voucher]*vouch
 	silentTargets  bool                   // there are some, as of the last tick
@@ -151,6 +152,7 @@
 	p.queues = make(map[string]*queueState)
 	p.rankedQueues = nil
 	p.keptOutcomes = make(map[string]keptOutcome)
+	p.leftRuns = make(map[string]leftRuns)
 	p.unclaimedRuns = make(map[string][]*run)
 	p.vouches = make(map[Voucher]*vouch)
 	p.suspected = make(map[string]*suspectJob)
@@ -244,6 +246,7 @@
 	p.requestVouches(now)
 	p.placeWaiting(now)
 	p.rejectOverdue(now)
+	p.forgetLeftRuns(now)
 	for id, kept := range p.keptOutcomes {
 		if now > kept.until {
 			delete(p.keptOutcomes, id)
