Answers to starts are matched by the number of the order

An answer to a start was matched to its run by task and run number, and each leadership, and each return of a job, numbers the runs of a task from 1. A late answer to an order of before (fenced, not sent, too late, refused) released a run that was at work, and its task started again. Found by a review by reading; answers are seldom that late.

Starts are numbered now, as holds are; the number does not leave the entry.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -212,6 +212,8 @@
 	// clock.
 	LeaseUntilMS int64
 	Fence        uint64
+	// Number is that of the order, chosen by the sender, which tells its answers apart.
+	Number uint64
 }
 
 // Stop is the order to a target to end a run, or never to begin it.
--- a/internal/pool/place.go
+++ b/internal/pool/place.go
@@ -213,7 +213,8 @@
 // startTask sends the start of a task to a target.
 func (p *Pool) startTask(now time.Duration, t *target, tk *task) {
 	tk.lastRun++
-	r := &run{taskID: tk.id, number: tk.lastRun, target: t, needs: tk.needs, task: tk, orderedAt: now, expected: tk.expected, incarnation: t.Incarnation, suspect: tk.suspect}
+	p.lastStart++
+	r := &run{order: p.lastStart, taskID: tk.id, number: tk.lastRun, target: t, needs: tk.needs, task: tk, orderedAt: now, expected: tk.expected, incarnation: t.Incarnation, suspect: tk.suspect}
 	t.runs[r.key()] = r
 	t.used = t.used.Plus(r.needs)
 	if tk.apartSince = 0; r.suspect {
@@ -229,7 +230,7 @@
 	ticket, _ := p.ticketFor(tk, t)
 	p.emit(fleet.Start{
 		Target: t.Target, Task: tk.id, Run: r.number, Spec: tk.job.Spec, Coordinator: tk.job.coordinator, Ticket: ticket, Checkpoint: tk.checkpoint,
-		LeaseUntilMS: p.grantLease(now, t), Fence: t.fence,
+		LeaseUntilMS: p.grantLease(now, t), Fence: t.fence, Number: r.order,
 	})
 }
 
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -91,6 +91,7 @@
 	lastFence uint64 // the last fencing token used
 	probes    uint64 // the last fencing token used for a probe
 	lastHold  uint64 // number of the last hold
+	lastStart uint64 // number of the last start
 
 	targets        map[string]*target
 	sortedTargets  []*target // sorted by ID
--- a/internal/pool/run.go
+++ b/internal/pool/run.go
@@ -38,8 +38,9 @@
 	// startClockMS is the target's clock in the answer that first showed the run at work,
 	// 0 before.
 	startClockMS int64
-	incarnation  int64 // of the target that it was ordered from
-	suspect      bool  // its task was a suspect at the start
+	incarnation  int64  // of the target that it was ordered from
+	order        uint64 // number of its start, 0 if another owner has started it
+	suspect      bool   // its task was a suspect at the start
 }
 
 const (
@@ -74,8 +75,8 @@
 		t.setClock(now, rep.ClockMS)
 	}
 	r := t.runs[runKey{o.Task, o.Run}]
-	if r == nil {
-		return
+	if r == nil || r.order != o.Number {
+		return // each leadership, and each return of a job, numbers the runs of a task from 1
 	}
 	if rep.Answer != fleet.Accepted {
 		p.log("start", "task", o.Task.String(), "run", o.Run, "target", t.ID, "outcome", rep.Answer.String())
