A lost target is waited for until a hold shows whether it stands still

The job was dropped with its lapsed run, and its caller's next submission started at once.

The runs of a lost target are now kept until that hold is over (470 ms at most), and the memory of runs of a job that has left the pool allows for silent targets.

--- a/internal/pool/left.go
+++ b/internal/pool/left.go
@@ -27,8 +27,11 @@
 		return
 	}
 	var until time.Duration
-	if len(j.currentRuns()) > 0 {
-		until = j.withdrawnUntil + p.cfg.TakeoverDelay - p.cfg.VouchFor
+	for _, r := range j.currentRuns() {
+		until = max(until, j.withdrawnUntil+p.cfg.TakeoverDelay-p.cfg.VouchFor)
+		if r.target.silent {
+			until = max(until, j.withdrawnUntil+silentWait)
+		}
 	}
 	if j.lostRun && j.vouch != nil {
 		// The coordinator may have handed the job to a leader that renews the lost run.
--- a/internal/pool/ownership.go
+++ b/internal/pool/ownership.go
@@ -32,6 +32,8 @@
 	// silentWait replaces timeToEnd for a silent target. Callers of jobs that need not be stored
 	// wait no longer for an answer.
 	silentWait = 2 * time.Second
+	// contactWait is how long a hold that is not answered takes to show whether its target is silent.
+	contactWait = 470 * time.Millisecond
 	// maxProbeFence is the highest fencing token of probes. It is below all tokens of
 	// owners.
 	maxProbeFence = 1 << 20
@@ -100,6 +102,7 @@
 	t.fence = p.lastFence
 	t.disown()
 	// The hold renews no lease, so that the leases of an unreachable target expire.
+	t.acquireSentAt = now
 	t.holds.acquire = p.sendHold(fleet.Hold{Target: t.Target, Fence: t.fence})
 }
 
@@ -178,6 +181,9 @@
 		if len(t.runs) == 0 || !t.leasesExpired(now-t.timeToEnd()) {
 			continue
 		}
+		if t.holds.acquire != 0 && !t.contactKnown && now < t.acquireSentAt+contactWait {
+			continue // the hold is about to show whether the target is silent
+		}
 		// A task of a stored job may have completed on the target, and then must not run
 		// again: the target gets time to come back. A long-running task never completes.
 		left := !t.listed && t.Leaving
@@ -213,6 +219,7 @@
 // nothing of that.
 func (t *target) noteContact(rep *fleet.HoldReply) {
 	if rep.Answer != fleet.Unanswered || rep.Contact != fleet.ContactUnknown {
+		t.contactKnown = rep.Answer == fleet.Unanswered
 		t.silent = rep.Answer == fleet.Unanswered && rep.Contact == fleet.Connected
 	}
 }
--- a/internal/pool/silent_test.go
+++ b/internal/pool/silent_test.go
@@ -55,6 +55,32 @@
 	}
 }
 
+// Guards against a second run while the first hold over a new connection is under way.
+func TestLostTargetIsWaitedForUntilAHoldShowsWhetherItIsSilent(t *testing.T) {
+	b := newHarness(t, 2)
+	b.submit(jobOf("j", queue("q", 0), 1, 20000, 900*ms))
+	b.tick(ms)
+	first := b.acceptStarts()[0]
+	lost := b.now
+	b.p.markUnreachable(lost, b.p.targets[first.Target.ID])
+	var acquire fleet.Hold
+	b.p.targets[first.Target.ID].nextAcquireAt = lost + 600*ms
+	for b.now < lost+1000*ms {
+		b.tick(20 * ms)
+		for _, h := range takeEffects[fleet.Hold](b) {
+			if h.Target.ID == first.Target.ID {
+				acquire = h
+			} else {
+				b.acceptHold(h, nil, nil)
+			}
+		}
+		assert.Equal(t, len(takeEffects[fleet.Start](b)), 0, "%v after the loss", b.now-lost)
+	}
+	b.p.HoldDone(b.now, b.now, acquire, fleet.HoldReply{Answer: fleet.Unanswered, Contact: fleet.NotConnected})
+	b.tick(20 * ms)
+	assert.Equal(t, len(takeEffects[fleet.Start](b)), 1)
+}
+
 // Guards against a second run at the next leader, while a target that stands still has a run of the
 // former one.
 func TestJobTakenOverWaitsForTargetsThatStandStill(t *testing.T) {
--- a/internal/pool/target.go
+++ b/internal/pool/target.go
@@ -19,11 +19,13 @@
 	wasUnreachable bool          // became unreachable since it was last acquired
 	probed         bool          // has answered a probe since it was last unreachable
 	silent         bool          // accepts connections and answers nothing: its process may stand still
+	contactKnown   bool          // an unanswered hold has shown since it was last owned whether it is silent
 	lastOwnedAt    time.Duration // the last time at which it was owned
 
 	fence           uint64 // fencing token of the orders sent to it
 	owned           bool   // a report was received under the current fence
 	nextAcquireAt   time.Duration
+	acquireSentAt   time.Duration     // when the last hold that acquires it was sent
 	fencedInARow    int               // acquisitions in a row that were rejected as fenced
 	unansweredHolds int               // in a row
 	reportedAt      time.Duration     // when the last report under this or an earlier ownership was requested
