The lease of a target's former owner bounds the runs that the next one starts

Two leaders that were not linked took a target from each other every 0.1 s. One granted a lease until 36.986, the other took the target at 36.312 and started a task there at 36.343. Its own lease was shorter, as the run of a withdrawn job was being stopped on the target. It lost the target, took the run for over by that lease at 36.912, and started the task elsewhere 74 ms before the end of the first run.

Cause: a lease holds for everything on a target and never gets shorter, and the account of a leader had its own leases only.

Fix: for one lease from the moment at which a target is acquired, its runs are not taken for over.

--- a/internal/pool/ownership.go
+++ b/internal/pool/ownership.go
@@ -109,6 +109,8 @@
 // handleAcquired handles the first report under a new fencing token. A target that
 // another active owner uses is left to it, except a home target.
 func (p *Pool) handleAcquired(now time.Duration, t *target, rep fleet.HoldReply) {
+	// A lease that another owner has granted before holds for the runs of this one too.
+	t.unknownLeasesEnd = max(t.unknownLeasesEnd, now+withDrift(p.cfg.Lease))
 	if !t.acquirePolicy.Home && (t.acquirePolicy.Delay > 0 || t.wasUnreachable) && t.runsForOther(rep.Running) {
 		t.nextAcquireAt = now + otherOwnerPause
 		p.log("ownership", "target", t.ID, "outcome", "left to another owner", "fence", t.fence, "running", len(rep.Running))
--- a/internal/pool/target.go
+++ b/internal/pool/target.go
@@ -41,8 +41,8 @@
 	clockMS         int64         // the target's clock, in ms; 0 if unknown
 	clockReadAt     time.Duration // when the clock had that value
 	latestLeaseMS   int64         // the latest lease granted, in ms of the target's clock
-	// unknownLeasesEnd is when all leases have expired that were granted to an
-	// incarnation before its clock was known.
+	// unknownLeasesEnd is when all leases have expired that other owners have granted, or that
+	// were granted to an incarnation before its clock was known.
 	unknownLeasesEnd time.Duration
 	seenMS           int64             // the latest time of its clock at which it has answered
 	lossRecorded     bool              // its runs are suspected of the loss of this incarnation
@@ -96,6 +96,9 @@
 	t.latestLeaseMS, t.wasUnreachable, t.probed = 0, false, false
 }
 
+// withDrift returns how long a time on a target's clock takes, if that clock is slow.
+func withDrift(d time.Duration) time.Duration { return time.Duration(float64(d) / (1 - maxClockDrift)) }
+
 // leaseUntil grants a lease of the given length from now and returns its end in ms of
 // the target's clock, or 0 if that clock is unknown.
 func (t *target) leaseUntil(now, length time.Duration) int64 {
