--- a/internal/pool/target.go
+++ b/internal/pool/target.go
@@ -94,6 +94,7 @@
 	t.used, t.suspectRuns = structs.Resources{}, 0
 	t.runs = make(map[runKey]*run)
 	t.latestLeaseMS, t.wasUnreachable, t.probed = 0, false, false
+	t.silent, t.contactKnown = false, false
 }
 
 // withDrift returns how long a time on a target's clock takes, if that clock is slow.
