Log what is known of a run that is suspected of the loss of its target

The line "suspect" did not tell whether the start had been answered, nor how long after the order the loss was noticed: a start that never reached its target, and a target that was out of sight for long before it was back as another incarnation, looked like a crash under the task.

--- a/internal/pool/crash.go
+++ b/internal/pool/crash.go
@@ -53,6 +53,7 @@
 
 // suspect is a task that may have crashed a target.
 type suspect struct {
+	run       *run
 	task      *task
 	suspicion fleet.Suspicion
 }
@@ -84,7 +85,7 @@
 		}
 		jobs[r.taskID.Job] = true
 		if r.task != nil {
-			list = append(list, suspect{task: r.task})
+			list = append(list, suspect{run: r, task: r.task})
 		}
 	}
 	for i := range list {
@@ -117,8 +118,9 @@
 			continue
 		}
 		sj.addedAt = now
-		p.log("suspect", "task", tk.id.String(), "target", s.suspicion.Target, "alone", s.suspicion.Alone,
-			"crashed", crashed, "suspicions", len(sj.tasks[tk.ordinal]))
+		p.log("suspect", "task", tk.id.String(), "run", s.run.number, "target", s.suspicion.Target, "alone", s.suspicion.Alone,
+			"crashed", crashed, "suspicions", len(sj.tasks[tk.ordinal]),
+			"answered", s.run.startedAt > 0, "since_order_ms", (now - s.run.orderedAt).Milliseconds())
 		if open {
 			p.suspicionsChanged(now, j)
 		}
