A start that never left is not taken for one that a target fell on

Callers saw jobs shown as failed (crashes_targets) under which fewer than two targets had crashed.

Cause: the leader sent a start to a target that had fallen some 10 to 100 ms before. The adapter answered "unanswered" whether the order had left or not, so the pool kept the run on the target, and the loss of the target was then blamed on it.

The pool takes its run back at once and asks the target for a report. Nothing can be started by an order that was not sent, so the task may start elsewhere at once; releases that don't know the new answer take it for a rejected start.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -270,6 +270,9 @@
 	// NotSent means that the order did not and will not leave the entry that was to send
 	// it; nothing was started.
 	NotSent
+	// Unreachable means that no connection to the target could be used, so that the order
+	// was not sent; nothing was started.
+	Unreachable
 	answers
 )
 
@@ -282,7 +285,7 @@
 	return all
 }
 
-var answerNames = [answers]string{"unanswered", "accepted", "fenced", "stale_run", "too_late", "no_room", "refused", "reborn", "no_ticket", "not_sent"}
+var answerNames = [answers]string{"unanswered", "accepted", "fenced", "stale_run", "too_late", "no_room", "refused", "reborn", "no_ticket", "not_sent", "unreachable"}
 
 // String returns the name used in logs.
 func (a Answer) String() string {
--- a/internal/pool/losses_test.go
+++ b/internal/pool/losses_test.go
@@ -128,3 +128,16 @@
 	}
 	return len(kept)
 }
+
+// A start that was not sent, since its target had fallen, is no suspicion against its task.
+func TestStartThatWasNotSentIsNoSuspicion(t *testing.T) {
+	s := newCrashSim(t, 2)
+	s.submit(patientJob("j", 1, 20000))
+	s.tick(ms)
+	o := takeEffects[fleet.Start](s.harness)[0]
+	s.crash(o.Target.ID)
+	s.replyStart(o, fleet.Unreachable)
+	s.run(4 * time.Second)
+	assert.Equal(t, len(s.p.suspected), 0)
+	assert.Equal(t, s.outcomes()["j"].Verdict, verdict.Completed)
+}
--- a/internal/pool/run.go
+++ b/internal/pool/run.go
@@ -111,6 +111,9 @@
 		p.targetReplaced(now, t, o.Target.Addr)
 	case fleet.NotSent:
 		p.releaseAndRequeue(now, r, groundOfAnswer(rep.Answer)) // the target is not to blame
+	case fleet.Unreachable:
+		t.refreshDue, t.pauseUntil = true, now+rejectedStartPause
+		p.releaseAndRequeue(now, r, groundOfAnswer(rep.Answer))
 	default:
 		p.startRejected(now, t, rep.Answer)
 		p.releaseAndRequeue(now, r, groundOfAnswer(rep.Answer))
