Losses that a task does not explain are weak evidence against it

Callers saw jobs shown as failed (crashes_targets) that could be done: targets had crashed under a task twice, for a reason that had nothing to do with it.

Cause: each loss was judged by itself. Where all targets crash at one moment, each task with a new run there was blamed, and the second such moment failed its job.

A task explains the losses of the targets that ran its job. Where the others would have to be blamed on many other jobs, they have one cause that is none of them: the evidence is weak, and a job is failed after four such crashes in place of two. Nothing is condemned by a loss that is not assessed yet. Tasks that do crash their targets are given up by the tests as they were, and TestTaskThatCrashesTargetsBesideOtherCrashesIsGivenUp passes with 4 starts at most.

--- a/internal/fleet/suspicion.go
+++ b/internal/fleet/suspicion.go
@@ -12,6 +12,8 @@
 	// Crashed is set if the target is known to have crashed: another incarnation has
 	// taken its place.
 	Crashed bool `cbor:"4,keyasint,omitempty"`
+	// Weak is set if the loss probably has another cause than the task.
+	Weak bool `cbor:"5,keyasint,omitempty"`
 }
 
 // Suspicions holds the suspicions against the tasks of a job. Tasks are numbered from 0
@@ -25,6 +27,9 @@
 	crashesToCondemn = 2
 	// sharedCrashesToCondemn is that number if all of them have suspects of other jobs too.
 	sharedCrashesToCondemn = 3
+	// anyCrashesToCondemn is that number if crashes that probably have another cause are among
+	// them.
+	anyCrashesToCondemn = 4
 	// maxSuspicions limits the suspicions against one task that are kept.
 	maxSuspicions = 8
 )
@@ -32,16 +37,20 @@
 // Condemns reports whether the crashes among the suspicions against a task show that it
 // crashes its targets.
 func Condemns(list []Suspicion) bool {
-	crashes, alone := 0, 0
+	crashes, alone, weak := 0, 0, 0
 	for _, s := range list {
-		if s.Crashed {
+		switch {
+		case !s.Crashed:
+		case s.Weak:
+			weak++
+		default:
 			crashes++
 			if s.Alone {
 				alone++
 			}
 		}
 	}
-	return crashes >= crashesToCondemn && alone > 0 || crashes >= sharedCrashesToCondemn
+	return crashes >= crashesToCondemn && alone > 0 || crashes >= sharedCrashesToCondemn || crashes+weak >= anyCrashesToCondemn
 }
 
 // MayCondemn reports whether the suspicions would condemn a task if all the targets had
@@ -62,8 +71,8 @@
 	list := s[task]
 	for i := range list {
 		if o := &list[i]; o.Target == n.Target && o.Incarnation == n.Incarnation {
-			changed := n.Crashed && !o.Crashed
-			o.Crashed = o.Crashed || n.Crashed
+			changed := n.Crashed && !o.Crashed || n.Weak && !o.Weak
+			o.Crashed, o.Weak = o.Crashed || n.Crashed, o.Weak || n.Weak
 			return changed
 		}
 	}
@@ -78,6 +87,19 @@
 	return true
 }
 
+// Weaken marks the suspicions of a loss as weak, and reports whether that changed any.
+func (s Suspicions) Weaken(target string, incarnation int64) bool {
+	changed := false
+	for _, list := range s {
+		for i := range list {
+			if o := &list[i]; o.Target == target && o.Incarnation == incarnation && !o.Weak {
+				o.Weak, changed = true, true
+			}
+		}
+	}
+	return changed
+}
+
 // Clone returns a deep copy, nil if there are no suspicions.
 func (s Suspicions) Clone() Suspicions {
 	if len(s) == 0 {
--- a/internal/fleet/suspicion_test.go
+++ b/internal/fleet/suspicion_test.go
@@ -10,6 +10,7 @@
 func TestCondemns(t *testing.T) {
 	alone, shared := Suspicion{Alone: true, Crashed: true}, Suspicion{Crashed: true}
 	lost := Suspicion{Alone: true}
+	weak := Suspicion{Alone: true, Crashed: true, Weak: true}
 	for name, c := range map[string]struct {
 		list []Suspicion
 		want bool
@@ -19,6 +20,9 @@
 		"two crashes, one alone":     {[]Suspicion{shared, alone}, true},
 		"two shared crashes":         {[]Suspicion{shared, shared}, false},
 		"three shared crashes":       {[]Suspicion{shared, shared, shared}, true},
+		"weak evidence":              {[]Suspicion{weak, alone, weak}, false},
+		"much weak evidence":         {[]Suspicion{weak, weak, weak, weak}, true},
+		"two crashes and a weak one": {[]Suspicion{shared, weak, alone}, true},
 		"losses that may be crashes": {[]Suspicion{lost, lost, lost, alone}, false},
 	} {
 		assert.Check(t, Condemns(c.list) == c.want, name)
--- a/internal/pool/crash.go
+++ b/internal/pool/crash.go
@@ -85,11 +85,11 @@
 		}
 		jobs[r.taskID.Job] = true
 		if r.task != nil {
-			list = append(list, suspect{run: r, task: r.task})
+			list = append(list, suspect{r, r.task, fleet.Suspicion{Target: t.ID, Incarnation: t.Incarnation}})
 		}
 	}
 	for i := range list {
-		list[i].suspicion = fleet.Suspicion{Target: t.ID, Incarnation: t.Incarnation, Alone: len(jobs) == 1}
+		list[i].suspicion.Alone = len(jobs) == 1
 	}
 	return list
 }
@@ -100,7 +100,9 @@
 		return
 	}
 	t.lossRecorded = true
-	p.suspectTasks(now, suspectsOn(t), false)
+	suspects := suspectsOn(t)
+	p.noteLoss(now, t, suspects)
+	p.suspectTasks(now, suspects, false)
 }
 
 // suspectTasks records suspicions, and gives up the jobs of the tasks that they condemn.
@@ -119,7 +121,7 @@
 		}
 		sj.addedAt = now
 		p.log("suspect", "task", tk.id.String(), "run", s.run.number, "target", s.suspicion.Target, "alone", s.suspicion.Alone,
-			"crashed", crashed, "suspicions", len(sj.tasks[tk.ordinal]),
+			"weak", s.suspicion.Weak, "crashed", crashed, "suspicions", len(sj.tasks[tk.ordinal]),
 			"answered", s.run.startedAt > 0, "since_order_ms", (now - s.run.orderedAt).Milliseconds())
 		if open {
 			p.suspicionsChanged(now, j)
@@ -162,7 +164,7 @@
 		for _, tk := range tasks {
 			list := j.suspected.tasks[tk.ordinal]
 			tk.suspect = len(list) > 0
-			if tk.state != taskDone && fleet.Condemns(list) {
+			if tk.state != taskDone && p.condemns(list) {
 				p.log("suspect", "task", tk.id.String(), "outcome", "given up", "suspicions", len(list))
 				p.endJob(now, j, fleet.Outcome{Verdict: verdict.Failed, Reason: verdict.CrashesTargets})
 				return true
--- a/internal/pool/losses_test.go
+++ b/internal/pool/losses_test.go
@@ -129,6 +129,25 @@
 	return len(kept)
 }
 
+// A task crashes its targets while all targets crash now and then. It is given up all the same,
+// after some crashes more.
+func TestTaskThatCrashesTargetsBesideOtherCrashesIsGivenUp(t *testing.T) {
+	crashing := fleet.TaskID{Job: "bad"}
+	s := newCrashSim(t, 12, crashing)
+	s.submit(patientJob("bad", 1, 10000))
+	for i := range 8 {
+		for k := range 6 {
+			s.submit(patientJob(fmt.Sprintf("good%d%d", i, k), 2, 10000))
+		}
+		s.run(100 * ms)
+		s.crashAll(500 * ms)
+		s.run(1500 * ms)
+	}
+	s.run(40 * time.Second)
+	assert.DeepEqual(t, s.failedJobs(), []string{"bad"})
+	assert.Assert(t, s.started[crashing] <= 4, "%d starts", s.started[crashing])
+}
+
 // A start that was not sent, since its target had fallen, is no suspicion against its task.
 func TestStartThatWasNotSentIsNoSuspicion(t *testing.T) {
 	s := newCrashSim(t, 2)
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -106,6 +106,7 @@
 	lapsedAt       time.Duration          // when runs were last taken for over since their leases had expired
 	suspected      map[string]*suspectJob // by job ID
 	nextSweepAt    time.Duration          // when the suspicions are swept next
+	lossGroup      lossGroup              // the losses of targets that are not assessed yet
 	stored         storedState
 	noStartsBefore time.Duration                // no task is started before
 	awaitTargets   time.Duration                // nor before this time, unless a current list of targets arrives
@@ -157,6 +158,7 @@
 	p.unclaimedRuns = make(map[string][]*run)
 	p.vouches = make(map[Voucher]*vouch)
 	p.suspected = make(map[string]*suspectJob)
+	p.lossGroup = lossGroup{}
 	p.stored.reset()
 	p.advice = make(map[fleet.TaskID]*stepAdvice)
 }
@@ -243,6 +245,7 @@
 	p.endEjections(now)
 	p.removeUnlisted(now)
 	p.tickStored(now)
+	p.tickLosses(now)
 	p.tickSuspicions(now)
 	p.requestVouches(now)
 	p.placeWaiting(now)
--- a/internal/pool/target.go
+++ b/internal/pool/target.go
@@ -214,6 +214,9 @@
 func (p *Pool) newIncarnation(now time.Duration, t *target, incarnation int64) {
 	p.log("target", "target", t.ID, "outcome", "reborn", "runs", len(t.runs))
 	before, suspects := t.runs, suspectsOn(t)
+	if !t.lossRecorded {
+		p.noteLoss(now, t, suspects)
+	}
 	t.reset()
 	t.health = newHealth()
 	t.Incarnation, t.clockMS, t.clockReadAt, t.lastEnd, t.ackedEnd = incarnation, 0, 0, 0, 0
