A target that was out of sight before it was back anew is weak evidence against its runs

Callers saw a job shown as failed (crashes_targets) whose runs may have ended before their targets crashed.

Cause: a run is cleared once 200 ms of its work were seen. A target that is cut off soon after a start and starts anew behind the cut shows neither those nor the end of the run, and the crash was blamed on the run however long after the start the loss was noticed. A task that crashes its target breaks its connections soon after the start, which shows within some tens of ms.

A loss that is noticed more than 500 ms after the start is weak evidence.

--- a/internal/pool/crash.go
+++ b/internal/pool/crash.go
@@ -85,7 +85,7 @@
 		}
 		jobs[r.taskID.Job] = true
 		if r.task != nil {
-			list = append(list, suspect{r, r.task, fleet.Suspicion{Target: t.ID, Incarnation: t.Incarnation}})
+			list = append(list, suspect{r, r.task, fleet.Suspicion{Target: t.ID, Incarnation: t.Incarnation, Weak: t.lostAt > max(r.orderedAt, r.startedAt)+promptLoss}})
 		}
 	}
 	for i := range list {
@@ -99,7 +99,7 @@
 	if t.lossRecorded {
 		return
 	}
-	t.lossRecorded = true
+	t.lossRecorded, t.lostAt = true, now
 	suspects := suspectsOn(t)
 	p.noteLoss(now, t, suspects)
 	p.suspectTasks(now, suspects, false)
--- a/internal/pool/losses.go
+++ b/internal/pool/losses.go
@@ -21,6 +21,10 @@
 	// losses of the moment would have to be blamed on for them to be taken for one fault.
 	minOtherCauses   = 4
 	otherCausesShare = 1.0 / 8
+	// promptLoss is the longest time from a start to the loss of its target that suits a task
+	// that crashes targets. A target that was out of sight for longer may have crashed
+	// after the end of the run.
+	promptLoss = 500 * time.Millisecond
 )
 
 // loss is the loss of one incarnation of a target.
--- a/internal/pool/target.go
+++ b/internal/pool/target.go
@@ -46,6 +46,7 @@
 	unknownLeasesEnd time.Duration
 	seenMS           int64             // the latest time of its clock at which it has answered
 	lossRecorded     bool              // its runs are suspected of the loss of this incarnation
+	lostAt           time.Duration     // when that was noticed
 	replaced         bool              // another incarnation has answered at its address, under another ID
 	suspectRuns      int               // runs of tasks that were suspects at their start
 	largestRoom      structs.Resources // largest capacity listed for this incarnation, by resource
@@ -213,6 +214,9 @@
 // shows which did.
 func (p *Pool) newIncarnation(now time.Duration, t *target, incarnation int64) {
 	p.log("target", "target", t.ID, "outcome", "reborn", "runs", len(t.runs))
+	if !t.lossRecorded {
+		t.lostAt = now
+	}
 	before, suspects := t.runs, suspectsOn(t)
 	if !t.lossRecorded {
 		p.noteLoss(now, t, suspects)
