Targets that are over or were long gone do not count in a moment's losses

And idle targets that were found gone one after another weakened the evidence against a task that crashes its targets.

Evidence: with all targets counted the new case of TestJobsAreNotFailedWhenAllTargetsCrashAtOnce fails (newNames: j00 failed); without the second condition TestTargetsThatWereLongGoneDoNotExcuseATask fails (3 starts in place of 2).

--- a/internal/pool/losses.go
+++ b/internal/pool/losses.go
@@ -17,7 +17,7 @@
 	// lossWindow is how long after the first loss of a moment others belong to it. Broken
 	// connections show most losses within some tens of ms.
 	lossWindow = 200 * time.Millisecond
-	// minOtherCauses and otherCausesShare, of all targets, are the number of jobs that other
+	// minOtherCauses and otherCausesShare, of the targets that are not over, are the number of jobs that other
 	// losses of the moment would have to be blamed on for them to be taken for one fault.
 	minOtherCauses   = 4
 	otherCausesShare = 1.0 / 8
@@ -40,10 +40,10 @@
 	losses []loss
 }
 
-// noteLoss adds the loss of a target to those of the present moment. The loss of a target that
-// has not answered for long tells nothing of the moment.
+// noteLoss adds the loss of a target to those of the present moment. An idle target may have
+// been gone for long when that is noticed.
 func (p *Pool) noteLoss(now time.Duration, t *target, suspects []suspect) {
-	if !t.owned && len(suspects) == 0 {
+	if len(suspects) == 0 && (!t.owned || now > t.reportedAt+promptLoss) {
 		return
 	}
 	if len(p.lossGroup.losses) == 0 {
@@ -83,7 +83,13 @@
 	losses := p.lossGroup.losses
 	p.lossGroup.losses = nil
 	all, own := causesOf(losses)
-	enough := max(minOtherCauses, float64(len(p.sortedTargets))*otherCausesShare)
+	present := 0
+	for _, t := range p.sortedTargets {
+		if t.listed && !t.replaced {
+			present++
+		}
+	}
+	enough := max(minOtherCauses, float64(present)*otherCausesShare)
 	p.log("losses", "targets", len(losses), "causes", int(all+0.5), "causes_of_one_fault", int(enough+0.5))
 	weakened := make(map[string]bool)
 	for _, l := range losses {
--- a/internal/pool/losses_test.go
+++ b/internal/pool/losses_test.go
@@ -56,9 +56,16 @@
 // All targets crashed at once, again and again. Jobs with new runs at two such moments were
 // shown as failed.
 func TestJobsAreNotFailedWhenAllTargetsCrashAtOnce(t *testing.T) {
-	for _, stored := range []bool{false, true} {
-		t.Run(fmt.Sprintf("stored=%v", stored), func(t *testing.T) {
+	for _, c := range []struct{ stored, newNames bool }{{}, {stored: true}, {newNames: true}} {
+		stored := c.stored
+		t.Run(fmt.Sprintf("stored=%v,newNames=%v", stored, c.newNames), func(t *testing.T) {
 			s := newCrashSim(t, 12)
+			if s.newNames = c.newNames; s.newNames {
+				for range 10 { // most of the targets that are known are over then
+					s.crashAll(100 * ms)
+					s.run(time.Second)
+				}
+			}
 			if stored {
 				s.ownStored()
 			}
@@ -160,3 +167,23 @@
 	assert.Equal(t, len(s.p.suspected), 0)
 	assert.Equal(t, s.outcomes()["j"].Verdict, verdict.Completed)
 }
+
+// Idle targets that were gone long before are found gone one after another as a task is
+// started. That they are tells nothing of the targets that the task crashes.
+func TestTargetsThatWereLongGoneDoNotExcuseATask(t *testing.T) {
+	crashing := fleet.TaskID{Job: "bad"}
+	s := newCrashSim(t, 12, crashing)
+	s.newNames = true
+	s.run(time.Second)
+	s.crashAll(100 * ms)
+	s.run(200 * ms)
+	for i := 12; i < len(s.list); i++ {
+		s.list[i].Capacity.MilliCPU += 1000 // the targets that are gone fit better
+	}
+	s.p.SetTargets(s.now, s.list)
+	s.run(2 * time.Second)
+	s.submit(patientJob("bad", 1, 20000))
+	s.run(20 * time.Second)
+	assert.DeepEqual(t, s.failedJobs(), []string{"bad"})
+	assert.Equal(t, s.started[crashing], 2)
+}
