A round of the pool costs what changed, not what waits

Callers saw stored jobs that could run left waiting while targets had room: their owner was bound by its VM. A round comes with each event, and each one looked at every job: three walks of all jobs (orphans, permissions, requests for vouches), a copy and a walk of all queues for overdue jobs, a choice of a target for each job that may have started, and walks of all jobs that had ended in the last 4 and 30 s.

- Overdue jobs: each queue keeps its jobs that may be rejected in a heap by the time of that.
Stored jobs are not in it.
- Placing: the most room that is free on any target is worked out once, and again after each start.
A job that needs more is passed over without a choice of a target, and all jobs of a queue that may have started by one comparison with the least that any of them needs.
Such a choice could only have found nothing, and has no effect then.
- Orphans, and jobs with earlier coordinators, are kept in sets of their own; permissions and requests for vouches go by voucher.
- Ended jobs are forgotten in rounds 250 ms apart, so up to that much later.
- A job is found in its queue by a binary search.

--- a/internal/pool/orphan.go
+++ b/internal/pool/orphan.go
@@ -59,6 +59,7 @@
 func (p *Pool) orphanJob(now time.Duration, j *job, until time.Duration) {
 	p.limitRuns(now, j)
 	j.orphaned, j.orphanUntil = true, until
+	p.orphans[j.ID] = j
 	j.queueState.remove(j)
 	p.log("job", "job", j.ID, "outcome", "orphan", "coordinator", j.coordinator, "begun", j.mayHaveStarted)
 	p.dropOrphan(now, j)
@@ -68,7 +69,7 @@
 // period is over.
 func (p *Pool) dropOrphan(now time.Duration, j *job) {
 	if len(j.currentRuns()) == 0 {
-		delete(p.jobs, j.ID)
+		p.removeJob(j)
 		p.noteLeftRuns(now, j)
 	} else if now >= min(j.orphanUntil, j.withdrawnUntil-stopMargin) {
 		for _, r := range j.currentRuns() {
@@ -79,9 +80,20 @@
 
 // expireOrphans stops the runs of orphaned jobs whose grace period is over.
 func (p *Pool) expireOrphans(now time.Duration) {
-	for _, j := range p.jobs {
-		if j.orphaned {
-			p.dropOrphan(now, j)
+	for id, j := range p.orphans {
+		p.work.jobs++
+		if p.jobs[id] != j || !j.orphaned {
+			delete(p.orphans, id)
+			continue
 		}
+		p.dropOrphan(now, j)
+	}
+}
+
+// removeJob removes a job that has ended or left the pool.
+func (p *Pool) removeJob(j *job) {
+	delete(p.jobs, j.ID)
+	if j.vouch != nil {
+		delete(j.vouch.jobs, j.ID)
 	}
 }
--- a/internal/pool/place.go
+++ b/internal/pool/place.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"currantstall/internal/fleet"
+	"currantstall/internal/structs"
 	"currantstall/internal/verdict"
 )
 
@@ -16,6 +17,7 @@
 	if now < max(p.noStartsBefore, p.awaitTargets) {
 		return
 	}
+	p.openRoom.stale = true
 	for _, q := range p.rankedQueues {
 		p.placeStarted(now, q)
 	}
@@ -27,7 +29,7 @@
 	for _, q := range p.rankedQueues {
 		q.exhausted = false
 	}
-	p.placeByShares(now, func(q *queueState, firstInTime int) []*job { return q.waiting[:firstInTime] })
+	p.placeByShares(now, func(q *queueState, firstInTime int) []*job { return q.waiting[q.firstNotStarted():firstInTime] })
 }
 
 // placeByShares starts jobs until none finds a target, each time one of the queue that
@@ -47,18 +49,25 @@
 
 // placeStarted starts the waiting tasks of jobs that may have started.
 func (p *Pool) placeStarted(now time.Duration, q *queueState) {
-	for i := 0; i < len(q.waiting); {
-		j := q.waiting[i]
-		if !j.mayHaveStarted {
+	least, first := structs.Resources{}, true
+	for i := 0; i < len(q.waiting) && q.waiting[i].mayHaveStarted; {
+		if !p.mayFindRoomAnywhere(q.leastStarted) {
 			return
 		}
-		if p.mayStart(now, j) {
+		j := q.waiting[i]
+		p.work.jobs++
+		if p.mayFindRoom(j.Queue.Service, j.leastNeeds) && p.mayStart(now, j) {
 			p.placeJob(now, j)
 		}
-		if i < len(q.waiting) && q.waiting[i] == j {
-			i++
+		if i == len(q.waiting) || q.waiting[i] != j {
+			continue
 		}
+		if i++; first {
+			least, first = j.leastNeeds, false
+		}
+		least = least.Min(j.leastNeeds)
 	}
+	q.leastStarted = least
 }
 
 // leastServed returns, of the queues with waiting jobs that are not exhausted, the one
@@ -97,10 +106,11 @@
 func (p *Pool) placeNext(now time.Duration, jobs []*job) bool {
 	tried := 0
 	for _, j := range jobs {
-		if j.mayHaveStarted || !p.mayStart(now, j) {
+		p.work.jobs++
+		if !p.mayStart(now, j) {
 			continue
 		}
-		if p.placeJob(now, j) > 0 {
+		if p.mayFindRoom(j.Queue.Service, j.leastNeeds) && p.placeJob(now, j) > 0 {
 			return true
 		}
 		if tried++; tried >= maxTried {
@@ -115,6 +125,9 @@
 func (p *Pool) placeJob(now time.Duration, j *job) int {
 	n := 0
 	for i := range j.steps {
+		if !p.mayFindRoom(j.Queue.Service, j.Steps[i].Needs) {
+			continue
+		}
 		if j.Steps[i].Gang {
 			n += p.placeGang(now, j, i)
 			continue
@@ -130,6 +143,9 @@
 			}
 			p.startTask(now, t, tk)
 			n++
+			if !p.mayFindRoom(j.Queue.Service, tk.needs) {
+				break
+			}
 		}
 	}
 	return n
@@ -143,6 +159,7 @@
 func (p *Pool) chooseTarget(tk *task, rack string) *target {
 	var best *target
 	var bestScore int64
+	p.work.targets += len(p.sortedTargets)
 	for _, t := range p.sortedTargets {
 		left := t.Capacity.MilliCPU - t.used.MilliCPU - tk.needs.MilliCPU
 		if left < 0 || rack != "" && t.Rack() != rack || !t.hasCapacity(tk) || !t.eligible(tk) || !p.apart(t, tk) || !p.hasTicket(tk, t) || slices.Contains(tk.failedOn, t) {
@@ -166,6 +183,7 @@
 // another that could run it now or later.
 func (p *Pool) chooseFailedTarget(tk *task) *target {
 	var failed *target
+	p.work.targets += len(p.sortedTargets)
 	for _, t := range p.sortedTargets {
 		if !t.eligible(tk) {
 			continue
@@ -186,14 +204,20 @@
 	return ok
 }
 
+// available reports whether the target may get tasks, regardless of its free capacity.
+func (t *target) available() bool { return t.owned && t.listed && !t.Leaving }
+
+// answersStarts reports whether the target's health and answers permit a task now.
+func (t *target) answersStarts() bool { return t.acceptsTasks(len(t.runs)) && t.unansweredHolds == 0 }
+
 // eligible reports whether the target may run the task, regardless of its free capacity.
 func (t *target) eligible(tk *task) bool {
-	return t.owned && t.listed && !t.Leaving && t.Service == tk.job.Queue.Service && t.HasLabel(tk.step.RequiredLabel)
+	return t.available() && t.Service == tk.job.Queue.Service && t.HasLabel(tk.step.RequiredLabel)
 }
 
 // hasCapacity reports whether the target can take the task now.
 func (t *target) hasCapacity(tk *task) bool {
-	if !tk.needs.Fits(t.free()) || !t.acceptsTasks(len(t.runs)) || t.unansweredHolds > 0 {
+	if !tk.needs.Fits(t.free()) || !t.answersStarts() {
 		return false
 	}
 	return tk.step.MaxPerTarget == 0 || t.countStep(tk.id)+t.gangPicked < tk.step.MaxPerTarget
@@ -217,6 +241,7 @@
 	r := &run{order: p.lastStart, taskID: tk.id, number: tk.lastRun, target: t, needs: tk.needs, task: tk, orderedAt: now, expected: tk.expected, incarnation: t.Incarnation, suspect: tk.suspect}
 	t.runs[r.key()] = r
 	t.used = t.used.Plus(r.needs)
+	p.openRoom.stale = true
 	if tk.apartSince = 0; r.suspect {
 		t.suspectRuns++
 	}
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -102,14 +102,18 @@
 	leftRuns       map[string]leftRuns    // by job ID
 	unclaimedRuns  map[string][]*run      // runs of unknown jobs, by job ID
 	vouches        map[Voucher]*vouch
+	orphans        map[string]*job        // orphaned jobs, and some that no longer are
+	resubmitted    map[string]*job        // jobs with earlier coordinators, and some that no longer have any
 	silentTargets  bool                   // there are some, as of the last tick
 	lapsedAt       time.Duration          // when runs were last taken for over since their leases had expired
 	suspected      map[string]*suspectJob // by job ID
 	nextSweepAt    time.Duration          // when the suspicions are swept next
 	stored         storedState
+	openRoom       openRoom
 	noStartsBefore time.Duration                // no task is started before
 	awaitTargets   time.Duration                // nor before this time, unless a current list of targets arrives
 	lastTick       time.Duration                // time of the last Tick
+	nextForgetAt   time.Duration                // when expired state is forgotten next
 	largestRooms   map[string]structs.Resources // by service: the largest capacity ever listed, by resource
 	advice         map[fleet.TaskID]*stepAdvice // by step
 	adviceInFlight bool                         // an advice request was not answered yet
@@ -122,8 +126,13 @@
 
 	effects []Effect
 	log     Log
+	work    roundWork
 }
 
+// roundWork counts the jobs and targets that the last Tick has looked at one by one. It grows with
+// the number of targets and queues and with what has changed, not with the number of waiting jobs.
+type roundWork struct{ jobs, targets int }
+
 type keptOutcome struct {
 	outcome fleet.Outcome
 	until   time.Duration
@@ -156,6 +165,7 @@
 	p.leftRuns = make(map[string]leftRuns)
 	p.unclaimedRuns = make(map[string][]*run)
 	p.vouches = make(map[Voucher]*vouch)
+	p.orphans, p.resubmitted = make(map[string]*job), make(map[string]*job)
 	p.suspected = make(map[string]*suspectJob)
 	p.stored.reset()
 	p.advice = make(map[fleet.TaskID]*stepAdvice)
@@ -233,7 +243,7 @@
 	if !p.leading {
 		return
 	}
-	p.lastTick = now
+	p.lastTick, p.work = now, roundWork{}
 	p.releaseExpired(now)
 	p.acquireTargets(now)
 	p.sendHolds(now)
@@ -247,10 +257,27 @@
 	p.requestVouches(now)
 	p.placeWaiting(now)
 	p.rejectOverdue(now)
+	p.forgetExpired(now)
+}
+
+// forgetInterval is the time between two rounds of forgetting what is kept for some seconds.
+const forgetInterval = 250 * time.Millisecond
+
+// forgetExpired forgets jobs that ended some time ago.
+func (p *Pool) forgetExpired(now time.Duration) {
+	if now < p.nextForgetAt {
+		return
+	}
+	p.nextForgetAt = now + forgetInterval
 	p.forgetLeftRuns(now)
 	for id, kept := range p.keptOutcomes {
 		if now > kept.until {
 			delete(p.keptOutcomes, id)
 		}
 	}
+	for id, e := range p.stored.ended {
+		if e.saved && now > e.endedAt+keepEndedFor {
+			delete(p.stored.ended, id)
+		}
+	}
 }
--- a/internal/pool/queue.go
+++ b/internal/pool/queue.go
@@ -4,10 +4,11 @@
 	"cmp"
 	"math"
 	"slices"
+	"sort"
 	"time"
 
 	"currantstall/internal/fleet"
-	"currantstall/internal/verdict"
+	"currantstall/internal/structs"
 )
 
 const (
@@ -29,10 +30,14 @@
 
 // queueState is a queue's list of jobs with waiting tasks, and its use of capacity.
 type queueState struct {
-	name         string
-	urgency      int
-	weight       float64
-	waiting      []*job  // jobs that may have started first, then by latest start
+	name      string
+	urgency   int
+	weight    float64
+	waiting   []*job // jobs that may have started first, then by latest start
+	deadlines deadlines
+	// leastStarted is at most what the waiting tasks of any job that may have started need, by
+	// resource. It is of no use while there is no such job.
+	leastStarted structs.Resources
 	usedMilliCPU int64   // by runs of its tasks, in thousandths of a core
 	logRunTime   float64 // mean logarithm of run times in ns; 0 if unknown
 	placements   placementRate
@@ -106,9 +111,21 @@
 }
 
 func (q *queueState) insert(j *job) {
+	if j.mayHaveStarted {
+		if q.firstNotStarted() == 0 {
+			q.leastStarted = j.leastNeeds
+		}
+		q.leastStarted = q.leastStarted.Min(j.leastNeeds)
+	}
 	at, _ := slices.BinarySearchFunc(q.waiting, j, compareJobs)
 	q.waiting = slices.Insert(q.waiting, at, j)
 	j.queued = true
+	q.deadlines.add(j)
+}
+
+// firstNotStarted returns the index of the first waiting job that can't have started.
+func (q *queueState) firstNotStarted() int {
+	return sort.Search(len(q.waiting), func(i int) bool { return !q.waiting[i].mayHaveStarted })
 }
 
 func (q *queueState) remove(j *job) {
@@ -116,7 +133,8 @@
 		return
 	}
 	j.queued = false
-	if at := slices.Index(q.waiting, j); at >= 0 {
+	q.deadlines.remove(j)
+	if at, found := slices.BinarySearchFunc(q.waiting, j, compareJobs); found {
 		q.waiting = slices.Delete(q.waiting, at, at+1)
 	}
 }
@@ -233,36 +251,6 @@
 // reliable.
 const minQueueToShed = 4
 
-// rejectOverdue rejects jobs whose caller's timeout has passed, and jobs that were not
-// started by their latest start.
-func (p *Pool) rejectOverdue(now time.Duration) {
-	if p.takingOver(now) {
-		return
-	}
-	for _, q := range p.rankedQueues {
-		for _, j := range slices.Clone(q.waiting) {
-			switch {
-			case j.Stored:
-			case now >= j.arrived+j.Timeout && j.Timeout > 0:
-				p.endJob(now, j, fleet.Outcome{Verdict: notRunVerdict(j.mayHaveStarted), Reason: verdict.DeadlinePassed})
-			case !j.mayHaveStarted && now > j.latestStart && !p.mayStartLate(now, j):
-				p.endJob(now, j, fleet.Outcome{Verdict: verdict.NotRun, Reason: verdict.DeadlineUnmeetable, RetryAfter: p.retryAfter()})
-			}
-		}
-	}
-}
-
-// mayStartLate reports whether a job that has missed its latest start is still kept
-// because it waited for a takeover rather than for capacity. It then gets capacity that
-// no job in time needs.
-func (p *Pool) mayStartLate(now time.Duration, j *job) bool {
-	return now < p.leadingSince+lateStartPeriod && j.arrived < p.leadingSince+takeoverPeriod && now < j.latestLateStart
-}
-
-// lateStartPeriod is how long after the start of a leadership jobs that were delayed by
-// the takeover may start late.
-const lateStartPeriod = 2 * time.Second
-
 // retryAfter returns the advised wait before a rejected job is submitted again: the time
 // that the waiting work takes on all targets, at least one second.
 func (p *Pool) retryAfter() time.Duration {
--- a/internal/pool/stored.go
+++ b/internal/pool/stored.go
@@ -144,11 +144,6 @@
 	p.awaitFormerRuns(now)
 	p.endUnfitJobs(now)
 	p.tickRecurring(now)
-	for id, e := range p.stored.ended {
-		if e.saved && now > e.endedAt+keepEndedFor {
-			delete(p.stored.ended, id)
-		}
-	}
 }
 
 // hasStoredRuns reports whether a stored job has runs.
--- a/internal/pool/vouch.go
+++ b/internal/pool/vouch.go
@@ -43,6 +43,9 @@
 	known   bool
 	since   time.Duration // when its first job was submitted
 	askedAt time.Duration // when it was last asked for an answer
+	// wantedFrom is the latest time of a heartbeat whose answer a job has ever waited for.
+	wantedFrom time.Duration
+	jobs       map[string]*job // that depend on it, by ID
 }
 
 // Vouched records that a voucher has answered the heartbeat that this entry sent at the given
@@ -57,7 +60,7 @@
 func (p *Pool) vouchOf(now time.Duration, by Voucher) *vouch {
 	v := p.vouches[by]
 	if v == nil {
-		v = &vouch{since: now, origin: by.Origin}
+		v = &vouch{since: now, origin: by.Origin, jobs: make(map[string]*job)}
 		p.vouches[by] = v
 	}
 	return v
@@ -65,16 +68,26 @@
 
 // attachVouch makes a job depend on the word of its present voucher.
 func (p *Pool) attachVouch(now time.Duration, j *job, s *Submit) {
-	j.vouch = nil
+	j.detachVouch()
 	if s.NeedsVouch {
 		by := Voucher{s.Coordinator, s.Origin}
 		j.vouch = p.vouchOf(now, by)
+		j.vouch.jobs[j.ID] = j
+		j.requireVouchFrom(j.vouchFrom)
 		if s.HeartbeatAt > 0 {
 			p.Vouched(by, s.HeartbeatAt)
 		}
 	}
 }
 
+// detachVouch makes a job depend on no voucher.
+func (j *job) detachVouch() {
+	if j.vouch != nil {
+		delete(j.vouch.jobs, j.ID)
+		j.vouch = nil
+	}
+}
+
 // dropVouches forgets the words of a coordinator whose link is down.
 func (p *Pool) dropVouches(coordinator string) {
 	for by := range p.vouches {
@@ -121,6 +134,7 @@
 	}
 	if until := p.permittedUntil(j); until > now && until < forever {
 		j.earlier = append(j.earlier, earlierCoordinator{j.coordinator, until})
+		p.resubmitted[j.ID] = j
 	}
 	if !j.orphaned {
 		p.emit(Ended{j.coordinator, j.ID, j.number, fleet.Outcome{Verdict: verdict.MayHaveRun, Reason: verdict.Resubmitted}})
@@ -134,7 +148,12 @@
 
 // requireVouchFrom makes the next starts of a job wait for the answer to a heartbeat of the given
 // time or later, of all its coordinators.
-func (j *job) requireVouchFrom(at time.Duration) { j.vouchFrom = max(j.vouchFrom, at) }
+func (j *job) requireVouchFrom(at time.Duration) {
+	j.vouchFrom = max(j.vouchFrom, at)
+	if j.vouch != nil {
+		j.vouch.wantedFrom = max(j.vouch.wantedFrom, j.vouchFrom)
+	}
+}
 
 // mayStartVouched reports whether tasks of a job that is not stored may be started now.
 func (p *Pool) mayStartVouched(now time.Duration, j *job) bool {
@@ -153,13 +172,23 @@
 // requestVouches asks for the answers that are all that tasks wait for, since the next heartbeat
 // may be 0.3 s away.
 func (p *Pool) requestVouches(now time.Duration) {
-	for _, j := range p.jobs {
-		v := j.vouch
-		if v == nil || j.Stored || j.orphaned || j.waiting == 0 || now < j.vouchFrom || max(v.heardAt, v.askedAt) >= j.vouchFrom || now < v.askedAt+vouchRequestPause {
+	for _, v := range p.vouches {
+		if max(v.heardAt, v.askedAt) < v.wantedFrom && now >= v.askedAt+vouchRequestPause {
+			p.requestVouch(now, v)
+		}
+	}
+}
+
+// requestVouch asks a voucher for an answer if a job waits for it.
+func (p *Pool) requestVouch(now time.Duration, v *vouch) {
+	for _, j := range v.jobs {
+		p.work.jobs++
+		if j.Stored || j.orphaned || j.waiting == 0 || now < j.vouchFrom || max(v.heardAt, v.askedAt) >= j.vouchFrom {
 			continue
 		}
 		v.askedAt = now
 		p.emit(VouchRequest{j.coordinator, v.origin})
+		return
 	}
 }
 
@@ -169,20 +198,36 @@
 
 // stopUnpermitted stops the runs of jobs whose permission is about to end.
 func (p *Pool) stopUnpermitted(now time.Duration) {
-	for _, j := range p.jobs {
-		if j.orphaned || p.permittedUntil(j) > now+stopMargin {
+	for _, v := range p.vouches {
+		if v.known && v.heardAt+p.cfg.VouchFor > now+stopMargin {
 			continue
 		}
-		if j.vouch != nil && !j.vouch.known && now < j.vouch.since+adoptTimeout {
-			continue // the first word is on its way; until then adopted runs are not renewed
+		for _, j := range v.jobs {
+			p.stopIfUnpermitted(now, j)
 		}
-		for _, r := range j.currentRuns() {
-			p.stopRun(now, r, "coordinator silent")
+	}
+	for id, j := range p.resubmitted {
+		if p.stopIfUnpermitted(now, j); p.jobs[id] != j || len(j.earlier) == 0 {
+			delete(p.resubmitted, id)
 		}
-		j.earlier = slices.DeleteFunc(j.earlier, func(e earlierCoordinator) bool { return e.permittedUntil <= now })
 	}
 }
 
+// stopIfUnpermitted stops the runs of a job if its permission is about to end.
+func (p *Pool) stopIfUnpermitted(now time.Duration, j *job) {
+	p.work.jobs++
+	if p.jobs[j.ID] != j || j.orphaned || p.permittedUntil(j) > now+stopMargin {
+		return
+	}
+	if j.vouch != nil && !j.vouch.known && now < j.vouch.since+adoptTimeout {
+		return // the first word is on its way; until then adopted runs are not renewed
+	}
+	for _, r := range j.currentRuns() {
+		p.stopRun(now, r, "coordinator silent")
+	}
+	j.earlier = slices.DeleteFunc(j.earlier, func(e earlierCoordinator) bool { return e.permittedUntil <= now })
+}
+
 // limitRuns ends the permission of a job that is orphaned or has ended: its runs may outlast
 // the present by one lease at most, if they can't be stopped.
 func (p *Pool) limitRuns(now time.Duration, j *job) {
--- a/internal/structs/structs.go
+++ b/internal/structs/structs.go
@@ -77,6 +77,11 @@
 	return Resources{max(r.MilliCPU, o.MilliCPU), max(r.MemoryMB, o.MemoryMB), max(r.Accelerators, o.Accelerators)}
 }
 
+// Min returns the smaller of the two by resource.
+func (r Resources) Min(o Resources) Resources {
+	return Resources{min(r.MilliCPU, o.MilliCPU), min(r.MemoryMB, o.MemoryMB), min(r.Accelerators, o.Accelerators)}
+}
+
 // Work is one request or one submission (a job) as accepted from a caller.
 type Work struct {
 	Key   key.Key   `cbor:"1,keyasint"`
