The link plan doesn't walk all jobs 50 times a second

An entry that owns stored jobs looked at each job on each tick, every 20 ms, to find the coordinators whose links must notice a loss quickly. Stored jobs have none.

TestCoordinatorsAreThoseOfJobsThatHaveNotEnded fails before by the empty name of stored jobs.

--- a/internal/pool/backlog_test.go
+++ b/internal/pool/backlog_test.go
@@ -120,3 +120,28 @@
 		}
 	})
 }
+
+// The links to keep were found by a walk of all jobs, with stored jobs among them, 50 times a
+// second.
+func TestCoordinatorsAreThoseOfJobsThatHaveNotEnded(t *testing.T) {
+	b := newHarness(t, 1)
+	b.ownStored()
+	names := func() []string {
+		found := []string{}
+		b.p.Coordinators(func(name string) { found = append(found, name) })
+		slices.Sort(found)
+		return found
+	}
+	j := jobOf("j", queue("q", 0), 1, 14000, 60*ms)
+	b.submit(j)
+	b.submit(jobOf("k", queue("q", 0), 1, 14000, 60*ms))
+	b.p.Submit(b.now, Submit{Job: storedJob("stored", 1)})
+	assert.DeepEqual(t, names(), []string{"e1"})
+	b.p.Submit(b.now, Submit{Coordinator: "e2", Job: j, MayHaveRun: true})
+	assert.DeepEqual(t, names(), []string{"e1", "e2"})
+	b.p.Cancel(b.now, "k")
+	assert.DeepEqual(t, names(), []string{"e2"})
+	b.p.Abandon(b.now, "e2", "j")
+	b.p.Cancel(b.now, "stored")
+	assert.DeepEqual(t, names(), []string{})
+}
--- a/internal/pool/job.go
+++ b/internal/pool/job.go
@@ -138,6 +138,7 @@
 	}
 	j := p.newJob(now, s)
 	p.jobs[j.ID] = j
+	p.countCoordinator(j.coordinator, 1)
 	if s.MayHaveRun {
 		p.log("job", "job", j.ID, "outcome", "taken over", "coordinator", s.Coordinator, "safe_in_ms", (j.formerRunsEnd - now).Milliseconds())
 	}
--- a/internal/pool/load.go
+++ b/internal/pool/load.go
@@ -41,9 +41,9 @@
 	return s
 }
 
-// Coordinators calls add for the coordinator of each job.
+// Coordinators calls add for each coordinator of a job. Stored jobs have none.
 func (p *Pool) Coordinators(add func(name string)) {
-	for _, j := range p.jobs {
-		add(j.coordinator)
+	for name := range p.coordinators {
+		add(name)
 	}
 }
--- a/internal/pool/orphan.go
+++ b/internal/pool/orphan.go
@@ -96,4 +96,15 @@
 	if j.vouch != nil {
 		delete(j.vouch.jobs, j.ID)
 	}
+	if !j.Stored {
+		p.countCoordinator(j.coordinator, -1)
+	}
+}
+
+// countCoordinator adds n to the number of jobs of a coordinator.
+func (p *Pool) countCoordinator(name string, n int) {
+	p.coordinators[name] += n
+	if p.coordinators[name] == 0 {
+		delete(p.coordinators, name)
+	}
 }
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -102,6 +102,7 @@
 	leftRuns       map[string]leftRuns    // by job ID
 	unclaimedRuns  map[string][]*run      // runs of unknown jobs, by job ID
 	vouches        map[Voucher]*vouch
+	coordinators   map[string]int         // number of jobs that are not stored, by coordinator
 	orphans        map[string]*job        // orphaned jobs, and some that no longer are
 	resubmitted    map[string]*job        // jobs with earlier coordinators, and some that no longer have any
 	silentTargets  bool                   // there are some, as of the last tick
@@ -165,6 +166,7 @@
 	p.leftRuns = make(map[string]leftRuns)
 	p.unclaimedRuns = make(map[string][]*run)
 	p.vouches = make(map[Voucher]*vouch)
+	p.coordinators = make(map[string]int)
 	p.orphans, p.resubmitted = make(map[string]*job), make(map[string]*job)
 	p.suspected = make(map[string]*suspectJob)
 	p.stored.reset()
--- a/internal/pool/vouch.go
+++ b/internal/pool/vouch.go
@@ -129,6 +129,8 @@
 	if s.Coordinator == j.coordinator {
 		return
 	}
+	p.countCoordinator(j.coordinator, -1)
+	p.countCoordinator(s.Coordinator, 1)
 	if j.movedAway {
 		j.waitForRunsUntil(now, now+p.cfg.TakeoverDelay)
 	}
