Stored jobs whose targets are away are not failed as never_fits

What callers saw: an accepted, stored job whose label or size only targets have that are away (crashed, drained, replaced) was shown as failed 15 s later, without a run; one too large for the targets of its pool at once, if the pool that knew larger ones had been replaced with its layout, or was another one.

Cause: neverFits looks at the targets listed now, and only the largest room by resource of a pool was remembered, not the labels. After 15 s 'not now' was taken for 'never'.

Now an entry records which rooms targets ever had, by service and label (only rooms that are not within others, 8 a label at most, 4096 labels), and its pools share the record. A job each step of which fits a room of the record waits; one that fits none fails as before, after 15 s or, if it is too large for all, at once.

Price: a job that some target once could hold is never failed as never_fits, even if no such target ever returns.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -18,6 +18,7 @@
 	"currantstall/internal/jobstore"
 	"currantstall/internal/metrics"
 	"currantstall/internal/peer"
+	"currantstall/internal/pool"
 	"currantstall/internal/structs"
 )
 
@@ -108,6 +109,7 @@
 	vouching        vouching
 	containment     containment
 	shards          []*shard        // one for each pool of the layout
+	rooms           *pool.Rooms     // of all targets that this entry or a linked peer has ever had listed
 	electionsDue    bool            // something that the elections depend on has changed
 	policiesDue     bool            // a link has come up or gone down
 	relaxed         map[string]bool // peers whose loss need not be noticed quickly
@@ -138,7 +140,7 @@
 		directory: newDirectory(), stored: newStoredJobs(&cfg),
 		lane: startLane{bytesPerSecond: cfg.LinkBytesPerSecond, delegatedBytes: make(map[string]int)}, delegated: delegations{open: make(map[uint64]delegatedStart)}, vouching: newVouching(),
 	}
-	n.directory.self = cfg.Self.Name
+	n.directory.self, n.rooms = cfg.Self.Name, pool.NewRooms()
 	n.joined = uint64(time.Now().UnixMilli())
 	n.targetInterval.Store(int64(minTargetInterval))
 	n.layout, n.layoutKnown = fleet.DefaultLayout(), cfg.Layouts == nil
--- a/internal/node/shard.go
+++ b/internal/node/shard.go
@@ -35,8 +35,10 @@
 func (n *Node) newShards(l fleet.Layout, now time.Duration) []*shard {
 	shards := make([]*shard, len(l.Pools))
 	for i, scope := range l.Pools {
+		p := pool.New(pool.DefaultSettings(), n.logDecision)
+		p.ShareRooms(n.rooms)
 		shards[i] = &shard{
-			index: i, scope: scope, pool: pool.New(pool.DefaultSettings(), n.logDecision), reports: make(map[string]poolReport),
+			index: i, scope: scope, pool: p, reports: make(map[string]poolReport),
 			election: election.New(election.Settings{
 				ListenPeriod: election.DefaultListenPeriod, RankDelay: election.DefaultRankDelay, Pool: i, DC: scope.DC,
 			}, n.cfg.Self.Name, n.joined, now),
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -11,7 +11,6 @@
 	"time"
 
 	"currantstall/internal/fleet"
-	"currantstall/internal/structs"
 )
 
 // Settings are the durations that the pool works with.
@@ -110,7 +109,7 @@
 	noStartsBefore time.Duration                // no task is started before
 	awaitTargets   time.Duration                // nor before this time, unless a current list of targets arrives
 	lastTick       time.Duration                // time of the last Tick
-	largestRooms   map[string]structs.Resources // by service: the largest capacity ever listed, by resource
+	rooms          *Rooms                       // of all targets ever listed
 	advice         map[fleet.TaskID]*stepAdvice // by step
 	adviceInFlight bool                         // an advice request was not answered yet
 	nextAdviceAt   time.Duration                // earliest time of the next advice request
@@ -138,7 +137,7 @@
 	if log == nil {
 		log = func(string, ...any) {}
 	}
-	p := &Pool{cfg: s, log: log, targets: make(map[string]*target), largestRooms: make(map[string]structs.Resources)}
+	p := &Pool{cfg: s, log: log, targets: make(map[string]*target), rooms: NewRooms()}
 	p.reset()
 	return p
 }
--- /dev/null
+++ b/internal/pool/rooms.go
@@ -0,0 +1,66 @@
+package pool
+
+import (
+	"slices"
+
+	"currantstall/internal/fleet"
+	"currantstall/internal/structs"
+)
+
+const (
+	// maxRoomsPerLabel bounds the rooms that are kept for a label. More are merged into one,
+	// the largest by resource.
+	maxRoomsPerLabel = 8
+	// maxRoomLabels bounds the labels, among which is each rack. Labels beyond it count as
+	// listed.
+	maxRoomLabels = 4096
+)
+
+// Rooms records which rooms targets ever had, by service and label, so that a job whose targets are
+// away can be told from one that no target can do. The pools of an entry share it.
+type Rooms struct {
+	known map[roomLabel][]structs.Resources // none is within another
+	full  bool                              // labels were left out
+}
+
+// roomLabel is a label of targets of a service; each target has the label "".
+type roomLabel struct{ service, label string }
+
+// NewRooms returns an empty record.
+func NewRooms() *Rooms { return &Rooms{known: make(map[roomLabel][]structs.Resources)} }
+
+// ShareRooms makes the pool use a record that it shares with other pools.
+func (p *Pool) ShareRooms(r *Rooms) { p.rooms = r }
+
+// note records the room of a listed target.
+func (r *Rooms) note(t *fleet.Target) {
+	r.add(roomLabel{t.Service, ""}, t.Capacity)
+	for _, l := range t.Labels {
+		r.add(roomLabel{t.Service, l}, t.Capacity)
+	}
+}
+
+func (r *Rooms) add(l roomLabel, room structs.Resources) {
+	rooms, known := r.known[l]
+	if slices.ContainsFunc(rooms, room.Fits) {
+		return
+	}
+	if !known && len(r.known) >= maxRoomLabels {
+		r.full = true
+		return
+	}
+	rooms = append(slices.DeleteFunc(rooms, func(o structs.Resources) bool { return o.Fits(room) }), room)
+	if len(rooms) > maxRoomsPerLabel {
+		for _, o := range rooms {
+			room = room.Max(o)
+		}
+		rooms = []structs.Resources{room}
+	}
+	r.known[l] = rooms
+}
+
+// fits reports whether a target that a step fits was ever listed.
+func (r *Rooms) fits(service string, s *fleet.Step) bool {
+	rooms, known := r.known[roomLabel{service, s.RequiredLabel}]
+	return r.full && !known || slices.ContainsFunc(rooms, s.Needs.Fits)
+}
--- a/internal/pool/target.go
+++ b/internal/pool/target.go
@@ -186,7 +186,7 @@
 	}
 	t.Target, t.listed = info, true
 	t.noteRoom(info.Capacity)
-	p.largestRooms[info.Service] = p.largestRooms[info.Service].Max(info.Capacity)
+	p.rooms.note(&info)
 	if info.Leaving {
 		t.step(statechart.TargetHealthOnLeave)
 	} else {
--- a/internal/pool/unfit.go
+++ b/internal/pool/unfit.go
@@ -9,21 +9,29 @@
 )
 
 const (
-	// neverFitsAfter is how long a stored job that is not too large for all targets there have
-	// been waits for one that it fits before it fails. Targets that are replaced at short notice
-	// are missing for some seconds, and for longer while the store is away.
+	// neverFitsAfter is how long a stored job that no target listed so far fits waits for
+	// one before it fails. Targets that are added may be listed some seconds late.
 	neverFitsAfter = 15 * time.Second
 	// fitCheckInterval is the time between two rounds of checks whether such jobs fit by now.
 	fitCheckInterval = time.Second
 )
 
+// fittedBefore reports whether each step of the job fits some target that was ever listed.
+func (p *Pool) fittedBefore(j *job) bool {
+	return !slices.ContainsFunc(j.Steps, func(s fleet.Step) bool { return !p.rooms.fits(j.Queue.Service, &s) })
+}
+
 // exceedsAllRooms reports whether a step of the job is too large for all targets of its service that
 // were ever listed.
 func (p *Pool) exceedsAllRooms(j *job) bool {
-	return slices.ContainsFunc(j.Steps, func(s fleet.Step) bool { return !s.Needs.Fits(p.largestRooms[j.Queue.Service]) })
+	return slices.ContainsFunc(j.Steps, func(s fleet.Step) bool {
+		s.RequiredLabel = ""
+		return !p.rooms.fits(j.Queue.Service, &s)
+	})
 }
 
-// endUnfitJobs fails the stored jobs that have fitted no listed target for neverFitsAfter.
+// endUnfitJobs fails the stored jobs that fit no target that was ever listed, once they have waited for
+// one for neverFitsAfter.
 func (p *Pool) endUnfitJobs(now time.Duration) {
 	if now < p.stored.nextFitCheck {
 		return
@@ -35,7 +43,7 @@
 		}
 		reason := p.neverFits(j)
 		switch {
-		case reason == "":
+		case reason == "" || p.fittedBefore(j):
 			j.unfitSince = 0
 		case now >= j.unfitSince+neverFitsAfter:
 			p.endJob(now, j, fleet.Outcome{Verdict: verdict.Failed, Reason: reason})
