An old list of targets does not fail stored jobs as never_fits

What callers saw: in an outage of the platform's store of more than 15 s, or with an owner cut off from it, a stored job was shown as failed although targets that it fits had come since the list was read.

Cause: the 15 s were counted whether the list was current or not.

Evidence: TestStoredJobIsNotFailedByAnOldListOfTargets fails with the age ignored (shown as failed in the outage), and wants the job failed 15 s after the list is current again.

--- a/internal/node/shard.go
+++ b/internal/node/shard.go
@@ -156,6 +156,7 @@
 	for i, s := range n.shards {
 		s.targets = lists[i]
 		s.pool.SetTargets(now, lists[i])
+		s.pool.TargetsRead(n.directory.targetsAt)
 	}
 	n.updateAcquirePolicies(now)
 }
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -110,6 +110,7 @@
 	awaitTargets   time.Duration                // nor before this time, unless a current list of targets arrives
 	lastTick       time.Duration                // time of the last Tick
 	rooms          *Rooms                       // of all targets ever listed
+	targetsReadAt  time.Duration                // when the list of targets was read, 0 if that is not known
 	advice         map[fleet.TaskID]*stepAdvice // by step
 	adviceInFlight bool                         // an advice request was not answered yet
 	nextAdviceAt   time.Duration                // earliest time of the next advice request
--- a/internal/pool/unfit.go
+++ b/internal/pool/unfit.go
@@ -14,6 +14,9 @@
 	neverFitsAfter = 15 * time.Second
 	// fitCheckInterval is the time between two rounds of checks whether such jobs fit by now.
 	fitCheckInterval = time.Second
+	// currentListAge is the age up to which the list of targets is current enough to show
+	// that no target that a job fits was added.
+	currentListAge = 4 * time.Second
 )
 
 // fittedBefore reports whether each step of the job fits some target that was ever listed.
@@ -30,6 +33,14 @@
 	})
 }
 
+// TargetsRead tells when the list of targets was read.
+func (p *Pool) TargetsRead(at time.Duration) { p.targetsReadAt = max(p.targetsReadAt, at) }
+
+// listOutdated reports whether the list of targets is too old to show that no target was added.
+func (p *Pool) listOutdated(now time.Duration) bool {
+	return p.targetsReadAt > 0 && now > p.targetsReadAt+currentListAge
+}
+
 // endUnfitJobs fails the stored jobs that fit no target that was ever listed, once they have waited for
 // one for neverFitsAfter.
 func (p *Pool) endUnfitJobs(now time.Duration) {
@@ -45,6 +56,8 @@
 		switch {
 		case reason == "" || p.fittedBefore(j):
 			j.unfitSince = 0
+		case p.listOutdated(now):
+			j.unfitSince = now
 		case now >= j.unfitSince+neverFitsAfter:
 			p.endJob(now, j, fleet.Outcome{Verdict: verdict.Failed, Reason: reason})
 		}
--- a/internal/pool/unfit_test.go
+++ b/internal/pool/unfit_test.go
@@ -86,6 +86,28 @@
 	assert.Equal(t, saves[0].Record.State, fleet.JobFailed)
 }
 
+// Guards against jobs that fail without a run in an outage of the store: targets that have come since
+// are not listed.
+func TestStoredJobIsNotFailedByAnOldListOfTargets(t *testing.T) {
+	b := newHarness(t, 1)
+	b.p.TargetsRead(b.now)
+	b.ownStored()
+	b.submit(labelledJob("j", "new"))
+	for range 4 {
+		b.tick(neverFitsAfter)
+		b.p.RenewStored(b.now+time.Minute, b.now+time.Minute)
+		b.assertQueued("j")
+	}
+
+	for range neverFitsAfter/time.Second + 1 {
+		b.p.TargetsRead(b.now)
+		b.tick(time.Second)
+	}
+	saves := takeEffects[jobstore.Save](b)
+	assert.Equal(t, len(saves), 1, "the list is current again, and has no such target")
+	assert.Equal(t, saves[0].Record.State, fleet.JobFailed)
+}
+
 // Guards against jobs that fail while a layout with several pools is replaced: their targets were those
 // of another pool, or the pool that knew them was replaced.
 func TestStoredJobIsNotFailedForTargetsOfAnotherPool(t *testing.T) {
