A new owner does not fail stored jobs for targets that went before it came

What callers saw: a stored job that fits only targets that are away was shown as failed if its owner had been started meanwhile: it had never seen these targets listed, so after 15 s, or at once for a job that is too large for all that it had seen, it took the job for one that can't be done.

Cause: what an entry knows of targets ends with its process.

Now the first message on each link carries the rooms that the sender knows and for how long it has known targets, and an owner that follows another one gives no job up as never_fits before targets have been known for a minute, by itself or by a peer. The first owner of all (epoch 1) judges as before. Peers' rooms are validated and bounded; earlier releases ignore the fields.

Size: a room is some 40 bytes, and there are as many as labels, each rack among them; not measured on a large deployment. Price: a job that can't be done is shown as failed up to a minute later after a restart of all entries.

--- a/internal/node/directory.go
+++ b/internal/node/directory.go
@@ -92,6 +92,10 @@
 	Request *directoryRequest `cbor:"8,keyasint,omitempty"`
 	// Greeting marks the first message on a link.
 	Greeting bool `cbor:"9,keyasint,omitempty"`
+	// Rooms are those that targets ever had, as known to the sender for RoomsKnownFor. They
+	// come with the first message on a link.
+	Rooms         []fleet.Room  `cbor:"10,keyasint,omitempty"`
+	RoomsKnownFor time.Duration `cbor:"11,keyasint,omitempty"`
 }
 
 func newDirectory() directory {
@@ -283,6 +287,7 @@
 	if b.HasTargets {
 		n.setTargets(now, b.Targets, now-b.TargetsAge)
 	}
+	n.rooms.Merge(now, b.Rooms, b.RoomsKnownFor)
 	added := false
 	for _, m := range append(b.Members, b.Self) {
 		if _, known := n.directory.members[m.Name]; !known && m.Validate() == nil {
--- a/internal/node/links.go
+++ b/internal/node/links.go
@@ -288,7 +288,7 @@
 
 // greet tells a new peer what it needs to know of this entry at once.
 func (n *Node) greet(now time.Duration, to string, greeting bool) {
-	hello := directoryBody{Self: n.cfg.Self, Greeting: greeting}
+	hello := directoryBody{Self: n.cfg.Self, Greeting: greeting, Rooms: n.rooms.Known(), RoomsKnownFor: n.rooms.KnownFor(now)}
 	if n.layoutKnown {
 		l := n.layout
 		hello.Layout = &l
--- a/internal/pool/rooms.go
+++ b/internal/pool/rooms.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"currantstall/internal/fleet"
 	"currantstall/internal/structs"
@@ -17,10 +18,14 @@
 )
 
 // Rooms records which rooms targets ever had, by service and label, so that a job whose targets are
-// away can be told from one that no target can do. The pools of an entry share it.
+// away can be told from one that no target can do. The pools of an entry share it, and entries
+// tell each other, since the one that takes over a job may have been started after the targets had gone.
 type Rooms struct {
 	known map[roomLabel][]structs.Resources // none is within another
-	full  bool                              // labels were left out
+	// since is from when on the record is complete.
+	since time.Duration
+	begun bool
+	full  bool // labels were left out
 }
 
 // roomLabel is a label of targets of a service; each target has the label "".
@@ -64,3 +69,42 @@
 	rooms, known := r.known[roomLabel{service, s.RequiredLabel}]
 	return r.full && !known || slices.ContainsFunc(rooms, s.Needs.Fits)
 }
+
+// begin notes that targets are listed from now on.
+func (r *Rooms) begin(now time.Duration) {
+	if !r.begun {
+		r.begun, r.since = true, now
+	}
+}
+
+// KnownFor returns for how long the record has been complete.
+func (r *Rooms) KnownFor(now time.Duration) time.Duration {
+	if !r.begun {
+		return 0
+	}
+	return now - r.since
+}
+
+// Known returns the record, to be merged into that of another entry.
+func (r *Rooms) Known() []fleet.Room {
+	all := make([]fleet.Room, 0, len(r.known))
+	for l, rooms := range r.known {
+		for _, room := range rooms {
+			all = append(all, fleet.Room{Service: l.service, Label: l.label, Capacity: room})
+		}
+	}
+	return all
+}
+
+// Merge adds another entry's record, which has been complete for some time.
+func (r *Rooms) Merge(now time.Duration, rooms []fleet.Room, knownFor time.Duration) {
+	for i := range rooms {
+		if rooms[i].Validate() == nil {
+			r.add(roomLabel{rooms[i].Service, rooms[i].Label}, rooms[i].Capacity)
+		}
+	}
+	if knownFor > 0 {
+		r.begin(now)
+		r.since = min(r.since, now-knownFor)
+	}
+}
--- a/internal/pool/stored.go
+++ b/internal/pool/stored.go
@@ -228,7 +228,7 @@
 		return // given up
 	}
 	switch reason := p.neverFits(j); {
-	case reason != "" && !j.restored && p.exceedsAllRooms(j):
+	case reason != "" && !j.restored && p.exceedsAllRooms(j) && p.knowsAllRooms(now):
 		p.endJob(now, j, fleet.Outcome{Verdict: verdict.Failed, Reason: reason})
 		return
 	case reason != "":
--- a/internal/pool/target.go
+++ b/internal/pool/target.go
@@ -140,6 +140,9 @@
 	if p.firstListedAt == 0 && len(list) > 0 {
 		p.firstListedAt = now
 	}
+	if len(list) > 0 {
+		p.rooms.begin(now)
+	}
 	for _, info := range list {
 		present[info.ID], addrs[info.Addr] = true, true
 		t := p.targets[info.ID]
--- a/internal/pool/unfit.go
+++ b/internal/pool/unfit.go
@@ -17,6 +17,10 @@
 	// currentListAge is the age up to which the list of targets is current enough to show
 	// that no target that a job fits was added.
 	currentListAge = 4 * time.Second
+	// knownForLong is how long the rooms of targets must have been recorded for a later owner of the
+	// stored jobs to tell that no target could ever hold one. Targets that crash, with their
+	// rack or alone, are back by then.
+	knownForLong = time.Minute
 )
 
 // fittedBefore reports whether each step of the job fits some target that was ever listed.
@@ -33,6 +37,12 @@
 	})
 }
 
+// knowsAllRooms reports whether what the pool knows of targets shows that a job can never be done. Before
+// it became the owner of stored jobs another one may have known targets that are away now.
+func (p *Pool) knowsAllRooms(now time.Duration) bool {
+	return p.stored.epoch <= 1 || p.rooms.KnownFor(now) >= knownForLong
+}
+
 // TargetsRead tells when the list of targets was read.
 func (p *Pool) TargetsRead(at time.Duration) { p.targetsReadAt = max(p.targetsReadAt, at) }
 
@@ -58,7 +68,7 @@
 			j.unfitSince = 0
 		case p.listOutdated(now):
 			j.unfitSince = now
-		case now >= j.unfitSince+neverFitsAfter:
+		case now >= j.unfitSince+neverFitsAfter && p.knowsAllRooms(now):
 			p.endJob(now, j, fleet.Outcome{Verdict: verdict.Failed, Reason: reason})
 		}
 	}
--- a/internal/pool/unfit_test.go
+++ b/internal/pool/unfit_test.go
@@ -108,6 +108,33 @@
 	assert.Equal(t, saves[0].Record.State, fleet.JobFailed)
 }
 
+// Guards against jobs that fail without a run: an entry that was started while their targets were away
+// became the owner.
+func TestStoredJobIsNotFailedByAnOwnerThatKnowsTheTargetsForShort(t *testing.T) {
+	for name, change := range map[string]func(*fleet.Step){
+		"label": func(s *fleet.Step) { s.RequiredLabel = "g" },
+		"size":  func(s *fleet.Step) { s.Needs.MilliCPU = 50000 },
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newHarness(t, 1)
+			b.p.ExpectStored()
+			b.p.TakeOverStored(b.now, b.now, 2, nil)
+			b.p.RenewStored(b.now+time.Hour, b.now+time.Hour)
+			j := storedJob("j", 1)
+			change(&j.Steps[0])
+			b.submit(j)
+			b.assertQueued("j")
+			b.tick(2 * neverFitsAfter)
+			b.assertQueued("j")
+
+			b.tick(knownForLong)
+			saves := takeEffects[jobstore.Save](b)
+			assert.Equal(t, len(saves), 1, "no target that it fits was listed in all this time")
+			assert.Equal(t, saves[0].Record.State, fleet.JobFailed)
+		})
+	}
+}
+
 // Guards against jobs that fail while a layout with several pools is replaced: their targets were those
 // of another pool, or the pool that knew them was replaced.
 func TestStoredJobIsNotFailedForTargetsOfAnotherPool(t *testing.T) {
@@ -127,3 +154,24 @@
 	b.tick(neverFitsAfter + fitCheckInterval)
 	b.assertQueued("j")
 }
+
+// What peers tell of rooms is bounded, and never makes a job seem hopeless.
+func TestRoomsAreBounded(t *testing.T) {
+	r := NewRooms()
+	step := fleet.Step{Count: 1}
+	for i := range int64(3 * maxRoomsPerLabel) {
+		target := labelledTarget("t", "g")
+		target.Capacity.MilliCPU, target.Capacity.MemoryMB = 1000+i, 100000-i
+		r.note(&target)
+	}
+	assert.Assert(t, len(r.Known()) <= 2*maxRoomsPerLabel)
+	step.RequiredLabel, step.Needs.MilliCPU, step.Needs.MemoryMB = "g", 1000, 100000
+	assert.Assert(t, r.fits("s", &step))
+	step.RequiredLabel = "left out"
+	assert.Assert(t, !r.fits("s", &step))
+	for i := range 2 * maxRoomLabels {
+		r.note(&fleet.Target{Service: "s", Labels: []string{string(rune('a' + i))}})
+	}
+	assert.Assert(t, len(r.Known()) <= maxRoomLabels+2*maxRoomsPerLabel)
+	assert.Assert(t, r.fits("s", &step), "it may be one of the labels that were left out")
+}
