An ended job is not restored as an open one beside its clean-up

What callers could see: a stored job that had ended (and may have been shown as complete or failed) run again from the start under the next owner, and then shown with whatever that run led to.

Cause: the next owner read the open jobs first and their records after. The clean-up of ended jobs, which needs no ownership and may be a late transaction of the former owner, removes the job's row and then its record; between the two reads, the job was read as open and without a record.

Now the records are read first: no other owner can save one any more, so that a record that is gone by then belongs to a job whose row is gone too.

Evidence: TestCleanUpBetweenTheReadsOfARestoreDoesNotReopenAJob fails before ('restored as a job without progress').

--- a/internal/jobstore/restore.go
+++ b/internal/jobstore/restore.go
@@ -91,13 +91,15 @@
 }
 
 // restore reads the jobs of tableOpen and their records, and reports them as Acquired.
-// It returns the version after which changes have to be read.
+// It returns the version after which changes have to be read. The records are read first: only this owner
+// can save one, but a former one may be cleaning up ended jobs, and a job that was read
+// before that, without its record, would seem to be open.
 func (o *Owner) restore(ctx context.Context, lastSeen time.Duration) (uint64, error) {
-	rows, after, err := o.readOpen(ctx, 0)
+	records, err := o.readRecords(ctx)
 	if err != nil {
 		return 0, err
 	}
-	records, err := o.readRecords(ctx)
+	rows, after, err := o.readOpen(ctx, 0)
 	if err != nil {
 		return 0, err
 	}
