A record of a lost ownership of stored jobs is not saved in the next

What callers could see: a job shown as failed, or as complete, by a state that another owner had corrected meanwhile: an entry that loses the ownership and has it again before its loop has handled the loss (it lags by some 0.2 s or more) saves what its pool still emits from the old state over the newer record.

Cause: pending saves are discarded when the ownership is acquired anew, but a save that the pool emits after that, before it handles the loss, is taken for one of the new ownership.

Now a save carries the epoch that the pool has, and the owner drops those of epochs since which another entry has been the owner. Records of an epoch that the same entry has continued are saved as before.

Evidence: TestRecordsOfALostOwnershipAreNotSavedInTheNext fails before (the state of the lost ownership was saved); TestRecordsOfAnUninterruptedOwnershipAreSaved.

--- a/internal/jobstore/claim.go
+++ b/internal/jobstore/claim.go
@@ -32,6 +32,7 @@
 			o.epoch, o.ownerRowVersion = value.Epoch+1, row.Version
 			err := o.apply(ctx, nil, nil)
 			if err == nil && !uninterrupted {
+				o.ownedSince = o.epoch
 				o.discardSaves() // another owner has saved newer records since
 			}
 			if err == nil {
--- a/internal/jobstore/owner.go
+++ b/internal/jobstore/owner.go
@@ -48,10 +48,12 @@
 	errJobsDropped = errors.New("the entry dropped the stored jobs, since the ownership was not renewed in time")
 )
 
-// Save is a request to save a job's record. Seq numbers the saves of a job.
+// Save is a request to save a job's record. Seq numbers the saves of a job. Epoch is that of the
+// ownership under which the record came about, 0 if it is not known.
 type Save struct {
 	Job    string
 	Seq    int
+	Epoch  int
 	Record fleet.Record
 }
 
@@ -105,6 +107,7 @@
 
 	// Owned by Run.
 	epoch           int
+	ownedSince      int // the first epoch since which no other entry has been the owner
 	ownerRowVersion uint64
 	writeNumber     uint64 // of the last write of the owner's row
 	renewedAt       time.Duration
@@ -122,7 +125,7 @@
 }
 
 // Save queues a record to be saved. A later Save of the same job replaces one that
-// is still queued.
+// is still queued. A record of an ownership that another entry's has followed is not saved.
 func (o *Owner) Save(s Save) {
 	o.mu.Lock()
 	if _, queued := o.pendingSaves[s.Job]; !queued {
--- a/internal/jobstore/save.go
+++ b/internal/jobstore/save.go
@@ -55,17 +55,27 @@
 	return o.droppedEpoch >= o.epoch
 }
 
-// takeSaves removes the oldest pending saves, as many as fit into one transaction.
+// takeSaves removes the oldest pending saves, as many as fit into one transaction. It drops those of
+// ownerships that are over: the entry has not handled their loss yet.
 func (o *Owner) takeSaves() []Save {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	n := min(len(o.saveOrder), maxSavesPerTx)
-	saves := make([]Save, n)
-	for i, id := range o.saveOrder[:n] {
-		saves[i] = o.pendingSaves[id]
+	taken := 0
+	var saves []Save
+	for _, id := range o.saveOrder {
+		if len(saves) == maxSavesPerTx {
+			break
+		}
+		s := o.pendingSaves[id]
 		delete(o.pendingSaves, id)
+		taken++
+		if s.Epoch != 0 && s.Epoch < o.ownedSince {
+			o.log.Info("record of a former ownership dropped", "job", s.Job, "epoch", s.Epoch, "owned_since", o.ownedSince)
+			continue
+		}
+		saves = append(saves, s)
 	}
-	o.saveOrder = append([]string(nil), o.saveOrder[n:]...)
+	o.saveOrder = append([]string(nil), o.saveOrder[taken:]...)
 	return saves
 }
 
--- a/internal/jobstore/stale_test.go
+++ b/internal/jobstore/stale_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"sync"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -100,3 +101,56 @@
 	assert.NilError(t, err)
 	return value
 }
+
+// Guards against a job that is shown with the state of a former ownership: the entry lost the ownership and had it
+// again before it had handled the loss.
+func TestRecordsOfALostOwnershipAreNotSavedInTheNext(t *testing.T) {
+	_, tables := startStore(t)
+	for i := range 2 {
+		_, err := jobstore.NewAccepter(tables, discard()).Accept(job(i))
+		assert.NilError(t, err)
+	}
+	o, s, _ := runOwner(t, tables, "e1")
+	s.eventually(t, "the owner has acquired the jobs", func() bool { return s.epoch == 1 })
+	replaceOwner(t, tables)
+	s.eventually(t, "the owner has the jobs again", func() bool { return s.lost == 1 && s.epoch > 1 })
+	var epoch int
+	s.locked(func() { epoch = s.epoch })
+
+	o.Save(jobstore.Save{Job: job(0).ID, Seq: 5, Epoch: 1, Record: fleet.Record{State: fleet.JobFailed}})
+	o.Save(jobstore.Save{Job: job(1).ID, Seq: 1, Epoch: epoch, Record: fleet.Record{State: fleet.JobComplete}})
+
+	s.eventually(t, "the record of this ownership is saved", func() bool { return s.saved[job(1).ID] == 1 })
+	_, known, err := jobstore.FinalState(context.Background(), tables, job(0).ID)
+	assert.NilError(t, err)
+	assert.Assert(t, !known, "the state of a lost ownership was saved")
+}
+
+// Records of an epoch that the same owner has continued in the next one are saved: no other owner has saved any since.
+func TestRecordsOfAnUninterruptedOwnershipAreSaved(t *testing.T) {
+	_, tables := startStore(t)
+	_, err := jobstore.NewAccepter(tables, discard()).Accept(job(0))
+	assert.NilError(t, err)
+	o, s, _ := runOwner(t, tables, "e1")
+	s.eventually(t, "the owner has acquired the jobs", func() bool { return s.epoch == 1 })
+	o.JobsDropped(1)
+	s.eventually(t, "the owner has restored the jobs", func() bool { return s.epoch == 2 })
+	o.Save(jobstore.Save{Job: job(0).ID, Seq: 5, Epoch: 1, Record: fleet.Record{State: fleet.JobComplete}})
+	s.eventually(t, "the record is saved", func() bool { return s.saved[job(0).ID] == 5 })
+}
+
+// replaceOwner writes another entry into the owner's row, which releases it at once.
+func replaceOwner(t *testing.T, tables jobstore.Tables) {
+	t.Helper()
+	for range 100 {
+		page, err := tables.Read(context.Background(), "jobs-owner", "owner", "", 1)
+		assert.NilError(t, err)
+		row := page.Rows[0]
+		row.Value = []byte{0xa2, 0x02, 0x09, 0x03, 0x01} // {2: 9, 3: 1}
+		if _, err = tables.Apply(context.Background(), jobstore.Tx{Conditions: []jobstore.Row{row}, Puts: []jobstore.Row{row}}); err == nil {
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+	t.Fatal("the owner's row was not written")
+}
--- a/internal/pool/stored.go
+++ b/internal/pool/stored.go
@@ -295,7 +295,7 @@
 		return
 	}
 	j.seq++
-	p.emit(jobstore.Save{Job: j.ID, Seq: j.seq, Record: j.record(state)})
+	p.emit(jobstore.Save{Job: j.ID, Seq: j.seq, Epoch: p.stored.epoch, Record: j.record(state)})
 }
 
 // endStoredJob records how a stored job ended. The end is shown once the record is
--- a/internal/pool/timed.go
+++ b/internal/pool/timed.go
@@ -93,7 +93,7 @@
 		rec.Occurrences[k] = j.record(fleet.JobRunning)
 	}
 	rj.seq++
-	p.emit(jobstore.Save{Job: rj.ID, Seq: rj.seq, Record: rec})
+	p.emit(jobstore.Save{Job: rj.ID, Seq: rj.seq, Epoch: p.stored.epoch, Record: rec})
 }
 
 // endOccurrence records how an occurrence ended. The recurring job fails with its first
@@ -126,7 +126,7 @@
 		}
 	}
 	rj.seq++
-	p.emit(jobstore.Save{Job: rj.ID, Seq: rj.seq, Record: fleet.Record{State: state}})
+	p.emit(jobstore.Save{Job: rj.ID, Seq: rj.seq, Epoch: p.stored.epoch, Record: fleet.Record{State: state}})
 	p.stored.ended[rj.ID] = &endedJob{state: state, seq: rj.seq, endedAt: now}
 	p.log("job", "job", rj.ID, "queue", rj.Queue.Name, "outcome", state.String(), "occurrences", rj.Occurrences)
 }
