An owner of stored jobs learns that another had them while an error of the store interrupted it

What callers could see: jobs that go on from the state before another owner had them: run again although done, or failed with failures that were counted twice or not at all.

Cause: after an error other than the loss (the store rejects a transaction), the owner claims the ownership again. If another entry has had it in between, the claim noticed that and discarded the pending saves, but told nobody; the pool kept its jobs and left those in the store out.

Now the claim tells of the loss, once, before it restores.

Evidence: TestOwnerIsNotifiedOfAnOwnershipThatItLostWhileInterrupted fails before (0 notifications).

--- a/internal/jobstore/claim.go
+++ b/internal/jobstore/claim.go
@@ -33,6 +33,7 @@
 			err := o.apply(ctx, nil, nil)
 			if err == nil && !uninterrupted {
 				o.ownedSince = o.epoch
+				o.tellLoss()     // an error has interrupted the ownership before
 				o.discardSaves() // another owner has saved newer records since
 			}
 			if err == nil {
--- a/internal/jobstore/owner.go
+++ b/internal/jobstore/owner.go
@@ -107,7 +107,8 @@
 
 	// Owned by Run.
 	epoch           int
-	ownedSince      int // the first epoch since which no other entry has been the owner
+	ownedSince      int  // the first epoch since which no other entry has been the owner
+	mustTellLoss    bool // the entry has the jobs of an epoch, and was not told of its loss
 	ownerRowVersion uint64
 	writeNumber     uint64 // of the last write of the owner's row
 	renewedAt       time.Duration
@@ -183,7 +184,7 @@
 		}
 		if errors.Is(err, errNotOwner) {
 			o.log.Info("ownership of stored jobs lost to another entry", "epoch", o.epoch)
-			o.events.OwnershipLost()
+			o.tellLoss()
 		} else {
 			o.log.Info("ownership of stored jobs interrupted; trying again", "err", err)
 		}
@@ -192,6 +193,14 @@
 	o.release()
 }
 
+// tellLoss tells the entry, if it has jobs, that another entry has become the owner.
+func (o *Owner) tellLoss() {
+	if o.mustTellLoss {
+		o.mustTellLoss = false
+		o.events.OwnershipLost()
+	}
+}
+
 // sleepJittered sleeps for d/2 to 3d/2, or until the context ends.
 func sleepJittered(ctx context.Context, d time.Duration) {
 	sleep.For(ctx, d/2+rand.N(d)) //nolint:errcheck // the caller checks the context
--- a/internal/jobstore/restore.go
+++ b/internal/jobstore/restore.go
@@ -123,6 +123,7 @@
 	}
 	o.log.Info("stored jobs restored", "epoch", o.epoch, "jobs", len(jobs), "open", len(o.open), "records", len(records))
 	o.mu.Unlock()
+	o.mustTellLoss = true
 	o.events.Acquired(o.epoch, lastSeen, jobs)
 	return after, nil
 }
--- a/internal/jobstore/stale_test.go
+++ b/internal/jobstore/stale_test.go
@@ -11,6 +11,7 @@
 
 	"currantstall/internal/fleet"
 	"currantstall/internal/jobstore"
+	"currantstall/internal/platform"
 	"currantstall/internal/wire"
 )
 
@@ -154,3 +155,36 @@
 	}
 	t.Fatal("the owner's row was not written")
 }
+
+// rejectOnce are tables that reject one transaction on records, and let another entry have the ownership meanwhile.
+type rejectOnce struct {
+	jobstore.Tables
+	meanwhile func()
+	once      sync.Once
+}
+
+func (r *rejectOnce) Apply(ctx context.Context, tx jobstore.Tx) (version uint64, err error) {
+	if len(tx.Puts) > 0 && tx.Puts[0].Table == "jobs-progress" {
+		r.once.Do(func() {
+			r.meanwhile()
+			err = platform.ErrRejected
+		})
+	}
+	if err != nil {
+		return 0, err
+	}
+	return r.Tables.Apply(ctx, tx)
+}
+
+// Guards against an owner that goes on with jobs as they were before another entry had them: it was interrupted by an
+// error of the store, and found out nothing of the other owner.
+func TestOwnerIsNotifiedOfAnOwnershipThatItLostWhileInterrupted(t *testing.T) {
+	_, tables := startStore(t)
+	_, err := jobstore.NewAccepter(tables, discard()).Accept(job(0))
+	assert.NilError(t, err)
+	o, s, _ := runOwner(t, &rejectOnce{Tables: tables, meanwhile: func() { replaceOwner(t, tables) }}, "e1")
+	s.eventually(t, "the owner has acquired the jobs", func() bool { return s.epoch == 1 })
+	o.Save(jobstore.Save{Job: job(0).ID, Seq: 1, Epoch: 1, Record: fleet.Record{State: fleet.JobFailed}})
+	s.eventually(t, "the owner has the jobs again", func() bool { return s.epoch > 1 })
+	s.locked(func() { assert.Equal(t, s.lost, 1) })
+}
