Best-effort jobs whose targets are away are answered not_run, not failed

What callers saw: a best-effort job that requires a label, or a room, whose targets were just being replaced got 200 with the state 'failed' at once, and was not sent again, though no task of it had failed.

Cause: the leader failed each job that no listed target fits.

Now, if a target that it fits was listed before, the job is rejected (not_run, never_fits, with a Retry-After): its coordinator tries the other pools as before, then the caller gets 503 and may come again. Jobs that fit no target ever listed are failed as before.

Evidence: TestBestEffortJobIsNotFailedWhileTheTargetsItFitsAreAway fails before (failed in place of not_run).

--- a/internal/pool/job.go
+++ b/internal/pool/job.go
@@ -104,8 +104,8 @@
 }
 
 // Submit accepts a job, or attaches the coordinator to the job if it is known already.
-// It rejects the job if the pool is not leading, if the job can never fit a target, or
-// to shed load.
+// It rejects the job if the pool is not leading, if no target that it fits is listed, or
+// to shed load. It fails the job if none ever was.
 func (p *Pool) Submit(now time.Duration, s Submit) {
 	if s.Job.Stored {
 		p.submitStored(now, s)
@@ -142,6 +142,8 @@
 	p.learnSuspicions(now, j, s.Suspicions)
 	switch reason := p.neverFits(j); {
 	case p.jobs[j.ID] != j: // given up
+	case reason != "" && !j.mayHaveRunElsewhere && p.fittedBefore(j):
+		p.endJob(now, j, fleet.Outcome{Verdict: verdict.NotRun, Reason: reason, RetryAfter: p.retryAfter()})
 	case reason != "" && !j.mayHaveRunElsewhere:
 		p.endJob(now, j, fleet.Outcome{Verdict: verdict.Failed, Reason: reason})
 	case p.shouldShed(now, j):
--- a/internal/pool/unfit_test.go
+++ b/internal/pool/unfit_test.go
@@ -8,6 +8,7 @@
 
 	"currantstall/internal/fleet"
 	"currantstall/internal/jobstore"
+	"currantstall/internal/verdict"
 )
 
 // labelledTarget returns a target with a label that the others lack.
@@ -175,3 +176,23 @@
 	assert.Assert(t, len(r.Known()) <= maxRoomLabels+2*maxRoomsPerLabel)
 	assert.Assert(t, r.fits("s", &step), "it may be one of the labels that were left out")
 }
+
+// Guards against best-effort jobs that are answered as failed: the targets that they fit were being replaced. Another
+// pool may have such targets, and the caller may come again.
+func TestBestEffortJobIsNotFailedWhileTheTargetsItFitsAreAway(t *testing.T) {
+	b := newHarness(t, 1)
+	b.p.SetTargets(b.now, append(targetList(1), labelledTarget("t01", "g")))
+	b.p.SetTargets(b.now, targetList(1))
+	j := labelledJob("j", "g")
+	j.Stored = false
+	b.submit(j)
+	o := b.outcomes()["j"]
+	assert.Equal(t, o.Verdict, verdict.NotRun)
+	assert.Equal(t, o.Reason, verdict.NeverFits, "so that its coordinator tries other pools")
+	assert.Assert(t, o.RetryAfter >= time.Second)
+
+	never := labelledJob("never", "nowhere")
+	never.Stored = false
+	b.submit(never)
+	assert.Equal(t, b.outcomes()["never"].Verdict, verdict.Failed)
+}
