--- a/internal/node/shard.go
+++ b/internal/node/shard.go
@@ -35,8 +35,10 @@
 func (n *Node) newShards(l fleet.Layout, now time.Duration) []*shard {
 	shards := make([]*shard, len(l.Pools))
 	for i, scope := range l.Pools {
+		p := pool.New(pool.DefaultSettings(), n.logDecision)
+		p.ShareRooms(n.rooms)
 		shards[i] = &shard{
-			index: i, scope: scope, pool: pool.New(pool.DefaultSettings(), n.logDecision), reports: make(map[string]poolReport),
+			index: i, scope: scope, pool: p, reports: make(map[string]poolReport),
 			election: election.New(election.Settings{
 				ListenPeriod: election.DefaultListenPeriod, RankDelay: election.DefaultRankDelay, Pool: i, DC: scope.DC,
 			}, n.cfg.Self.Name, n.joined, now),
@@ -154,6 +156,7 @@
 	for i, s := range n.shards {
 		s.targets = lists[i]
 		s.pool.SetTargets(now, lists[i])
+		s.pool.TargetsRead(n.directory.targetsAt)
 	}
 	n.updateAcquirePolicies(now)
 }
--- a/internal/pool/stored.go
+++ b/internal/pool/stored.go
@@ -223,7 +223,7 @@
 		return // given up
 	}
 	switch reason := p.neverFits(j); {
-	case reason != "" && !j.restored && p.exceedsAllRooms(j):
+	case reason != "" && !j.restored && p.exceedsAllRooms(j) && p.knowsAllRooms(now):
 		p.endJob(now, j, fleet.Outcome{Verdict: verdict.Failed, Reason: reason})
 		return
 	case reason != "":
@@ -290,7 +290,7 @@
 		return
 	}
 	j.seq++
-	p.emit(jobstore.Save{Job: j.ID, Seq: j.seq, Record: j.record(state)})
+	p.emit(jobstore.Save{Job: j.ID, Seq: j.seq, Epoch: p.stored.epoch, Record: j.record(state)})
 }
 
 // endStoredJob records how a stored job ended. The end is shown once the record is
