Former lives of targets are not counted when losses are assessed

Callers saw jobs shown as failed (crashes_targets) where all targets crashed at once, time after time.

Cause: the losses of a moment are one fault if they need an eighth of all targets as causes, and targets that are gone and not forgotten yet counted as well.

Only the addresses that were lost or are owned count now. The line "losses" has their number as "of".

--- a/internal/pool/crash_test.go
+++ b/internal/pool/crash_test.go
@@ -30,6 +30,15 @@
 	newNames bool                        // a target is back under another ID, at the address that it had
 	until    map[runKey]time.Duration
 	lives    int
+	// silentDown is how long orders to a target that is down take to fail.
+	silentDown time.Duration
+	lateHolds  []lateHold
+}
+
+// lateHold is a hold to a target that is down, until it fails.
+type lateHold struct {
+	hold fleet.Hold
+	at   time.Duration
 }
 
 func newCrashSim(t *testing.T, targets int, crashing ...fleet.TaskID) *crashSim {
@@ -113,6 +122,13 @@
 
 // obey carries out the pending orders.
 func (s *crashSim) obey() {
+	s.lateHolds = slices.DeleteFunc(s.lateHolds, func(l lateHold) bool {
+		if s.now < l.at {
+			return false
+		}
+		s.p.HoldDone(s.now, l.at-s.silentDown, l.hold, fleet.HoldReply{Answer: fleet.Unanswered})
+		return true
+	})
 	for _, o := range takeEffects[fleet.Start](s.harness) {
 		if s.down(o.Target.ID) {
 			s.answerDown(o.Target.ID, func(a fleet.Answer) { s.replyStart(o, a) })
@@ -137,6 +153,10 @@
 	}
 	for _, h := range takeEffects[fleet.Hold](s.harness) {
 		id := h.Target.ID
+		if s.down(id) && s.silentDown > 0 {
+			s.lateHolds = append(s.lateHolds, lateHold{h, s.now + s.silentDown})
+			continue
+		}
 		if s.down(id) {
 			s.answerDown(id, func(a fleet.Answer) { s.p.HoldDone(s.now, s.now, h, fleet.HoldReply{Answer: a}) })
 			continue
--- a/internal/pool/losses.go
+++ b/internal/pool/losses.go
@@ -30,6 +30,7 @@
 // loss is the loss of one incarnation of a target.
 type loss struct {
 	target      string
+	addr        string
 	incarnation int64
 	jobs        []string // those with suspects on it, without duplicates
 }
@@ -49,7 +50,7 @@
 	if len(p.lossGroup.losses) == 0 {
 		p.lossGroup.from = now
 	}
-	l := loss{target: t.ID, incarnation: t.Incarnation}
+	l := loss{target: t.ID, addr: t.Addr, incarnation: t.Incarnation}
 	for _, s := range suspects {
 		if id := s.task.job.ID; !slices.Contains(l.jobs, id) {
 			l.jobs = append(l.jobs, id)
@@ -83,8 +84,8 @@
 	losses := p.lossGroup.losses
 	p.lossGroup.losses = nil
 	all, own := causesOf(losses)
-	enough := max(minOtherCauses, float64(len(p.sortedTargets))*otherCausesShare)
-	p.log("losses", "targets", len(losses), "causes", int(all+0.5), "causes_of_one_fault", int(enough+0.5))
+	enough, of := p.causesOfOneFault(losses)
+	p.log("losses", "targets", len(losses), "of", of, "causes", int(all+0.5), "causes_of_one_fault", int(enough+0.5))
 	weakened := make(map[string]bool)
 	for _, l := range losses {
 		for _, id := range l.jobs {
@@ -105,6 +106,22 @@
 	}
 }
 
+// causesOfOneFault returns the number of other jobs that losses would have to be blamed on for
+// them to be taken for one fault, and the number of targets at the time. Targets that were
+// lost before, or have another incarnation at their address, are none of them.
+func (p *Pool) causesOfOneFault(losses []loss) (enough float64, targets int) {
+	at := make(map[string]bool) // by address
+	for _, l := range losses {
+		at[l.addr] = true
+	}
+	for _, t := range p.sortedTargets {
+		if t.owned {
+			at[t.Addr] = true
+		}
+	}
+	return max(minOtherCauses, float64(len(at))*otherCausesShare), len(at)
+}
+
 // causesOf estimates on how many jobs the losses would have to be blamed if tasks have caused
 // them, and how many of these causes each job would stand for. A job with suspects on several
 // lost targets stands for one cause.
