The loss of all targets of a small pool is one fault

Callers saw jobs shown as failed (crashes_targets) where all targets of a pool crashed at once, twice. Cause: four other causes were asked for in any case, and a pool of four targets has three beside the one in question at most, fewer where jobs have tasks on several.

If no target is left, one other cause is enough. A job that explains all losses by itself has none, and is given up as before.

--- a/internal/pool/losses.go
+++ b/internal/pool/losses.go
@@ -21,6 +21,9 @@
 	// losses of the moment would have to be blamed on for them to be taken for one fault.
 	minOtherCauses   = 4
 	otherCausesShare = 1.0 / 8
+	// lostAllOtherCauses replaces that number if no target is left: the targets of a small pool
+	// are fewer. It is below 1 since causes are added up from fractions.
+	lostAllOtherCauses = 0.5
 	// promptLoss is the longest time from a start to the loss of its target that suits a task
 	// that crashes targets. A target that was out of sight for longer may have crashed
 	// after the end of the run.
@@ -114,11 +117,15 @@
 	for _, l := range losses {
 		at[l.addr] = true
 	}
+	lost := len(at)
 	for _, t := range p.sortedTargets {
 		if t.owned {
 			at[t.Addr] = true
 		}
 	}
+	if len(at) == lost {
+		return lostAllOtherCauses, lost
+	}
 	return max(minOtherCauses, float64(len(at))*otherCausesShare), len(at)
 }
 
--- a/internal/pool/losses_count_test.go
+++ b/internal/pool/losses_count_test.go
@@ -28,3 +28,23 @@
 	s.run(60 * time.Second)
 	assert.Equal(t, len(s.failedJobs()), 0, "%v", s.failedJobs())
 }
+
+// The targets of a small pool crashed at once, again and again. Jobs with new runs at two such
+// moments were shown as failed, since fewer targets than minOtherCauses could be lost beside one.
+func TestJobsAreNotFailedWhenTheFewTargetsOfAPoolCrashAtOnce(t *testing.T) {
+	for _, targets := range []int{2, 3, 4} {
+		t.Run(fmt.Sprintf("targets=%d", targets), func(t *testing.T) {
+			s := newCrashSim(t, targets)
+			for i := range 2 * targets {
+				s.submit(patientJob(fmt.Sprintf("j%02d", i), 2, 10000))
+			}
+			for range 3 {
+				s.runUntilBusy(targets)
+				s.run(50 * ms)
+				s.crashAll(500 * ms)
+			}
+			s.run(60 * time.Second)
+			assert.Equal(t, len(s.failedJobs()), 0, "%v", s.failedJobs())
+		})
+	}
+}
