Starts that are lost after their targets belong to the moment of the loss

Callers saw jobs shown as failed (crashes_targets) where all targets crashed at once, twice, with starts under way to them.

Cause: a start under way is no suspect when the loss of its target is noted, and is one when the target is back anew if it was unanswered by then. The assessment of the moment did not know of its job, so that the crash counted in full.

Jobs with starts under way are now part of the moment, and each run notes whether the loss of its target is weak evidence against its task.

--- a/internal/pool/crash.go
+++ b/internal/pool/crash.go
@@ -85,7 +85,8 @@
 		}
 		jobs[r.taskID.Job] = true
 		if r.task != nil {
-			list = append(list, suspect{r, r.task, fleet.Suspicion{Target: t.ID, Incarnation: t.Incarnation, Weak: t.lostAt > max(r.orderedAt, r.startedAt)+promptLoss}})
+			weak := r.weakLoss || t.lostAt > max(r.orderedAt, r.startedAt)+promptLoss
+			list = append(list, suspect{r, r.task, fleet.Suspicion{Target: t.ID, Incarnation: t.Incarnation, Weak: weak}})
 		}
 	}
 	for i := range list {
--- a/internal/pool/losses.go
+++ b/internal/pool/losses.go
@@ -35,7 +35,7 @@
 	target      string
 	addr        string
 	incarnation int64
-	jobs        []string // those with suspects on it, without duplicates
+	jobs        []string // those with suspects on it or starts under way to it, without duplicates
 }
 
 // lossGroup holds the losses of one moment until they are assessed.
@@ -55,13 +55,22 @@
 	}
 	l := loss{target: t.ID, addr: t.Addr, incarnation: t.Incarnation}
 	for _, s := range suspects {
-		if id := s.task.job.ID; !slices.Contains(l.jobs, id) {
-			l.jobs = append(l.jobs, id)
+		l.addJob(s.task.job.ID)
+	}
+	for _, r := range sortedRuns(t.runs) {
+		if r.state == runOrdered {
+			l.addJob(r.taskID.Job) // the start may be lost later than its target, and is suspected then
 		}
 	}
 	p.lossGroup.losses = append(p.lossGroup.losses, l)
 }
 
+func (l *loss) addJob(id string) {
+	if !slices.Contains(l.jobs, id) {
+		l.jobs = append(l.jobs, id)
+	}
+}
+
 // isAssessed reports whether the loss that a suspicion names has been assessed.
 func (p *Pool) isAssessed(s fleet.Suspicion) bool {
 	return !slices.ContainsFunc(p.lossGroup.losses, func(l loss) bool { return l.target == s.Target && l.incarnation == s.Incarnation })
@@ -93,6 +102,7 @@
 	for _, l := range losses {
 		for _, id := range l.jobs {
 			weak := all-own[id] >= enough
+			p.noteWeakLoss(l, id, weak)
 			if sj := p.suspected[id]; sj != nil {
 				weakened[id] = weak && sj.tasks.Weaken(l.target, l.incarnation) || weakened[id]
 			}
@@ -109,6 +119,20 @@
 	}
 }
 
+// noteWeakLoss notes on the runs of a job whether the loss of their target is weak evidence
+// against it, for those that are suspected later.
+func (p *Pool) noteWeakLoss(l loss, job string, weak bool) {
+	t := p.targets[l.target]
+	if t == nil || t.Incarnation != l.incarnation {
+		return
+	}
+	for _, r := range t.runs {
+		if r.taskID.Job == job {
+			r.weakLoss = weak
+		}
+	}
+}
+
 // causesOfOneFault returns the number of other jobs that losses would have to be blamed on for
 // them to be taken for one fault, and the number of targets at the time. Targets that were
 // lost before, or have another incarnation at their address, are none of them.
--- a/internal/pool/ownership.go
+++ b/internal/pool/ownership.go
@@ -128,6 +128,7 @@
 		listed[runKey{e.Task, e.Run}] = true
 	}
 	for _, r := range sortedRuns(t.runs) {
+		r.weakLoss = false // that loss was none
 		if !listed[r.key()] {
 			p.releaseAndRequeue(now, r, groundNotAcquired) // its start had a lower fencing token and can't take effect
 		}
--- a/internal/pool/run.go
+++ b/internal/pool/run.go
@@ -41,6 +41,7 @@
 	incarnation  int64  // of the target that it was ordered from
 	order        uint64 // number of its start, 0 if another owner has started it
 	suspect      bool   // its task was a suspect at the start
+	weakLoss     bool   // the loss of its target is weak evidence against its task
 }
 
 const (
