A start that is lost after its target is suspected of the loss at once

A task that crashes its target before the start is answered was never given up if the answer was lost later than the target was taken for lost (two failed holds), and the target was back after the lease: the run had lapsed by then, and nobody was suspected. Orders that a coordinator sends take a hop more, and are unanswered for 400 ms at most.

Such a run is suspected when its start is found to be unanswered.

Evidence: TestJobWhoseStartsAreLostAfterTheirTargetsIsGivenUp failed before (the job was not failed after two rounds of 8 crashes) and passes now; all other tests of the package pass but the three known reds.

--- a/internal/pool/late_loss_test.go
+++ b/internal/pool/late_loss_test.go
@@ -57,3 +57,22 @@
 		})
 	}
 }
+
+// A job whose tasks crash many targets is given up after two crashes of a task, also if its starts
+// are lost after their targets.
+func TestJobWhoseStartsAreLostAfterTheirTargetsIsGivenUp(t *testing.T) {
+	s := newCrashSim(t, 20)
+	s.submit(patientJob("j", 8, 20000))
+	for range 2 {
+		late := s.runUntilStarts()
+		for _, o := range late {
+			s.crash(o.Target.ID)
+		}
+		s.run(30 * ms)
+		for _, o := range late {
+			s.replyStart(o, fleet.Unanswered)
+		}
+	}
+	s.run(10 * time.Second)
+	assert.DeepEqual(t, s.failedJobs(), []string{"j"})
+}
--- a/internal/pool/run.go
+++ b/internal/pool/run.go
@@ -93,6 +93,9 @@
 		if r.state == runOrdered {
 			r.state = runUnconfirmed
 			t.refreshDue = true
+			if t.lossRecorded {
+				p.suspectTasks(now, suspectsOn(t), false) // before the run may lapse
+			}
 		}
 	case fleet.Fenced:
 		if o.Fence == t.fence {
