A start that reaches the next incarnation of its target is no crash under it

An unanswered start was blamed for the crash of its target, also if the next incarnation under the same ID got the start later and shows the run: no target has crashed under it. Nor was that run suspected if the next incarnation crashed, since it was taken for one of the earlier incarnation.

A run that a report shows belongs to the incarnation that reports it; the suspicion of the earlier one is withdrawn.

Evidence: TestStartThatReachesTheNextIncarnationIsNoCrash failed before (1 crash in place of 0) and passes now; all other tests of the package pass but the three known reds.

--- a/internal/pool/crash.go
+++ b/internal/pool/crash.go
@@ -252,6 +252,26 @@
 	}
 }
 
+// noteLife notes that the present incarnation of the target has a run that was ordered from an
+// earlier one: its start came late, and the earlier one has not crashed under it.
+func (p *Pool) noteLife(now time.Duration, r *run) {
+	before := r.incarnation
+	if before == 0 || before == r.target.Incarnation {
+		return
+	}
+	r.incarnation = r.target.Incarnation
+	tk := r.task
+	if tk == nil || !tk.suspect || p.jobs[tk.job.ID] != tk.job {
+		return
+	}
+	tasks := tk.job.suspected.tasks
+	tasks[tk.ordinal] = slices.DeleteFunc(tasks[tk.ordinal], func(s fleet.Suspicion) bool { return s.Target == r.target.ID && s.Incarnation == before })
+	if len(tasks[tk.ordinal]) == 0 {
+		delete(tasks, tk.ordinal)
+	}
+	p.suspicionsChanged(now, tk.job)
+}
+
 // targetReplaced handles an answer that shows another incarnation at the address of a
 // target whose incarnations have different IDs: this one is over, with all its runs.
 func (p *Pool) targetReplaced(now time.Duration, t *target, addr string) {
--- /dev/null
+++ b/internal/pool/next_life_test.go
@@ -0,0 +1,40 @@
+package pool
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"currantstall/internal/fleet"
+	"currantstall/internal/verdict"
+)
+
+// A start was unanswered, its target crashed, and the next incarnation got the start: no target
+// has crashed under the task.
+func TestStartThatReachesTheNextIncarnationIsNoCrash(t *testing.T) {
+	s := newCrashSim(t, 2)
+	s.submit(patientJob("j", 1, 20000))
+	s.tick(ms)
+	o := takeEffects[fleet.Start](s.harness)[0]
+	s.replyStart(o, fleet.Unanswered)
+	s.crash(o.Target.ID)
+	s.backAt[o.Target.ID] = s.now + 100*ms
+	s.run(90 * ms)
+	s.running[o.Target.ID] = []fleet.Running{{Task: o.Task, Run: o.Run, PercentDone: 1}}
+	s.until[runKey{o.Task, o.Run}] = s.now + 300*ms
+	s.run(100 * ms)
+	assert.Assert(t, s.p.targets[o.Target.ID].Incarnation == 2)
+	crashed := 0
+	for _, list := range s.p.suspected["j"].tasks {
+		for _, x := range list {
+			if x.Crashed {
+				crashed++
+			}
+		}
+	}
+	assert.Equal(t, crashed, 0)
+	s.crash(o.Target.ID) // the first crash under it
+	s.run(20 * time.Second)
+	assert.Equal(t, s.outcomes()["j"].Verdict, verdict.Completed)
+}
--- a/internal/pool/report.go
+++ b/internal/pool/report.go
@@ -111,6 +111,7 @@
 		if r == nil {
 			p.handleUnknownEnd(now, t, e)
 		} else {
+			p.noteLife(now, r)
 			if r.task != nil && e.Checkpoint != "" {
 				r.task.checkpoint = e.Checkpoint
 			}
@@ -211,6 +212,7 @@
 		if r.state == runOrdered || r.state == runUnconfirmed {
 			r.begin(now)
 		}
+		p.noteLife(now, r)
 		r.noteStarted(rep.ClockMS)
 		p.acquit(now, r)
 		if r.state == runStopping {
