Rounds don't look at stored jobs that may not be started yet

A new owner of stored jobs waits 3.6 to 12 s until the runs of the former one are over, and an owner starts nothing while the store is away. Each round looked at all waiting jobs meanwhile, to find that none of them may start. An owner that has taken over a backlog was bound by that, and its own rounds before the wait was over delayed all else.

- Restored jobs are kept beside the list of the queue until the wait for the former owner's runs is over.
Load, advice to come back and the shares of queues count them as before.
- A queue of stored jobs alone is passed over while the ownership is not renewed.
- Whether stored jobs have runs is asked of the runs, not of all jobs.

TestRoundDoesNotCostWhatMayNotStart looked at 4,000 jobs before.

--- a/internal/pool/backlog_bench_test.go
+++ b/internal/pool/backlog_bench_test.go
@@ -99,3 +99,46 @@
 		}
 	})
 }
+
+// newTakeoverPool returns a pool that has just restored stored jobs and waits for the runs of
+// their former owner.
+func newTakeoverPool(jobs int, started bool) (*Pool, time.Duration) {
+	p, now := newBenchPool(48)
+	p.ExpectStored()
+	var restored []jobstore.StoredJob
+	for i := range jobs {
+		if started {
+			restored = append(restored, restoredJob(backlogJob(i), 0))
+		} else {
+			restored = append(restored, restoredJob(backlogJob(i)))
+		}
+	}
+	p.TakeOverStored(now, now, 1, restored)
+	p.RenewStored(now+time.Hour, now+time.Hour)
+	return p, now
+}
+
+// A round of a new owner that may not start the restored jobs yet.
+func BenchmarkTickAfterTakeoverOfBacklog(b *testing.B) {
+	benchmarkBacklog(b, func(b *testing.B, jobs int, started bool) {
+		p, now := newTakeoverPool(jobs, started)
+		b.ReportAllocs()
+		for b.Loop() {
+			p.Tick(now)
+			p.effects = p.effects[:0]
+		}
+	})
+}
+
+// A round of an owner that has not renewed its ownership in time, since the store is away.
+func BenchmarkTickWithoutRenewalWithBacklog(b *testing.B) {
+	benchmarkBacklog(b, func(b *testing.B, jobs int, started bool) {
+		p, now, _ := newBacklogPool(jobs, started)
+		p.stored.startsUntil = now
+		b.ReportAllocs()
+		for b.Loop() {
+			p.Tick(now)
+			p.effects = p.effects[:0]
+		}
+	})
+}
--- a/internal/pool/backlog_test.go
+++ b/internal/pool/backlog_test.go
@@ -44,6 +44,29 @@
 	}
 }
 
+// Rounds looked at all jobs that may not be started yet, after a takeover or while the store is away.
+func TestRoundDoesNotCostWhatMayNotStart(t *testing.T) {
+	for _, started := range []bool{false, true} {
+		t.Run(fmt.Sprintf("started=%v", started), func(t *testing.T) {
+			p, now := newTakeoverPool(4000, started)
+			p.Tick(now)
+			assert.Equal(t, len(startsOf(p)), 0)
+			assertRoundIsBounded(t, p)
+			assert.Equal(t, p.Load().Waiting, 4000)
+			p.Tick(now + formerRunsTimeout - ms)
+			assert.Equal(t, len(startsOf(p)), 0, "a former owner's runs may last")
+			p.Tick(now + formerRunsTimeout)
+			assert.Equal(t, len(startsOf(p)), 96, "the wait is over")
+
+			q, now, _ := newBacklogPool(4000, started)
+			q.stored.startsUntil = now
+			q.stored.renewedAt = 0
+			q.Tick(now)
+			assertRoundIsBounded(t, q)
+		})
+	}
+}
+
 // The same with best-effort jobs, whose deadlines pass.
 func TestRoundDoesNotCostBestEffortJobsThatWait(t *testing.T) {
 	p, now := newBenchPool(48)
--- a/internal/pool/former.go
+++ b/internal/pool/former.go
@@ -1,10 +1,8 @@
 package pool
 
 import (
-	"slices"
 	"time"
 
-	"currantstall/internal/fleet"
 	"currantstall/internal/jobstore"
 )
 
@@ -80,8 +78,13 @@
 // formerRunsOver returns from when on a restored job may be started. Tasks that may have completed
 // on a target out of reach wait for it, which is in vain for long-running ones.
 func (p *Pool) formerRunsOver(j *job) time.Duration {
-	if slices.ContainsFunc(j.Steps, func(s fleet.Step) bool { return !s.LongRunning }) {
-		return p.stored.formerRunsEnd
+	return p.stored.runsOver(j.longRunningOnly)
+}
+
+// runsOver is formerRunsOver for jobs that have long-running steps only, or for others.
+func (s *storedState) runsOver(longRunningOnly bool) time.Duration {
+	if !longRunningOnly {
+		return s.formerRunsEnd
 	}
-	return min(p.stored.formerRunsEnd, p.stored.lastSeen+formerRunsTimeout)
+	return min(s.formerRunsEnd, s.lastSeen+formerRunsTimeout)
 }
--- a/internal/pool/job.go
+++ b/internal/pool/job.go
@@ -43,27 +43,25 @@
 // job is a job, or an occurrence of a recurring job, that has not ended.
 type job struct {
 	fleet.Job
-	queueState          *queueState
-	coordinator         string
-	arrived             time.Duration
-	latestStart         time.Duration // a later start misses the response time that the job aims at
-	latestLateStart     time.Duration // after a later start the answer is useless
+	queueState      *queueState
+	coordinator     string
+	arrived         time.Duration
+	latestStart     time.Duration // a later start misses the response time that the job aims at
+	latestLateStart time.Duration // after a later start the answer is useless
+	queueIndex
 	steps               [][]*task
-	remaining           []int             // tasks that are not done, by step
-	waiting             int               // tasks in state taskWaiting
-	queued              bool              // in the list of its queue
-	rejectAt            time.Duration     // it need not be looked at for rejection before, while it is in its queue's deadlines
-	deadlineIndex       int               // in the deadlines of its queue
-	leastNeeds          structs.Resources // at most what any of its tasks needs, by resource
-	mayHaveStarted      bool              // a start was sent, or may have been by a former owner
-	started             bool              // a run is known to have begun
-	mayHaveRunElsewhere bool              // a former owner may have started a task
-	formerRunsEnd       time.Duration     // when all runs of a former owner are over
-	restored            bool              // taken over from a former owner
-	seq                 int               // of the last record emitted to be saved
-	savedSeq            int               // of the last record known to be saved
-	endRecorded         bool              // the record of its end was emitted
-	parent              *recurringJob     // the recurring job of which it is an occurrence, or nil
+	remaining           []int         // tasks that are not done, by step
+	waiting             int           // tasks in state taskWaiting
+	queued              bool          // in the list of its queue
+	mayHaveStarted      bool          // a start was sent, or may have been by a former owner
+	started             bool          // a run is known to have begun
+	mayHaveRunElsewhere bool          // a former owner may have started a task
+	formerRunsEnd       time.Duration // when all runs of a former owner are over
+	restored            bool          // taken over from a former owner
+	seq                 int           // of the last record emitted to be saved
+	savedSeq            int           // of the last record known to be saved
+	endRecorded         bool          // the record of its end was emitted
+	parent              *recurringJob // the recurring job of which it is an occurrence, or nil
 	occurrence          int
 	number              uint64        // of the coordinator's last submission
 	vouch               *vouch        // of its coordinator; nil if its runs need none
@@ -174,13 +172,10 @@
 	p.attachVouch(now, j, &s)
 	p.waitForFormerOwners(now, j, &s)
 	p.waitForLeftRuns(now, j, &s)
+	j.queueIndex = newQueueIndex(j.Steps)
 	ordinal := 0
 	for i := range j.Steps {
 		step := &j.Steps[i]
-		if i == 0 {
-			j.leastNeeds = step.Needs
-		}
-		j.leastNeeds = j.leastNeeds.Min(step.Needs)
 		expected := q.expectedRunTime(step.Estimate)
 		if step.LongRunning {
 			expected = 0 // the task has no expected end
--- a/internal/pool/load.go
+++ b/internal/pool/load.go
@@ -31,8 +31,8 @@
 		}
 	}
 	for _, q := range p.rankedQueues {
-		s.Waiting += len(q.waiting)
-		for _, j := range q.waiting {
+		s.Waiting += q.length()
+		for j := range q.all() {
 			for i := range j.Steps {
 				s.Queued += int64(min(j.remaining[i], j.waiting)) * j.Steps[i].Needs.MilliCPU
 			}
--- a/internal/pool/place.go
+++ b/internal/pool/place.go
@@ -37,7 +37,7 @@
 // index of the first job that can still be in time.
 func (p *Pool) placeByShares(now time.Duration, pick func(q *queueState, firstInTime int) []*job) {
 	for {
-		q := p.leastServed()
+		q := p.leastServed(now)
 		if q == nil {
 			return
 		}
@@ -50,6 +50,9 @@
 // placeStarted starts the waiting tasks of jobs that may have started.
 func (p *Pool) placeStarted(now time.Duration, q *queueState) {
 	least, first := structs.Resources{}, true
+	if p.startsNone(now, q) {
+		return
+	}
 	for i := 0; i < len(q.waiting) && q.waiting[i].mayHaveStarted; {
 		if !p.mayFindRoomAnywhere(q.leastStarted) {
 			return
@@ -70,13 +73,19 @@
 	q.leastStarted = least
 }
 
+// startsNone reports whether no job of the queue may be started, since there is none or the
+// ownership of stored jobs was not renewed.
+func (p *Pool) startsNone(now time.Duration, q *queueState) bool {
+	return len(q.waiting) == 0 || q.callerJobs == 0 && now >= p.stored.startsUntil
+}
+
 // leastServed returns, of the queues with waiting jobs that are not exhausted, the one
 // that uses the least of its share, or nil if there is none.
-func (p *Pool) leastServed() *queueState {
+func (p *Pool) leastServed(now time.Duration) *queueState {
 	var best *queueState
 	var least float64
 	for _, q := range p.rankedQueues {
-		if q.exhausted || len(q.waiting) == 0 {
+		if q.exhausted || p.startsNone(now, q) {
 			continue
 		}
 		if use := float64(q.usedMilliCPU) / q.weight; best == nil || use < least {
--- a/internal/pool/queue.go
+++ b/internal/pool/queue.go
@@ -35,6 +35,10 @@
 	weight    float64
 	waiting   []*job // jobs that may have started first, then by latest start
 	deadlines deadlines
+	// awaiting are the jobs with waiting tasks that wait for the runs of a former owner to end.
+	// They are not in waiting, so that rounds don't look at them.
+	awaiting   []*job
+	callerJobs int // jobs in waiting that are not stored
 	// leastStarted is at most what the waiting tasks of any job that may have started need, by
 	// resource. It is of no use while there is no such job.
 	leastStarted structs.Resources
@@ -111,6 +115,10 @@
 }
 
 func (q *queueState) insert(j *job) {
+	if j.awaitsFormerRuns {
+		q.addAwaiting(j)
+		return
+	}
 	if j.mayHaveStarted {
 		if q.firstNotStarted() == 0 {
 			q.leastStarted = j.leastNeeds
@@ -121,6 +129,9 @@
 	q.waiting = slices.Insert(q.waiting, at, j)
 	j.queued = true
 	q.deadlines.add(j)
+	if !j.Stored {
+		q.callerJobs++
+	}
 }
 
 // firstNotStarted returns the index of the first waiting job that can't have started.
@@ -132,8 +143,15 @@
 	if !j.queued {
 		return
 	}
+	if j.awaitsFormerRuns {
+		q.removeAwaiting(j)
+		return
+	}
 	j.queued = false
 	q.deadlines.remove(j)
+	if !j.Stored {
+		q.callerJobs--
+	}
 	if at, found := slices.BinarySearchFunc(q.waiting, j, compareJobs); found {
 		q.waiting = slices.Delete(q.waiting, at, at+1)
 	}
@@ -213,7 +231,7 @@
 		}
 	}
 	for _, o := range p.rankedQueues {
-		if o == q || o.usedMilliCPU > 0 || len(o.waiting) > 0 {
+		if o == q || o.usedMilliCPU > 0 || o.length() > 0 {
 			weights += o.weight
 		}
 	}
@@ -228,7 +246,7 @@
 // in time. Nothing is shed while the queue is too short to predict from, or early in a
 // takeover.
 func (p *Pool) shouldShed(now time.Duration, j *job) bool {
-	if j.mayHaveStarted || len(j.queueState.waiting) < minQueueToShed || now < p.leadingSince+takeoverPeriod {
+	if j.mayHaveStarted || j.queueState.length() < minQueueToShed || now < p.leadingSince+takeoverPeriod {
 		return false
 	}
 	return float64(p.expectedWait(now, j.queueState, j)) > shedFactor*float64(j.latestStart-now)
@@ -261,7 +279,7 @@
 		}
 	}
 	for _, q := range p.rankedQueues {
-		for _, j := range q.waiting {
+		for j := range q.all() {
 			for i := range j.Steps {
 				work += float64(j.remaining[i]) * float64(j.Steps[i].Needs.MilliCPU) * q.expectedRunTime(j.Steps[i].Estimate).Seconds()
 			}
--- a/internal/pool/stored.go
+++ b/internal/pool/stored.go
@@ -34,6 +34,7 @@
 	nextFitCheck    time.Duration            // when it is checked next whether jobs fit
 	ended           map[string]*endedJob     // by job ID
 	recurring       map[string]*recurringJob // by job ID
+	awaiting        map[bool][]*job          // jobs that await former runs, and some that have ended, by longRunningOnly
 	unknownJobEnds  map[string][]heldEnd     // held ends of jobs that are not restored yet, by job ID
 }
 
@@ -48,7 +49,7 @@
 // reset drops all state of stored jobs but their expected existence.
 func (s *storedState) reset() {
 	*s = storedState{expected: s.expected, ended: make(map[string]*endedJob),
-		recurring: make(map[string]*recurringJob), unknownJobEnds: make(map[string][]heldEnd)}
+		recurring: make(map[string]*recurringJob), awaiting: make(map[bool][]*job), unknownJobEnds: make(map[string][]heldEnd)}
 }
 
 // ExpectStored tells the pool that stored jobs exist. Until they are restored, ends and
@@ -142,15 +143,18 @@
 		return
 	}
 	p.awaitFormerRuns(now)
+	p.releaseAwaiting(now)
 	p.endUnfitJobs(now)
 	p.tickRecurring(now)
 }
 
 // hasStoredRuns reports whether a stored job has runs.
 func (p *Pool) hasStoredRuns() bool {
-	for _, j := range p.jobs {
-		if j.Stored && len(j.currentRuns()) > 0 {
-			return true
+	for _, t := range p.sortedTargets {
+		for _, r := range t.runs {
+			if r.task != nil && r.task.job.Stored && r.task.currentRun == r && p.jobs[r.task.job.ID] == r.task.job {
+				return true
+			}
 		}
 	}
 	return false
@@ -202,6 +206,7 @@
 	j := p.newJob(now, s)
 	j.restored = restored
 	j.formerRunsEnd = 0
+	p.awaitFormerOwner(j)
 	p.jobs[j.ID] = j
 	p.applyRecord(j, rec)
 	p.reconcileStored(now, j, rec)
--- a/internal/pool/timed.go
+++ b/internal/pool/timed.go
@@ -79,6 +79,7 @@
 	occurrence.ID, occurrence.Occurrences = fleet.OccurrenceID(rj.ID, k), 0
 	j := p.newJob(now, Submit{Job: occurrence, Waited: late})
 	j.restored, j.formerRunsEnd, j.parent, j.occurrence = rj.restored, 0, rj, k
+	p.awaitFormerOwner(j)
 	rj.openOccurrences[k] = j
 	p.jobs[j.ID] = j
 	p.log("job", "job", rj.ID, "occurrence", k, "outcome", "due", "late_ms", late.Milliseconds())
