A job of which a former owner's run has ended counts as started; tests on counted failures

What callers could see: a job that had been running shown as queued, and counted as pending, after its owner was lost, if the only trace of its run was an end that the next owner took note of.

Now such an end marks the job as started, like an end that the owner saw itself.

Tests, all of which want each failed run counted once: TestFailedRunOfAFormerOwnersGangCountsOnce (both members list it, one again), TestFailureListedByTwoIncarnationsCountsOnce, TestAttemptsAreThoseThatTheJobWasAcceptedWith, TestFailuresOfOccurrencesCountApart. Counting itself was sound; the first three fail before on the state queued only.

--- a/internal/pool/report.go
+++ b/internal/pool/report.go
@@ -183,6 +183,7 @@
 	if tk == nil || tk.state == taskDone || tk.step.LongRunning {
 		return // a long-running task is started again, however a run of it ended
 	}
+	tk.job.started = true
 	if e.Kind == fleet.EndFailed && tk.job.Stored {
 		p.countFailure(now, tk, e.Run, t)
 	}
