The end of an occurrence that is not due yet by the owner's clock is kept

What callers could see: an occurrence of a recurring job that runs again although it was done, or a failure that is not counted.

Cause: the former owner's clock was ahead, or the next owner had not set its clock yet: it had no job for the occurrence when the target listed the end, ignored and acknowledged it, and started the occurrence when it fell due.

Now such an end is held, as those of jobs that are not restored yet, until the occurrence starts, if that is due within 10 s by the owner's clock. It is released if the occurrence has ended by its record, or the job ends.

Evidence: TestEndOfAnOccurrenceThatIsNotDueYetIsNotForgotten fails before (1 start in place of 0, whether the end is listed before the take-over or after); TestEndOfAnOccurrenceThatIsOverIsAcknowledged.

--- a/internal/pool/count_test.go
+++ b/internal/pool/count_test.go
@@ -103,3 +103,48 @@
 	b.reportEnds("t00", failedEnd(4, "j.1", 0, 2))
 	b.assertState("j", fleet.JobFailed)
 }
+
+// Guards against an occurrence that runs again: its end came while it was not due yet by the clock of the next owner,
+// which forgot the end.
+func TestEndOfAnOccurrenceThatIsNotDueYetIsNotForgotten(t *testing.T) {
+	for name, before := range map[string]bool{"before": true, "after": false} {
+		t.Run(name, func(t *testing.T) {
+			b := newHarness(t, 1)
+			b.setWallClock() // 5 s before the first occurrence is due
+			b.p.ExpectStored()
+			done := failedEnd(1, "j", 0, 1)
+			done.Kind = fleet.EndDone
+			if before {
+				b.reportEnds("t00", done)
+			}
+			b.takeOver(restoredJob(recurringTestJob("j", 1)))
+			if !before {
+				b.reportEnds("t00", done)
+			}
+			for range 40 {
+				b.tick(500 * ms)
+				b.p.RenewStored(b.now+time.Minute, b.now+time.Minute)
+			}
+			assert.Equal(t, len(takeEffects[fleet.Start](b)), 0)
+		})
+	}
+}
+
+// Guards against ends that are held for ever: of an occurrence that has ended by its record, or of a job that has ended.
+func TestEndOfAnOccurrenceThatIsOverIsAcknowledged(t *testing.T) {
+	b := newHarness(t, 1)
+	b.setWallClock()
+	r := restoredJob(recurringTestJob("j", 3))
+	r.Record.Occurrences = map[int]fleet.Record{0: {State: fleet.JobComplete}}
+	b.takeOver(r)
+	done, later := failedEnd(1, "j", 0, 1), failedEnd(2, "j.1", 0, 1)
+	done.Kind = fleet.EndDone
+	b.reportEnds("t00", done)
+	assert.Equal(t, b.p.targets["t00"].ackNumber(), int64(1))
+	b.tick(6 * time.Second)
+	b.reportEnds("t00", later)
+	assert.Equal(t, b.p.targets["t00"].ackNumber(), int64(1), "acknowledged before the occurrence is due")
+
+	b.p.Cancel(b.now, "j")
+	assert.Equal(t, b.p.targets["t00"].ackNumber(), int64(2))
+}
--- a/internal/pool/held.go
+++ b/internal/pool/held.go
@@ -11,7 +11,7 @@
 	target    *target
 	end       fleet.End
 	job       string
-	recordSeq int // of the record; math.MaxInt while the job is not restored
+	recordSeq int // of the record; math.MaxInt while the job, or its occurrence, is not restored
 }
 
 // holdEnd delays the acknowledgement of an end until the record that contains it is
@@ -23,6 +23,9 @@
 	h := heldEnd{target: t, end: e, job: fleet.BaseJobID(e.Task.Job)}
 	j, ended, rj := p.jobs[e.Task.Job], p.stored.ended[h.job], p.stored.recurring[h.job]
 	switch {
+	case rj != nil && p.comesLater(rj, e.Task.Job):
+		h.recordSeq = math.MaxInt
+		p.stored.unknownJobEnds[e.Task.Job] = append(p.stored.unknownJobEnds[e.Task.Job], h)
 	case rj != nil && rj.seq > rj.savedSeq:
 		h.recordSeq = rj.seq
 	case rj != nil:
@@ -53,7 +56,9 @@
 // releaseUnknownEnds permits the acknowledgement of ends whose jobs are not stored.
 func (p *Pool) releaseUnknownEnds() {
 	for id := range p.stored.unknownJobEnds {
-		p.takeHeldEnds(id)
+		if rj := p.stored.recurring[fleet.BaseJobID(id)]; rj == nil || !p.comesLater(rj, id) {
+			p.takeHeldEnds(id)
+		}
 	}
 }
 
--- a/internal/pool/timed.go
+++ b/internal/pool/timed.go
@@ -3,6 +3,8 @@
 import (
 	"maps"
 	"slices"
+	"strconv"
+	"strings"
 	"time"
 
 	"currantstall/internal/fleet"
@@ -26,6 +28,9 @@
 // differences between clocks.
 const dueMargin = 20 * time.Millisecond
 
+// maxClockStep is how far the clock of a former owner may have been ahead of this owner's.
+const maxClockStep = 10 * time.Second
+
 // SetWallClock sets the time of day at the pool's time now, as Unix time in ms. No
 // occurrence starts before it is called.
 func (p *Pool) SetWallClock(now time.Duration, unixMS int64) {
@@ -73,6 +78,22 @@
 	}
 }
 
+// comesLater reports whether a former owner, whose clock was ahead, may have started an occurrence that is
+// not due yet by this owner's clock.
+func (p *Pool) comesLater(rj *recurringJob, id string) bool {
+	k := 0
+	if _, number, later := strings.Cut(id, "."); later {
+		var err error
+		if k, err = strconv.Atoi(number); err != nil {
+			return false
+		}
+	}
+	if k < rj.nextOccurrence || k >= rj.Occurrences || rj.records[k].State.Ended() {
+		return false
+	}
+	return p.zeroUnixMS == 0 || p.zeroUnixMS+(p.lastTick+maxClockStep).Milliseconds() >= rj.DueMS(k)
+}
+
 // startOccurrence adds the job of an occurrence that is due.
 func (p *Pool) startOccurrence(now time.Duration, rj *recurringJob, k int, rec fleet.Record, late time.Duration) {
 	occurrence := rj.Job
@@ -125,6 +146,11 @@
 			p.stopRun(now, r, "job ended")
 		}
 	}
+	for id := range p.stored.unknownJobEnds {
+		if fleet.BaseJobID(id) == rj.ID {
+			p.takeHeldEnds(id)
+		}
+	}
 	rj.seq++
 	p.emit(jobstore.Save{Job: rj.ID, Seq: rj.seq, Epoch: p.stored.epoch, Record: fleet.Record{State: state}})
 	p.stored.ended[rj.ID] = &endedJob{state: state, seq: rj.seq, endedAt: now}
