Test: a stored job is known while its rows move at its end

Found no fault: an entry reads the final state, the open job, then the mark of a used ID, and the rows move by one transaction; TestJobIsKnownWhileItsRowsMove passes before and after.

--- a/internal/jobstore/stale_test.go
+++ b/internal/jobstore/stale_test.go
@@ -188,3 +188,49 @@
 	s.eventually(t, "the owner has the jobs again", func() bool { return s.epoch > 1 })
 	s.locked(func() { assert.Equal(t, s.lost, 1) })
 }
+
+// movedAfter are tables in which the rows of an ended job move once so many reads were answered.
+type movedAfter struct {
+	jobstore.Tables
+	reads int
+	move  func()
+}
+
+func (m *movedAfter) Read(ctx context.Context, table, part, from string, limit int) (jobstore.Page, error) {
+	page, err := m.Tables.Read(ctx, table, part, from, limit)
+	if m.reads--; m.reads == 0 {
+		m.move()
+	}
+	return page, err
+}
+
+// Guards against an accepted job that is not known: it ends, and its rows move, between the reads by which an entry
+// looks for it.
+func TestJobIsKnownWhileItsRowsMove(t *testing.T) {
+	for reads := 1; reads <= 3; reads++ {
+		_, tables := startStore(t)
+		_, err := jobstore.NewAccepter(tables, discard()).Accept(job(0))
+		assert.NilError(t, err)
+		o, s, _ := runOwner(t, tables, "e1")
+		s.eventually(t, "the owner has acquired the jobs", func() bool { return s.epoch == 1 })
+		moved := &movedAfter{Tables: tables, reads: reads, move: func() {
+			o.Save(jobstore.Save{Job: job(0).ID, Seq: 1, Epoch: 1, Record: fleet.Record{State: fleet.JobComplete}})
+			s.eventually(t, "the rows have moved", func() bool {
+				for part := range 8 {
+					page, err := tables.Read(context.Background(), "jobs-open", fmt.Sprint(part), "", 0)
+					if err != nil || len(page.Rows) > 0 {
+						return false
+					}
+				}
+				return true
+			})
+		}}
+		_, known, err := jobstore.FinalState(context.Background(), moved, job(0).ID)
+		assert.NilError(t, err)
+		if !known {
+			known, err = jobstore.Exists(context.Background(), moved, job(0).ID)
+			assert.NilError(t, err)
+		}
+		assert.Assert(t, known, "after %d reads", reads)
+	}
+}
