--- a/internal/pool/crash.go
+++ b/internal/pool/crash.go
@@ -85,11 +85,12 @@
 		}
 		jobs[r.taskID.Job] = true
 		if r.task != nil {
-			list = append(list, suspect{run: r, task: r.task})
+			weak := r.weakLoss || t.lostAt > max(r.orderedAt, r.startedAt)+promptLoss
+			list = append(list, suspect{r, r.task, fleet.Suspicion{Target: t.ID, Incarnation: t.Incarnation, Weak: weak}})
 		}
 	}
 	for i := range list {
-		list[i].suspicion = fleet.Suspicion{Target: t.ID, Incarnation: t.Incarnation, Alone: len(jobs) == 1}
+		list[i].suspicion.Alone = len(jobs) == 1
 	}
 	return list
 }
@@ -99,8 +100,10 @@
 	if t.lossRecorded {
 		return
 	}
-	t.lossRecorded = true
-	p.suspectTasks(now, suspectsOn(t), false)
+	t.lossRecorded, t.lostAt = true, now
+	suspects := suspectsOn(t)
+	p.noteLoss(now, t, suspects)
+	p.suspectTasks(now, suspects, false)
 }
 
 // suspectTasks records suspicions, and gives up the jobs of the tasks that they condemn.
@@ -119,7 +122,7 @@
 		}
 		sj.addedAt = now
 		p.log("suspect", "task", tk.id.String(), "run", s.run.number, "target", s.suspicion.Target, "alone", s.suspicion.Alone,
-			"crashed", crashed, "suspicions", len(sj.tasks[tk.ordinal]),
+			"weak", s.suspicion.Weak, "crashed", crashed, "suspicions", len(sj.tasks[tk.ordinal]),
 			"answered", s.run.startedAt > 0, "since_order_ms", (now - s.run.orderedAt).Milliseconds())
 		if open {
 			p.suspicionsChanged(now, j)
@@ -162,7 +165,7 @@
 		for _, tk := range tasks {
 			list := j.suspected.tasks[tk.ordinal]
 			tk.suspect = len(list) > 0
-			if tk.state != taskDone && fleet.Condemns(list) {
+			if tk.state != taskDone && p.condemns(list) {
 				p.log("suspect", "task", tk.id.String(), "outcome", "given up", "suspicions", len(list))
 				p.endJob(now, j, fleet.Outcome{Verdict: verdict.Failed, Reason: verdict.CrashesTargets})
 				return true
@@ -249,6 +252,26 @@
 	}
 }
 
+// noteLife notes that the present incarnation of the target has a run that was ordered from an
+// earlier one: its start came late, and the earlier one has not crashed under it.
+func (p *Pool) noteLife(now time.Duration, r *run) {
+	before := r.incarnation
+	if before == 0 || before == r.target.Incarnation {
+		return
+	}
+	r.incarnation = r.target.Incarnation
+	tk := r.task
+	if tk == nil || !tk.suspect || p.jobs[tk.job.ID] != tk.job {
+		return
+	}
+	tasks := tk.job.suspected.tasks
+	tasks[tk.ordinal] = slices.DeleteFunc(tasks[tk.ordinal], func(s fleet.Suspicion) bool { return s.Target == r.target.ID && s.Incarnation == before })
+	if len(tasks[tk.ordinal]) == 0 {
+		delete(tasks, tk.ordinal)
+	}
+	p.suspicionsChanged(now, tk.job)
+}
+
 // targetReplaced handles an answer that shows another incarnation at the address of a
 // target whose incarnations have different IDs: this one is over, with all its runs.
 func (p *Pool) targetReplaced(now time.Duration, t *target, addr string) {
--- /dev/null
+++ b/internal/pool/losses.go
@@ -0,0 +1,179 @@
+package pool
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"currantstall/internal/fleet"
+)
+
+// Targets that fall at one moment usually have one cause: power, a network, an upgrade. A
+// task that crashes its targets explains the loss of those that ran its job, and no others.
+// So the losses of a moment are assessed together: where there are many that a job doesn't
+// explain, they are weak evidence against it.
+
+const (
+	// lossWindow is how long after the first loss of a moment others belong to it. Broken
+	// connections show most losses within some tens of ms.
+	lossWindow = 200 * time.Millisecond
+	// minOtherCauses and otherCausesShare, of all targets, are the number of jobs that other
+	// losses of the moment would have to be blamed on for them to be taken for one fault.
+	minOtherCauses   = 4
+	otherCausesShare = 1.0 / 8
+	// lostAllOtherCauses replaces that number if no target is left: the targets of a small pool
+	// are fewer. It is below 1 since causes are added up from fractions.
+	lostAllOtherCauses = 0.5
+	// promptLoss is the longest time from a start to the loss of its target that suits a task
+	// that crashes targets. A target that was out of sight for longer may have crashed
+	// after the end of the run.
+	promptLoss = 500 * time.Millisecond
+)
+
+// loss is the loss of one incarnation of a target.
+type loss struct {
+	target      string
+	addr        string
+	incarnation int64
+	jobs        []string // those with suspects on it or starts under way to it, without duplicates
+}
+
+// lossGroup holds the losses of one moment until they are assessed.
+type lossGroup struct {
+	from   time.Duration // of the first one
+	losses []loss
+}
+
+// noteLoss adds the loss of a target to those of the present moment. An idle target may have
+// been gone for long when that is noticed.
+func (p *Pool) noteLoss(now time.Duration, t *target, suspects []suspect) {
+	if len(suspects) == 0 && (!t.owned || now > t.reportedAt+promptLoss) {
+		return
+	}
+	if len(p.lossGroup.losses) == 0 {
+		p.lossGroup.from = now
+	}
+	l := loss{target: t.ID, addr: t.Addr, incarnation: t.Incarnation}
+	for _, s := range suspects {
+		l.addJob(s.task.job.ID)
+	}
+	for _, r := range sortedRuns(t.runs) {
+		if r.state == runOrdered {
+			l.addJob(r.taskID.Job) // the start may be lost later than its target, and is suspected then
+		}
+	}
+	p.lossGroup.losses = append(p.lossGroup.losses, l)
+}
+
+func (l *loss) addJob(id string) {
+	if !slices.Contains(l.jobs, id) {
+		l.jobs = append(l.jobs, id)
+	}
+}
+
+// isAssessed reports whether the loss that a suspicion names has been assessed.
+func (p *Pool) isAssessed(s fleet.Suspicion) bool {
+	return !slices.ContainsFunc(p.lossGroup.losses, func(l loss) bool { return l.target == s.Target && l.incarnation == s.Incarnation })
+}
+
+// condemns reports whether the suspicions against a task show that it crashes its targets, as
+// far as they have been assessed.
+func (p *Pool) condemns(list []fleet.Suspicion) bool {
+	if !fleet.Condemns(list) {
+		return false
+	}
+	if len(p.lossGroup.losses) == 0 {
+		return true
+	}
+	return fleet.Condemns(slices.DeleteFunc(slices.Clone(list), func(s fleet.Suspicion) bool { return !p.isAssessed(s) }))
+}
+
+// tickLosses assesses the losses of a moment once it is over.
+func (p *Pool) tickLosses(now time.Duration) {
+	if len(p.lossGroup.losses) == 0 || now < p.lossGroup.from+lossWindow {
+		return
+	}
+	losses := p.lossGroup.losses
+	p.lossGroup.losses = nil
+	all, own := causesOf(losses)
+	enough, of := p.causesOfOneFault(losses)
+	p.log("losses", "targets", len(losses), "of", of, "causes", int(all+0.5), "causes_of_one_fault", int(enough+0.5))
+	weakened := make(map[string]bool)
+	for _, l := range losses {
+		for _, id := range l.jobs {
+			weak := all-own[id] >= enough
+			p.noteWeakLoss(l, id, weak)
+			if sj := p.suspected[id]; sj != nil {
+				weakened[id] = weak && sj.tasks.Weaken(l.target, l.incarnation) || weakened[id]
+			}
+		}
+	}
+	for _, id := range slices.Sorted(maps.Keys(weakened)) {
+		if j := p.jobs[id]; j != nil && j.suspected != nil {
+			if weakened[id] {
+				p.suspicionsChanged(now, j)
+			} else {
+				p.judge(now, j)
+			}
+		}
+	}
+}
+
+// noteWeakLoss notes on the runs of a job whether the loss of their target is weak evidence
+// against it, for those that are suspected later.
+func (p *Pool) noteWeakLoss(l loss, job string, weak bool) {
+	t := p.targets[l.target]
+	if t == nil || t.Incarnation != l.incarnation {
+		return
+	}
+	for _, r := range t.runs {
+		if r.taskID.Job == job {
+			r.weakLoss = weak
+		}
+	}
+}
+
+// causesOfOneFault returns the number of other jobs that losses would have to be blamed on for
+// them to be taken for one fault, and the number of targets at the time. Targets that were
+// lost before, or have another incarnation at their address, are none of them.
+func (p *Pool) causesOfOneFault(losses []loss) (enough float64, targets int) {
+	at := make(map[string]bool) // by address
+	for _, l := range losses {
+		at[l.addr] = true
+	}
+	lost := len(at)
+	for _, t := range p.sortedTargets {
+		if t.owned {
+			at[t.Addr] = true
+		}
+	}
+	if len(at) == lost {
+		return lostAllOtherCauses, lost
+	}
+	return max(minOtherCauses, float64(len(at))*otherCausesShare), len(at)
+}
+
+// causesOf estimates on how many jobs the losses would have to be blamed if tasks have caused
+// them, and how many of these causes each job would stand for. A job with suspects on several
+// lost targets stands for one cause.
+func causesOf(losses []loss) (all float64, own map[string]float64) {
+	lostBy := make(map[string]int) // by job
+	for _, l := range losses {
+		for _, id := range l.jobs {
+			lostBy[id]++
+		}
+	}
+	own = make(map[string]float64, len(lostBy))
+	for _, l := range losses {
+		most := 1
+		for _, id := range l.jobs {
+			most = max(most, lostBy[id])
+		}
+		cause := 1 / float64(most)
+		all += cause
+		for _, id := range l.jobs {
+			own[id] += cause
+		}
+	}
+	return all, own
+}
--- a/internal/pool/target.go
+++ b/internal/pool/target.go
@@ -46,6 +46,7 @@
 	unknownLeasesEnd time.Duration
 	seenMS           int64             // the latest time of its clock at which it has answered
 	lossRecorded     bool              // its runs are suspected of the loss of this incarnation
+	lostAt           time.Duration     // when that was noticed
 	replaced         bool              // another incarnation has answered at its address, under another ID
 	suspectRuns      int               // runs of tasks that were suspects at their start
 	largestRoom      structs.Resources // largest capacity listed for this incarnation, by resource
@@ -140,6 +141,9 @@
 	if p.firstListedAt == 0 && len(list) > 0 {
 		p.firstListedAt = now
 	}
+	if len(list) > 0 {
+		p.rooms.begin(now)
+	}
 	for _, info := range list {
 		present[info.ID], addrs[info.Addr] = true, true
 		t := p.targets[info.ID]
@@ -184,9 +188,9 @@
 	if info.Addr != t.Addr {
 		t.nextAcquireAt = now
 	}
+	p.noteListed(t, &info)
 	t.Target, t.listed = info, true
 	t.noteRoom(info.Capacity)
-	p.largestRooms[info.Service] = p.largestRooms[info.Service].Max(info.Capacity)
 	if info.Leaving {
 		t.step(statechart.TargetHealthOnLeave)
 	} else {
@@ -213,7 +217,13 @@
 // shows which did.
 func (p *Pool) newIncarnation(now time.Duration, t *target, incarnation int64) {
 	p.log("target", "target", t.ID, "outcome", "reborn", "runs", len(t.runs))
+	if !t.lossRecorded {
+		t.lostAt = now
+	}
 	before, suspects := t.runs, suspectsOn(t)
+	if !t.lossRecorded {
+		p.noteLoss(now, t, suspects)
+	}
 	t.reset()
 	t.health = newHealth()
 	t.Incarnation, t.clockMS, t.clockReadAt, t.lastEnd, t.ackedEnd = incarnation, 0, 0, 0, 0
