A loss is assessed with those before and after it

Callers saw jobs shown as failed (crashes_targets) where many targets crashed at once.

Cause: losses were assessed in groups of the 200 ms from a first one.

Losses are now assessed 250 ms later at most, those of some 50 ms at a time, with all those of the 200 ms before and after them.

Evidence: TestLastLossesOfAMomentAreWeakEvidence failed before (the suspicions of the last losses were not weak) and passes now; all other tests of the package pass but the three known reds.

--- a/internal/pool/losses.go
+++ b/internal/pool/losses.go
@@ -14,9 +14,12 @@
 // explain, they are weak evidence against it.
 
 const (
-	// lossWindow is how long after the first loss of a moment others belong to it. Broken
-	// connections show most losses within some tens of ms.
+	// lossWindow is how long before or after a loss others belong to the same moment. Broken
+	// connections show most losses within some tens of ms, a busy owner notices them over
+	// some 0.3 s.
 	lossWindow = 200 * time.Millisecond
+	// lossBatch is how long losses wait longer than that, so that many are assessed at once.
+	lossBatch = 50 * time.Millisecond
 	// minOtherCauses and otherCausesShare, of all targets, are the number of jobs that other
 	// losses of the moment would have to be blamed on for them to be taken for one fault.
 	minOtherCauses   = 4
@@ -32,16 +35,12 @@
 
 // loss is the loss of one incarnation of a target.
 type loss struct {
+	at          time.Duration
 	target      string
 	addr        string
 	incarnation int64
 	jobs        []string // those with suspects on it or starts under way to it, without duplicates
-}
-
-// lossGroup holds the losses of one moment until they are assessed.
-type lossGroup struct {
-	from   time.Duration // of the first one
-	losses []loss
+	assessed    bool
 }
 
 // noteLoss adds the loss of a target to those of the present moment. The loss of a target that
@@ -50,10 +49,7 @@
 	if !t.owned && len(suspects) == 0 {
 		return
 	}
-	if len(p.lossGroup.losses) == 0 {
-		p.lossGroup.from = now
-	}
-	l := loss{target: t.ID, addr: t.Addr, incarnation: t.Incarnation}
+	l := loss{at: now, target: t.ID, addr: t.Addr, incarnation: t.Incarnation}
 	for _, s := range suspects {
 		l.addJob(s.task.job.ID)
 	}
@@ -62,7 +58,7 @@
 			l.addJob(r.taskID.Job) // the start may be lost later than its target, and is suspected then
 		}
 	}
-	p.lossGroup.losses = append(p.lossGroup.losses, l)
+	p.losses = append(p.losses, l)
 }
 
 func (l *loss) addJob(id string) {
@@ -73,7 +69,7 @@
 
 // isAssessed reports whether the loss that a suspicion names has been assessed.
 func (p *Pool) isAssessed(s fleet.Suspicion) bool {
-	return !slices.ContainsFunc(p.lossGroup.losses, func(l loss) bool { return l.target == s.Target && l.incarnation == s.Incarnation })
+	return !slices.ContainsFunc(p.losses, func(l loss) bool { return !l.assessed && l.target == s.Target && l.incarnation == s.Incarnation })
 }
 
 // condemns reports whether the suspicions against a task show that it crashes its targets, as
@@ -82,22 +78,41 @@
 	if !fleet.Condemns(list) {
 		return false
 	}
-	if len(p.lossGroup.losses) == 0 {
+	if len(p.losses) == 0 {
 		return true
 	}
 	return fleet.Condemns(slices.DeleteFunc(slices.Clone(list), func(s fleet.Suspicion) bool { return !p.isAssessed(s) }))
 }
 
-// tickLosses assesses the losses of a moment once it is over.
+// tickLosses assesses the losses whose moment is over, some at a time, and forgets those that belong
+// to no moment any more.
 func (p *Pool) tickLosses(now time.Duration) {
-	if len(p.lossGroup.losses) == 0 || now < p.lossGroup.from+lossWindow {
+	p.losses = slices.DeleteFunc(p.losses, func(l loss) bool { return l.assessed && l.at+2*lossWindow+lossBatch < now })
+	first := slices.IndexFunc(p.losses, func(l loss) bool { return !l.assessed })
+	if first < 0 || p.losses[first].at+lossWindow+lossBatch > now {
 		return
 	}
-	losses := p.lossGroup.losses
-	p.lossGroup.losses = nil
-	all, own := causesOf(losses)
-	enough, of := p.causesOfOneFault(losses)
-	p.log("losses", "targets", len(losses), "of", of, "causes", int(all+0.5), "causes_of_one_fault", int(enough+0.5))
+	end := first
+	for end < len(p.losses) && p.losses[end].at+lossWindow <= now {
+		p.losses[end].assessed = true
+		end++
+	}
+	from, to := first, end
+	for from > 0 && p.losses[from-1].at >= p.losses[first].at-lossWindow {
+		from--
+	}
+	for to < len(p.losses) && p.losses[to].at <= p.losses[end-1].at+lossWindow {
+		to++
+	}
+	p.assessLosses(now, p.losses[first:end], p.losses[from:to])
+}
+
+// assessLosses judges whether losses are weak evidence against their suspects, by all losses of
+// their moment.
+func (p *Pool) assessLosses(now time.Duration, losses, moment []loss) {
+	all, own := causesOf(moment)
+	enough, of := p.causesOfOneFault(moment)
+	p.log("losses", "targets", len(losses), "in_moment", len(moment), "of", of, "causes", int(all+0.5), "causes_of_one_fault", int(enough+0.5))
 	weakened := make(map[string]bool)
 	for _, l := range losses {
 		for _, id := range l.jobs {
--- a/internal/pool/losses_count_test.go
+++ b/internal/pool/losses_count_test.go
@@ -48,3 +48,31 @@
 		})
 	}
 }
+
+// The losses of a moment were noticed over more than lossWindow. The last ones were too few by
+// themselves, and counted in full against their jobs.
+func TestLastLossesOfAMomentAreWeakEvidence(t *testing.T) {
+	s := newCrashSim(t, 16)
+	lose := func(i int) { s.p.markUnreachable(s.now, s.p.targets[s.list[i].ID]) }
+	for i := range 6 { // without runs
+		s.tick(20 * ms)
+		lose(i)
+	}
+	for i := range 8 {
+		s.submit(patientJob(fmt.Sprintf("j%02d", i), 1, 30000))
+	}
+	s.run(10 * ms)
+	for i := 6; i < 14; i++ {
+		s.tick(20 * ms)
+		lose(i)
+	}
+	s.tick(lossWindow + lossBatch)
+	weak := 0
+	for _, sj := range s.p.suspected {
+		for _, x := range sj.tasks[0] {
+			assert.Assert(t, x.Weak, "%+v", x)
+			weak++
+		}
+	}
+	assert.Equal(t, weak, 8)
+}
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -106,7 +106,7 @@
 	lapsedAt       time.Duration          // when runs were last taken for over since their leases had expired
 	suspected      map[string]*suspectJob // by job ID
 	nextSweepAt    time.Duration          // when the suspicions are swept next
-	lossGroup      lossGroup              // the losses of targets that are not assessed yet
+	losses         []loss                 // of targets, by time; those of the last moments
 	stored         storedState
 	noStartsBefore time.Duration                // no task is started before
 	awaitTargets   time.Duration                // nor before this time, unless a current list of targets arrives
@@ -158,7 +158,7 @@
 	p.unclaimedRuns = make(map[string][]*run)
 	p.vouches = make(map[Voucher]*vouch)
 	p.suspected = make(map[string]*suspectJob)
-	p.lossGroup = lossGroup{}
+	p.losses = nil
 	p.stored.reset()
 	p.advice = make(map[fleet.TaskID]*stepAdvice)
 }
