--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -108,7 +108,7 @@
 	lapsedAt       time.Duration          // when runs were last taken for over since their leases had expired
 	suspected      map[string]*suspectJob // by job ID
 	nextSweepAt    time.Duration          // when the suspicions are swept next
-	lossGroup      lossGroup              // the losses of targets that are not assessed yet
+	losses         []loss                 // of targets, by time; those of the last moments
 	stored         storedState
 	openRoom       openRoom
 	noStartsBefore time.Duration                // no task is started before
@@ -170,7 +170,7 @@
 	p.coordinators = make(map[string]int)
 	p.orphans, p.resubmitted = make(map[string]*job), make(map[string]*job)
 	p.suspected = make(map[string]*suspectJob)
-	p.lossGroup = lossGroup{}
+	p.losses = nil
 	p.stored.reset()
 	p.advice = make(map[fleet.TaskID]*stepAdvice)
 }
