A target that answers as before has not been replaced

Callers may see a job shown as failed (crashes_targets) whose targets have not crashed.

Cause: while the row of a target names another one's address, the answers from there (421) count as a crash of the target under its new runs. The suspicion stayed when the target answered again in the same incarnation, since crashes were taken for proved.

A suspicion is withdrawn when its target is owned in the same incarnation, proved or not.

Evidence: TestTargetThatAnswersAsBeforeHasNotBeenReplaced failed before (1 crash in place of 0) and passes now; all other tests of the package pass but the four known reds.

--- a/internal/pool/crash.go
+++ b/internal/pool/crash.go
@@ -208,11 +208,11 @@
 	for ordinal, list := range sj.tasks {
 		var kept []fleet.Suspicion
 		for _, s := range list {
+			if s.Target == t.ID && t.owned && t.Incarnation == s.Incarnation {
+				changed = true
+				continue // also if an answer from another one's address seemed to show a crash
+			}
 			if s.Target == t.ID && !s.Crashed {
-				if t.owned && t.Incarnation == s.Incarnation {
-					changed = true
-					continue
-				}
 				s.Crashed = t.replaced || s.Incarnation != 0 && t.Incarnation > s.Incarnation
 				changed = changed || s.Crashed
 			}
