The record does not keep a crash that the next incarnation's report disproves

The withdrawal of the last suspicion was not saved where a run turned out to belong to the next incarnation of its target. The next owner of a stored job can't find that out, as the target is back anew, and would count a crash.

Evidence: TestStartThatReachesTheNextIncarnationIsNoCrashInTheRecord failed before (1 suspicion in the record in place of 0) and passes now; all other tests of the package pass but the four known reds.

--- a/internal/pool/crash.go
+++ b/internal/pool/crash.go
@@ -247,9 +247,7 @@
 	p.log("suspect", "task", tk.id.String(), "run", r.number, "target", r.target.ID, "outcome", "proved harmless")
 	delete(tk.job.suspected.tasks, tk.ordinal)
 	p.suspicionsChanged(now, tk.job)
-	if tk.job.suspicionsSaved && len(tk.job.suspected.tasks) == 0 {
-		p.saveRecord(tk.job, fleet.JobRunning)
-	}
+	p.saveWithdrawal(tk.job)
 }
 
 // noteLife notes that the present incarnation of the target has a run that was ordered from an
@@ -270,6 +268,15 @@
 		delete(tasks, tk.ordinal)
 	}
 	p.suspicionsChanged(now, tk.job)
+	p.saveWithdrawal(tk.job)
+}
+
+// saveWithdrawal saves that no suspicions against a stored job are left, where the next owner can't
+// find that out.
+func (p *Pool) saveWithdrawal(j *job) {
+	if j.suspicionsSaved && len(j.suspected.tasks) == 0 {
+		p.saveRecord(j, fleet.JobRunning)
+	}
 }
 
 // targetReplaced handles an answer that shows another incarnation at the address of a
--- a/internal/pool/next_life_test.go
+++ b/internal/pool/next_life_test.go
@@ -38,3 +38,24 @@
 	s.run(20 * time.Second)
 	assert.Equal(t, s.outcomes()["j"].Verdict, verdict.Completed)
 }
+
+// The same with a stored job: the record of its job still names the crash, for the next owner.
+func TestStartThatReachesTheNextIncarnationIsNoCrashInTheRecord(t *testing.T) {
+	s := newCrashSim(t, 2)
+	s.ownStored()
+	j := patientJob("j", 1, 20000)
+	j.Stored = true
+	s.submit(j)
+	s.run(0)
+	s.tick(ms)
+	o := takeEffects[fleet.Start](s.harness)[0]
+	s.replyStart(o, fleet.Unanswered)
+	s.crash(o.Target.ID)
+	s.backAt[o.Target.ID] = s.now + 100*ms
+	s.run(90 * ms)
+	s.running[o.Target.ID] = []fleet.Running{{Task: o.Task, Run: o.Run, PercentDone: 1}}
+	s.until[runKey{o.Task, o.Run}] = s.now + 300*ms
+	s.run(100 * ms)
+	assert.Equal(t, s.p.targets[o.Target.ID].Incarnation, int64(2))
+	assert.Equal(t, len(lastSave(s.harness).Record.Suspicions), 0)
+}
