--- a/internal/pool/job.go
+++ b/internal/pool/job.go
@@ -43,11 +43,12 @@
 // job is a job, or an occurrence of a recurring job, that has not ended.
 type job struct {
 	fleet.Job
-	queueState          *queueState
-	coordinator         string
-	arrived             time.Duration
-	latestStart         time.Duration // a later start misses the response time that the job aims at
-	latestLateStart     time.Duration // after a later start the answer is useless
+	queueState      *queueState
+	coordinator     string
+	arrived         time.Duration
+	latestStart     time.Duration // a later start misses the response time that the job aims at
+	latestLateStart time.Duration // after a later start the answer is useless
+	queueIndex
 	steps               [][]*task
 	remaining           []int         // tasks that are not done, by step
 	waiting             int           // tasks in state taskWaiting
@@ -104,8 +105,8 @@
 }
 
 // Submit accepts a job, or attaches the coordinator to the job if it is known already.
-// It rejects the job if the pool is not leading, if the job can never fit a target, or
-// to shed load.
+// It rejects the job if the pool is not leading, if no target that it fits is listed, or
+// to shed load. It fails the job if none ever was.
 func (p *Pool) Submit(now time.Duration, s Submit) {
 	if s.Job.Stored {
 		p.submitStored(now, s)
@@ -135,6 +136,7 @@
 	}
 	j := p.newJob(now, s)
 	p.jobs[j.ID] = j
+	p.countCoordinator(j.coordinator, 1)
 	if s.MayHaveRun {
 		p.log("job", "job", j.ID, "outcome", "taken over", "coordinator", s.Coordinator, "safe_in_ms", (j.formerRunsEnd - now).Milliseconds())
 	}
@@ -142,6 +144,8 @@
 	p.learnSuspicions(now, j, s.Suspicions)
 	switch reason := p.neverFits(j); {
 	case p.jobs[j.ID] != j: // given up
+	case reason != "" && !j.mayHaveRunElsewhere && p.fittedBefore(j):
+		p.endJob(now, j, fleet.Outcome{Verdict: verdict.NotRun, Reason: reason, RetryAfter: p.retryAfter()})
 	case reason != "" && !j.mayHaveRunElsewhere:
 		p.endJob(now, j, fleet.Outcome{Verdict: verdict.Failed, Reason: reason})
 	case p.shouldShed(now, j):
@@ -170,6 +174,7 @@
 	p.attachVouch(now, j, &s)
 	p.waitForFormerOwners(now, j, &s)
 	p.waitForLeftRuns(now, j, &s)
+	j.queueIndex = newQueueIndex(j.Steps)
 	ordinal := 0
 	for i := range j.Steps {
 		step := &j.Steps[i]
@@ -357,8 +362,8 @@
 	if p.jobs[j.ID] != j {
 		return
 	}
-	delete(p.jobs, j.ID)
 	p.limitRuns(now, j)
+	p.removeJob(j)
 	p.noteLeftRuns(now, j)
 	j.queueState.remove(j)
 	p.dropAdvice(j)
--- a/internal/pool/load.go
+++ b/internal/pool/load.go
@@ -31,8 +31,8 @@
 		}
 	}
 	for _, q := range p.rankedQueues {
-		s.Waiting += len(q.waiting)
-		for _, j := range q.waiting {
+		s.Waiting += q.length()
+		for j := range q.all() {
 			for i := range j.Steps {
 				s.Queued += int64(min(j.remaining[i], j.waiting)) * j.Steps[i].Needs.MilliCPU
 			}
@@ -41,9 +41,9 @@
 	return s
 }
 
-// Coordinators calls add for the coordinator of each job.
+// Coordinators calls add for each coordinator of a job. Stored jobs have none.
 func (p *Pool) Coordinators(add func(name string)) {
-	for _, j := range p.jobs {
-		add(j.coordinator)
+	for name := range p.coordinators {
+		add(name)
 	}
 }
--- a/internal/pool/target.go
+++ b/internal/pool/target.go
@@ -141,6 +141,9 @@
 	if p.firstListedAt == 0 && len(list) > 0 {
 		p.firstListedAt = now
 	}
+	if len(list) > 0 {
+		p.rooms.begin(now)
+	}
 	for _, info := range list {
 		present[info.ID], addrs[info.Addr] = true, true
 		t := p.targets[info.ID]
@@ -185,9 +188,9 @@
 	if info.Addr != t.Addr {
 		t.nextAcquireAt = now
 	}
+	p.noteListed(t, &info)
 	t.Target, t.listed = info, true
 	t.noteRoom(info.Capacity)
-	p.largestRooms[info.Service] = p.largestRooms[info.Service].Max(info.Capacity)
 	if info.Leaving {
 		t.step(statechart.TargetHealthOnLeave)
 	} else {
