--- a/internal/pool/crash.go
+++ b/internal/pool/crash.go
@@ -208,11 +208,11 @@
 	for ordinal, list := range sj.tasks {
 		var kept []fleet.Suspicion
 		for _, s := range list {
+			if s.Target == t.ID && t.owned && t.Incarnation == s.Incarnation {
+				changed = true
+				continue // also if an answer from another one's address seemed to show a crash
+			}
 			if s.Target == t.ID && !s.Crashed {
-				if t.owned && t.Incarnation == s.Incarnation {
-					changed = true
-					continue
-				}
 				s.Crashed = t.replaced || s.Incarnation != 0 && t.Incarnation > s.Incarnation
 				changed = changed || s.Crashed
 			}
@@ -247,9 +247,7 @@
 	p.log("suspect", "task", tk.id.String(), "run", r.number, "target", r.target.ID, "outcome", "proved harmless")
 	delete(tk.job.suspected.tasks, tk.ordinal)
 	p.suspicionsChanged(now, tk.job)
-	if tk.job.suspicionsSaved && len(tk.job.suspected.tasks) == 0 {
-		p.saveRecord(tk.job, fleet.JobRunning)
-	}
+	p.saveWithdrawal(tk.job)
 }
 
 // noteLife notes that the present incarnation of the target has a run that was ordered from an
@@ -270,6 +268,15 @@
 		delete(tasks, tk.ordinal)
 	}
 	p.suspicionsChanged(now, tk.job)
+	p.saveWithdrawal(tk.job)
+}
+
+// saveWithdrawal saves that no suspicions against a stored job are left, where the next owner can't
+// find that out.
+func (p *Pool) saveWithdrawal(j *job) {
+	if j.suspicionsSaved && len(j.suspected.tasks) == 0 {
+		p.saveRecord(j, fleet.JobRunning)
+	}
 }
 
 // targetReplaced handles an answer that shows another incarnation at the address of a
