A start that was not answered is weak evidence beside two other losses

Cause: a start that was not answered may have arrived after the fall of its target. By itself that is unlikely, but not where targets fall for another reason.

Beside the losses of two other jobs such a start is weak evidence.

Evidence: TestStartsThatArriveAfterACrashDoNotFailAJob failed without the condition (failed in place of completed) and passes 15 of 15.

--- a/internal/pool/losses.go
+++ b/internal/pool/losses.go
@@ -27,6 +27,9 @@
 	// lostAllOtherCauses replaces that number if no target is left: the targets of a small pool
 	// are fewer. It is below 1 since causes are added up from fractions.
 	lostAllOtherCauses = 0.5
+	// unansweredOtherCauses replaces it for starts that the lost target had not answered: it may have
+	// fallen before they arrived.
+	unansweredOtherCauses = 1.5
 	// promptLoss is the longest time from a start to the loss of its target that suits a task
 	// that crashes targets. A target that was out of sight for longer may have crashed
 	// after the end of the run.
@@ -40,6 +43,7 @@
 	addr        string
 	incarnation int64
 	jobs        []string // those with suspects on it or starts under way to it, without duplicates
+	answered    []string // those of them whose start it had answered
 	assessed    bool
 }
 
@@ -52,6 +56,9 @@
 	l := loss{at: now, target: t.ID, addr: t.Addr, incarnation: t.Incarnation}
 	for _, s := range suspects {
 		l.addJob(s.task.job.ID)
+		if s.run.startedAt > 0 {
+			l.answered = append(l.answered, s.task.job.ID)
+		}
 	}
 	for _, r := range sortedRuns(t.runs) {
 		if r.state == runOrdered {
@@ -116,7 +123,8 @@
 	weakened := make(map[string]bool)
 	for _, l := range losses {
 		for _, id := range l.jobs {
-			weak := all-own[id] >= enough
+			others := all - own[id]
+			weak := others >= enough || others >= unansweredOtherCauses && !slices.Contains(l.answered, id)
 			p.noteWeakLoss(l, id, weak)
 			if sj := p.suspected[id]; sj != nil {
 				weakened[id] = weak && sj.tasks.Weaken(l.target, l.incarnation) || weakened[id]
