Logs and metrics tell how long a request waited before it was read

Two runs of one task can come from a coordinator that reads a request late, loses its caller late or hands the job on; no line told these apart. The lines accepted and caller gone now say how long the request had waited on the VM and which deadline the caller had stated, and a histogram has the waits. No decision goes by it yet.

--- a/internal/node/contain_test.go
+++ b/internal/node/contain_test.go
@@ -103,7 +103,7 @@
 	}
 	assert.Equal(t, panics(n), 0)
 	assert.NilError(t, valid.Validate())
-	o, err := n.Submit(context.Background(), fleet.Job{ID: "b", Queue: valid.Queue, Steps: []fleet.Step{{Count: 1, Needs: structs.Resources{MilliCPU: 5000}}}})
+	o, err := n.Submit(context.Background(), fleet.Job{ID: "b", Queue: valid.Queue, Steps: []fleet.Step{{Count: 1, Needs: structs.Resources{MilliCPU: 5000}}}}, Caller{})
 	assert.NilError(t, err)
 	assert.Equal(t, o.Reason, verdict.NeverFits, "the node still decides on jobs")
 }
--- a/internal/node/counts.go
+++ b/internal/node/counts.go
@@ -21,7 +21,9 @@
 	invalid   tally.Counter
 	latency   tally.Histogram
 	queueWait tally.Histogram
-	answers   map[string]tally.Counter
+	// requestWait is the time from the arrival of a job's request until the loop handles it.
+	requestWait tally.Histogram
+	answers     map[string]tally.Counter
 }
 
 // latencyBuckets are the buckets of the time from a job's arrival to its answer.
@@ -35,7 +37,8 @@
 	c := &counts{
 		m: m, starts: s.Counter("starts"), abandoned: s.Counter("abandoned"), late: s.Counter("late_outcomes"), otherPool: s.Counter("submitted_to_other_pool"),
 		panics: s.Counter("contained_panics"), invalid: s.Counter("invalid_messages"),
-		latency: s.Histogram("answer_seconds", latencyBuckets), queueWait: s.Histogram("queue_wait_seconds", queueWaitBuckets), answers: make(map[string]tally.Counter),
+		latency: s.Histogram("answer_seconds", latencyBuckets), queueWait: s.Histogram("queue_wait_seconds", queueWaitBuckets),
+		requestWait: s.Histogram("request_wait_seconds", queueWaitBuckets), answers: make(map[string]tally.Counter),
 	}
 	for _, order := range []string{"start", "stop", "hold", "delegated_start"} {
 		for _, a := range fleet.Answers() {
--- a/internal/node/jobs.go
+++ b/internal/node/jobs.go
@@ -36,12 +36,19 @@
 // leaderlessTimeout is how long a job waits for a leader before it is rejected.
 const leaderlessTimeout = 800 * time.Millisecond
 
+// Caller is what is known of the caller of a job.
+type Caller struct {
+	// Waited is the time from the arrival of the request on this VM until it was read.
+	Waited time.Duration
+}
+
 // Submit submits a job for a caller and returns its outcome. If the context ends
 // first, the caller counts as gone and the job is abandoned, unless other callers
 // wait for it.
-func (n *Node) Submit(ctx context.Context, j fleet.Job) (fleet.Outcome, error) {
+func (n *Node) Submit(ctx context.Context, j fleet.Job, c Caller) (fleet.Outcome, error) {
 	done := make(chan fleet.Outcome, 1)
-	n.post(func(now time.Duration) { n.addPending(now, j, done) })
+	arrived := n.now() - c.Waited
+	n.post(func(now time.Duration) { n.addPending(now, j, arrived, done) })
 	select {
 	case o := <-done:
 		return o, nil
@@ -55,10 +62,12 @@
 
 // addPending adds a job to the pending ones and submits it to a leader, or adds a waiter to
 // a pending duplicate.
-func (n *Node) addPending(now time.Duration, j fleet.Job, done chan fleet.Outcome) {
+func (n *Node) addPending(now time.Duration, j fleet.Job, arrived time.Duration, done chan fleet.Outcome) {
+	waited := now - arrived
+	n.counts.requestWait.RecordDuration(waited)
 	if p := n.pending[j.ID]; p != nil {
 		p.waiters = append(p.waiters, done)
-		n.log.Info("job", "job", j.ID, "outcome", "joined a pending duplicate")
+		n.log.Info("job", "job", j.ID, "outcome", "joined a pending duplicate", "waited_ms", waited.Milliseconds())
 		return
 	}
 	p := &pendingJob{job: j, pool: -1, arrived: now, waiters: []chan fleet.Outcome{done}}
@@ -69,7 +78,7 @@
 		n.submitTo(now, s, p)
 	}
 	n.log.Info("job", "job", j.ID, "queue", j.Queue.Name, "tasks", j.TaskCount(), "outcome", "accepted", "pool", p.pool, "leader", leader,
-		"config", n.configVersion())
+		"config", n.configVersion(), "waited_ms", waited.Milliseconds())
 }
 
 // Cancel cancels a pending job at the request of its caller, and reports whether
@@ -117,7 +126,8 @@
 	if len(p.waiters) > 0 || p.relayFor != "" {
 		return
 	}
-	n.log.Info("job", "job", id, "outcome", "caller gone", "sent_to", p.sentTo, "ms", (now - p.arrived).Milliseconds())
+	n.log.Info("job", "job", id, "outcome", "caller gone", "sent_to", p.sentTo, "ms", (now - p.arrived).Milliseconds(),
+		"deadline_ms", p.job.Timeout.Milliseconds())
 	n.counts.abandoned.Inc(1)
 	n.sendAbandon(now, p, abandonBody{id, callerGone})
 	delete(n.pending, id)
--- a/internal/node/relay_test.go
+++ b/internal/node/relay_test.go
@@ -79,7 +79,7 @@
 		o, err := n.Submit(context.Background(), fleet.Job{
 			ID: fmt.Sprint("job-", i), Queue: fleet.Queue{Name: "q", Service: "s"},
 			Steps: []fleet.Step{{Count: 1, Needs: structs.Resources{MilliCPU: 5000}}},
-		})
+		}, Caller{})
 		assert.NilError(t, err)
 		assert.Equal(t, o.Reason, verdict.NeverFits, "the leader's answer to a job of entry %d", i)
 	}
