Runs of a best-effort job end with the deadline of its caller, by the leader's own account

Callers saw two runs of one task. The runs of a job went on as long as its coordinator vouched for it. A coordinator that had read the request late, or noticed late that its caller had left, vouched until the caller was back elsewhere; where it was cut off, its withdrawal did not arrive either.

The leader has the deadline of the caller with the job. The words of coordinators still bound the runs as before.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -123,6 +123,9 @@
 	// Timeout is how long the caller waits for the answer, counted from the
 	// job's arrival.
 	Timeout time.Duration `cbor:"5,keyasint"`
+	// CallerLeaves is set if the caller has stated the Timeout itself: it leaves then, and may
+	// submit the job again at any entry.
+	CallerLeaves bool `cbor:"10,keyasint,omitempty"`
 	// Stored jobs are accepted by writing them to the store. They run to their
 	// end even if entries or targets are lost; callers ask for their state.
 	Stored bool `cbor:"6,keyasint,omitempty"`
--- a/internal/pool/job.go
+++ b/internal/pool/job.go
@@ -66,6 +66,7 @@
 	number              uint64        // of the coordinator's last submission
 	vouch               *vouch        // of its coordinator; nil if its runs need none
 	vouchFrom           time.Duration // tasks are started by the answer to a heartbeat of this time or later
+	callerUntil         time.Duration // when its caller, who has stated a deadline, has left; otherwise forever
 	earlier             []earlierCoordinator
 	lostRun             bool // a run on a target out of reach was taken for over
 	movedAway           bool // its coordinator submits it to another owner
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -99,6 +99,7 @@
 	rankedQueues   []*queueState          // sorted by urgency
 	keptOutcomes   map[string]keptOutcome // by job ID
 	leftRuns       map[string]leftRuns    // by job ID
+	departures     departures             // of callers that have stated a deadline
 	unclaimedRuns  map[string][]*run      // runs of unknown jobs, by job ID
 	vouches        map[Voucher]*vouch
 	coordinators   map[string]int         // number of jobs that are not stored, by coordinator
@@ -164,7 +165,7 @@
 	p.queues = make(map[string]*queueState)
 	p.rankedQueues = nil
 	p.keptOutcomes = make(map[string]keptOutcome)
-	p.leftRuns = make(map[string]leftRuns)
+	p.leftRuns, p.departures = make(map[string]leftRuns), nil
 	p.unclaimedRuns = make(map[string][]*run)
 	p.vouches = make(map[Voucher]*vouch)
 	p.coordinators = make(map[string]int)
@@ -254,6 +255,7 @@
 	p.stopUnclaimed(now)
 	p.expireOrphans(now)
 	p.stopUnpermitted(now)
+	p.endDeparted(now)
 	p.endEjections(now)
 	p.removeUnlisted(now)
 	p.tickStored(now)
--- a/internal/pool/vouch.go
+++ b/internal/pool/vouch.go
@@ -66,8 +66,10 @@
 	return v
 }
 
-// attachVouch makes a job depend on the word of its present voucher.
+// attachVouch makes a job depend on the word of its present voucher, and on the deadline of its
+// present caller.
 func (p *Pool) attachVouch(now time.Duration, j *job, s *Submit) {
+	p.awaitDeparture(now, j, s)
 	j.detachVouch()
 	if s.NeedsVouch {
 		by := Voucher{s.Coordinator, s.Origin}
@@ -97,13 +99,21 @@
 	}
 }
 
-// permittedUntil returns until when the runs of a job may continue. Those of stored jobs are
-// bounded by the ownership of these jobs.
+// permittedUntil returns until when the runs of a job may continue: by the words of its
+// coordinators and the deadline of its caller. Those of stored jobs are bounded by the ownership of
+// these jobs.
 func (p *Pool) permittedUntil(j *job) time.Duration {
+	if j.withdrawn {
+		return j.withdrawnUntil
+	}
+	return min(p.vouchedUntil(j), j.callerPermits())
+}
+
+// vouchedUntil returns until when the runs of a job that is not withdrawn may continue by the words
+// of its coordinators.
+func (p *Pool) vouchedUntil(j *job) time.Duration {
 	until := forever
 	switch {
-	case j.withdrawn:
-		return j.withdrawnUntil
 	case j.Stored || j.vouch == nil:
 	case !j.vouch.known:
 		return 0
@@ -134,7 +144,11 @@
 	if j.movedAway {
 		j.waitForRunsUntil(now, now+p.cfg.TakeoverDelay)
 	}
-	if until := p.permittedUntil(j); until > now && until < forever {
+	until := p.vouchedUntil(j)
+	if j.withdrawn {
+		until = j.withdrawnUntil
+	}
+	if until > now && until < forever {
 		j.earlier = append(j.earlier, earlierCoordinator{j.coordinator, until})
 		p.resubmitted[j.ID] = j
 	}
@@ -162,7 +176,7 @@
 	if j.mayHaveRunElsewhere && p.silentTargets && now < j.formerRunsEnd+silentWait {
 		return false // a former owner may have runs on them
 	}
-	return now >= j.formerRunsEnd && p.permittedUntil(j) >= max(now+p.cfg.Lease, j.vouchFrom+p.cfg.VouchFor)
+	return now >= j.formerRunsEnd && p.vouchedUntil(j) >= j.vouchFrom+p.cfg.VouchFor && p.permittedUntil(j) >= now+p.cfg.Lease
 }
 
 // VouchRequest asks a voucher to answer a heartbeat of this moment.
