The clock of an entry counts the time for which its VM was suspended

An entry took its deadlines, leases and permissions from the monotonic clock, which stands still while the VM is suspended; callers, peers and targets count that time. After a suspension of 2 s an entry thought that a caller whose deadline had passed would wait 2 s longer, kept the job and vouched for it, and a leader thought that old words still permitted starts. The pause itself was noticed (by the boot clock), and held back starts for 0.12 s only.

The loop now adds what the boot clock is ahead of the monotonic one before it handles anything, and times of reads are told apart by whether they were before the suspension. A process that is stopped (SIGSTOP) was counted before.

TestTimeOfASuspensionCounts: the old expression, time.Since of the start, lacks the suspension by construction; the test was not run against it, as it tests the new type.

--- a/internal/node/contain_test.go
+++ b/internal/node/contain_test.go
@@ -160,7 +160,7 @@
 			})
 		}
 		n.lane.sentBytes++ // the link is busy
-		n.lastIterationAt -= 2 * processPauseLimit
+		n.clock.lastIteration -= 2 * processPauseLimit
 		n.checkProcessPause()
 		return 0
 	})
--- a/internal/node/directory.go
+++ b/internal/node/directory.go
@@ -174,8 +174,8 @@
 // time. An older list than the present one is ignored.
 func (n *Node) SetTargets(list []fleet.Target, at time.Time) {
 	n.post(func(now time.Duration) {
-		n.stored.storeReadAt = max(n.stored.storeReadAt, at.Sub(n.startedAt))
-		n.setTargets(now, list, at.Sub(n.startedAt))
+		n.stored.storeReadAt = max(n.stored.storeReadAt, n.clock.of(at))
+		n.setTargets(now, list, n.clock.of(at))
 	})
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -83,15 +83,15 @@
 
 // Node is a running entry, created by Start. Its methods are safe for concurrent use.
 type Node struct {
-	cfg       Config
-	log       *slog.Logger
-	counts    *counts
-	startedAt time.Time
-	events    chan event
-	stopped   chan struct{}
-	ctx       context.Context
-	cancel    context.CancelFunc
-	peers     *peer.Node
+	cfg     Config
+	log     *slog.Logger
+	counts  *counts
+	clock   *clock
+	events  chan event
+	stopped chan struct{}
+	ctx     context.Context
+	cancel  context.CancelFunc
+	peers   *peer.Node
 
 	config         atomic.Pointer[fleet.Config]
 	targetInterval atomic.Int64 // see TargetInterval
@@ -124,7 +124,6 @@
 	lag             lagMeter
 	waits           queueWaits
 	load            loadMeter
-	lastIterationAt time.Duration // boot clock at the last iteration of the loop
 	stored          storedJobs
 	owners          sync.WaitGroup // running owners of stored jobs
 }
@@ -133,7 +132,7 @@
 func Start(cfg Config) (*Node, error) {
 	ctx, cancel := context.WithCancel(context.Background())
 	n := &Node{
-		cfg: cfg, log: cfg.Log, counts: newCounts(cfg.Metrics), startedAt: time.Now(),
+		cfg: cfg, log: cfg.Log, counts: newCounts(cfg.Metrics), clock: newClock(),
 		events: make(chan event, eventQueueLength), targetsDue: make(chan struct{}, 1), stopped: make(chan struct{}),
 		ctx: ctx, cancel: cancel,
 		linked: make(map[string]bool), linkPlan: linkPlanner{wantedAt: make(map[string]time.Duration), redialedAt: make(map[string]time.Duration)}, relaxed: make(map[string]bool), takesSuspicions: make(map[string]bool), pending: make(map[string]*pendingJob),
@@ -205,7 +204,7 @@
 	}
 }
 
-func (n *Node) now() time.Duration { return time.Since(n.startedAt) }
+func (n *Node) now() time.Duration { return n.clock.now() }
 
 // post queues an event for the loop. It drops the event after Close.
 func (n *Node) post(e event) {
@@ -227,13 +226,13 @@
 		case <-n.ctx.Done():
 			return
 		case e := <-n.events:
-			began = n.now()
 			n.checkProcessPause()
+			began = n.now()
 			n.contain(func() { e(began) })
 			handled = 1 + n.handleQueued()
 		case <-tick.C:
-			began = n.now()
 			n.checkProcessPause()
+			began = n.now()
 			n.electionsDue = true
 			n.load.maxLag = max(n.load.maxLag, n.lag.tick(began))
 		}
@@ -244,28 +243,18 @@
 	}
 }
 
-const (
-	// processPauseLimit is the gap between two iterations of the loop above which
-	// this entry may have missed that its peers closed their links to it, which they do
-	// after silentAfter.
-	processPauseLimit = 250 * time.Millisecond
-	// processPauseSettle is how long no task is started after such a gap, so that the
-	// closing of links in the meantime is noticed first.
-	processPauseSettle = 120 * time.Millisecond
-)
-
 // checkProcessPause detects a process pause by the boot clock, and holds back starts
 // after one.
 func (n *Node) checkProcessPause() {
-	boot := bootClock()
-	if gap := boot - n.lastIterationAt; n.lastIterationAt > 0 && gap > processPauseLimit {
-		n.log.Info("process pause detected; holding back starts", "ms", gap.Milliseconds(), "leads", n.leads())
-		for _, s := range n.shards {
-			s.pool.DelayStarts(n.now() + processPauseSettle)
-		}
-		n.dropLane(n.now())
+	gap := n.clock.iterate()
+	if gap == 0 {
+		return
+	}
+	n.log.Info("process pause detected; holding back starts", "ms", gap.Milliseconds(), "leads", n.leads())
+	for _, s := range n.shards {
+		s.pool.DelayStarts(n.now() + processPauseSettle)
 	}
-	n.lastIterationAt = boot
+	n.dropLane(n.now())
 }
 
 // handleQueued handles up to 64 events that are already queued, so that one round of
--- /dev/null
+++ b/internal/node/pause_test.go
@@ -0,0 +1,29 @@
+package node
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// suspend makes a clock see a suspension of the VM: the boot clock goes on, the monotonic one does not.
+func (c *clock) suspend(length time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.bootedAt -= length
+}
+
+// Callers leave, leases end and peers give up an entry while its VM is suspended.
+func TestTimeOfASuspensionCounts(t *testing.T) {
+	c := newClock()
+	c.iterate()
+	before, read := c.now(), time.Now()
+	c.suspend(3 * time.Second)
+	assert.Assert(t, c.iterate() >= 3*time.Second, "the pause is not noticed")
+	assert.Assert(t, c.now() >= before+3*time.Second, "the suspension does not count")
+	assert.Assert(t, c.of(read) < before+time.Second, "what was read before the suspension seems to be new")
+	assert.Assert(t, c.of(time.Now()) >= before+3*time.Second)
+	c.iterate()
+	assert.Assert(t, c.now() >= before+3*time.Second, "the clock goes back")
+}
