The age of a request counts for its caller's deadline

Callers saw two runs of one task. An entry that had stood still, that has a small share of a processor or whose loop is behind gave a request its whole deadline from when it got to it. It vouched for the job while the caller was back elsewhere, at an entry that followed another leader.

The wait for the loop counts too. A request whose deadline has passed by then is rejected at once: 503, which is true, nothing has run. The loop itself keeps the deadlines and drops what is overdue before it handles anything else; before, a timer of the HTTP handler posted an event behind those that waited. The adapter tells the leader that the caller has stated its deadline; a duplicate that joins a pending job tells it of the later one.

The tests of internal/node are new with the interface that they use.

--- /dev/null
+++ b/internal/node/caller_test.go
@@ -0,0 +1,108 @@
+package node
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"currantstall/internal/fleet"
+	"currantstall/internal/peer"
+	"currantstall/internal/structs"
+	"currantstall/internal/verdict"
+)
+
+// callerJob is a job that no target takes, of a caller that leaves after a time.
+func callerJob(id string, timeout time.Duration) fleet.Job {
+	j := patientJob(id)
+	j.Timeout, j.CallerLeaves = timeout, true
+	return j
+}
+
+// led makes a node follow another entry in all pools, which has the given job.
+func led(t *testing.T, n *Node, p *pendingJob) {
+	(*peerHandler)(n).LinkUp(peer.Peer{Member: structs.Member{Name: "leader"}})
+	n.ask(func() int {
+		p.sentTo, p.number = "leader", 1
+		n.pending[p.job.ID] = p
+		for _, w := range p.waiters {
+			n.expectDeparture(w)
+		}
+		return 0
+	})
+}
+
+func (n *Node) isPending(id string) bool {
+	return n.ask(func() int {
+		if n.pending[id] != nil {
+			return 1
+		}
+		return 0
+	}) == 1
+}
+
+// An entry that had stood still took the requests of that time for new ones.
+func TestRequestReadAfterAPauseIsAsOldAsThePause(t *testing.T) {
+	n, targets := startNode(t)
+	n.ask(func() int {
+		n.clock.lastIteration -= 2 * time.Second
+		n.checkProcessPause()
+		return 0
+	})
+	o, err := n.Submit(t.Context(), callerJob("a", time.Second), Caller{})
+	assert.NilError(t, err)
+	assert.Equal(t, o.Verdict, verdict.NotRun)
+	assert.Equal(t, o.Reason, verdict.DeadlinePassed)
+	assert.Assert(t, o.RetryAfter > 0)
+	assert.Equal(t, targets.starts.Load(), int64(0))
+}
+
+// The loop has not noticed the pause yet.
+func TestRequestReadBeforeAPauseIsNoticedIsAsOldAsThePause(t *testing.T) {
+	c := newClock()
+	c.suspend(time.Minute)
+	c.iterate()
+	c.mu.Lock()
+	c.lastIteration -= 2 * time.Second
+	c.mu.Unlock()
+	began, ok := c.recentPause()
+	assert.Assert(t, ok)
+	assert.Equal(t, began, c.lastIteration)
+}
+
+// A request waited for the loop, and its caller had the whole deadline from then.
+func TestWaitForTheLoopCountsForTheDeadlineOfACaller(t *testing.T) {
+	n, _ := startNode(t)
+	n.post(func(time.Duration) { time.Sleep(300 * time.Millisecond) })
+	o, err := n.Submit(t.Context(), callerJob("a", 100*time.Millisecond), Caller{})
+	assert.NilError(t, err)
+	assert.Equal(t, o.Verdict, verdict.NotRun)
+	assert.Equal(t, o.Reason, verdict.DeadlinePassed)
+}
+
+// The deadline of a caller passed while the loop was busy. What the loop did next vouched for the job.
+func TestJobIsWithdrawnAtTheDeadlineBeforeTheNextEvent(t *testing.T) {
+	n, _ := startNode(t)
+	done := make(chan fleet.Outcome, 1)
+	led(t, n, &pendingJob{job: patientJob("a"), waiters: []waiter{{done: done, leavesAt: n.now() + 200*time.Millisecond}}})
+	assert.Assert(t, n.isPending("a"))
+	n.post(func(time.Duration) { time.Sleep(300 * time.Millisecond) })
+	assert.Assert(t, !n.isPending("a"))
+	o := <-done
+	assert.Equal(t, o.Verdict, verdict.MayHaveRun, "the leader may have run the job")
+}
+
+// The second attempt of a caller reached the same entry, which had not noticed the end of the first
+// one. The leader went on by the deadline of the first.
+func TestDuplicateTellsTheLeaderOfItsDeadline(t *testing.T) {
+	n, _ := startNode(t)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	for _, timeout := range []time.Duration{600 * time.Millisecond, time.Hour} {
+		go func() { _, _ = n.Submit(ctx, callerJob("a", timeout), Caller{}) }()
+		time.Sleep(300 * time.Millisecond)
+	}
+	time.Sleep(500 * time.Millisecond)
+	assert.Equal(t, poolJobs(n), 1, "the leader has ended the job by the deadline of the first attempt")
+}
--- a/internal/node/jobs.go
+++ b/internal/node/jobs.go
@@ -22,7 +22,7 @@
 	mayHaveRun   bool                     // an earlier leader had the job and may have started it
 	leaderLostAt time.Duration            // when that leader was lost
 	formers      map[string]time.Duration // earlier leaders, and when this entry last vouched to each for the job
-	waiters      []chan fleet.Outcome     // of the callers
+	waiters      []waiter                 // the callers
 	number       uint64                   // of the last submission
 	cancelled    bool                     // by the caller
 	relayFor     string                   // the entry for which the job is relayed, "" if none
@@ -36,41 +36,21 @@
 // leaderlessTimeout is how long a job waits for a leader before it is rejected.
 const leaderlessTimeout = 800 * time.Millisecond
 
-// Caller is what is known of the caller of a job.
-type Caller struct {
-	// Waited is the time from the arrival of the request on this VM until it was read.
-	Waited time.Duration
-}
-
-// Submit submits a job for a caller and returns its outcome. If the context ends
-// first, the caller counts as gone and the job is abandoned, unless other callers
-// wait for it.
-func (n *Node) Submit(ctx context.Context, j fleet.Job, c Caller) (fleet.Outcome, error) {
-	done := make(chan fleet.Outcome, 1)
-	arrived := n.now() - c.Waited
-	n.post(func(now time.Duration) { n.addPending(now, j, arrived, done) })
-	select {
-	case o := <-done:
-		return o, nil
-	case <-ctx.Done():
-		n.post(func(now time.Duration) { n.dropWaiter(now, j.ID, done) })
-		return fleet.Outcome{}, ctx.Err()
-	case <-n.ctx.Done():
-		return fleet.Outcome{Verdict: verdict.MayHaveRun, Reason: verdict.Draining}, nil
-	}
-}
-
 // addPending adds a job to the pending ones and submits it to a leader, or adds a waiter to
 // a pending duplicate.
-func (n *Node) addPending(now time.Duration, j fleet.Job, arrived time.Duration, done chan fleet.Outcome) {
+func (n *Node) addPending(now time.Duration, j fleet.Job, arrived time.Duration, w waiter) {
 	waited := now - arrived
 	n.counts.requestWait.RecordDuration(waited)
+	if n.rejectLate(now, &j, arrived, w) {
+		return
+	}
+	n.expectDeparture(w)
 	if p := n.pending[j.ID]; p != nil {
-		p.waiters = append(p.waiters, done)
 		n.log.Info("job", "job", j.ID, "outcome", "joined a pending duplicate", "waited_ms", waited.Milliseconds())
+		n.joinPending(now, p, &j, arrived, w)
 		return
 	}
-	p := &pendingJob{job: j, pool: -1, arrived: now, waiters: []chan fleet.Outcome{done}}
+	p := &pendingJob{job: j, pool: -1, arrived: arrived, waiters: []waiter{w}}
 	n.pending[j.ID] = p
 	s, leader := n.shardFor(now, p, n.poolViews()), ""
 	if s != nil {
@@ -81,6 +61,22 @@
 		"config", n.configVersion(), "waited_ms", waited.Milliseconds())
 }
 
+// joinPending adds a waiter to a pending job. The leader goes by the deadline of the caller that it
+// knows, so it is told of the later one.
+func (n *Node) joinPending(now time.Duration, p *pendingJob, j *fleet.Job, arrived time.Duration, w waiter) {
+	p.waiters = append(p.waiters, w)
+	if p.relayFor != "" || p.cancelled {
+		return
+	}
+	p.arrived, p.job.Timeout, p.job.CallerLeaves = arrived, j.Timeout, j.CallerLeaves
+	if p.sentTo == "" || p.pool >= len(n.shards) {
+		return
+	}
+	if s := n.shards[p.pool]; s.decision.Leader == p.sentTo {
+		n.submitTo(now, s, p)
+	}
+}
+
 // Cancel cancels a pending job at the request of its caller, and reports whether
 // this entry knew the job.
 func (n *Node) Cancel(ctx context.Context, id string) bool {
@@ -110,29 +106,6 @@
 	return 0
 }
 
-// dropWaiter drops a waiter whose caller has disconnected, and abandons the job with
-// the last waiter.
-func (n *Node) dropWaiter(now time.Duration, id string, done chan fleet.Outcome) {
-	p := n.pending[id]
-	if p == nil {
-		return
-	}
-	for i, w := range p.waiters {
-		if w == done {
-			p.waiters = append(p.waiters[:i], p.waiters[i+1:]...)
-			break
-		}
-	}
-	if len(p.waiters) > 0 || p.relayFor != "" {
-		return
-	}
-	n.log.Info("job", "job", id, "outcome", "caller gone", "sent_to", p.sentTo, "ms", (now - p.arrived).Milliseconds(),
-		"deadline_ms", p.job.Timeout.Milliseconds())
-	n.counts.abandoned.Inc(1)
-	n.sendAbandon(now, p, abandonBody{id, callerGone})
-	delete(n.pending, id)
-}
-
 // sendAbandon withdraws a job from the leader that has it. A cancelled job that no
 // leader has gets its outcome at once.
 func (n *Node) sendAbandon(now time.Duration, p *pendingJob, b abandonBody) {
@@ -359,7 +332,7 @@
 		"from", p.sentTo, "ms", (now - p.arrived).Milliseconds(), "retry_after_ms", o.RetryAfter.Milliseconds())
 	n.counts.outcome(o, now-p.arrived)
 	for _, w := range p.waiters {
-		w <- o
+		w.done <- o
 	}
 	if p.relayFor != "" {
 		n.send(p.relayFor, wire.PoolEnded, endedBody{id, o, p.relayNumber})
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -117,7 +117,8 @@
 	linked          map[string]bool
 	linkPlan        linkPlanner
 	pending         map[string]*pendingJob
-	lastSubmission  uint64 // number of the last submission to a leader
+	nextDeparture   time.Duration // when the next caller leaves by its deadline, never if none does
+	lastSubmission  uint64        // number of the last submission to a leader
 	directory       directory
 	lastHeartbeatAt time.Duration
 	lastState       leadState // as of the heartbeat sent last
@@ -132,7 +133,7 @@
 func Start(cfg Config) (*Node, error) {
 	ctx, cancel := context.WithCancel(context.Background())
 	n := &Node{
-		cfg: cfg, log: cfg.Log, counts: newCounts(cfg.Metrics), clock: newClock(),
+		cfg: cfg, log: cfg.Log, counts: newCounts(cfg.Metrics), clock: newClock(), nextDeparture: never,
 		events: make(chan event, eventQueueLength), targetsDue: make(chan struct{}, 1), stopped: make(chan struct{}),
 		ctx: ctx, cancel: cancel,
 		linked: make(map[string]bool), linkPlan: linkPlanner{wantedAt: make(map[string]time.Duration), redialedAt: make(map[string]time.Duration)}, relaxed: make(map[string]bool), takesSuspicions: make(map[string]bool), pending: make(map[string]*pendingJob),
@@ -228,7 +229,10 @@
 		case e := <-n.events:
 			n.checkProcessPause()
 			began = n.now()
-			n.contain(func() { e(began) })
+			n.contain(func() {
+				n.dropOverdue(began)
+				e(began)
+			})
 			handled = 1 + n.handleQueued()
 		case <-tick.C:
 			n.checkProcessPause()
@@ -263,7 +267,11 @@
 	for i := range 64 {
 		select {
 		case e := <-n.events:
-			n.contain(func() { e(n.now()) })
+			n.contain(func() {
+				now := n.now()
+				n.dropOverdue(now)
+				e(now)
+			})
 		default:
 			return i
 		}
@@ -274,6 +282,7 @@
 // step updates the elections, the pools and the pending jobs after events or a tick, and
 // carries out the resulting effects.
 func (n *Node) step(now time.Duration) {
+	n.dropOverdue(now)
 	if n.electionsDue {
 		n.electionsDue = false
 		n.replanLinks(now)
--- a/internal/node/pause.go
+++ b/internal/node/pause.go
@@ -1,10 +1,14 @@
 package node
 
 import (
+	"math"
 	"sync"
 	"time"
 )
 
+// never is a time that does not come.
+const never = time.Duration(math.MaxInt64)
+
 const (
 	// processPauseLimit is the gap between two iterations of the loop above which
 	// this entry may have missed that its peers closed their links to it, which they do
@@ -68,3 +72,15 @@
 	c.pauseBegan, c.pauseEnded, c.noticedAt, c.suspendedBefore = last, boot, mono, before
 	return boot - last
 }
+
+// recentPause returns when a pause of the process began that is going on by the account of the loop, or
+// has ended so lately that what is handled now may have come before its end.
+func (c *clock) recentPause() (began time.Duration, ok bool) {
+	boot := bootClock() - c.bootedAt
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.lastIteration > 0 && boot-c.lastIteration > processPauseLimit {
+		return c.lastIteration, true
+	}
+	return c.pauseBegan, c.pauseEnded > 0 && boot < c.pauseEnded+processPauseSettle
+}
--- a/internal/node/submission_test.go
+++ b/internal/node/submission_test.go
@@ -68,7 +68,7 @@
 	n, _ := startNode(t)
 	(*peerHandler)(n).LinkUp(peer.Peer{Member: structs.Member{Name: "other"}})
 	n.post(func(now time.Duration) {
-		n.pending["a"] = &pendingJob{job: patientJob("a"), arrived: now, sentTo: "other", waiters: []chan fleet.Outcome{make(chan fleet.Outcome, 1)}}
+		n.pending["a"] = &pendingJob{job: patientJob("a"), arrived: now, sentTo: "other", waiters: []waiter{{done: make(chan fleet.Outcome, 1)}}}
 	})
 	assert.Assert(t, n.Cancel(t.Context(), "a"))
 	(*peerHandler)(n).LinkDown(peer.Peer{Member: structs.Member{Name: "other"}})
