What a request has waited for is no reason to shed its job

With the age of requests the leader took the job of a request that had waited through a pause for one that had missed its latest start, and rejected it though its caller would wait another second. The coordinator now shortens the deadline by the wait, and the time that the leader aims at counts from when the job was handed in, as before.

--- a/internal/node/jobs.go
+++ b/internal/node/jobs.go
@@ -45,12 +45,16 @@
 		return
 	}
 	n.expectDeparture(w)
+	if j.CallerLeaves {
+		// The leader counts from now: what the request has waited for is no reason to shed its job.
+		j.Timeout -= waited
+	}
 	if p := n.pending[j.ID]; p != nil {
 		n.log.Info("job", "job", j.ID, "outcome", "joined a pending duplicate", "waited_ms", waited.Milliseconds())
-		n.joinPending(now, p, &j, arrived, w)
+		n.joinPending(now, p, &j, w)
 		return
 	}
-	p := &pendingJob{job: j, pool: -1, arrived: arrived, waiters: []waiter{w}}
+	p := &pendingJob{job: j, pool: -1, arrived: now, waiters: []waiter{w}}
 	n.pending[j.ID] = p
 	s, leader := n.shardFor(now, p, n.poolViews()), ""
 	if s != nil {
@@ -63,12 +67,12 @@
 
 // joinPending adds a waiter to a pending job. The leader goes by the deadline of the caller that it
 // knows, so it is told of the later one.
-func (n *Node) joinPending(now time.Duration, p *pendingJob, j *fleet.Job, arrived time.Duration, w waiter) {
+func (n *Node) joinPending(now time.Duration, p *pendingJob, j *fleet.Job, w waiter) {
 	p.waiters = append(p.waiters, w)
 	if p.relayFor != "" || p.cancelled {
 		return
 	}
-	p.arrived, p.job.Timeout, p.job.CallerLeaves = arrived, j.Timeout, j.CallerLeaves
+	p.arrived, p.job.Timeout, p.job.CallerLeaves = now, j.Timeout, j.CallerLeaves
 	if p.sentTo == "" || p.pool >= len(n.shards) {
 		return
 	}
