A rejected repeat tells nothing of the attempt before it

Callers could be told not_run for a job that is stored and runs: the first attempt to store it takes effect and its answer is lost; the repeat is rejected for a reason of its own (the key was revoked, the store is full). storeBatch settled the batch by the rejection, "nothing was written", though it remembered that an earlier attempt might have been.

The result of a rejection is now ErrOutcomeUnknown if an earlier attempt may have taken effect, as it was already for attempts that run out of time. The log line shows may_be_stored.

Found by an audit by reading, not seen in a deployment.

--- a/internal/jobstore/accept.go
+++ b/internal/jobstore/accept.go
@@ -136,16 +136,13 @@
 		case errors.Is(err, platform.ErrUnknown):
 			mayBeStored = true
 		case errors.Is(err, platform.ErrRejected):
-			a.log.Error("jobs not accepted: the store rejected the transaction", "part", part, "jobs", len(batch), "err", err)
-			settle(batch, err)
+			a.log.Error("jobs not accepted: the store rejected the transaction", "part", part, "jobs", len(batch), "may_be_stored", mayBeStored, "err", err)
+			settle(batch, notAccepted(err, mayBeStored))
 			return
 		}
 		if time.Now().After(batch[0].deadline) {
 			a.log.Warn("jobs not accepted: the store did not confirm them in time", "part", part, "jobs", len(batch), "may_be_stored", mayBeStored, "err", err)
-			if mayBeStored {
-				err = ErrOutcomeUnknown
-			}
-			settle(batch, err)
+			settle(batch, notAccepted(err, mayBeStored))
 			return
 		}
 		sleep.For(context.Background(), backoff) //nolint:errcheck // a background context does not end
@@ -153,6 +150,15 @@
 	}
 }
 
+// notAccepted returns the result of acceptances whose last attempt has failed with err. A rejection tells
+// nothing of earlier attempts.
+func notAccepted(err error, mayBeStored bool) error {
+	if mayBeStored {
+		return ErrOutcomeUnknown
+	}
+	return err
+}
+
 // acceptTx returns the transaction that stores a batch. It conflicts if a job's
 // ID is in use already, by an open job or an ended one.
 func acceptTx(part string, batch []*acceptance) Tx {
