A list of targets from before a former owner's last start does not prove that none of its runs is left

A restored task could be started while a run of the former owner is at work. The new owner ended its wait once all targets on its list had reported since the former owner's last start. Its list could be older than that start, and lack a target that was added in between and has the run. The wait ends now only if the list was read after the last possible start (a pool that was never told when its list was read is as before; an entry always tells).

The time of the list must not err late for that. A list of a peer counted its age from its arrival, so that it seemed younger by all that the message had waited for an entry that stood still or was busy. Requests now carry the requester's time and answers repeat it (AskedAt): the age counts from there. Without it, by a peer of an earlier release, it counts from the last request to that peer. A list that was not asked for proves nothing. A time before this entry's start no longer counts as unknown.

So that restored jobs wait no longer in the usual case, the pool asks for a list (TargetsWanted) when it asks its targets for reports, and the entry reads the next one within 0.1 s in place of 0.7 s.

TestAnOldListOfTargetsDoesNotProveThatNoFormerRunIsLeft failed before (a start 1.12 s after the former owner was last seen, by a list read 5 s before that). Found by an audit by reading, not seen in a deployment.

--- a/internal/node/directory.go
+++ b/internal/node/directory.go
@@ -28,6 +28,8 @@
 	minTargetInterval       = 700 * time.Millisecond
 	targetIntervalPerTarget = 11 * time.Millisecond
 	maxTargetInterval       = 6 * time.Second
+	// wantedTargetInterval replaces them while a pool waits for a list that is newer.
+	wantedTargetInterval = 100 * time.Millisecond
 	// listGrace is how long a new leader waits for a list of targets that shows which ones
 	// are leaving, before it starts tasks. A read of the store takes some ms.
 	listGrace = 300 * time.Millisecond
@@ -60,11 +62,15 @@
 type directory struct {
 	self      string
 	targets   []fleet.Target
-	targetsAt time.Duration // when the list was current at the platform
-	hasList   bool
-	members   map[string]fleet.Member // known entries by name
-	live      []string                // members that renewed their row in the platform's store lately
-	liveAt    time.Duration           // when live was received
+	targetsAt time.Duration // when the list was current at the platform, as far as is known
+	// targetsReadAt is when the list was read from the platform, or a time before that.
+	targetsReadAt time.Duration
+	// targetsWanted is the time for which a pool wants a list: one read then, or later.
+	targetsWanted time.Duration
+	hasList       bool
+	members       map[string]fleet.Member // known entries by name
+	live          []string                // members that renewed their row in the platform's store lately
+	liveAt        time.Duration           // when live was received
 	// behindSince is when a heartbeat first showed a configuration newer than the one in
 	// force, 0 if none did.
 	behindSince time.Duration
@@ -96,6 +102,8 @@
 	// come with the first message on a link.
 	Rooms         []fleet.Room  `cbor:"10,keyasint,omitempty"`
 	RoomsKnownFor time.Duration `cbor:"11,keyasint,omitempty"`
+	// AskedAt is the SentAt of the request that this body answers.
+	AskedAt time.Duration `cbor:"12,keyasint,omitempty"`
 }
 
 func newDirectory() directory {
@@ -119,6 +127,8 @@
 	Targets bool `cbor:"2,keyasint,omitempty"`
 	Layout  bool `cbor:"3,keyasint,omitempty"`
 	Members bool `cbor:"4,keyasint,omitempty"`
+	// SentAt is when the request was sent, by the clock of its sender. The answer repeats it.
+	SentAt time.Duration `cbor:"5,keyasint,omitempty"`
 }
 
 // requestFrom returns what to request from a peer now, after its heartbeat: a newer
@@ -175,15 +185,17 @@
 func (n *Node) SetTargets(list []fleet.Target, at time.Time) {
 	n.post(func(now time.Duration) {
 		n.stored.storeReadAt = max(n.stored.storeReadAt, n.clock.of(at))
-		n.setTargets(now, list, n.clock.of(at))
+		n.setTargets(now, list, n.clock.of(at), n.clock.of(at))
 	})
 }
 
-func (n *Node) setTargets(now time.Duration, list []fleet.Target, at time.Duration) {
+// setTargets replaces the list of targets by one that was current at a time, as far as is known, and was
+// read no sooner than readAt.
+func (n *Node) setTargets(now time.Duration, list []fleet.Target, at, readAt time.Duration) {
 	if n.directory.hasList && at < n.directory.targetsAt {
 		return
 	}
-	n.directory.targets, n.directory.targetsAt, n.directory.hasList = list, at, true
+	n.directory.targets, n.directory.targetsAt, n.directory.targetsReadAt, n.directory.hasList = list, at, readAt, true
 	n.setPoolTargets(now)
 	n.updateTargetInterval()
 	if n.directory.targetsAge(now) <= maxTargetListAge {
@@ -201,6 +213,9 @@
 		interval = min(max(time.Duration(len(n.directory.targets))*targetIntervalPerTarget, minTargetInterval), maxTargetInterval)
 	}
 	n.directory.targetInterval = interval - minTargetInterval
+	if n.directory.targetsReadAt < n.directory.targetsWanted {
+		interval = wantedTargetInterval
+	}
 	if before := time.Duration(n.targetInterval.Swap(int64(interval))); interval < before {
 		select {
 		case n.targetsDue <- struct{}{}:
@@ -259,6 +274,7 @@
 		return
 	}
 	reply := n.directorySnapshot(now)
+	reply.AskedAt = b.Request.SentAt
 	if !b.Request.Config {
 		reply.Config = nil
 	}
@@ -275,6 +291,7 @@
 // configuration, a newer list of targets, and members that were not known.
 func (n *Node) mergeDirectory(now time.Duration, b directoryBody) {
 	b = n.withoutOdd(now, b)
+	asked := n.directory.askedAt(now, &b)
 	if b.Self.Name == n.directory.requestedOf && (b.Config != nil || b.HasTargets || b.Layout != nil) {
 		n.directory.requestedOf = ""
 	}
@@ -285,7 +302,11 @@
 		n.setLayout(now, *b.Layout)
 	}
 	if b.HasTargets {
-		n.setTargets(now, b.Targets, now-b.TargetsAge)
+		sent := asked
+		if asked == 0 {
+			sent = now
+		}
+		n.setTargets(now, b.Targets, sent-b.TargetsAge, asked-b.TargetsAge)
 	}
 	n.rooms.Merge(now, b.Rooms, b.RoomsKnownFor)
 	added := false
@@ -300,6 +321,18 @@
 	}
 }
 
+// askedAt returns when this entry sent the request that a peer's directory answers, 0 if it is not known: the
+// directory was sent after that, and may have waited for this entry for any time since.
+func (d *directory) askedAt(now time.Duration, b *directoryBody) time.Duration {
+	switch {
+	case b.AskedAt > 0:
+		return min(b.AskedAt, now)
+	case b.Self.Name == d.requestedOf: // an entry of a release that does not repeat the time
+		return d.requestedAt
+	}
+	return 0
+}
+
 // updateAcquirePolicies tells the pools that this entry leads how soon they may acquire
 // each target.
 func (n *Node) updateAcquirePolicies(now time.Duration) {
@@ -395,11 +428,13 @@
 			if strings.EqualFold(addr, n.cfg.Self.Addr) {
 				continue
 			}
+			asked := n.now()
 			b, err := fetchDirectory(n.ctx, client, addr)
 			if err != nil {
 				n.log.Info("seed", "addr", addr, "outcome", "no answer", "err", err)
 				continue
 			}
+			b.AskedAt = asked
 			n.post(func(now time.Duration) { n.mergeDirectory(now, b) })
 		}
 	}
--- a/internal/node/links.go
+++ b/internal/node/links.go
@@ -283,6 +283,7 @@
 		n.stored.pending, n.stored.pendingAt = b.Pending, now
 	}
 	if want, ok := n.directory.requestFrom(now, from, b, n.configVersion(), n.layout.Version); ok {
+		want.SentAt = now
 		n.send(from, wire.Directory, directoryBody{Self: n.cfg.Self, Request: &want})
 	}
 }
--- a/internal/node/shard.go
+++ b/internal/node/shard.go
@@ -156,7 +156,7 @@
 	for i, s := range n.shards {
 		s.targets = lists[i]
 		s.pool.SetTargets(now, lists[i])
-		s.pool.TargetsRead(n.directory.targetsAt)
+		s.pool.TargetsRead(n.directory.targetsReadAt)
 	}
 	n.updateAcquirePolicies(now)
 }
@@ -175,6 +175,9 @@
 			go n.advise(s, e)
 		case pool.Ended:
 			n.deliverOutcome(now, e)
+		case pool.TargetsWanted:
+			n.directory.targetsWanted = e.ReadAt
+			n.updateTargetInterval()
 		case pool.VouchRequest:
 			n.requestVouch(now, e)
 		case pool.Suspected:
--- a/internal/pool/former.go
+++ b/internal/pool/former.go
@@ -38,6 +38,9 @@
 		for _, t := range p.sortedTargets {
 			t.refreshDue = t.refreshDue || t.owned // an idle target gets no messages
 		}
+		if !p.listShowsFormerTargets() {
+			p.emit(TargetsWanted{p.stored.formerStartsEnd})
+		}
 	}
 	switch {
 	case p.noRunsElsewhere(now):
@@ -47,10 +50,19 @@
 	}
 }
 
+// TargetsWanted asks for a list of targets that was read at the given time or later.
+type TargetsWanted struct{ ReadAt time.Duration }
+
+// listShowsFormerTargets reports whether the list of targets shows all on which a former owner could start
+// runs: an older list may lack a target that was added before its last start.
+func (p *Pool) listShowsFormerTargets() bool {
+	return !p.targetsReadKnown || p.targetsReadAt >= p.stored.formerStartsEnd
+}
+
 // noRunsElsewhere reports whether all targets on which a former owner could have runs
 // have reported since it could start the last one.
 func (p *Pool) noRunsElsewhere(now time.Duration) bool {
-	if now < max(p.firstListedAt, p.lastUnlistedAt)+stableListFor {
+	if !p.listShowsFormerTargets() || now < max(p.firstListedAt, p.lastUnlistedAt)+stableListFor {
 		return false
 	}
 	for _, t := range p.sortedTargets {
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -67,7 +67,7 @@
 
 // Effect is an action that the pool asks its entry to carry out: a fleet.Start,
 // fleet.Stop, fleet.Hold, fleet.AdviceRequest, Ended, Suspected, VouchRequest,
-// StoredDropped or jobstore.Save.
+// StoredDropped, TargetsWanted or jobstore.Save.
 type Effect any
 
 // Ended reports a job's outcome to its coordinator.
@@ -112,15 +112,18 @@
 	losses         []loss                 // of targets, by time; those of the last moments
 	stored         storedState
 	openRoom       openRoom
-	noStartsBefore time.Duration                // no task is started before
-	awaitTargets   time.Duration                // nor before this time, unless a current list of targets arrives
-	lastTick       time.Duration                // time of the last Tick
-	nextForgetAt   time.Duration                // when expired state is forgotten next
-	rooms          *Rooms                       // of all targets ever listed
-	targetsReadAt  time.Duration                // when the list of targets was read, 0 if that is not known
-	advice         map[fleet.TaskID]*stepAdvice // by step
-	adviceInFlight bool                         // an advice request was not answered yet
-	nextAdviceAt   time.Duration                // earliest time of the next advice request
+	noStartsBefore time.Duration // no task is started before
+	awaitTargets   time.Duration // nor before this time, unless a current list of targets arrives
+	lastTick       time.Duration // time of the last Tick
+	nextForgetAt   time.Duration // when expired state is forgotten next
+	rooms          *Rooms        // of all targets ever listed
+	// targetsReadAt is when the list of targets was read, or a time before that. It is negative for a list
+	// that is older than the entry.
+	targetsReadAt    time.Duration
+	targetsReadKnown bool
+	advice           map[fleet.TaskID]*stepAdvice // by step
+	adviceInFlight   bool                         // an advice request was not answered yet
+	nextAdviceAt     time.Duration                // earliest time of the next advice request
 	// zeroUnixMS is the Unix time in ms at the pool's time 0, or 0 if unknown.
 	zeroUnixMS int64
 	// firstListedAt is when discovery first listed any target, and lastUnlistedAt when
--- a/internal/pool/unfit.go
+++ b/internal/pool/unfit.go
@@ -43,12 +43,14 @@
 	return p.stored.epoch <= 1 || p.rooms.KnownFor(now) >= knownForLong
 }
 
-// TargetsRead tells when the list of targets was read.
-func (p *Pool) TargetsRead(at time.Duration) { p.targetsReadAt = max(p.targetsReadAt, at) }
+// TargetsRead tells when the list of targets was read, or a time before that.
+func (p *Pool) TargetsRead(at time.Duration) {
+	p.targetsReadAt, p.targetsReadKnown = at, true
+}
 
 // listOutdated reports whether the list of targets is too old to show that no target was added.
 func (p *Pool) listOutdated(now time.Duration) bool {
-	return p.targetsReadAt > 0 && now > p.targetsReadAt+currentListAge
+	return p.targetsReadKnown && now > p.targetsReadAt+currentListAge
 }
 
 // endUnfitJobs fails the stored jobs that fit no target that was ever listed, once they have waited for
