An occurrence that falls due after a takeover waits for the former owner's runs too

An occurrence could be started while a run of it is at work on a target out of reach. Occurrences that were due when the new owner restored their job waited until the former owner's runs are over; those that fell due later did not, for "no former owner can have started later occurrences". One whose clock was ahead can (comesLater allows for 10 s). Occurrences of a job that was taken over now wait as long as the former owner's runs may last; later ones are as before.

Found by an audit by reading, not seen in a deployment.

--- a/internal/pool/timed.go
+++ b/internal/pool/timed.go
@@ -17,6 +17,7 @@
 	fleet.Job
 	nextOccurrence  int  // the first occurrence that was not started because it was not due
 	restored        bool // taken over from a former owner
+	restoring       bool // being taken over: the occurrences that are started now were due before
 	started         bool
 	openOccurrences map[int]*job         // occurrences that were started and have not ended
 	records         map[int]fleet.Record // of other occurrences
@@ -39,12 +40,12 @@
 
 // addRecurring adds a recurring job with the progress of its record.
 func (p *Pool) addRecurring(now time.Duration, j fleet.Job, rec fleet.Record, restored bool) {
-	rj := &recurringJob{Job: j, restored: restored, openOccurrences: make(map[int]*job), records: make(map[int]fleet.Record)}
+	rj := &recurringJob{Job: j, restored: restored, restoring: restored, openOccurrences: make(map[int]*job), records: make(map[int]fleet.Record)}
 	maps.Copy(rj.records, rec.Occurrences)
 	rj.started = len(rec.Occurrences) > 0
 	p.stored.recurring[j.ID] = rj
 	p.startDue(now, rj)
-	rj.restored = false // no former owner can have started later occurrences
+	rj.restoring = false
 }
 
 // tickRecurring starts the due occurrences of all recurring jobs.
@@ -99,7 +100,9 @@
 	occurrence := rj.Job
 	occurrence.ID, occurrence.Occurrences = fleet.OccurrenceID(rj.ID, k), 0
 	j := p.newJob(now, Submit{Job: occurrence, Waited: late})
-	j.restored, j.formerRunsEnd, j.parent, j.occurrence = rj.restored, 0, rj, k
+	// A former owner whose clock was ahead may have started an occurrence that is due only now.
+	j.restored = rj.restoring || rj.restored && now < p.formerRunsOver(j)
+	j.formerRunsEnd, j.parent, j.occurrence = 0, rj, k
 	p.awaitFormerOwner(j)
 	rj.openOccurrences[k] = j
 	p.jobs[j.ID] = j
