A report that an entry reads late does not blame its target

A target could be ejected, and its run stopped and started elsewhere, for the entry's own lateness. checkProgress counted the time since the start until the entry got to the report. An entry that stood still for 0.3 s took a run that had just begun, by its report, for one that has made no progress for 2.5 times its expected time. The time now is the smaller one of those by the entry's clock and by the target's clock in the report, so that neither's pause counts. (Ends have that rule already: one that is not reported promptly counts for no run time.)

Found by an audit by reading, not seen in a deployment.

--- a/internal/pool/health.go
+++ b/internal/pool/health.go
@@ -104,13 +104,14 @@
 	}
 }
 
-// checkProgress checks a run that a report lists. A run without progress counts against
-// its target, and is stopped and started elsewhere.
-func (p *Pool) checkProgress(now time.Duration, r *run) {
+// checkProgress checks a run that a report of the given time of the target's clock lists. A run without
+// progress counts against its target, and is stopped and started elsewhere. A report may be read late,
+// so that the time by the target's clock bounds that by the entry's.
+func (p *Pool) checkProgress(now time.Duration, r *run, clockMS int64) {
 	if r.state != runRunning || r.task == nil || r.expected <= 0 || r.task.currentRun != r {
 		return
 	}
-	elapsed := now - r.startedAt
+	elapsed := min(now-r.startedAt, time.Duration(clockMS-r.startClockMS)*time.Millisecond)
 	limit := max(time.Duration(float64(r.expected)*stalledFactor), minStalled)
 	if elapsed < limit {
 		return
--- a/internal/pool/report.go
+++ b/internal/pool/report.go
@@ -223,7 +223,7 @@
 		if r.task != nil && row.Checkpoint != "" {
 			r.task.checkpoint = row.Checkpoint
 		}
-		p.checkProgress(now, r)
+		p.checkProgress(now, r, rep.ClockMS)
 	}
 	for _, r := range sortedRuns(t.runs) {
 		if listed[r.key()] {
