A hold that this entry gets to late does not show that its target can't be connected to

A task could be started while its first run is at work. A target that stands still is waited for 2 s longer than one that can't be connected to, since it may find its run done when it goes on. Hold reported NotConnected for each call that got no connection, also if its context had ended before it was tried, or its dial timer while this process stood still: the connection was there, and nobody looked. (One that failed for want of file descriptors counted too.)

All else is ContactMissed, for which the pool waits as for a silent target, until a later hold shows more. ContactUnknown would not do: the pool releases the runs after it as if the target could not be connected to.

Found by an audit by reading, not seen in a deployment.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -340,11 +340,14 @@
 const (
 	// ContactUnknown: the order went over a connection from before.
 	ContactUnknown Contact = iota
-	// NotConnected: no new connection came about.
+	// NotConnected: no new connection came about, though the entry has tried in time.
 	NotConnected
 	// Connected: the target's VM has accepted a new connection. Only the process that runs the
 	// tasks there does not answer.
 	Connected
+	// ContactMissed: the entry has not tried to connect in time, or may have noticed too late that it was
+	// connected. The target may be as with Connected.
+	ContactMissed
 )
 
 // HoldReply is a target's answer to a Hold.
--- a/internal/node/stored.go
+++ b/internal/node/stored.go
@@ -5,8 +5,7 @@
 	"slices"
 	"time"
 
-	"golang.org/x/sys/unix"
-
+	"currantstall/internal/bootclock"
 	"currantstall/internal/jobstore"
 	"currantstall/internal/pool"
 )
@@ -94,15 +93,8 @@
 	return all[(len(all)-1)/2] + now.Milliseconds()
 }
 
-// bootClock returns the time since boot. Unlike the monotonic clock it advances while
-// the VM is suspended.
-func bootClock() time.Duration {
-	var t unix.Timespec
-	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &t); err != nil {
-		return time.Duration(time.Now().UnixNano())
-	}
-	return time.Duration(t.Nano())
-}
+// bootClock returns the time since boot, with all pauses.
+func bootClock() time.Duration { return bootclock.Now() }
 
 // startOwner starts to claim the ownership of the stored jobs when this entry becomes
 // the leader.
--- a/internal/pool/ownership.go
+++ b/internal/pool/ownership.go
@@ -218,12 +218,12 @@
 	return timeToEnd
 }
 
-// noteContact records whether the target is silent. An order over a connection from before tells
+// noteContact records whether the target is silent, or may be. An order over a connection from before tells
 // nothing of that.
 func (t *target) noteContact(rep *fleet.HoldReply) {
 	if rep.Answer != fleet.Unanswered || rep.Contact != fleet.ContactUnknown {
 		t.contactKnown = rep.Answer == fleet.Unanswered
-		t.silent = rep.Answer == fleet.Unanswered && rep.Contact == fleet.Connected
+		t.silent = rep.Answer == fleet.Unanswered && (rep.Contact == fleet.Connected || rep.Contact == fleet.ContactMissed)
 	}
 }
 
--- a/internal/pool/silent_test.go
+++ b/internal/pool/silent_test.go
@@ -19,6 +19,7 @@
 	}{
 		"goes on":           {contact: fleet.Connected, returns: 1900 * ms},
 		"does not":          {contact: fleet.Connected, again: DefaultLease + silentWait},
+		"not tried in time": {contact: fleet.ContactMissed, again: DefaultLease + silentWait},
 		"can't be reached":  {contact: fleet.NotConnected, again: DefaultLease + timeToEnd},
 		"connection of old": {contact: fleet.ContactUnknown, again: DefaultLease + timeToEnd},
 	} {
