An idle owner of the stored jobs holds the ends of a later owner's runs

A completed stored task could run again. An owner without jobs does not renew its ownership, and has it by its own account until it writes. Another entry may have claimed it since. If the first one then got a target with the end of a run that the later owner had started, it acknowledged the end as one of a job that it does not know; the target forgot it, and the next owner started the task again.

The number of a run names the epoch of the owner that started it. The end of an unknown job's run of a later epoch is now held, as by a leader that does not own the stored jobs. So that it is not held for ever, nor all later ends of the target with it, such an owner drops its ownership (StoredDropped, with no runs of its own) and claims it again, also if there are no jobs by then: awaitJobs does not wait after a drop. An owner with runs learns of the other one by its renewals, as before.

TestIdleOwnerDoesNotAcknowledgeTheEndOfALaterOwnersRun failed before (the end of run 8193 is acknowledged by the owner of epoch 1); it also asks for the drop now. TestOwnerWithoutJobsClaimsTheOwnershipThatTheEntryHasDropped is new and fails without the change of awaitJobs (no new epoch in 20 s).

--- a/internal/jobstore/jobstore_test.go
+++ b/internal/jobstore/jobstore_test.go
@@ -332,3 +332,27 @@
 	s.eventually(t, "the record is saved", func() bool { return s.saved[job(0).ID] == 1 })
 	s.locked(func() { assert.Equal(t, s.epoch, 2) })
 }
+
+// An entry holds the ends of runs of a later owner until it owns the stored jobs again, also if there are none.
+func TestOwnerWithoutJobsClaimsTheOwnershipThatTheEntryHasDropped(t *testing.T) {
+	_, tables := startStore(t)
+	_, err := jobstore.NewAccepter(tables, discard()).Accept(job(0))
+	assert.NilError(t, err)
+	o, s, _ := runOwner(t, tables, "e1")
+	s.eventually(t, "the owner has acquired the jobs", func() bool { return s.epoch == 1 })
+	o.Save(jobstore.Save{Job: job(0).ID, Seq: 1, Record: fleet.Record{State: fleet.JobComplete}})
+	s.eventually(t, "the only job has ended", func() bool { return s.saved[job(0).ID] == 1 })
+	s.eventually(t, "its row is removed", func() bool {
+		for part := range 8 {
+			page, err := tables.Read(context.Background(), "jobs-open", fmt.Sprint(part), "", 1)
+			if err != nil || len(page.Rows) > 0 {
+				return false
+			}
+		}
+		return true
+	})
+
+	o.JobsDropped(1)
+
+	s.eventually(t, "the owner has the next epoch", func() bool { return s.epoch == 2 })
+}
--- a/internal/jobstore/restore.go
+++ b/internal/jobstore/restore.go
@@ -11,8 +11,12 @@
 	"currantstall/internal/fleet"
 )
 
-// awaitJobs returns once tableOpen has a job, or the entry has told of one.
+// awaitJobs returns once tableOpen has a job, or the entry has told of one. It does not wait after the entry
+// has dropped the jobs of an ownership, which may have shown that another owner has followed.
 func (o *Owner) awaitJobs(ctx context.Context) error {
+	if o.epoch > 0 && o.jobsDropped() {
+		return nil
+	}
 	rows, after, err := o.readOpen(ctx, 1)
 	if err == nil && len(rows) == 0 {
 		o.events.NoJobs()
--- a/internal/pool/held.go
+++ b/internal/pool/held.go
@@ -34,7 +34,8 @@
 		h.recordSeq = j.seq
 	case ended != nil && !ended.saved:
 		h.recordSeq = ended.seq
-	case j == nil && ended == nil && (p.stored.expected || p.stored.unknown) && !p.stored.owned:
+	case j == nil && ended == nil && (p.stored.expected || p.stored.unknown) && (!p.stored.owned || p.stored.ofLaterOwner(e.Run)):
+		p.stored.followed = p.stored.owned
 		h.recordSeq = math.MaxInt
 		p.stored.unknownJobEnds[e.Task.Job] = append(p.stored.unknownJobEnds[e.Task.Job], h)
 	default:
@@ -43,6 +44,10 @@
 	t.heldEnds = append(t.heldEnds, h)
 }
 
+// ofLaterOwner reports whether a run of an unknown job was started by an owner that has followed. An owner
+// need not renew its ownership while it has no jobs, and does not notice then that another has it.
+func (s *storedState) ofLaterOwner(run int) bool { return run >= (s.epoch+1)*runsPerEpoch }
+
 // takeHeldEnds removes and returns the ends that were held until the job is restored.
 func (p *Pool) takeHeldEnds(id string) []heldEnd {
 	ends := p.stored.unknownJobEnds[id]
--- a/internal/pool/idle_owner_test.go
+++ b/internal/pool/idle_owner_test.go
@@ -25,6 +25,8 @@
 	b.tick(ms)
 	later := fleet.End{Number: 1, Task: fleet.TaskID{Job: "x"}, Run: 2*runsPerEpoch + 1, Kind: fleet.EndDone}
 	b.answerHold("t00", nil, []fleet.End{later})
+	b.tick(ms)
+	assert.DeepEqual(t, takeEffects[StoredDropped](b), []StoredDropped{{Epoch: 1}}) // it claims the ownership again
 	for range 100 {
 		b.tick(20 * ms)
 		for _, h := range takeEffects[fleet.Hold](b) {
--- a/internal/pool/stored.go
+++ b/internal/pool/stored.go
@@ -31,6 +31,7 @@
 	formerRunsEnd   time.Duration            // when all runs of a former owner are over
 	formerStartsEnd time.Duration            // when a former owner has started its last run
 	reportsAsked    bool                     // all owned targets were asked for a report since then
+	followed        bool                     // a run of a later epoch has shown that there was another owner since
 	nextFitCheck    time.Duration            // when it is checked next whether jobs fit
 	ended           map[string]*endedJob     // by job ID
 	recurring       map[string]*recurringJob // by job ID
@@ -76,7 +77,7 @@
 		return
 	}
 	p.stored.owned, p.stored.unknown, p.stored.epoch = true, false, epoch
-	p.stored.lastSeen, p.stored.reportsAsked = lastSeen, false
+	p.stored.lastSeen, p.stored.reportsAsked, p.stored.followed = lastSeen, false, false
 	p.stored.formerStartsEnd = lastSeen + jobstore.StartLease + formerStartsMargin
 	p.stored.formerRunsEnd = lastSeen + formerRunsTimeout
 	if !p.ownsListedTargets(now) {
@@ -131,8 +132,8 @@
 	p.stored.startsUntil = max(p.stored.startsUntil, until)
 }
 
-// tickStored drops the stored jobs if their runs may not continue without a renewal,
-// starts due occurrences and removes ended jobs.
+// tickStored drops the stored jobs if their runs may not continue without a renewal, or if another owner has
+// followed an idle one. It starts due occurrences and removes ended jobs.
 func (p *Pool) tickStored(now time.Duration) {
 	if !p.stored.owned {
 		return
@@ -142,6 +143,11 @@
 		p.ReleaseStored(now, "ownership not renewed in time")
 		return
 	}
+	if p.stored.followed && !p.hasStoredRuns() { // with runs the renewals of the ownership will show it
+		p.emit(StoredDropped{p.stored.epoch})
+		p.ReleaseStored(now, "a run of a later owner has ended")
+		return
+	}
 	p.awaitFormerRuns(now)
 	p.releaseAwaiting(now)
 	p.endUnfitJobs(now)
