A leader takes no job for one that came after its leadership began because the submission was late

Two runs of one task, both with number 1. A leader that has led all the while since a job came waits for none of its own earlier runs. It worked out when that was from the arrival of the submission, which may have waited on a slow link, in the loop's queue or through a pause: then the job seemed to be younger than the leadership. Found by an audit of times that are counted from when an entry gets to something.

The submission names the heartbeat that it answers, so it was sent after that: the job came no later than the heartbeat less the time it had waited. Without a heartbeat nothing is known, and the wait stands.

TestLateReturnToALeaderThatLedBeforeWaitsForItsEarlierRuns failed before (run 1 started 420 ms before the lease of the first ended).

--- a/internal/pool/vouch.go
+++ b/internal/pool/vouch.go
@@ -304,7 +304,11 @@
 // job: it has led all the while since the job arrived, and still has the job or has no runs of
 // it left.
 func (p *Pool) knowsOwnRuns(now time.Duration, s *Submit) bool {
-	if p.leadingSince > now-s.Waited {
+	arrived := now - s.Waited
+	if s.NeedsVouch {
+		arrived = s.HeartbeatAt - s.Waited // at the latest: the submission was sent after that heartbeat
+	}
+	if p.leadingSince > arrived {
 		return false
 	}
 	if p.jobs[s.Job.ID] != nil {
