A late submission of an earlier attempt does not take the job from a later one

Callers saw 504 while their job ran, and a task could run twice. The last submission to arrive won: a coordinator that stood still, or moved the job late, took it from the one whose caller was back and waited. That one answered 504, its caller came back 1.3 s later, perhaps at an entry that follows another leader, and the first coordinator went on vouching.

A leader now compares when the callers came: a submission whose caller came over 1 s before the present one's is of an attempt that is over, and is answered as resubmitted. For that the time waited has to be the whole of it again, so the part before the request was handled is told apart, which is no reason to shed the job.

--- a/internal/node/jobs.go
+++ b/internal/node/jobs.go
@@ -15,6 +15,7 @@
 type pendingJob struct {
 	job          fleet.Job
 	arrived      time.Duration
+	readAfter    time.Duration            // from then until its request was handled
 	pool         int                      // the pool that the job was last submitted to, -1 before
 	tried        []int                    // pools that have rejected the job
 	retryAt      time.Duration            // no submission before, after a leader was not ready
@@ -45,16 +46,12 @@
 		return
 	}
 	n.expectDeparture(w)
-	if j.CallerLeaves {
-		// The leader counts from now: what the request has waited for is no reason to shed its job.
-		j.Timeout -= waited
-	}
 	if p := n.pending[j.ID]; p != nil {
 		n.log.Info("job", "job", j.ID, "outcome", "joined a pending duplicate", "waited_ms", waited.Milliseconds())
-		n.joinPending(now, p, &j, w)
+		n.joinPending(now, p, &j, arrived, w)
 		return
 	}
-	p := &pendingJob{job: j, pool: -1, arrived: now, waiters: []waiter{w}}
+	p := &pendingJob{job: j, pool: -1, arrived: arrived, readAfter: waited, waiters: []waiter{w}}
 	n.pending[j.ID] = p
 	s, leader := n.shardFor(now, p, n.poolViews()), ""
 	if s != nil {
@@ -67,12 +64,12 @@
 
 // joinPending adds a waiter to a pending job. The leader goes by the deadline of the caller that it
 // knows, so it is told of the later one.
-func (n *Node) joinPending(now time.Duration, p *pendingJob, j *fleet.Job, w waiter) {
+func (n *Node) joinPending(now time.Duration, p *pendingJob, j *fleet.Job, arrived time.Duration, w waiter) {
 	p.waiters = append(p.waiters, w)
 	if p.relayFor != "" || p.cancelled {
 		return
 	}
-	p.arrived, p.job.Timeout, p.job.CallerLeaves = now, j.Timeout, j.CallerLeaves
+	p.arrived, p.readAfter, p.job.Timeout, p.job.CallerLeaves = arrived, now-arrived, j.Timeout, j.CallerLeaves
 	if p.sentTo == "" || p.pool >= len(n.shards) {
 		return
 	}
@@ -199,7 +196,7 @@
 	if leader == n.cfg.Self.Name {
 		p.sentTo = leader
 		s.pool.Submit(now, pool.Submit{
-			Coordinator: leader, Job: p.job, Number: p.number, Waited: now - p.arrived, MayHaveRun: p.mayHaveRun,
+			Coordinator: leader, Job: p.job, Number: p.number, Waited: now - p.arrived, ReadAfter: p.readAfter, MayHaveRun: p.mayHaveRun,
 			VouchedAgo: f.ago, HereBefore: f.hereBefore, VouchedElsewhereAgo: f.elsewhereAgo,
 			NeedsVouch: p.relayFor != "" && p.vouches, Origin: p.origin,
 			Suspicions: p.suspicions,
@@ -208,7 +205,7 @@
 		return
 	}
 	b := submitBody{
-		Job: p.job, Number: p.number, Waited: now - p.arrived, MayHaveRun: p.mayHaveRun, Relayed: p.relayFor != "",
+		Job: p.job, Number: p.number, Waited: now - p.arrived, ReadAfter: p.readAfter, MayHaveRun: p.mayHaveRun, Relayed: p.relayFor != "",
 		VouchedAgo: f.ago, HereBefore: f.hereBefore, VouchedElsewhereAgo: f.elsewhereAgo,
 		Pool: s.index, Layout: n.layout.Version, Vouches: p.relayFor == "" || p.vouches, Origin: p.origin, Relays: p.relays,
 		Suspicions: p.suspicions, TakesSuspicions: true, HeartbeatAt: vouchedAt,
@@ -351,7 +348,7 @@
 // leaderlessTimeout and that no earlier leader can have started.
 func (n *Node) rejectLeaderless(now time.Duration) {
 	for id, p := range n.pending {
-		if p.sentTo == "" && now > p.arrived+leaderlessTimeout && !p.mayHaveRun {
+		if p.sentTo == "" && now > p.arrived+p.readAfter+leaderlessTimeout && !p.mayHaveRun {
 			n.settle(now, id, fleet.Outcome{Verdict: verdict.NotRun, Reason: verdict.NoTarget, RetryAfter: time.Second})
 		}
 	}
--- a/internal/node/submission.go
+++ b/internal/node/submission.go
@@ -43,6 +43,8 @@
 	// TakesSuspicions is set if the sender reads wire.PoolSuspects, as earlier releases
 	// do not.
 	TakesSuspicions bool `cbor:"21,keyasint,omitempty"`
+	// ReadAfter is the part of Waited that had passed before the request was handled.
+	ReadAfter time.Duration `cbor:"22,keyasint,omitempty"`
 }
 
 // endedBody is the body of wire.PoolEnded, with which the leader sends the outcome of
@@ -85,13 +87,14 @@
 		return
 	}
 	b.VouchedAgo, b.VouchedElsewhereAgo, b.HeartbeatAt = max(b.VouchedAgo, 0), max(b.VouchedElsewhereAgo, 0), max(b.HeartbeatAt, 0)
+	b.ReadAfter = min(max(b.ReadAfter, 0), max(b.Waited, 0))
 	if b.TakesSuspicions {
 		n.takesSuspicions[from] = true
 	}
 	known := b.Layout == n.layout.Version && b.Pool >= 0 && b.Pool < len(n.shards)
 	if known && n.shards[b.Pool].pool.Leading() {
 		n.shards[b.Pool].pool.Submit(now, pool.Submit{
-			Coordinator: from, Job: b.Job, Number: b.Number, Waited: b.Waited, MayHaveRun: b.MayHaveRun,
+			Coordinator: from, Job: b.Job, Number: b.Number, Waited: b.Waited, ReadAfter: b.ReadAfter, MayHaveRun: b.MayHaveRun,
 			VouchedAgo: b.VouchedAgo, HereBefore: b.HereBefore, VouchedElsewhereAgo: b.VouchedElsewhereAgo,
 			NeedsVouch: b.Vouches, Origin: b.Origin, HeartbeatAt: min(b.HeartbeatAt, now),
 			Suspicions: b.Suspicions,
@@ -108,7 +111,7 @@
 	}
 	n.log.Info("job", "job", b.Job.ID, "outcome", "relayed", "for", from, "pool", b.Pool, "leader", leader)
 	n.pending[b.Job.ID] = &pendingJob{
-		job: b.Job, pool: b.Pool, arrived: now - b.Waited, mayHaveRun: b.MayHaveRun, leaderLostAt: now, relayFor: from, relayNumber: b.Number,
+		job: b.Job, pool: b.Pool, arrived: now - b.Waited, readAfter: b.ReadAfter, mayHaveRun: b.MayHaveRun, leaderLostAt: now, relayFor: from, relayNumber: b.Number,
 		vouches: b.Vouches, formers: map[string]time.Duration{from: now - b.VouchedAgo},
 		origin: cmp.Or(b.Origin, from), relays: b.relays() + 1,
 		suspicions: b.Suspicions,
--- a/internal/pool/departure.go
+++ b/internal/pool/departure.go
@@ -48,7 +48,7 @@
 
 // awaitDeparture records when the caller of a submission leaves.
 func (p *Pool) awaitDeparture(now time.Duration, j *job, s *Submit) {
-	j.callerUntil = forever
+	j.callerCame, j.callerUntil = now-s.Waited, forever
 	if s.Job.Stored || !s.Job.CallerLeaves || s.Job.Timeout <= 0 {
 		return
 	}
@@ -74,3 +74,19 @@
 	}
 	return j.callerUntil + runsOutlastCaller
 }
+
+// attemptGap is less than the time between two attempts of one caller, and more than the arrivals of
+// one attempt at the leader over different entries differ.
+const attemptGap = time.Second
+
+// rejectEarlierAttempt rejects a submission whose caller has made a later attempt at another entry, and
+// reports whether it did. The coordinator of the later one has a caller that waits.
+func (p *Pool) rejectEarlierAttempt(now time.Duration, j *job, s *Submit) bool {
+	if s.Coordinator == j.coordinator || j.orphaned || now-s.Waited+attemptGap >= j.callerCame {
+		return false
+	}
+	p.log("job", "job", j.ID, "outcome", "earlier attempt", "coordinator", s.Coordinator, "waited_ms", s.Waited.Milliseconds())
+	p.waitForFormerOwners(now, j, s)
+	p.emit(Ended{s.Coordinator, j.ID, s.Number, fleet.Outcome{Verdict: verdict.MayHaveRun, Reason: verdict.Resubmitted}})
+	return true
+}
--- a/internal/pool/job.go
+++ b/internal/pool/job.go
@@ -66,6 +66,7 @@
 	number              uint64        // of the coordinator's last submission
 	vouch               *vouch        // of its coordinator; nil if its runs need none
 	vouchFrom           time.Duration // tasks are started by the answer to a heartbeat of this time or later
+	callerCame          time.Duration // when its caller's present attempt began
 	callerUntil         time.Duration // when its caller, who has stated a deadline, has left; otherwise forever
 	earlier             []earlierCoordinator
 	lostRun             bool // a run on a target out of reach was taken for over
@@ -86,6 +87,9 @@
 	Number      uint64 // chosen by the coordinator, which expects it in the answer
 	// Waited is the time since the job arrived from the caller.
 	Waited time.Duration
+	// ReadAfter is the part of it that had passed before the coordinator got to the job. It is no
+	// reason to shed the job.
+	ReadAfter time.Duration
 	// MayHaveRun is set if a former owner may have started the job. VouchedAgo is the time
 	// since the coordinator last vouched for the job to that owner.
 	MayHaveRun bool
@@ -123,6 +127,9 @@
 		return
 	}
 	if j := p.jobs[s.Job.ID]; j != nil {
+		if p.rejectEarlierAttempt(now, j, &s) {
+			return
+		}
 		p.log("job", "job", j.ID, "outcome", "attached", "coordinator", s.Coordinator, "orphan", j.orphaned)
 		p.changeCoordinator(now, j, &s)
 		j.coordinator, j.number, j.orphaned, j.withdrawn, j.movedAway = s.Coordinator, s.Number, false, false, false
@@ -202,8 +209,9 @@
 	}
 	criticalPath := j.criticalPath()
 	goal := time.Duration(float64(criticalPath)*max(j.Queue.Stretch, 1)) + j.Queue.Slack
-	j.latestStart = j.arrived + goal - criticalPath - networkMargin
-	j.latestLateStart = j.arrived + min(lateFactor*goal-criticalPath, time.Duration(lateShare*float64(j.Timeout)))
+	read := j.arrived + s.ReadAfter
+	j.latestStart = read + goal - criticalPath - networkMargin
+	j.latestLateStart = read + min(lateFactor*goal-criticalPath, time.Duration(lateShare*float64(j.Timeout-s.ReadAfter)))
 	return j
 }
 
