--- a/internal/node/caller.go
+++ b/internal/node/caller.go
@@ -71,6 +71,9 @@
 		return false
 	}
 	o := fleet.Outcome{Verdict: verdict.NotRun, Reason: verdict.DeadlinePassed, RetryAfter: time.Second}
+	if p := n.pending[j.ID]; p != nil {
+		o.Verdict = p.unansweredVerdict()
+	}
 	n.log.Info("answer", "job", j.ID, "queue", j.Queue.Name, "verdict", o.Verdict.String(), "reason", o.Reason,
 		"waited_ms", (now - arrived).Milliseconds(), "deadline_ms", j.Timeout.Milliseconds())
 	n.counts.outcome(o, now-arrived)
--- a/internal/node/caller_test.go
+++ b/internal/node/caller_test.go
@@ -144,3 +144,12 @@
 	})
 	assert.Assert(t, n.vouchedTo("other"), "the heartbeat is not answered later")
 }
+
+// A late duplicate was told that the job had not run, while the leader had it.
+func TestLateDuplicateOfAJobThatALeaderHasMayHaveRun(t *testing.T) {
+	n, _ := startNode(t)
+	led(t, n, &pendingJob{job: patientJob("a"), waiters: []waiter{{done: make(chan fleet.Outcome, 1)}}})
+	o, err := n.Submit(t.Context(), callerJob("a", time.Second), Caller{Waited: 2 * time.Second})
+	assert.NilError(t, err)
+	assert.Equal(t, o.Verdict, verdict.MayHaveRun)
+}
