A job that moves to another pool of its leader waits for its runs in the first one

A task could run twice where one entry leads two pools: a coordinator that moved a job between them told the leader that it had been there before, so that the leader did not wait for runs that only its other pool knows. It takes a withdrawal that is 0.1 s late and a lost stop; found by the audit, by reading. Former leaders are now kept by entry and pool.

TestJobThatMovesToAnotherPoolOfItsLeaderWaitsForItsRuns; with the key of before (the entry alone) hereBefore is true by construction.

--- a/internal/node/jobs.go
+++ b/internal/node/jobs.go
@@ -22,7 +22,7 @@
 	sentTo       string                   // the leader that has the job, "" while none has
 	mayHaveRun   bool                     // an earlier leader had the job and may have started it
 	leaderLostAt time.Duration            // when that leader was lost
-	formers      map[string]time.Duration // earlier leaders, and when this entry last vouched to each for the job
+	formers      map[former]time.Duration // earlier leaders, and when this entry last vouched to each for the job
 	waiters      []waiter                 // the callers
 	number       uint64                   // of the last submission
 	cancelled    bool                     // by the caller
@@ -190,7 +190,7 @@
 		return // its caller has left
 	}
 	p.pool = s.index
-	f := p.formerVouches(now, leader)
+	f := p.formerVouches(now, former{leader, s.index})
 	n.lastSubmission++
 	p.number = n.lastSubmission
 	if leader == n.cfg.Self.Name {
--- a/internal/node/submission.go
+++ b/internal/node/submission.go
@@ -112,7 +112,7 @@
 	n.log.Info("job", "job", b.Job.ID, "outcome", "relayed", "for", from, "pool", b.Pool, "leader", leader)
 	n.pending[b.Job.ID] = &pendingJob{
 		job: b.Job, pool: b.Pool, arrived: now - b.Waited, readAfter: b.ReadAfter, mayHaveRun: b.MayHaveRun, leaderLostAt: now, relayFor: from, relayNumber: b.Number,
-		vouches: b.Vouches, formers: map[string]time.Duration{from: now - b.VouchedAgo},
+		vouches: b.Vouches, formers: map[former]time.Duration{{from, b.Pool}: now - b.VouchedAgo},
 		origin: cmp.Or(b.Origin, from), relays: b.relays() + 1,
 		suspicions: b.Suspicions,
 	}
--- a/internal/node/vouch.go
+++ b/internal/node/vouch.go
@@ -275,30 +275,38 @@
 	return true
 }
 
+// former is an earlier leader of a job, or a relay, and the pool for which it had the job.
+type former struct {
+	leader string
+	pool   int
+}
+
 // addFormer records that a leader or relay is given up, and when this entry last vouched for
 // the job to it.
 func (p *pendingJob) addFormer(leader string, vouchedAt time.Duration) {
 	if p.formers == nil {
-		p.formers = make(map[string]time.Duration)
+		p.formers = make(map[former]time.Duration)
 	}
-	if at, known := p.formers[leader]; !known || vouchedAt > at {
-		p.formers[leader] = vouchedAt
+	f := former{leader, p.pool}
+	if at, known := p.formers[f]; !known || vouchedAt > at {
+		p.formers[f] = vouchedAt
 	}
 }
 
 // formerVouches tells how long ago an entry last vouched for a job to its earlier leaders.
 type formerVouches struct {
 	ago          time.Duration // to any of them
-	hereBefore   bool          // the next leader is one of them
+	hereBefore   bool          // the next leader is one of them, for the same pool
 	elsewhereAgo time.Duration // to the others
 }
 
-// formerVouches returns what the next leader of a job needs to know of the earlier ones.
-func (p *pendingJob) formerVouches(now time.Duration, next string) formerVouches {
+// formerVouches returns what the next leader of a job needs to know of the earlier ones. A leader
+// knows the runs of each of its pools apart.
+func (p *pendingJob) formerVouches(now time.Duration, next former) formerVouches {
 	f := formerVouches{ago: pool.DefaultTakeoverDelay, elsewhereAgo: pool.DefaultTakeoverDelay}
-	for leader, at := range p.formers {
+	for before, at := range p.formers {
 		f.ago = min(f.ago, now-at)
-		if leader == next {
+		if before == next {
 			f.hereBefore = true
 		} else {
 			f.elsewhereAgo = min(f.elsewhereAgo, now-at)
--- a/internal/node/vouch_test.go
+++ b/internal/node/vouch_test.go
@@ -8,6 +8,7 @@
 
 	"currantstall/internal/fleet"
 	"currantstall/internal/peer"
+	"currantstall/internal/pool"
 	"currantstall/internal/structs"
 	"currantstall/internal/wire"
 )
@@ -75,3 +76,15 @@
 	assert.Equal(t, v.answer("leader"), time.Duration(0), "a leader that was not told of a withdrawal gets no answers")
 	assert.Equal(t, v.vouchedAt["leader"], 3*time.Second)
 }
+
+// A leader of several pools knows in each of them only the runs that it started for that one.
+func TestJobThatMovesToAnotherPoolOfItsLeaderWaitsForItsRuns(t *testing.T) {
+	p := &pendingJob{pool: 0}
+	p.addFormer("leader", 5*time.Second)
+	f := p.formerVouches(5100*time.Millisecond, former{"leader", 1})
+	assert.Assert(t, !f.hereBefore)
+	assert.Equal(t, f.ago, 100*time.Millisecond)
+	f = p.formerVouches(5100*time.Millisecond, former{"leader", 0})
+	assert.Assert(t, f.hereBefore)
+	assert.Equal(t, f.elsewhereAgo, pool.DefaultTakeoverDelay)
+}
