Review: ended jobs, short deadlines and queued jobs of later attempts

A deadline below 0.2 s left no room for a whole lease, so such jobs never started; a start right after the request is always permitted.

--- a/internal/pool/departure.go
+++ b/internal/pool/departure.go
@@ -13,66 +13,78 @@
 // notice, or cut off. So the leader itself bounds the runs of the job by the caller's deadline.
 
 // runsOutlastCaller is how long runs that can't be stopped may last after their caller's deadline
-// and coordinatorGrace. Starts need a whole lease of it.
+// and CoordinatorGrace. Starts need a whole lease of it.
 const runsOutlastCaller = 400 * time.Millisecond
 
-// departure is when the caller of a job's last submission has left.
-type departure struct {
-	at  time.Duration
-	job *job
-}
-
-// departures is a heap of departures, by time.
-type departures []departure
+// departures is a heap of the jobs whose callers have stated a deadline, by when these have left.
+type departures []*job
 
 // Len implements heap.Interface.
 func (d departures) Len() int { return len(d) }
 
 // Less implements heap.Interface.
-func (d departures) Less(i, k int) bool { return d[i].at < d[k].at }
+func (d departures) Less(i, k int) bool { return d[i].callerUntil < d[k].callerUntil }
 
 // Swap implements heap.Interface.
-func (d departures) Swap(i, k int) { d[i], d[k] = d[k], d[i] }
+func (d departures) Swap(i, k int) {
+	d[i], d[k] = d[k], d[i]
+	d[i].departureIndex, d[k].departureIndex = i, k
+}
 
 // Push implements heap.Interface.
-func (d *departures) Push(x any) { *d = append(*d, x.(departure)) }
+func (d *departures) Push(x any) {
+	j := x.(*job)
+	j.departureIndex = len(*d)
+	*d = append(*d, j)
+}
 
 // Pop implements heap.Interface.
 func (d *departures) Pop() any {
 	last := len(*d) - 1
-	x := (*d)[last]
-	(*d)[last] = departure{}
+	j := (*d)[last]
+	(*d)[last] = nil
 	*d = (*d)[:last]
-	return x
+	j.departureIndex = noDeparture
+	return j
+}
+
+// noDeparture is the departureIndex of a job that is not in the heap.
+const noDeparture = -1
+
+// remove removes a job that has left the pool, or whose caller is another one now.
+func (d *departures) remove(j *job) {
+	if j.departureIndex != noDeparture {
+		heap.Remove(d, j.departureIndex)
+	}
 }
 
 // awaitDeparture records when the caller of a submission leaves.
 func (p *Pool) awaitDeparture(now time.Duration, j *job, s *Submit) {
+	p.departures.remove(j)
 	j.callerCame, j.callerUntil = now-s.Waited, forever
 	if s.Job.Stored || !s.Job.CallerLeaves || s.Job.Timeout <= 0 {
 		return
 	}
-	j.callerUntil = now - s.Waited + s.Job.Timeout + coordinatorGrace
-	heap.Push(&p.departures, departure{j.callerUntil, j})
+	j.callerUntil = now - s.Waited + s.Job.Timeout + CoordinatorGrace
+	heap.Push(&p.departures, j)
 }
 
 // endDeparted ends the jobs whose callers have left.
 func (p *Pool) endDeparted(now time.Duration) {
-	for len(p.departures) > 0 && p.departures[0].at <= now {
+	for len(p.departures) > 0 && p.departures[0].callerUntil <= now {
 		p.work.jobs++
-		d := heap.Pop(&p.departures).(departure)
-		if j := d.job; p.jobs[j.ID] == j && j.callerUntil == d.at { // it was not submitted again
-			p.endJob(now, j, fleet.Outcome{Verdict: notRunVerdict(j.mayHaveStarted), Reason: verdict.DeadlinePassed})
-		}
+		j := heap.Pop(&p.departures).(*job)
+		p.endJob(now, j, fleet.Outcome{Verdict: notRunVerdict(j.mayHaveStarted), Reason: verdict.DeadlinePassed})
 	}
 }
 
-// callerPermits returns until when the runs of a job may continue for its caller's sake.
-func (j *job) callerPermits() time.Duration {
+// callerPermits returns until when the runs of a job may continue for its caller's sake. A caller that
+// waits for less than a lease is served too.
+func (p *Pool) callerPermits(j *job) time.Duration {
 	if j.callerUntil == forever {
 		return forever
 	}
-	return j.callerUntil + runsOutlastCaller
+	return max(j.callerUntil+runsOutlastCaller, j.callerCame+CoordinatorGrace+p.cfg.Lease)
 }
 
 // attemptGap is less than the time between two attempts of one caller, and more than the arrivals of
@@ -90,3 +102,11 @@
 	p.emit(Ended{s.Coordinator, j.ID, s.Number, fleet.Outcome{Verdict: verdict.MayHaveRun, Reason: verdict.Resubmitted}})
 	return true
 }
+
+// extendTimeout keeps a job queued for as long as the caller of a later attempt waits.
+func (p *Pool) extendTimeout(now time.Duration, j *job, s *Submit) {
+	if timeout := now - s.Waited + s.Job.Timeout - j.arrived; s.Job.Timeout > 0 && timeout > j.Timeout {
+		j.queueState.remove(j) // its place among the deadlines changes
+		j.Timeout = timeout
+	}
+}
--- a/internal/pool/departure_test.go
+++ b/internal/pool/departure_test.go
@@ -82,3 +82,47 @@
 	assert.Equal(t, len(takeEffects[fleet.Stop](b)), 0)
 	assert.Equal(t, len(b.outcomes()), 0)
 }
+
+// Each ended job was kept, with its spec and tasks, until its caller's deadline.
+func TestEndedJobsAreNotKeptUntilTheDeadlinesOfTheirCallers(t *testing.T) {
+	b := newHarness(t, 1)
+	for range 3 {
+		b.submitFrom("e1", callerJobOf("j", time.Hour, 20*ms))
+		b.submitFrom("e1", callerJobOf("j", time.Hour, 20*ms)) // once more
+		assert.Equal(t, len(b.p.departures), 1)
+		b.p.Cancel(b.now, "j")
+		b.tick(ms)
+	}
+	assert.Equal(t, len(b.p.departures), 0)
+}
+
+// Jobs whose deadline is shorter than the time for which runs may outlast it were never started.
+func TestJobsWithShortDeadlinesStart(t *testing.T) {
+	for _, deadline := range []time.Duration{50 * ms, 100 * ms, 190 * ms, 300 * ms} {
+		b := newHarness(t, 1)
+		b.submitFrom("e1", callerJobOf("j", deadline, 20*ms))
+		b.tick(ms)
+		assert.Equal(t, len(b.acceptStarts()), 1, "deadline %v", deadline)
+	}
+}
+
+// A queued job ended by the deadline of the first attempt, while the caller waited for the second one.
+func TestQueuedJobWaitsForTheDeadlineOfTheLaterAttempt(t *testing.T) {
+	b := newHarness(t, 1)
+	filler := callerJobOf("f", time.Hour, 30*time.Second)
+	filler.Steps[0].Needs.MilliCPU = 32000
+	b.submitFrom("e1", filler)
+	b.tick(ms)
+	assert.Equal(t, len(b.acceptStarts()), 1)
+	j := callerJobOf("j", 1500*ms, 100*ms)
+	j.Queue.Name, j.Queue.Slack = "q2", 20*time.Second
+	b.submitFrom("e1", j)
+	for i := range 110 {
+		if i == 50 {
+			b.submitFrom("e1", j)
+		}
+		b.tick(20 * ms)
+		b.hear("e1")
+		assert.Equal(t, len(b.outcomes()), 0, "ended %d ms after the first attempt", i*20)
+	}
+}
--- a/internal/pool/job.go
+++ b/internal/pool/job.go
@@ -68,6 +68,7 @@
 	vouchFrom           time.Duration // tasks are started by the answer to a heartbeat of this time or later
 	callerCame          time.Duration // when its caller's present attempt began
 	callerUntil         time.Duration // when its caller, who has stated a deadline, has left; otherwise forever
+	departureIndex      int           // in the heap of the pool
 	earlier             []earlierCoordinator
 	lostRun             bool // a run on a target out of reach was taken for over
 	movedAway           bool // its coordinator submits it to another owner
@@ -134,6 +135,7 @@
 		p.changeCoordinator(now, j, &s)
 		j.coordinator, j.number, j.orphaned, j.withdrawn, j.movedAway = s.Coordinator, s.Number, false, false, false
 		p.attachVouch(now, j, &s)
+		p.extendTimeout(now, j, &s)
 		p.waitForFormerOwners(now, j, &s)
 		if s.MayHaveRun {
 			j.markMayHaveStarted()
@@ -176,7 +178,7 @@
 	q := p.queueFor(&s.Job.Queue)
 	j := &job{
 		Job: s.Job, queueState: q, coordinator: s.Coordinator, number: s.Number, arrived: now - s.Waited,
-		mayHaveRunElsewhere: s.MayHaveRun, mayHaveStarted: s.MayHaveRun,
+		mayHaveRunElsewhere: s.MayHaveRun, mayHaveStarted: s.MayHaveRun, departureIndex: noDeparture,
 		steps: make([][]*task, len(s.Job.Steps)), remaining: make([]int, len(s.Job.Steps)),
 	}
 	p.attachVouch(now, j, &s)
--- a/internal/pool/left.go
+++ b/internal/pool/left.go
@@ -7,9 +7,9 @@
 // again at another entry, which knows nothing of the earlier one.
 
 const (
-	// coordinatorGrace is how long a coordinator may keep a job after the deadline that the caller
-	// has stated.
-	coordinatorGrace = 100 * time.Millisecond
+	// CoordinatorGrace is how long a coordinator keeps a job after the deadline that the caller
+	// has stated: the leader goes by the same deadline, and its answer is on its way.
+	CoordinatorGrace = 100 * time.Millisecond
 	// maxLeftRunsWait bounds the wait for runs of a job that has left, for callers that state no
 	// deadline.
 	maxLeftRunsWait = 5 * time.Second
@@ -35,7 +35,7 @@
 	}
 	if j.lostRun && j.vouch != nil {
 		// The coordinator may have handed the job to a leader that renews the lost run.
-		until = max(until, j.arrived+j.Timeout+coordinatorGrace+p.cfg.TakeoverDelay)
+		until = max(until, j.arrived+j.Timeout+CoordinatorGrace+p.cfg.TakeoverDelay)
 	}
 	if until = min(until, now+maxLeftRunsWait); until > now {
 		p.leftRuns[j.ID] = leftRuns{j.coordinator, max(p.leftRuns[j.ID].until, until)}
--- a/internal/pool/vouch.go
+++ b/internal/pool/vouch.go
@@ -106,7 +106,7 @@
 	if j.withdrawn {
 		return j.withdrawnUntil
 	}
-	return min(p.vouchedUntil(j), j.callerPermits())
+	return min(p.vouchedUntil(j), p.callerPermits(j))
 }
 
 // vouchedUntil returns until when the runs of a job that is not withdrawn may continue by the words
