Review: duplicates that join, looks at callers, suspensions within a batch

A relay now takes over the later deadline and passes it on. A job that is submitted again counts as one that may have run at that leader. The pause is looked for before each event and each step.

--- a/internal/node/caller.go
+++ b/internal/node/caller.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"currantstall/internal/fleet"
+	"currantstall/internal/pool"
 	"currantstall/internal/verdict"
 )
 
@@ -12,10 +14,6 @@
 // to be over that its first coordinator answers for. So what counts is when its request arrived and
 // when it left, not when this entry got to that.
 
-// callerGrace is how much longer than it has said a caller may wait for its answer: the answer of the
-// leader, which goes by the same deadline, is on its way.
-const callerGrace = 100 * time.Millisecond
-
 // Caller is what is known of the caller of a job when its request has been read.
 type Caller struct {
 	// Waited is how long the request had been on this VM before it was read, 0 if not known. Time
@@ -29,10 +27,13 @@
 // waiter is a caller that waits for the outcome of a pending job.
 type waiter struct {
 	done     chan fleet.Outcome // with room for it
-	leavesAt time.Duration      // 0 if the caller has stated no deadline
+	leavesAt time.Duration      // with pool.CoordinatorGrace; 0 if the caller has stated no deadline
 	left     func() bool        // may be nil
 }
 
+// hasLeft reports whether the caller has closed its connection, if that can be known.
+func (w waiter) hasLeft() bool { return w.left != nil && w.left() }
+
 // arrivalOf returns when the request of a caller arrived. A request that is read right after a pause
 // may be as old as the pause, whatever the kernel says: a VM that stood still has received nothing.
 func (n *Node) arrivalOf(c Caller) time.Duration {
@@ -50,7 +51,7 @@
 	arrived := n.arrivalOf(c)
 	w := waiter{done: make(chan fleet.Outcome, 1), left: c.Left}
 	if j.CallerLeaves {
-		w.leavesAt = arrived + j.Timeout + callerGrace
+		w.leavesAt = arrived + j.Timeout + pool.CoordinatorGrace
 	}
 	n.post(func(now time.Duration) { n.addPending(now, j, arrived, w) })
 	select {
@@ -116,24 +117,33 @@
 func (n *Node) dropDisconnected(now time.Duration, leader string) {
 	for _, p := range n.pending {
 		if p.sentTo == leader {
-			n.dropWaiters(now, p, func(w waiter) bool { return w.left != nil && w.left() })
+			n.dropWaiters(now, p, waiter.hasLeft)
 		}
 	}
 }
 
 // dropWaiters drops the waiters that are gone, and abandons the job with the last one.
 func (n *Node) dropWaiters(now time.Duration, p *pendingJob, gone func(waiter) bool) {
-	kept := p.waiters[:0:0]
+	if !slices.ContainsFunc(p.waiters, gone) {
+		return
+	}
+	var kept, dropped []waiter
 	for _, w := range p.waiters {
-		if !gone(w) {
+		if gone(w) {
+			dropped = append(dropped, w)
+		} else {
 			kept = append(kept, w)
-			continue
 		}
-		w.done <- fleet.Outcome{Verdict: p.unansweredVerdict(), Reason: verdict.DeadlinePassed, RetryAfter: time.Second}
 	}
-	dropped := len(kept) < len(p.waiters)
+	o := fleet.Outcome{Verdict: p.unansweredVerdict(), Reason: verdict.DeadlinePassed, RetryAfter: time.Second}
+	if len(kept) > 0 {
+		o.Verdict = verdict.MayHaveRun // for those that stay
+	}
+	for _, w := range dropped {
+		w.done <- o
+	}
 	p.waiters = kept
-	if !dropped || len(kept) > 0 || p.relayFor != "" {
+	if len(kept) > 0 || p.relayFor != "" {
 		return
 	}
 	id := p.job.ID
--- a/internal/node/caller_test.go
+++ b/internal/node/caller_test.go
@@ -153,3 +153,93 @@
 	assert.NilError(t, err)
 	assert.Equal(t, o.Verdict, verdict.MayHaveRun)
 }
+
+// A duplicate joined a job that was relayed. The relay refused the submission that told of it, and both
+// callers were told that the job had not run, while the leader had it.
+func TestDuplicateOfARelayedJobJoinsIt(t *testing.T) {
+	nodes := startChain(t, 3)
+	answers := make(chan fleet.Outcome, 2)
+	submit := func(timeout time.Duration) {
+		o, _ := nodes[2].Submit(t.Context(), callerJob("a", timeout), Caller{})
+		answers <- o
+	}
+	go submit(700 * time.Millisecond)
+	time.Sleep(400 * time.Millisecond)
+	assert.Equal(t, poolJobs(nodes[0]), 1)
+	go submit(time.Hour)
+	o := <-answers
+	assert.Equal(t, o.Verdict, verdict.MayHaveRun, "the answer to the caller that has left")
+	time.Sleep(300 * time.Millisecond)
+	assert.Equal(t, poolJobs(nodes[0]), 1, "the leader has ended the job by the first deadline")
+	assert.Assert(t, nodes[1].isPending("a"))
+	assert.Assert(t, nodes[2].isPending("a"))
+}
+
+// The request that was read last set the deadline of the job, also where its caller left first.
+func TestDuplicateWithAnEarlierDeadlineEndsNothing(t *testing.T) {
+	n, _ := startNode(t)
+	go func() { _, _ = n.Submit(t.Context(), callerJob("a", time.Hour), Caller{}) }()
+	for !n.isPending("a") {
+		time.Sleep(time.Millisecond)
+	}
+	o, err := n.Submit(t.Context(), callerJob("a", 300*time.Millisecond), Caller{})
+	assert.NilError(t, err)
+	assert.Equal(t, o.Verdict, verdict.MayHaveRun)
+	time.Sleep(200 * time.Millisecond)
+	assert.Equal(t, poolJobs(n), 1, "the job of the first caller")
+}
+
+// A caller that leaves was told that the job had not run, which another one still waits for.
+func TestCallerThatLeavesAJobToOthersIsNotToldThatItHasNotRun(t *testing.T) {
+	n, _ := startNode(t)
+	leaves, stays := make(chan fleet.Outcome, 1), make(chan fleet.Outcome, 1)
+	n.ask(func() int {
+		now := n.now()
+		p := &pendingJob{job: patientJob("a"), pool: -1, arrived: now, retryAt: never, waiters: []waiter{{done: leaves, leavesAt: now + 10*time.Millisecond}, {done: stays}}}
+		n.pending["a"] = p
+		n.expectDeparture(p.waiters[0])
+		return 0
+	})
+	assert.Equal(t, (<-leaves).Verdict, verdict.MayHaveRun)
+}
+
+// A job was submitted, with a word, after its caller had closed the connection.
+func TestJobOfACallerThatHasLeftIsNotSubmitted(t *testing.T) {
+	n, _ := startNode(t)
+	n.ask(func() int {
+		now := n.now()
+		n.addPending(now, patientJob("a"), now, waiter{done: make(chan fleet.Outcome, 1), left: func() bool { return true }})
+		return 0
+	})
+	assert.Equal(t, poolJobs(n), 0)
+	assert.Assert(t, !n.isPending("a"))
+}
+
+// The VM was suspended while the loop handled a batch of events, and the next one of the batch
+// was a heartbeat.
+func TestNoWordAfterASuspensionWithinABatch(t *testing.T) {
+	n, _ := startNode(t)
+	led(t, n, &pendingJob{job: patientJob("a"), waiters: []waiter{{done: make(chan fleet.Outcome, 1), leavesAt: n.now() + 1500*time.Millisecond}}})
+	n.post(func(time.Duration) {
+		time.Sleep(100 * time.Millisecond) // the next event arrives
+		n.clock.suspend(3 * time.Second)
+	})
+	receive(t, n, wire.PoolHeartbeat, heartbeatBody{SentAt: time.Second})
+	assert.Assert(t, !n.vouchedTo("other"))
+	assert.Assert(t, !n.isPending("a"))
+}
+
+// A relay passes on a heartbeat for each job that it gets, and the callers of all jobs were looked at each time.
+func TestRelayedBeatsDoNotLookAtAllCallersEachTime(t *testing.T) {
+	n, _ := startNode(t)
+	var looks int
+	led(t, n, &pendingJob{job: patientJob("a"), waiters: []waiter{{done: make(chan fleet.Outcome, 1), left: func() bool { looks++; return false }}}})
+	n.ask(func() int {
+		now := n.now()
+		for i := range 100 {
+			n.handleRelayedBeat(now, "other", vouchBody{HeartbeatAt: time.Duration(i + 1), Leader: "l", Origin: n.cfg.Self.Name})
+		}
+		assert.Check(t, looks <= 1, "%d looks", looks)
+		return 0
+	})
+}
--- a/internal/node/jobs.go
+++ b/internal/node/jobs.go
@@ -63,19 +63,33 @@
 }
 
 // joinPending adds a waiter to a pending job. The leader goes by the deadline of the caller that it
-// knows, so it is told of the later one.
+// knows, so it is told of a later one.
 func (n *Node) joinPending(now time.Duration, p *pendingJob, j *fleet.Job, arrived time.Duration, w waiter) {
 	p.waiters = append(p.waiters, w)
-	if p.relayFor != "" || p.cancelled {
-		return
+	if p.relayFor == "" && p.extend(now, arrived, j) {
+		n.resubmit(now, p)
+	}
+}
+
+// extend makes a job wait for a caller that waits for longer than those before, and reports whether it
+// does.
+func (p *pendingJob) extend(now, arrived time.Duration, j *fleet.Job) bool {
+	if p.cancelled || !p.job.CallerLeaves || j.CallerLeaves && arrived+j.Timeout <= p.arrived+p.job.Timeout {
+		return false
 	}
 	p.arrived, p.readAfter, p.job.Timeout, p.job.CallerLeaves = arrived, now-arrived, j.Timeout, j.CallerLeaves
-	if p.sentTo == "" || p.pool >= len(n.shards) {
+	return true
+}
+
+// resubmit submits a job again to the leader that has it. The leader may have given up the lead since,
+// or have ended the job, so what it may have started counts as that of a former one.
+func (n *Node) resubmit(now time.Duration, p *pendingJob) {
+	if p.sentTo == "" || p.pool >= len(n.shards) || n.shards[p.pool].decision.Leader != p.sentTo {
 		return
 	}
-	if s := n.shards[p.pool]; s.decision.Leader == p.sentTo {
-		n.submitTo(now, s, p)
-	}
+	p.addFormer(p.sentTo, n.lastVouch(now, p.sentTo))
+	p.mayHaveRun, p.leaderLostAt = true, now
+	n.submitTo(now, n.shards[p.pool], p)
 }
 
 // Cancel cancels a pending job at the request of its caller, and reports whether
@@ -183,6 +197,7 @@
 func (n *Node) submitTo(now time.Duration, s *shard, p *pendingJob) {
 	leader := s.decision.Leader
 	var vouchedAt time.Duration
+	n.dropWaiters(now, p, waiter.hasLeft)
 	if p.relayFor == "" && leader != n.cfg.Self.Name {
 		vouchedAt = n.word(now, leader)
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -240,6 +240,7 @@
 			n.electionsDue = true
 			n.load.maxLag = max(n.load.maxLag, n.lag.tick(began))
 		}
+		n.checkProcessPause()
 		n.contain(func() { n.step(n.now()) })
 		end := n.now()
 		n.load.recordRound(handled, queued, end-began)
@@ -269,6 +270,7 @@
 	for i := range 64 {
 		select {
 		case e := <-n.events:
+			n.checkProcessPause()
 			n.contain(func() {
 				now := n.now()
 				n.dropOverdue(now)
--- a/internal/node/pause.go
+++ b/internal/node/pause.go
@@ -27,12 +27,12 @@
 
 	mu        sync.Mutex
 	suspended time.Duration // since the start, as of the last iteration of the loop
-	// The last pause of the process, on this clock; when it was noticed, on the monotonic one; and
-	// what suspended was before it.
+	// The last pause of the process.
 	pauseBegan, pauseEnded time.Duration
-	noticedAt              time.Duration
-	suspendedBefore        time.Duration
-	lastIteration          time.Duration // of the loop
+	// The last suspension: when it was noticed, on the monotonic clock, and what suspended was before.
+	noticedAt       time.Duration
+	suspendedBefore time.Duration
+	lastIteration   time.Duration // of the loop
 }
 
 func newClock() *clock { return &clock{startedAt: time.Now(), bootedAt: bootClock()} }
@@ -69,7 +69,10 @@
 	if last == 0 || boot-last <= processPauseLimit {
 		return 0
 	}
-	c.pauseBegan, c.pauseEnded, c.noticedAt, c.suspendedBefore = last, boot, mono, before
+	c.pauseBegan, c.pauseEnded = last, boot
+	if c.suspended > before+processPauseLimit {
+		c.noticedAt, c.suspendedBefore = mono, before
+	}
 	return boot - last
 }
 
--- a/internal/node/pause_test.go
+++ b/internal/node/pause_test.go
@@ -27,3 +27,18 @@
 	c.iterate()
 	assert.Assert(t, c.now() >= before+3*time.Second, "the clock goes back")
 }
+
+// A slow iteration of the loop after the suspension made what had come before it new again.
+func TestPauseAfterASuspensionDoesNotForgetIt(t *testing.T) {
+	c := newClock()
+	c.suspend(time.Minute)
+	c.iterate()
+	at, read := c.now(), time.Now()
+	c.suspend(3 * time.Second)
+	c.iterate()
+	c.mu.Lock()
+	c.lastIteration -= 2 * processPauseLimit
+	c.mu.Unlock()
+	assert.Assert(t, c.iterate() > 0)
+	assert.Assert(t, c.of(read) < at+time.Second)
+}
--- a/internal/node/submission.go
+++ b/internal/node/submission.go
@@ -101,6 +101,10 @@
 		})
 		return
 	}
+	if q := n.pending[b.Job.ID]; q != nil && q.relayFor == from {
+		n.extendRelayed(now, q, &b)
+		return
+	}
 	leader := ""
 	if known {
 		leader = n.shards[b.Pool].decision.Leader
@@ -118,6 +122,16 @@
 	}
 }
 
+// extendRelayed handles a job that this entry relays for the sender already. A later caller has joined
+// it there.
+func (n *Node) extendRelayed(now time.Duration, p *pendingJob, b *submitBody) {
+	p.relayNumber, p.vouches = b.Number, b.Vouches
+	if p.extend(now, now-b.Waited, &b.Job) {
+		p.readAfter = b.ReadAfter
+		n.resubmit(now, p)
+	}
+}
+
 // relays returns how many entries have relayed the job. Entries of earlier releases do not
 // count them.
 func (b *submitBody) relays() int {
--- a/internal/node/vouch.go
+++ b/internal/node/vouch.go
@@ -42,14 +42,16 @@
 	muted   map[string]bool
 	greeted map[string]bool // peers whose greeting has arrived on the present link
 	// checked is SentAt of the last heartbeat of a peer before whose answer this entry has looked
-	// whether the callers of its jobs there have left.
-	checked map[string]time.Duration
+	// whether the callers of its jobs there have left. Once for each heartbeat is enough, as the
+	// answer permits runs from then, whenever it is given. lookedAt is when, for relays.
+	checked  map[string]time.Duration
+	lookedAt map[string]time.Duration
 	// heldUntil is until when no heartbeats are answered, 0 if they are.
 	heldUntil time.Duration
 }
 
 func newVouching() vouching {
-	return vouching{beats: make(map[string]beat), vouchedAt: make(map[string]time.Duration), muted: make(map[string]bool), greeted: make(map[string]bool), checked: make(map[string]time.Duration)}
+	return vouching{beats: make(map[string]beat), vouchedAt: make(map[string]time.Duration), muted: make(map[string]bool), greeted: make(map[string]bool), checked: make(map[string]time.Duration), lookedAt: make(map[string]time.Duration)}
 }
 
 // forget drops what belongs to the link to a peer.
@@ -59,6 +61,7 @@
 	delete(v.muted, peer)
 	delete(v.greeted, peer)
 	delete(v.checked, peer)
+	delete(v.lookedAt, peer)
 }
 
 // answer records that the last heartbeat of a peer is answered now, and returns its time on
@@ -181,6 +184,10 @@
 	}
 }
 
+// relayLookInterval is the least time between two looks at the callers whose jobs a relay has. It passes
+// on a heartbeat for each submission.
+const relayLookInterval = 20 * time.Millisecond
+
 // handleRelayedBeat answers a heartbeat that a relay has passed on, if the relay has jobs of
 // this entry. One for the jobs of another coordinator is passed on to that one.
 func (n *Node) handleRelayedBeat(now time.Duration, relay string, b vouchBody) {
@@ -188,7 +195,8 @@
 	if n.vouching.muted[relay] || own && n.vouching.heldUntil > 0 {
 		return
 	}
-	if own {
+	if own && now >= n.vouching.lookedAt[relay]+relayLookInterval {
+		n.vouching.lookedAt[relay] = now
 		n.dropDisconnected(now, relay)
 	}
 	for _, p := range n.pending {
