An answer from a wrong address no longer ends the runs of a target

Callers saw, or could see, two runs of one task: a row named another target's address for a moment, that target answered 421, and the leader started the tasks of the first one elsewhere while it was still running them.

Cause: another target at the listed address counted as proof that this one is over, whether this one had ever been there or not. The answer's own fields were taken for the target's as well: a later birth made it a new incarnation (released as reborn), its clock that of the target's leases, and a silent target counted as silent no more.

Why it works: a target that has answered at its address and has been followed there by a younger one is over. From any other address 421 shows nothing of it: it counts as out of reach, its runs end with their leases and the word of their coordinator, as for each lost target. Real restarts at their address are noticed as fast as before.

What changes for callers: where a row's address is not one at which the target has answered, a task restarts after its lease (0.7 s and 50 ms; stored jobs 12 s) in place of at once, and no crash is counted.

Open: an address that is given to a younger target while its former one, cut off, lives on; a new owner of stored jobs that has no answer yet takes the first row it read for right.

--- a/internal/pool/crash.go
+++ b/internal/pool/crash.go
@@ -279,27 +279,43 @@
 	}
 }
 
-// targetReplaced handles an answer that shows another incarnation at the address of a
-// target whose incarnations have different IDs: this one is over, with all its runs.
-func (p *Pool) targetReplaced(now time.Duration, t *target, addr string) {
+// answeredByOther handles an answer of another target, born at the given time, from the listed address
+// of this one. If that is its own address, this one is over, with all its runs. Else the
+// list is wrong, or this one is elsewhere: its runs last until their leases have expired.
+func (p *Pool) answeredByOther(now time.Duration, t *target, addr string, born int64) {
 	if addr != t.Addr {
 		return // it has moved
 	}
-	if !t.replaced {
-		p.log("target", "target", t.ID, "outcome", "replaced", "runs", len(t.runs))
+	replaced := addr == t.ownAddr && (born == 0 || born > t.Incarnation)
+	if !t.replaced && (replaced || !t.lossRecorded) {
+		p.log("target", "target", t.ID, "outcome", outcomeOfOther(replaced), "addr", addr, "own_addr", t.ownAddr, "born", born, "runs", len(t.runs))
 		p.suspectRuns(now, t)
 	}
-	t.replaced = true
 	p.markUnreachable(now, t)
 	t.nextAcquireAt = now + replacedPause
-	for _, r := range sortedRuns(t.runs) {
-		if r.state != runOrdered { // its own answer is on its way
-			p.releaseAndRequeue(now, r, groundReplaced)
+	if !replaced {
+		return
+	}
+	t.replaced = true
+	if t.answered {
+		t.silent = false
+		for _, r := range sortedRuns(t.runs) {
+			if r.state != runOrdered { // its own answer is on its way
+				p.releaseAndRequeue(now, r, groundReplaced)
+			}
 		}
 	}
 	p.reviewSuspicions(now, t)
 }
 
+// outcomeOfOther returns the outcome that the log names for an answer of another target.
+func outcomeOfOther(replaced bool) string {
+	if replaced {
+		return "replaced"
+	}
+	return "another one at its listed address"
+}
+
 // awaitsJudgement reports whether a task must not be started yet, because it would be
 // given up if the targets that were lost under it turn out to have crashed.
 func (p *Pool) awaitsJudgement(now time.Duration, tk *task) bool {
--- a/internal/pool/report.go
+++ b/internal/pool/report.go
@@ -52,7 +52,9 @@
 	switch o.Number {
 	case t.holds.probe:
 		t.holds.probe = 0
-		t.noteContact(&rep)
+		if rep.Answer != fleet.OtherIncarnation {
+			t.noteContact(&rep)
+		}
 		p.probeDone(now, t, rep.Answer)
 		return
 	case t.holds.acquire:
@@ -64,14 +66,17 @@
 	default:
 		return
 	}
+	if rep.Answer == fleet.OtherIncarnation {
+		p.answeredByOther(now, t, o.Target.Addr, rep.Incarnation)
+		return
+	}
 	if p.otherIncarnation(now, t, rep.Incarnation) {
 		return
 	}
 	t.noteContact(&rep)
 	switch rep.Answer {
-	case fleet.OtherIncarnation:
-		p.targetReplaced(now, t, o.Target.Addr)
 	case fleet.Accepted:
+		t.ownAddr, t.answered = o.Target.Addr, true
 		// After an unanswered or slow call, a run may have ended long before the report.
 		prompt := t.unansweredHolds == 0 && now-sent <= o.Wait+promptSlack
 		t.unansweredHolds, t.ackedEnd = 0, max(t.ackedEnd, o.AckedEnd)
--- a/internal/pool/run.go
+++ b/internal/pool/run.go
@@ -69,10 +69,11 @@
 	if t == nil || !p.leading {
 		return
 	}
-	if p.otherIncarnation(now, t, rep.Incarnation) {
+	byOther := rep.Answer == fleet.OtherIncarnation // its clock and incarnation are not the target's
+	if !byOther && p.otherIncarnation(now, t, rep.Incarnation) {
 		return
 	}
-	if o.Target.Incarnation == t.Incarnation {
+	if !byOther && o.Target.Incarnation == t.Incarnation {
 		t.setClock(now, rep.ClockMS)
 	}
 	r := t.runs[runKey{o.Task, o.Run}]
@@ -112,7 +113,7 @@
 		p.releaseAndRequeue(now, r, groundOfAnswer(rep.Answer))
 	case fleet.OtherIncarnation:
 		p.releaseAndRequeue(now, r, groundOfAnswer(rep.Answer))
-		p.targetReplaced(now, t, o.Target.Addr)
+		p.answeredByOther(now, t, o.Target.Addr, rep.Incarnation)
 	case fleet.NotSent:
 		p.releaseAndRequeue(now, r, groundOfAnswer(rep.Answer)) // the target is not to blame
 	case fleet.Unreachable:
@@ -157,7 +158,14 @@
 // StopDone handles the answer to a stop.
 func (p *Pool) StopDone(now time.Duration, o fleet.Stop, rep fleet.Reply) {
 	t := p.targets[o.Target.ID]
-	if t == nil || !p.leading || p.otherIncarnation(now, t, rep.Incarnation) {
+	if t == nil || !p.leading {
+		return
+	}
+	if rep.Answer == fleet.OtherIncarnation {
+		p.answeredByOther(now, t, o.Target.Addr, rep.Incarnation)
+		return
+	}
+	if p.otherIncarnation(now, t, rep.Incarnation) {
 		return
 	}
 	r := t.runs[runKey{o.Task, o.Run}]
--- a/internal/pool/target.go
+++ b/internal/pool/target.go
@@ -47,7 +47,9 @@
 	seenMS           int64             // the latest time of its clock at which it has answered
 	lossRecorded     bool              // its runs are suspected of the loss of this incarnation
 	lostAt           time.Duration     // when that was noticed
-	replaced         bool              // another incarnation has answered at its address, under another ID
+	replaced         bool              // another incarnation has answered at its own address, under another ID
+	ownAddr          string            // where this incarnation has answered last; until then where it was listed first
+	answered         bool              // it has answered there
 	suspectRuns      int               // runs of tasks that were suspects at their start
 	largestRoom      structs.Resources // largest capacity listed for this incarnation, by resource
 
@@ -165,7 +167,7 @@
 
 // addTarget adds a target that discovery listed for the first time.
 func (p *Pool) addTarget(info fleet.Target, now time.Duration) *target {
-	t := &target{Target: info, nextAcquireAt: now, health: newHealth()}
+	t := &target{Target: info, nextAcquireAt: now, ownAddr: info.Addr, health: newHealth()}
 	t.reset()
 	p.targets[info.ID] = t
 	p.reviewSuspicions(now, t)
@@ -181,6 +183,7 @@
 			return // the target itself has reported a later incarnation
 		}
 		p.newIncarnation(now, t, info.Incarnation)
+		t.ownAddr = info.Addr
 	}
 	if info.Leaving != t.Leaving {
 		p.log("target", "target", t.ID, "leaving", info.Leaving)
@@ -229,6 +232,7 @@
 	t.Incarnation, t.clockMS, t.clockReadAt, t.lastEnd, t.ackedEnd = incarnation, 0, 0, 0, 0
 	t.nextAcquireAt, t.unknownLeasesEnd = now, now+maxLease
 	t.seenMS, t.lossRecorded, t.replaced, t.largestRoom = 0, false, false, structs.Resources{}
+	t.ownAddr, t.answered = t.Addr, false
 	for _, r := range sortedRuns(before) {
 		t.carryOver(r)
 		if r.state == runRunning {
