A crash after the lease of a run is weak evidence against its task

Callers saw a job failed as crashes_targets though no target had crashed under its task: two targets were cut off at once after they had answered a start, and crashed 2 s and more later, behind the cut.

Cause: the loss was noticed within some ms, so it counted in full, and the next incarnation made it a crash. When the target crashed in between was not asked. The runs end with their leases, 0.7 s after the last renewal.

Ways weighed: to drop what is not proved before the end of the lease (a task that takes its target off the network is never given up); to weaken all such losses (a task that takes its target along before the answer costs four in place of two, and tests of that fail); to weaken them where the target had answered the start (chosen).

The change: holds tell whether the target's process is gone: a new connection was refused, or ended at once. An end of an earlier connection does not count, since a network resets connections too, nor one at an address that is not the target's own. A loss becomes weak evidence when all leases on the target have expired, unless the process was found gone before, the next incarnation has shown, or another ID has answered at its own address. Four crashes are asked for then in place of two.

What changes for callers: such jobs are done. A task whose targets fall without a word after they have answered its start (a VM without power; a process that stands still until it is killed) costs four targets in place of two. One whose targets refuse connections still costs two. A stored job writes nothing for this; its next record has it, and an owner that takes it over before counts in full.

Of the new ones, with the weakening taken out, TestTaskThatCrashesItsTargetsAfterTheyAnswer... costs 2 in place of 4 without refusals, and TestTargetThatRefusesConnectionsAfterTheLease... fails; with refusals ignored the first costs 4 in place of 2; TestNewsOfALostTarget..., ...IsJudgedAnew and TestWrongAddressDoesNotShowThatAProcessIsGone fail each without the check that they are for.

Open: a start that was not answered still counts in full after a cut.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -351,6 +351,7 @@
 type HoldReply struct {
 	Answer      Answer
 	Contact     Contact // if unanswered
+	ProcessGone bool    // if unanswered: a new connection was refused, or ended at once
 	ClockMS     int64
 	Incarnation int64
 	Running     []Running
--- a/internal/pool/crash.go
+++ b/internal/pool/crash.go
@@ -286,6 +286,7 @@
 	if addr != t.Addr {
 		return // it has moved
 	}
+	p.settleLoss(now, t)
 	replaced := addr == t.ownAddr && (born == 0 || born > t.Incarnation)
 	if !t.replaced && (replaced || !t.lossRecorded) {
 		p.log("target", "target", t.ID, "outcome", outcomeOfOther(replaced), "addr", addr, "own_addr", t.ownAddr, "born", born, "runs", len(t.runs))
--- a/internal/pool/losses.go
+++ b/internal/pool/losses.go
@@ -156,6 +156,40 @@
 	}
 }
 
+// noteProcessGone notes whether a hold to an address shows that the process of a target is not there.
+func (p *Pool) noteProcessGone(now time.Duration, t *target, addr string, rep *fleet.HoldReply) {
+	p.settleLoss(now, t)
+	t.processGone = rep.Answer == fleet.Unanswered && (t.processGone || rep.ProcessGone && addr == t.ownAddr)
+}
+
+// settleLoss weakens the suspicions of the loss of a target once the leases of its runs have expired,
+// unless its process was found gone before: it may have been cut off, and have crashed since. Those against
+// jobs with a start there that was not answered stay as they are.
+func (p *Pool) settleLoss(now time.Duration, t *target) {
+	if !t.lossRecorded || t.lossSettled || !t.leasesExpired(now) {
+		return
+	}
+	t.lossSettled = true
+	if t.processGone {
+		return
+	}
+	answered := make(map[string]bool) // by job
+	for _, r := range sortedRuns(t.runs) {
+		all, known := answered[r.taskID.Job]
+		answered[r.taskID.Job] = r.startedAt > 0 && (all || !known)
+	}
+	for _, id := range slices.Sorted(maps.Keys(answered)) {
+		sj, j := p.suspected[id], p.jobs[id]
+		if sj == nil || !answered[id] || !sj.tasks.Weaken(t.ID, t.Incarnation) {
+			continue
+		}
+		p.log("suspect", "job", id, "target", t.ID, "outcome", "weakened: not seen to crash under the lease")
+		if j != nil && !j.Stored { // no write for this alone: the next record has it
+			p.suspicionsChanged(now, j)
+		}
+	}
+}
+
 // causesOfOneFault returns the number of other jobs that losses would have to be blamed on for
 // them to be taken for one fault, and the number of targets at the time. Targets that were
 // lost before, or have another incarnation at their address, are none of them.
--- a/internal/pool/ownership.go
+++ b/internal/pool/ownership.go
@@ -117,7 +117,7 @@
 		return
 	}
 	t.owned, t.wasUnreachable, t.fencedInARow = true, false, 0
-	t.lossRecorded, t.replaced = false, false
+	t.lossRecorded, t.lossSettled, t.replaced = false, false, false
 	p.reviewSuspicions(now, t)
 	p.log("ownership", "target", t.ID, "outcome", "acquired", "fence", t.fence, "running", len(rep.Running))
 	listed := make(map[runKey]bool, len(rep.Running))
@@ -181,6 +181,7 @@
 			t.lastOwnedAt = now
 			continue
 		}
+		p.settleLoss(now, t)
 		if len(t.runs) == 0 || !t.leasesExpired(now-t.timeToEnd()) {
 			continue
 		}
--- a/internal/pool/report.go
+++ b/internal/pool/report.go
@@ -54,6 +54,7 @@
 		t.holds.probe = 0
 		if rep.Answer != fleet.OtherIncarnation {
 			t.noteContact(&rep)
+			p.noteProcessGone(now, t, o.Target.Addr, &rep)
 		}
 		p.probeDone(now, t, rep.Answer)
 		return
@@ -74,6 +75,7 @@
 		return
 	}
 	t.noteContact(&rep)
+	p.noteProcessGone(now, t, o.Target.Addr, &rep)
 	switch rep.Answer {
 	case fleet.Accepted:
 		t.ownAddr, t.answered = o.Target.Addr, true
--- a/internal/pool/target.go
+++ b/internal/pool/target.go
@@ -47,6 +47,8 @@
 	seenMS           int64             // the latest time of its clock at which it has answered
 	lossRecorded     bool              // its runs are suspected of the loss of this incarnation
 	lostAt           time.Duration     // when that was noticed
+	lossSettled      bool              // the leases of its runs have expired since
+	processGone      bool              // a hold has shown since its last answer that its process is not there
 	replaced         bool              // another incarnation has answered at its own address, under another ID
 	ownAddr          string            // where this incarnation has answered last; until then where it was listed first
 	answered         bool              // it has answered there
@@ -223,6 +225,7 @@
 	if !t.lossRecorded {
 		t.lostAt = now
 	}
+	p.settleLoss(now, t)
 	before, suspects := t.runs, suspectsOn(t)
 	if !t.lossRecorded {
 		p.noteLoss(now, t, suspects)
@@ -233,6 +236,7 @@
 	t.nextAcquireAt, t.unknownLeasesEnd = now, now+maxLease
 	t.seenMS, t.lossRecorded, t.replaced, t.largestRoom = 0, false, false, structs.Resources{}
 	t.ownAddr, t.answered = t.Addr, false
+	t.lossSettled, t.processGone = false, false
 	for _, r := range sortedRuns(before) {
 		t.carryOver(r)
 		if r.state == runRunning {
