--- a/internal/node/jobs.go
+++ b/internal/node/jobs.go
@@ -15,13 +15,14 @@
 type pendingJob struct {
 	job          fleet.Job
 	arrived      time.Duration
+	readAfter    time.Duration            // from then until its request was handled
 	pool         int                      // the pool that the job was last submitted to, -1 before
 	tried        []int                    // pools that have rejected the job
 	retryAt      time.Duration            // no submission before, after a leader was not ready
 	sentTo       string                   // the leader that has the job, "" while none has
 	mayHaveRun   bool                     // an earlier leader had the job and may have started it
 	leaderLostAt time.Duration            // when that leader was lost
-	formers      map[string]time.Duration // earlier leaders, and when this entry last vouched to each for the job
+	formers      map[former]time.Duration // earlier leaders, and when this entry last vouched to each for the job
 	waiters      []waiter                 // the callers
 	number       uint64                   // of the last submission
 	cancelled    bool                     // by the caller
@@ -45,16 +46,12 @@
 		return
 	}
 	n.expectDeparture(w)
-	if j.CallerLeaves {
-		// The leader counts from now: what the request has waited for is no reason to shed its job.
-		j.Timeout -= waited
-	}
 	if p := n.pending[j.ID]; p != nil {
 		n.log.Info("job", "job", j.ID, "outcome", "joined a pending duplicate", "waited_ms", waited.Milliseconds())
-		n.joinPending(now, p, &j, w)
+		n.joinPending(now, p, &j, arrived, w)
 		return
 	}
-	p := &pendingJob{job: j, pool: -1, arrived: now, waiters: []waiter{w}}
+	p := &pendingJob{job: j, pool: -1, arrived: arrived, readAfter: waited, waiters: []waiter{w}}
 	n.pending[j.ID] = p
 	s, leader := n.shardFor(now, p, n.poolViews()), ""
 	if s != nil {
@@ -66,19 +63,33 @@
 }
 
 // joinPending adds a waiter to a pending job. The leader goes by the deadline of the caller that it
-// knows, so it is told of the later one.
-func (n *Node) joinPending(now time.Duration, p *pendingJob, j *fleet.Job, w waiter) {
+// knows, so it is told of a later one.
+func (n *Node) joinPending(now time.Duration, p *pendingJob, j *fleet.Job, arrived time.Duration, w waiter) {
 	p.waiters = append(p.waiters, w)
-	if p.relayFor != "" || p.cancelled {
-		return
+	if p.relayFor == "" && p.extend(now, arrived, j) {
+		n.resubmit(now, p)
 	}
-	p.arrived, p.job.Timeout, p.job.CallerLeaves = now, j.Timeout, j.CallerLeaves
-	if p.sentTo == "" || p.pool >= len(n.shards) {
-		return
+}
+
+// extend makes a job wait for a caller that waits for longer than those before, and reports whether it
+// does.
+func (p *pendingJob) extend(now, arrived time.Duration, j *fleet.Job) bool {
+	if p.cancelled || !p.job.CallerLeaves || j.CallerLeaves && arrived+j.Timeout <= p.arrived+p.job.Timeout {
+		return false
 	}
-	if s := n.shards[p.pool]; s.decision.Leader == p.sentTo {
-		n.submitTo(now, s, p)
+	p.arrived, p.readAfter, p.job.Timeout, p.job.CallerLeaves = arrived, now-arrived, j.Timeout, j.CallerLeaves
+	return true
+}
+
+// resubmit submits a job again to the leader that has it. The leader may have given up the lead since,
+// or have ended the job, so what it may have started counts as that of a former one.
+func (n *Node) resubmit(now time.Duration, p *pendingJob) {
+	if p.sentTo == "" || p.pool >= len(n.shards) || n.shards[p.pool].decision.Leader != p.sentTo {
+		return
 	}
+	p.addFormer(p.sentTo, n.lastVouch(now, p.sentTo))
+	p.mayHaveRun, p.leaderLostAt = true, now
+	n.submitTo(now, n.shards[p.pool], p)
 }
 
 // Cancel cancels a pending job at the request of its caller, and reports whether
@@ -186,6 +197,7 @@
 func (n *Node) submitTo(now time.Duration, s *shard, p *pendingJob) {
 	leader := s.decision.Leader
 	var vouchedAt time.Duration
+	n.dropWaiters(now, p, waiter.hasLeft)
 	if p.relayFor == "" && leader != n.cfg.Self.Name {
 		vouchedAt = n.word(now, leader)
 	}
@@ -193,13 +205,13 @@
 		return // its caller has left
 	}
 	p.pool = s.index
-	f := p.formerVouches(now, leader)
+	f := p.formerVouches(now, former{leader, s.index})
 	n.lastSubmission++
 	p.number = n.lastSubmission
 	if leader == n.cfg.Self.Name {
 		p.sentTo = leader
 		s.pool.Submit(now, pool.Submit{
-			Coordinator: leader, Job: p.job, Number: p.number, Waited: now - p.arrived, MayHaveRun: p.mayHaveRun,
+			Coordinator: leader, Job: p.job, Number: p.number, Waited: now - p.arrived, ReadAfter: p.readAfter, MayHaveRun: p.mayHaveRun,
 			VouchedAgo: f.ago, HereBefore: f.hereBefore, VouchedElsewhereAgo: f.elsewhereAgo,
 			NeedsVouch: p.relayFor != "" && p.vouches, Origin: p.origin,
 			Suspicions: p.suspicions,
@@ -208,7 +220,7 @@
 		return
 	}
 	b := submitBody{
-		Job: p.job, Number: p.number, Waited: now - p.arrived, MayHaveRun: p.mayHaveRun, Relayed: p.relayFor != "",
+		Job: p.job, Number: p.number, Waited: now - p.arrived, ReadAfter: p.readAfter, MayHaveRun: p.mayHaveRun, Relayed: p.relayFor != "",
 		VouchedAgo: f.ago, HereBefore: f.hereBefore, VouchedElsewhereAgo: f.elsewhereAgo,
 		Pool: s.index, Layout: n.layout.Version, Vouches: p.relayFor == "" || p.vouches, Origin: p.origin, Relays: p.relays,
 		Suspicions: p.suspicions, TakesSuspicions: true, HeartbeatAt: vouchedAt,
@@ -351,7 +363,7 @@
 // leaderlessTimeout and that no earlier leader can have started.
 func (n *Node) rejectLeaderless(now time.Duration) {
 	for id, p := range n.pending {
-		if p.sentTo == "" && now > p.arrived+leaderlessTimeout && !p.mayHaveRun {
+		if p.sentTo == "" && now > p.arrived+p.readAfter+leaderlessTimeout && !p.mayHaveRun {
 			n.settle(now, id, fleet.Outcome{Verdict: verdict.NotRun, Reason: verdict.NoTarget, RetryAfter: time.Second})
 		}
 	}
--- a/internal/pool/vouch.go
+++ b/internal/pool/vouch.go
@@ -106,7 +106,7 @@
 	if j.withdrawn {
 		return j.withdrawnUntil
 	}
-	return min(p.vouchedUntil(j), j.callerPermits())
+	return min(p.vouchedUntil(j), p.callerPermits(j))
 }
 
 // vouchedUntil returns until when the runs of a job that is not withdrawn may continue by the words
@@ -304,7 +304,11 @@
 // job: it has led all the while since the job arrived, and still has the job or has no runs of
 // it left.
 func (p *Pool) knowsOwnRuns(now time.Duration, s *Submit) bool {
-	if p.leadingSince > now-s.Waited {
+	arrived := now - s.Waited
+	if s.NeedsVouch {
+		arrived = s.HeartbeatAt - s.Waited // at the latest: the submission was sent after that heartbeat
+	}
+	if p.leadingSince > arrived {
 		return false
 	}
 	if p.jobs[s.Job.ID] != nil {
