No lease is granted for runs of stored jobs once the ownership has lapsed

Two runs of a stored task could overlap. An owner that can't renew its ownership drops its jobs 2.5 s after the last renewal, and the next one counts on the end of all runs 3.6 s after it. A tick sends holds before it drops the jobs: an owner that stood still from just before the 2.5 s on granted one more lease, for 0.7 s from when it went on, however late that was. Leases of runs of stored jobs now end 3.2 s after the last renewal at the latest (RunLease and one lease), whenever they are granted.

Left as it was: the runs that the drop has made unclaimed are renewed until their stops are answered, as those of any leader that does not own the jobs ("Stored jobs at a leader that does not own them" in docs/design/permission-of-runs.md).

Found by an audit by reading, not seen in a deployment.

--- a/internal/pool/former.go
+++ b/internal/pool/former.go
@@ -87,6 +87,12 @@
 	return true
 }
 
+// ownRunsEnd returns when the last lease of this owner's runs has to end if it does not renew its ownership. The
+// next owner counts on that: it is well before formerRunsTimeout.
+func (s *storedState) ownRunsEnd(lease time.Duration) time.Duration {
+	return s.renewedAt + jobstore.RunLease + lease
+}
+
 // formerRunsOver returns from when on a restored job may be started. Tasks that may have completed
 // on a target out of reach wait for it, which is in vain for long-running ones.
 func (p *Pool) formerRunsOver(j *job) time.Duration {
--- a/internal/pool/vouch.go
+++ b/internal/pool/vouch.go
@@ -255,6 +255,8 @@
 // jobs are kept until these are restored.
 func (p *Pool) runPermittedUntil(r *run) time.Duration {
 	switch {
+	case r.task != nil && r.task.job.Stored:
+		return min(p.permittedUntil(r.task.job), p.stored.ownRunsEnd(p.cfg.Lease))
 	case r.task != nil:
 		return p.permittedUntil(r.task.job)
 	case r.number >= runsPerEpoch:
