Losses under a job that has ended are known to its next submission

A job had ended and was submitted again while the stop of its run was unanswered; the loss of that target was recorded for the first submission, and what its next incarnation showed was applied to the second one, which had no suspicions. They are known by the job's ID, so the open job with that ID gets them too.

TestLossUnderAnEndedJobIsKnownToItsNextSubmission panicked before, at the same place as in the log.

--- a/internal/pool/crash.go
+++ b/internal/pool/crash.go
@@ -140,6 +140,9 @@
 	}
 	sj.knownAt = now
 	j.suspected = sj
+	if open := p.jobs[j.ID]; open != nil {
+		open.suspected = sj // j may have left the pool, and have been submitted again
+	}
 	return sj
 }
 
