An owner of stored jobs recalls the runs of a lost target before it starts their tasks elsewhere

Callers saw two runs of a task of a stored job: of a long-running one from 0.8 s after its target was lost, of others after 12 s. A leader that takes a target without owning the stored jobs keeps their runs for up to 5 s, since it may have to restore them; the owner counted on the end of its own leases alone. Several such leaders in turn, or one whose stops go unanswered, kept a run for longer than the 12 s.

The owner's row in the store now decides (field 4, which older releases ignore). Another leader may keep runs for 0.9 s from the sending of a read of the row that shows no recall. The owner writes the recall before it takes a run of a stored job for over, and waits 0.97 s from its confirmation, so that all reads without it have expired: whoever has kept the run, how many in turn, and whether they hear each other or their stops are answered. A lost confirmation only delays the start. An owner that follows another one also waits until that one's ownership has ended for certain (3.6 s after its last renewal), as such a one reads no row.

TestLostLongRunningTask... wanted the other leader to keep the run for 1.5 s in all cases. That holds no longer by design: the premise is now that it has kept the run past the owner's lease, and the test demands that the run has ended at its target, not only its lease, when the next one starts, for a target that is unreachable or fenced, and that it does start.

--- a/internal/jobstore/claim.go
+++ b/internal/jobstore/claim.go
@@ -50,14 +50,21 @@
 	}
 }
 
+// readOwner reads the owner's row. If that shows no recall, the entry may keep running tasks.
 func (o *Owner) readOwner(ctx context.Context) (Row, ownerRow, error) {
 	var value ownerRow
+	sent := o.clock()
 	row, ok, err := readRow(ctx, o.tables, tableOwner, ownerPart, ownerKey)
-	if err != nil || !ok {
+	if err != nil {
 		return Row{}, value, err
 	}
-	if err := wire.Decode(row.Value, &value); err != nil {
-		return row, value, fmt.Errorf("decode the row of the owner of stored jobs: %w", err)
+	if ok {
+		if err := wire.Decode(row.Value, &value); err != nil {
+			return row, value, fmt.Errorf("decode the row of the owner of stored jobs: %w", err)
+		}
+	}
+	if !value.Recall {
+		o.events.MayKeepRuns(sent + KeepLease)
 	}
 	return row, value, nil
 }
@@ -69,12 +76,12 @@
 // ends.
 func (o *Owner) apply(ctx context.Context, puts, removals []Row) error {
 	o.writeNumber++
-	value, err := wire.Encode(ownerRow{Holder: o.self, Epoch: o.epoch, Write: o.writeNumber})
+	sent, recall := o.recallNow()
+	value, err := wire.Encode(ownerRow{Holder: o.self, Epoch: o.epoch, Write: o.writeNumber, Recall: recall})
 	if err != nil {
 		return err
 	}
 	own := Row{Table: tableOwner, Part: ownerPart, Key: ownerKey, Value: value}
-	sent := o.clock()
 	backoff := minBackoff
 	for {
 		own.Version = o.ownerRowVersion
@@ -100,6 +107,14 @@
 	}
 }
 
+// recallNow returns the present time, and whether a write that is sent now shows the recall.
+func (o *Owner) recallNow() (time.Duration, bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	now := o.clock()
+	return now, o.recallFrom != 0 && now >= o.recallFrom
+}
+
 // resolveConflict handles a conflict on the owner's row, which holds one of three
 // values: this write, which has then taken effect; an earlier write of this owner, the
 // response to which was lost, so that this write must be sent again; or another owner's
--- a/internal/jobstore/jobstore_test.go
+++ b/internal/jobstore/jobstore_test.go
@@ -44,6 +44,7 @@
 	saved      map[string]int
 	lost       int
 	startUntil time.Duration
+	keepUntil  time.Duration
 }
 
 func newEventRecorder() *eventRecorder {
@@ -69,6 +70,10 @@
 	})
 }
 
+func (s *eventRecorder) MayKeepRuns(until time.Duration) {
+	s.locked(func() { s.keepUntil = max(s.keepUntil, until) })
+}
+
 func (s *eventRecorder) Renewed(_, until time.Duration) {
 	s.locked(func() { s.startUntil = max(s.startUntil, until) })
 }
--- a/internal/jobstore/owner.go
+++ b/internal/jobstore/owner.go
@@ -19,6 +19,9 @@
 	// RunLease is how long after a renewal of the ownership running tasks of stored
 	// jobs may continue.
 	RunLease = 2500 * time.Millisecond
+	// KeepLease is how long after a read of the owner's row that shows no recall another leader may keep
+	// running tasks of stored jobs. A lost read or a late one is to end no runs.
+	KeepLease = 900 * time.Millisecond
 	// claimDelay is how long an owner must have failed to renew its ownership
 	// before another entry may claim it: StartLease plus a margin for different
 	// clock rates.
@@ -73,6 +76,9 @@
 	// all stored jobs. The previous owner has not renewed its ownership since
 	// lastSeen.
 	Acquired(epoch int, lastSeen time.Duration, jobs []StoredJob)
+	// MayKeepRuns is called when the owner's row was read and shows no recall: other leaders may keep
+	// running tasks of stored jobs until the given time.
+	MayKeepRuns(until time.Duration)
 	// Renewed is called after each renewal of the ownership, which was sent at
 	// the time renewed. Tasks may be started until the given time.
 	Renewed(renewed, until time.Duration)
@@ -102,6 +108,7 @@
 	endedAt      map[string]time.Duration // when each ended job was first known to have ended
 	open         map[string]bool          // jobs that have not ended
 	droppedEpoch int                      // the last epoch whose jobs the entry has dropped
+	recallFrom   time.Duration            // writes of the owner's row that are sent from then on show the recall; 0 for none
 	wake         chan struct{}            // wakes serve
 	jobAccepted  chan struct{}
 
@@ -162,6 +169,33 @@
 	signal(o.wake)
 }
 
+// RecallFrom makes all writes of the owner's row that are sent at the given time or later recall the
+// running tasks that other leaders keep. It returns the time from which on they do, which is later if the given time
+// has passed. With 0 no write recalls them.
+func (o *Owner) RecallFrom(at time.Duration) time.Duration {
+	o.mu.Lock()
+	if at != 0 {
+		at = max(at, o.clock()+1)
+	}
+	o.recallFrom = at
+	o.mu.Unlock()
+	signal(o.wake)
+	return at
+}
+
+// recallDue reports whether the recall is due and not in the owner's row yet. Otherwise it returns for how long
+// it need not be asked again.
+func (o *Owner) recallDue() (due bool, wait time.Duration) {
+	o.mu.Lock()
+	from := o.recallFrom
+	o.mu.Unlock()
+	if from == 0 || o.renewedAt >= from {
+		return false, renewInterval
+	}
+	wait = from - o.clock()
+	return wait <= 0, min(max(wait, 0), renewInterval)
+}
+
 // signal wakes the receiver of a channel with a buffer of 1.
 func signal(c chan struct{}) {
 	select {
@@ -174,7 +208,10 @@
 // records, until the context ends. Then it releases the ownership.
 func (o *Owner) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		err := o.awaitJobs(ctx)
+		_, _, err := o.readOwner(ctx)
+		if err == nil {
+			err = o.awaitJobs(ctx)
+		}
 		if err == nil {
 			o.events.JobsExist()
 			err = o.serveOwnership(ctx)
--- a/internal/jobstore/rows.go
+++ b/internal/jobstore/rows.go
@@ -132,4 +132,6 @@
 	// Write numbers the owner's writes of the row, so that the owner recognises
 	// its last one.
 	Write uint64 `cbor:"3,keyasint"`
+	// Recall is set while no other leader may renew runs of stored jobs.
+	Recall bool `cbor:"4,keyasint,omitempty"`
 }
--- a/internal/jobstore/save.go
+++ b/internal/jobstore/save.go
@@ -13,19 +13,21 @@
 // call fails or the context ends.
 func (o *Owner) serve(ctx context.Context) error {
 	for {
+		_, wait := o.recallDue()
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-o.wake:
 		case <-o.jobAccepted:
-		case <-time.After(renewInterval):
+		case <-time.After(wait):
 		}
 		for {
 			if o.jobsDropped() {
 				return errJobsDropped
 			}
 			saves := o.takeSaves()
-			if len(saves) == 0 && !o.renewalDue() {
+			recall, _ := o.recallDue()
+			if len(saves) == 0 && !recall && !o.renewalDue() {
 				break
 			}
 			startedAt := o.clock()
--- a/internal/node/shard.go
+++ b/internal/node/shard.go
@@ -183,6 +183,8 @@
 			if n.stored.owner != nil {
 				n.stored.owner.Save(e)
 			}
+		case pool.RecallStored:
+			n.recallStored(e.From)
 		case pool.StoredDropped:
 			if n.stored.owner != nil {
 				n.stored.owner.JobsDropped(e.Epoch)
--- a/internal/node/stored.go
+++ b/internal/node/stored.go
@@ -104,6 +104,20 @@
 	return time.Duration(t.Nano())
 }
 
+// recallStored makes the owner's row recall runs from a time on.
+func (n *Node) recallStored(from time.Duration) {
+	if n.stored.owner == nil {
+		return
+	}
+	if from == 0 {
+		n.stored.owner.RecallFrom(0)
+		return
+	}
+	boot := n.stored.owner.RecallFrom(bootClock() + from - n.now())
+	read := bootClock() // before the clock of the loop, so that no write from before counts as one that recalls
+	n.storedPool().StoredRecalledFrom(n.now() + boot - read)
+}
+
 // startOwner starts to claim the ownership of the stored jobs when this entry becomes
 // the leader.
 func (n *Node) startOwner() {
@@ -179,6 +193,11 @@
 	e.post(func(now time.Duration) { e.n.storedPool().TakeOverStored(now, loopTime(now, lastSeen), epoch, jobs) })
 }
 
+// MayKeepRuns implements jobstore.Events.
+func (e *ownerEvents) MayKeepRuns(until time.Duration) {
+	e.post(func(now time.Duration) { e.n.storedPool().KeepStoredUntil(loopTime(now, until)) })
+}
+
 // Renewed implements jobstore.Events.
 func (e *ownerEvents) Renewed(renewed, until time.Duration) {
 	e.post(func(now time.Duration) { e.n.storedPool().RenewStored(loopTime(now, renewed), loopTime(now, until)) })
--- a/internal/pool/lapsed_test.go
+++ b/internal/pool/lapsed_test.go
@@ -7,6 +7,7 @@
 	"gotest.tools/v3/assert"
 
 	"currantstall/internal/fleet"
+	"currantstall/internal/jobstore"
 )
 
 // lostTarget is a leader that loses a target with the runs of a job, and another leader, which
@@ -17,7 +18,8 @@
 	job           fleet.Job
 	target        string
 	running       []fleet.Running
-	lease         int64 // the latest that either leader has granted on the target
+	lease         int64         // the latest that either leader has granted on the target
+	recallFrom    time.Duration // the owner's row shows the recall of stored runs from then on, 0 for none
 }
 
 // loseTarget makes a leader start a job and lose its target right after it has granted a lease.
@@ -68,12 +70,28 @@
 	}
 }
 
+// playStore lets the other leader read the owner's row of the stored jobs, at every moment until it shows a
+// recall. The writes of recalls are late.
+func (x *lostTarget) playStore() {
+	const writeTakes = 500 * ms
+	for _, r := range takeEffects[RecallStored](x.leader) {
+		if x.recallFrom = r.From; r.From != 0 {
+			x.recallFrom = max(r.From, x.leader.now+writeTakes)
+			x.leader.p.StoredRecalledFrom(x.recallFrom)
+		}
+	}
+	if x.recallFrom == 0 || x.leader.now < x.recallFrom {
+		x.other.p.KeepStoredUntil(x.leader.now + jobstore.KeepLease)
+	}
+}
+
 // step advances both leaders, and fails the test if the first one starts a task while a lease of
 // its lost run lasts. It reports whether it started one.
 func (x *lostTarget) step() bool {
 	x.leader.tick(5 * ms)
 	x.other.now = x.leader.now - 5*ms
 	x.other.tick(5 * ms)
+	x.playStore()
 	x.answer(x.leader, false)
 	x.answer(x.other, true)
 	starts := takeEffects[fleet.Start](x.leader)
@@ -241,14 +259,20 @@
 
 // loseStoredTarget makes the owner of the stored jobs start a job and lose its target. The other
 // leader does not own them.
-func loseStoredTarget(t *testing.T, j fleet.Job) *lostTarget {
+func loseStoredTarget(t *testing.T, j fleet.Job) *lostTarget { return loseStoredTargetAs(t, j, nil) }
+
+// loseStoredTargetAs is loseStoredTarget for a target that is lost in the given way, nil for one that does not answer.
+func loseStoredTargetAs(t *testing.T, j fleet.Job, lose func(*Pool, time.Duration, *target)) *lostTarget {
+	if lose == nil {
+		lose = (*Pool).markUnreachable
+	}
 	x := &lostTarget{leader: newHarness(t, 2), job: j}
 	b := x.leader
 	b.ownStored()
 	start := b.submitAndStart(x.job)[0]
 	x.begin, x.target, x.lease = b.now, start.Target.ID, start.LeaseUntilMS
 	x.running = []fleet.Running{{Task: start.Task, Run: start.Run}}
-	b.p.markUnreachable(b.now, b.p.targets[x.target])
+	lose(b.p, b.now, b.p.targets[x.target])
 	x.other = &harness{t: t, p: New(DefaultSettings(), nil), ended: map[string]fleet.Outcome{}, resubmitted: map[string]bool{}}
 	x.other.p.SetTargets(b.now, targetList(2))
 	x.other.p.ExpectStored()
@@ -264,19 +288,31 @@
 }
 
 // Guards against a second run of a long-running stored task: another leader that does not own the
-// stored jobs keeps the run, in case it has to restore the job.
+// stored jobs keeps the run, in case it has to restore the job, until the owner recalls it. The target answers
+// no stop, so that nothing but the end of the leases ends the run.
 func TestLostLongRunningTaskIsNotStartedWhileAnotherLeaderKeepsItsRun(t *testing.T) {
-	j := storedJob("j", 1)
-	j.Steps[0].LongRunning = true
-	x := loseStoredTarget(t, j)
-	b := x.leader
-	for x.at() < 1500*ms {
-		x.step()
-		if x.at() == 450*ms {
-			x.lead()
-		}
+	for name, lose := range map[string]func(*Pool, time.Duration, *target){"unreachable": nil, "fenced": (*Pool).markFenced} {
+		t.Run(name, func(t *testing.T) {
+			j := storedJob("j", 1)
+			j.Steps[0].LongRunning = true
+			x := loseStoredTargetAs(t, j, lose)
+			ownLease, startedAt, leaseAtStart := x.lease, time.Duration(0), int64(0)
+			for x.at() < 3*time.Second {
+				if x.step() {
+					startedAt, leaseAtStart = x.at(), x.lease
+					assert.Equal(t, len(x.running), 0, "the lost run is at work")
+				}
+				if x.at() == 450*ms {
+					x.lead()
+				}
+				if x.lease+timeToEnd.Milliseconds() < x.leader.clock() {
+					x.running = nil // the target ends it
+				}
+			}
+			assert.Assert(t, startedAt > 0 && startedAt < 2400*ms, "started after %v", startedAt)
+			assert.Assert(t, leaseAtStart > ownLease+100, "the other leader has kept the run")
+		})
 	}
-	assert.Assert(t, x.lease > b.clock(), "the other leader keeps the run")
 }
 
 // A stored task that may complete waits longer for its lost target than another leader keeps its run.
--- a/internal/pool/ownership.go
+++ b/internal/pool/ownership.go
@@ -116,7 +116,7 @@
 		p.log("ownership", "target", t.ID, "outcome", "left to another owner", "fence", t.fence, "running", len(rep.Running))
 		return
 	}
-	t.owned, t.wasUnreachable, t.fencedInARow = true, false, 0
+	t.owned, t.wasUnreachable, t.recalling, t.fencedInARow = true, false, false, 0
 	t.lossRecorded, t.replaced = false, false
 	p.reviewSuspicions(now, t)
 	p.log("ownership", "target", t.ID, "outcome", "acquired", "fence", t.fence, "running", len(rep.Running))
@@ -157,6 +157,7 @@
 	}
 	t.fencedInARow++
 	t.nextAcquireAt = now + backoff
+	p.recallLost(now, t)
 	p.log("ownership", "target", t.ID, "outcome", "fenced", "fence", t.fence, "lost", t.fencedInARow, "retry_ms", backoff.Milliseconds(), "runs", len(t.runs))
 }
 
@@ -169,6 +170,7 @@
 	t.disown()
 	t.wasUnreachable, t.probed = true, false
 	t.nextAcquireAt = now + reacquireBackoff
+	p.recallLost(now, t)
 }
 
 // releaseExpired releases the runs on targets that are not owned once all their leases
@@ -187,15 +189,14 @@
 		if t.holds.acquire != 0 && !t.contactKnown && now < t.acquireSentAt+contactWait {
 			continue // the hold is about to show whether the target is silent
 		}
-		// A task of a stored job may have completed on the target, and then must not run
-		// again: the target gets time to come back. A long-running task never completes.
-		left := !t.listed && t.Leaving
-		mayReturn := !left && now < t.lastOwnedAt+unreachableWait
 		released := 0
 		for _, r := range sortedRuns(t.runs) {
-			if mayReturn && r.task != nil && r.task.job.Stored && !r.task.step.LongRunning {
+			if p.mayHaveCompleted(now, t, r) {
 				continue
 			}
+			if r.task != nil && r.task.job.Stored && !p.recalled(now, t) {
+				continue // another leader may keep it
+			}
 			if p.lapsedAt = now; r.task != nil {
 				r.task.job.requireVouchFrom(now)
 				r.task.job.lostRun = true
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -67,7 +67,7 @@
 
 // Effect is an action that the pool asks its entry to carry out: a fleet.Start,
 // fleet.Stop, fleet.Hold, fleet.AdviceRequest, Ended, Suspected, VouchRequest,
-// StoredDropped or jobstore.Save.
+// StoredDropped, RecallStored or jobstore.Save.
 type Effect any
 
 // Ended reports a job's outcome to its coordinator.
@@ -249,6 +249,7 @@
 		return
 	}
 	p.lastTick, p.work = now, roundWork{}
+	p.tickRecall(now)
 	p.releaseExpired(now)
 	p.acquireTargets(now)
 	p.sendHolds(now)
--- /dev/null
+++ b/internal/pool/recall.go
@@ -0,0 +1,144 @@
+package pool
+
+import (
+	"time"
+
+	"currantstall/internal/jobstore"
+)
+
+// A target that the owner of the stored jobs has lost may have another leader, which keeps the runs of these
+// jobs in case it becomes the next owner. It keeps them by the owner's row in the store: each read that shows
+// no recall permits them for jobstore.KeepLease from the moment at which it was sent. The owner recalls the runs in its row
+// before it takes them for over, and waits until all permissions from before that have ended.
+
+// RecallStored asks for the recall of runs in the owner's row, by all writes that are sent at the given
+// time or later. With 0 they show none.
+type RecallStored struct{ From time.Duration }
+
+// recall is the state of the recall in the owner's row.
+type recall struct {
+	wanted time.Duration // from when on it is wanted, 0 if it is not
+	from   time.Duration // writes that are sent from then on show it
+	since  time.Duration // the row has shown it since then at the latest; 0 if that is not known
+	// The last renewal of the ownership: when it was sent, and when it was noticed.
+	renewal, renewalAt time.Duration
+}
+
+// KeepStoredUntil permits a leader that does not own the stored jobs to keep their runs until the given time.
+func (p *Pool) KeepStoredUntil(until time.Duration) {
+	p.stored.keepUntil = max(p.stored.keepUntil, until)
+}
+
+// StoredRecalledFrom tells from when on writes of the owner's row show the recall that was asked for last.
+func (p *Pool) StoredRecalledFrom(from time.Duration) {
+	if rc := &p.stored.recall; rc.wanted != 0 {
+		rc.from, rc.since = max(rc.from, from), 0
+	}
+}
+
+// storedKeptUntil returns until when a leader that does not own the stored jobs may keep their runs. If it has
+// claimed them and is about to restore them, nobody else owns them, and recalls runs, for jobstore.StartLease.
+func (p *Pool) storedKeptUntil() time.Duration {
+	if p.stored.renewedAt == 0 {
+		return p.stored.keepUntil
+	}
+	return max(p.stored.keepUntil, p.stored.renewedAt+jobstore.StartLease+jobstore.KeepLease)
+}
+
+// mayNotKeep reports whether an unclaimed run of a stored job has to be stopped since the permission to keep it ends
+// soon, or has not come.
+func (p *Pool) mayNotKeep(now time.Duration, r *run) bool {
+	return r.number >= runsPerEpoch && !p.stored.owned && now >= max(r.orderedAt+adoptTimeout, p.storedKeptUntil()-stopMargin)
+}
+
+// recallWait is how long after a recall is in the owner's row runs on a target that is not owned may be at work.
+func recallWait(t *target) time.Duration { return withDrift(jobstore.KeepLease) + t.timeToEnd() }
+
+// recalled reports whether no other leader can have kept runs of stored jobs on the target until now. A former owner that
+// does not know yet that it is none reads no row, and keeps runs until its ownership was not renewed for too long.
+func (p *Pool) recalled(now time.Duration, t *target) bool {
+	rc := &p.stored.recall
+	if p.stored.epoch > firstEpoch && now < p.stored.lastSeen+formerRunsTimeout {
+		return false
+	}
+	return rc.since != 0 && now >= rc.since+recallWait(t)
+}
+
+// firstEpoch is the epoch of the first owner ever. Others have a former owner.
+const firstEpoch = 1
+
+// tickRecall notices whether the row shows the recall, and recalls runs where that is due.
+func (p *Pool) tickRecall(now time.Duration) {
+	if !p.stored.owned {
+		return
+	}
+	rc := &p.stored.recall
+	if p.stored.renewedAt != rc.renewal {
+		rc.renewal, rc.renewalAt = p.stored.renewedAt, now
+	}
+	if rc.wanted != 0 && rc.since == 0 && rc.renewal >= rc.from {
+		rc.since = max(rc.from, rc.renewalAt)
+		p.log("stored", "outcome", "runs recalled")
+	}
+	due := forever
+	for _, t := range p.sortedTargets {
+		due = min(due, p.recallDue(now, t))
+	}
+	p.wantRecall(now, due)
+}
+
+// recallLost recalls the runs on a target that was just lost, if that is due earlier than planned.
+func (p *Pool) recallLost(now time.Duration, t *target) {
+	if due := p.recallDue(now, t); p.stored.recall.wanted == 0 || due < p.stored.recall.wanted {
+		p.wantRecall(now, due)
+	}
+}
+
+// recallDue returns from when on the runs of stored jobs on a target have to be recalled so that they are over, by all
+// accounts, when their tasks need not wait for the target any more. A target with another owner may be
+// on its way to the next leader, which then owns the jobs as well: its runs are recalled once the own leases
+// have ended.
+func (p *Pool) recallDue(now time.Duration, t *target) time.Duration {
+	due := forever
+	if t.owned || !p.stored.owned {
+		t.recalling = false
+		return due
+	}
+	for _, r := range t.runs {
+		switch {
+		case r.task == nil || !r.task.job.Stored:
+		case p.mayHaveCompleted(now, t, r):
+			due = min(due, t.lastOwnedAt+unreachableWait-recallWait(t))
+		case t.wasUnreachable || t.recalling:
+			return now
+		default:
+			due = min(due, t.leasesEnd()+t.timeToEnd())
+		}
+	}
+	t.recalling = due <= now // also if a lease of another owner is found there
+	return due
+}
+
+// wantRecall recalls runs from the given time on, or no more if that is forever. A recall that is in
+// force and still due goes on.
+func (p *Pool) wantRecall(now, due time.Duration) {
+	rc := &p.stored.recall
+	switch {
+	case due == forever && rc.wanted == 0, due <= now && rc.wanted != 0 && rc.wanted <= now, due == rc.wanted:
+		return
+	case due == forever:
+		due = 0
+		p.log("stored", "outcome", "recall over", "shown", rc.since != 0)
+	default:
+		due = max(due, now)
+	}
+	rc.wanted, rc.from, rc.since = due, due, 0
+	p.emit(RecallStored{due})
+}
+
+// mayHaveCompleted reports whether a run on a target that is not owned may have completed its task there, which then must
+// not run again: the target gets time to come back. A long-running task never completes.
+func (p *Pool) mayHaveCompleted(now time.Duration, t *target, r *run) bool {
+	left := !t.listed && t.Leaving
+	return !left && now < t.lastOwnedAt+unreachableWait && r.task != nil && r.task.job.Stored && !r.task.step.LongRunning
+}
--- a/internal/pool/report.go
+++ b/internal/pool/report.go
@@ -321,8 +321,12 @@
 			continue
 		}
 		for _, r := range sortedRuns(t.runs) {
-			if r.task == nil && now >= r.orderedAt+p.unclaimedTimeout() && r.state != runStopAccepted {
+			switch {
+			case r.task != nil || r.state == runStopAccepted:
+			case now >= r.orderedAt+p.unclaimedTimeout():
 				p.stopRun(now, r, "job unknown")
+			case p.mayNotKeep(now, r):
+				p.stopRun(now, r, "owner recalls the run or its row is not read")
 			}
 		}
 	}
--- a/internal/pool/stored.go
+++ b/internal/pool/stored.go
@@ -21,12 +21,14 @@
 
 // storedState is the pool's state of stored jobs.
 type storedState struct {
-	owned           bool                     // the pool owns the stored jobs, and knows them all
-	expected        bool                     // stored jobs exist, whether restored or not
-	unknown         bool                     // it is not known yet whether stored jobs exist
-	epoch           int                      // of the ownership
-	startsUntil     time.Duration            // tasks may be started until then
-	renewedAt       time.Duration            // when the ownership was last renewed
+	owned           bool          // the pool owns the stored jobs, and knows them all
+	expected        bool          // stored jobs exist, whether restored or not
+	unknown         bool          // it is not known yet whether stored jobs exist
+	epoch           int           // of the ownership
+	startsUntil     time.Duration // tasks may be started until then
+	renewedAt       time.Duration // when the ownership was last renewed
+	keepUntil       time.Duration // runs may be kept until then while the pool does not own the stored jobs
+	recall          recall
 	lastSeen        time.Duration            // when the former owner may last have renewed its ownership
 	formerRunsEnd   time.Duration            // when all runs of a former owner are over
 	formerStartsEnd time.Duration            // when a former owner has started its last run
@@ -108,6 +110,9 @@
 			p.detachRun(r)
 		}
 	}
+	if p.stored.recall.wanted != 0 {
+		p.emit(RecallStored{})
+	}
 	p.stored.reset()
 	for _, t := range p.sortedTargets {
 		t.lastEnd, t.heldEnds = t.ackNumber(), nil
--- a/internal/pool/vouch.go
+++ b/internal/pool/vouch.go
@@ -257,8 +257,10 @@
 	switch {
 	case r.task != nil:
 		return p.permittedUntil(r.task.job)
-	case r.number >= runsPerEpoch:
+	case r.number >= runsPerEpoch && p.stored.owned:
 		return forever
+	case r.number >= runsPerEpoch:
+		return p.storedKeptUntil()
 	}
 	return 0
 }
