--- a/internal/node/jobs.go
+++ b/internal/node/jobs.go
@@ -15,6 +15,7 @@
 type pendingJob struct {
 	job          fleet.Job
 	arrived      time.Duration
+	readAfter    time.Duration            // from then until its request was handled
 	pool         int                      // the pool that the job was last submitted to, -1 before
 	tried        []int                    // pools that have rejected the job
 	retryAt      time.Duration            // no submission before, after a leader was not ready
@@ -50,7 +51,7 @@
 		n.joinPending(now, p, &j, arrived, w)
 		return
 	}
-	p := &pendingJob{job: j, pool: -1, arrived: arrived, waiters: []waiter{w}}
+	p := &pendingJob{job: j, pool: -1, arrived: arrived, readAfter: waited, waiters: []waiter{w}}
 	n.pending[j.ID] = p
 	s, leader := n.shardFor(now, p, n.poolViews()), ""
 	if s != nil {
@@ -68,7 +69,7 @@
 	if p.relayFor != "" || p.cancelled {
 		return
 	}
-	p.arrived, p.job.Timeout, p.job.CallerLeaves = arrived, j.Timeout, j.CallerLeaves
+	p.arrived, p.readAfter, p.job.Timeout, p.job.CallerLeaves = arrived, now-arrived, j.Timeout, j.CallerLeaves
 	if p.sentTo == "" || p.pool >= len(n.shards) {
 		return
 	}
@@ -195,7 +196,7 @@
 	if leader == n.cfg.Self.Name {
 		p.sentTo = leader
 		s.pool.Submit(now, pool.Submit{
-			Coordinator: leader, Job: p.job, Number: p.number, Waited: now - p.arrived, MayHaveRun: p.mayHaveRun,
+			Coordinator: leader, Job: p.job, Number: p.number, Waited: now - p.arrived, ReadAfter: p.readAfter, MayHaveRun: p.mayHaveRun,
 			VouchedAgo: f.ago, HereBefore: f.hereBefore, VouchedElsewhereAgo: f.elsewhereAgo,
 			NeedsVouch: p.relayFor != "" && p.vouches, Origin: p.origin,
 			Suspicions: p.suspicions,
@@ -204,7 +205,7 @@
 		return
 	}
 	b := submitBody{
-		Job: p.job, Number: p.number, Waited: now - p.arrived, MayHaveRun: p.mayHaveRun, Relayed: p.relayFor != "",
+		Job: p.job, Number: p.number, Waited: now - p.arrived, ReadAfter: p.readAfter, MayHaveRun: p.mayHaveRun, Relayed: p.relayFor != "",
 		VouchedAgo: f.ago, HereBefore: f.hereBefore, VouchedElsewhereAgo: f.elsewhereAgo,
 		Pool: s.index, Layout: n.layout.Version, Vouches: p.relayFor == "" || p.vouches, Origin: p.origin, Relays: p.relays,
 		Suspicions: p.suspicions, TakesSuspicions: true, HeartbeatAt: vouchedAt,
@@ -347,7 +348,7 @@
 // leaderlessTimeout and that no earlier leader can have started.
 func (n *Node) rejectLeaderless(now time.Duration) {
 	for id, p := range n.pending {
-		if p.sentTo == "" && now > p.arrived+leaderlessTimeout && !p.mayHaveRun {
+		if p.sentTo == "" && now > p.arrived+p.readAfter+leaderlessTimeout && !p.mayHaveRun {
 			n.settle(now, id, fleet.Outcome{Verdict: verdict.NotRun, Reason: verdict.NoTarget, RetryAfter: time.Second})
 		}
 	}
