A leader that may be about to step down does not recall the runs of stored jobs yet

The next leader stopped runs of stored jobs that it could have kept: its predecessor, cut off from many targets or with its targets taken, recalled their runs and stepped down a moment later.

Where more than two targets with such runs are out of reach, or a target has another owner, the recall now begins 0.5 s after the end of the own leases. The loss of one or two targets is recalled at once as before. The end of a recall is written at once, not with the next renewal. The time counts from the last moment at which the target was owned, so that leases of other owners do not put it off.

TestRecallWaitsWhereManyTargetsAreLostAtOnce fails without the condition.

--- a/internal/jobstore/claim.go
+++ b/internal/jobstore/claim.go
@@ -89,10 +89,12 @@
 		var conflict *ConflictError
 		switch {
 		case err == nil:
+			o.rowRecalls = recall
 			o.recordRenewal(sent, version)
 			return nil
 		case errors.As(err, &conflict):
 			done, err := o.resolveConflict(conflict, sent)
+			o.rowRecalls = o.rowRecalls && !done || done && recall
 			if done || err != nil {
 				return err
 			}
--- a/internal/jobstore/owner.go
+++ b/internal/jobstore/owner.go
@@ -119,6 +119,7 @@
 	ownerRowVersion uint64
 	writeNumber     uint64 // of the last write of the owner's row
 	renewedAt       time.Duration
+	rowRecalls      bool // the last write of the owner's row shows the recall
 }
 
 // NewOwner returns an Owner for one process of an entry, whose name is self. The
@@ -183,17 +184,20 @@
 	return at
 }
 
-// recallDue reports whether the recall is due and not in the owner's row yet. Otherwise it returns for how long
-// it need not be asked again.
+// recallDue reports whether the owner's row has to be written to show a recall, or its end. Otherwise it returns for
+// how long it need not be asked again.
 func (o *Owner) recallDue() (due bool, wait time.Duration) {
 	o.mu.Lock()
 	from := o.recallFrom
 	o.mu.Unlock()
-	if from == 0 || o.renewedAt >= from {
-		return false, renewInterval
+	now := o.clock()
+	switch {
+	case from == 0:
+		return o.rowRecalls, renewInterval
+	case now < from:
+		return o.rowRecalls, min(from-now, renewInterval)
 	}
-	wait = from - o.clock()
-	return wait <= 0, min(max(wait, 0), renewInterval)
+	return o.renewedAt < from, renewInterval
 }
 
 // signal wakes the receiver of a channel with a buffer of 1.
--- a/internal/pool/ownership.go
+++ b/internal/pool/ownership.go
@@ -116,7 +116,7 @@
 		p.log("ownership", "target", t.ID, "outcome", "left to another owner", "fence", t.fence, "running", len(rep.Running))
 		return
 	}
-	t.owned, t.wasUnreachable, t.recalling, t.fencedInARow = true, false, false, 0
+	t.owned, t.wasUnreachable, t.fencedInARow = true, false, 0
 	t.lossRecorded, t.replaced = false, false
 	p.reviewSuspicions(now, t)
 	p.log("ownership", "target", t.ID, "outcome", "acquired", "fence", t.fence, "running", len(rep.Running))
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -105,6 +105,7 @@
 	coordinators   map[string]int         // number of jobs that are not stored, by coordinator
 	orphans        map[string]*job        // orphaned jobs, and some that no longer are
 	resubmitted    map[string]*job        // jobs with earlier coordinators, and some that no longer have any
+	lostTargets    int                    // out of reach with runs of stored jobs, as of the last tick
 	silentTargets  bool                   // there are some, as of the last tick
 	lapsedAt       time.Duration          // when runs were last taken for over since their leases had expired
 	suspected      map[string]*suspectJob // by job ID
--- a/internal/pool/recall.go
+++ b/internal/pool/recall.go
@@ -80,6 +80,12 @@
 		rc.since = max(rc.from, rc.renewalAt)
 		p.log("stored", "outcome", "runs recalled")
 	}
+	p.lostTargets = 0
+	for _, t := range p.sortedTargets {
+		if !t.owned && t.wasUnreachable && t.hasStoredRuns() {
+			p.lostTargets++
+		}
+	}
 	due := forever
 	for _, t := range p.sortedTargets {
 		due = min(due, p.recallDue(now, t))
@@ -87,6 +93,16 @@
 	p.wantRecall(now, due)
 }
 
+// hasStoredRuns reports whether the target has runs of known stored jobs.
+func (t *target) hasStoredRuns() bool {
+	for _, r := range t.runs {
+		if r.task != nil && r.task.job.Stored {
+			return true
+		}
+	}
+	return false
+}
+
 // recallLost recalls the runs on a target that was just lost, if that is due earlier than planned.
 func (p *Pool) recallLost(now time.Duration, t *target) {
 	if due := p.recallDue(now, t); p.stored.recall.wanted == 0 || due < p.stored.recall.wanted {
@@ -95,13 +111,12 @@
 }
 
 // recallDue returns from when on the runs of stored jobs on a target have to be recalled so that they are over, by all
-// accounts, when their tasks need not wait for the target any more. A target with another owner may be
-// on its way to the next leader, which then owns the jobs as well: its runs are recalled once the own leases
-// have ended.
+// accounts, when their tasks need not wait for the target any more. A target with another owner, or many that are out
+// of reach, may be on their way to the next leader, which then owns the jobs as well: their runs are recalled only
+// if this one still leads some time after its leases have ended.
 func (p *Pool) recallDue(now time.Duration, t *target) time.Duration {
 	due := forever
 	if t.owned || !p.stored.owned {
-		t.recalling = false
 		return due
 	}
 	for _, r := range t.runs {
@@ -109,16 +124,23 @@
 		case r.task == nil || !r.task.job.Stored:
 		case p.mayHaveCompleted(now, t, r):
 			due = min(due, t.lastOwnedAt+unreachableWait-recallWait(t))
-		case t.wasUnreachable || t.recalling:
+		case t.wasUnreachable && p.lostTargets <= fewLostTargets:
 			return now
-		default:
-			due = min(due, t.leasesEnd()+t.timeToEnd())
+		default: // not by leasesEnd, which other owners put off
+			due = min(due, t.lastOwnedAt+withDrift(p.cfg.Lease)+timeToEnd+stepDownWait)
 		}
 	}
-	t.recalling = due <= now // also if a lease of another owner is found there
 	return due
 }
 
+const (
+	// fewLostTargets is the largest number of targets that are lost at a time for other reasons than that
+	// this leader is cut off.
+	fewLostTargets = 2
+	// stepDownWait is how long a leader that was replaced may take to step down, counted from the end of its leases.
+	stepDownWait = 500 * time.Millisecond
+)
+
 // wantRecall recalls runs from the given time on, or no more if that is forever. A recall that is in
 // force and still due goes on.
 func (p *Pool) wantRecall(now, due time.Duration) {
--- a/internal/pool/target.go
+++ b/internal/pool/target.go
@@ -17,7 +17,6 @@
 	listed         bool // listed by discovery
 	acquirePolicy  AcquirePolicy
 	wasUnreachable bool          // became unreachable since it was last acquired
-	recalling      bool          // runs of stored jobs on it are recalled since it was lost
 	probed         bool          // has answered a probe since it was last unreachable
 	silent         bool          // accepts connections and answers nothing: its process may stand still
 	contactKnown   bool          // an unanswered hold has shown since it was last owned whether it is silent
@@ -95,7 +94,7 @@
 	t.fence, t.unansweredHolds, t.unclaimed, t.fencedInARow = 0, 0, 0, 0
 	t.used, t.suspectRuns = structs.Resources{}, 0
 	t.runs = make(map[runKey]*run)
-	t.latestLeaseMS, t.wasUnreachable, t.recalling, t.probed = 0, false, false, false
+	t.latestLeaseMS, t.wasUnreachable, t.probed = 0, false, false
 	t.silent, t.contactKnown = false, false
 }
 
