A job whose caller has left stays with its runs until these are over

The leader ended a job at its caller's deadline while its target had just stood still. The job was gone when the stop went unanswered, so that the 2 s for silent targets were not waited for when the caller was back 1.3 s later. A job with runs is now orphaned, as by a coordinator that withdraws it: the runs are stopped, and the job stays until they are over.

--- a/internal/pool/departure.go
+++ b/internal/pool/departure.go
@@ -69,12 +69,21 @@
 	heap.Push(&p.departures, j)
 }
 
-// endDeparted ends the jobs whose callers have left.
+// endDeparted ends the jobs whose callers have left. One with runs stays as an orphan until these are
+// over, since its caller may be back before.
 func (p *Pool) endDeparted(now time.Duration) {
 	for len(p.departures) > 0 && p.departures[0].callerUntil <= now {
 		p.work.jobs++
 		j := heap.Pop(&p.departures).(*job)
-		p.endJob(now, j, fleet.Outcome{Verdict: notRunVerdict(j.mayHaveStarted), Reason: verdict.DeadlinePassed})
+		o := fleet.Outcome{Verdict: notRunVerdict(j.mayHaveStarted), Reason: verdict.DeadlinePassed}
+		if len(j.currentRuns()) == 0 {
+			p.endJob(now, j, o)
+			continue
+		}
+		if !j.orphaned {
+			p.emit(Ended{j.coordinator, j.ID, j.number, o})
+		}
+		p.orphanJob(now, j, now)
 	}
 }
 
