--- a/internal/node/caller_test.go
+++ b/internal/node/caller_test.go
@@ -159,7 +159,7 @@
 	receive(t, n, wire.PoolHeartbeat, heartbeatBody{SentAt: time.Second})
 	assert.Assert(t, !n.vouchedTo("other"))
 	n.ask(func() int {
-		n.releaseWords(never)
+		n.releaseVouches(never)
 		return 0
 	})
 	assert.Assert(t, n.vouchedTo("other"), "the heartbeat is not answered later")
--- a/internal/node/jobs.go
+++ b/internal/node/jobs.go
@@ -199,7 +199,7 @@
 	var vouchedAt time.Duration
 	n.dropWaiters(now, p, waiter.hasLeft)
 	if p.relayFor == "" && leader != n.cfg.Self.Name {
-		vouchedAt = n.word(now, leader)
+		vouchedAt = n.vouchTo(now, leader)
 	}
 	if n.pending[p.job.ID] != p {
 		return // its caller has left
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -260,7 +260,7 @@
 		s.pool.DelayStarts(n.now() + processPauseSettle)
 	}
 	n.dropLane(n.now())
-	n.holdWords(n.now())
+	n.holdVouches(n.now())
 	n.dropDisconnected(n.now(), n.cfg.Self.Name)
 }
 
@@ -298,7 +298,7 @@
 		n.relaxLinks()
 		n.expireDelegated(now)
 	}
-	n.releaseWords(now)
+	n.releaseVouches(now)
 	n.submitPending(now)
 	ready := false
 	for _, s := range n.shards {
--- a/internal/node/vouch.go
+++ b/internal/node/vouch.go
@@ -91,10 +91,10 @@
 	return now - pool.DefaultVouchFor
 }
 
-// word returns the answer to the last heartbeat of a leader, 0 if it can't be answered, and records
+// vouchTo returns the answer to the last heartbeat of a leader, 0 if it can't be answered, and records
 // that it is answered now. An answer is for all jobs that the leader has from this entry, so it
 // comes after a look at their callers.
-func (n *Node) word(now time.Duration, leader string) time.Duration {
+func (n *Node) vouchTo(now time.Duration, leader string) time.Duration {
 	v := &n.vouching
 	if at := v.beats[leader].sentAt; v.checked[leader] != at {
 		v.checked[leader] = at
@@ -103,14 +103,14 @@
 	return v.answer(leader)
 }
 
-// holdWords makes this entry answer no heartbeats after a pause until the ends of its callers'
+// holdVouches makes this entry answer no heartbeats after a pause until the ends of its callers'
 // connections have arrived, as far as they were under way.
-func (n *Node) holdWords(now time.Duration) {
+func (n *Node) holdVouches(now time.Duration) {
 	n.vouching.heldUntil = now + processPauseSettle
 }
 
-// releaseWords answers the last heartbeats of the leaders once they are no longer held back.
-func (n *Node) releaseWords(now time.Duration) {
+// releaseVouches answers the last heartbeats of the leaders once they are no longer held back.
+func (n *Node) releaseVouches(now time.Duration) {
 	v := &n.vouching
 	if v.heldUntil == 0 || now < v.heldUntil {
 		return
@@ -147,7 +147,7 @@
 		}
 	}
 	if own {
-		if at := n.word(now, from); at > 0 {
+		if at := n.vouchTo(now, from); at > 0 {
 			n.send(from, wire.PoolVouch, vouchBody{HeartbeatAt: at})
 		}
 	}
