The clock of an entry starts from two readings of the same moment

The two clocks are read one after the other, and the process may be held up in between: at the start for good, in an iteration until the next one.

--- a/internal/node/pause.go
+++ b/internal/node/pause.go
@@ -35,7 +35,23 @@
 	lastIteration   time.Duration // of the loop
 }
 
-func newClock() *clock { return &clock{startedAt: time.Now(), bootedAt: bootClock()} }
+const (
+	// clockReadTolerance is how long the reading of both clocks may take at the start. It is missing
+	// from what counts as suspended.
+	clockReadTolerance = time.Millisecond
+	maxClockReads      = 10
+)
+
+func newClock() *clock {
+	c := new(clock)
+	for range maxClockReads {
+		c.startedAt, c.bootedAt = time.Now(), bootClock()
+		if time.Since(c.startedAt) <= clockReadTolerance {
+			break
+		}
+	}
+	return c
+}
 
 // now returns the time since the start. It may lag by a suspension until the next iteration of the
 // loop.
@@ -58,7 +74,8 @@
 }
 
 // iterate records an iteration of the loop, and returns how long the process has stood still since
-// the one before, 0 if that is below processPauseLimit.
+// the one before, 0 if that is below processPauseLimit. It reads the boot clock first, so that a delay
+// between the readings counts too little, until the next iteration, and never too much.
 func (c *clock) iterate() time.Duration {
 	boot, mono := bootClock()-c.bootedAt, time.Since(c.startedAt)
 	c.mu.Lock()
