--- a/internal/node/jobs.go
+++ b/internal/node/jobs.go
@@ -53,13 +53,14 @@
 	}
 	p := &pendingJob{job: j, pool: -1, arrived: arrived, readAfter: waited, waiters: []waiter{w}}
 	n.pending[j.ID] = p
-	s, leader := n.shardFor(now, p, n.poolViews()), ""
+	views := n.poolViews()
+	s, leader := n.shardFor(now, p, views), ""
 	if s != nil {
 		leader = s.decision.Leader
 		n.submitTo(now, s, p)
 	}
-	n.log.Info("job", "job", j.ID, "queue", j.Queue.Name, "tasks", j.TaskCount(), "outcome", "accepted", "pool", p.pool, "leader", leader,
-		"config", n.configVersion(), "waited_ms", waited.Milliseconds())
+	n.log.Info("job", append([]any{"job", j.ID, "queue", j.Queue.Name, "tasks", j.TaskCount(), "outcome", "accepted", "pool", p.pool, "leader", leader,
+		"config", n.configVersion(), "waited_ms", waited.Milliseconds(), "layout", n.layout.Version}, choiceFields(p.pool, views)...)...)
 }
 
 // joinPending adds a waiter to a pending job. The leader goes by the deadline of the caller that it
--- a/internal/node/route.go
+++ b/internal/node/route.go
@@ -38,6 +38,23 @@
 	return best
 }
 
+// choiceFields returns the log fields that tell why a pool was chosen for a job, if there are several: how many of them
+// are led, and the capacity of the chosen one and of all, in cores, as known to this entry.
+func choiceFields(chosen int, pools []poolView) []any {
+	if len(pools) < 2 || chosen < 0 {
+		return nil
+	}
+	led, all := 0, int64(0)
+	for _, p := range pools {
+		if p.led {
+			led++
+			all += p.capacity
+		}
+	}
+	const milli = 1000
+	return []any{"led", led, "pools", len(pools), "cores", pools[chosen].capacity / milli, "of_cores", all / milli}
+}
+
 // chooseNextPool returns the pool for a job that one pool has rejected, or -1 if none is
 // left. After it was rejected to shed load, that is the pool with the most spare capacity,
 // at least what the job needs.
--- a/internal/node/shard.go
+++ b/internal/node/shard.go
@@ -35,7 +35,7 @@
 func (n *Node) newShards(l fleet.Layout, now time.Duration) []*shard {
 	shards := make([]*shard, len(l.Pools))
 	for i, scope := range l.Pools {
-		p := pool.New(pool.DefaultSettings(), n.logDecision)
+		p := pool.New(pool.DefaultSettings(), func(event string, args ...any) { n.logDecision(event, append(args, "pool", i)...) })
 		p.ShareRooms(n.rooms)
 		shards[i] = &shard{
 			index: i, scope: scope, pool: p, reports: make(map[string]poolReport),
--- a/internal/pool/ownership.go
+++ b/internal/pool/ownership.go
@@ -154,7 +154,7 @@
 	t.owned, t.wasUnreachable, t.fencedInARow = true, false, 0
 	t.lossRecorded, t.lossSettled, t.replaced = false, false, false
 	p.reviewSuspicions(now, t)
-	p.log("ownership", "target", t.ID, "outcome", "acquired", "fence", t.fence, "running", len(rep.Running))
+	p.log("ownership", "target", t.ID, "outcome", "acquired", "life", t.Incarnation, "fence", t.fence, "running", len(rep.Running))
 	listed := make(map[runKey]bool, len(rep.Running))
 	for _, row := range rep.Running {
 		listed[runKey{row.Task, row.Run}] = true
--- a/internal/pool/place.go
+++ b/internal/pool/place.go
@@ -258,7 +258,7 @@
 	tk.job.queueState.placements.add(now, 1)
 	p.markPlaced(tk, r)
 	p.log("start", append([]any{
-		"task", tk.id.String(), "run", r.number, "target", t.ID, "fence", t.fence, "needs", tk.needs.MilliCPU,
+		"task", tk.id.String(), "run", r.number, "target", t.ID, "life", t.Incarnation, "fence", t.fence, "needs", tk.needs.MilliCPU,
 		"free_after", t.free().MilliCPU, "waited_ms", (now - tk.job.arrived).Milliseconds(),
 	}, p.restartFields(now, tk)...)...)
 	ticket, _ := p.ticketFor(tk, t)
--- a/internal/pool/target.go
+++ b/internal/pool/target.go
@@ -240,7 +240,7 @@
 // are rejected. Unanswered orders may have reached the new incarnation: its first report
 // shows which did.
 func (p *Pool) newIncarnation(now time.Duration, t *target, incarnation int64) {
-	p.log("target", "target", t.ID, "outcome", "reborn", "runs", len(t.runs))
+	p.log("target", "target", t.ID, "outcome", "reborn", "runs", len(t.runs), "life", incarnation, "before", t.Incarnation)
 	p.noteSucceededTarget(now, t)
 	if !t.lossRecorded {
 		t.lostAt = now
