--- a/internal/pool/next_life_test.go
+++ b/internal/pool/next_life_test.go
@@ -59,3 +59,20 @@
 	assert.Equal(t, s.p.targets[o.Target.ID].Incarnation, int64(2))
 	assert.Equal(t, len(lastSave(s.harness).Record.Suspicions), 0)
 }
+
+// A start met the next life of its target, and was not sent. Its task kept its room there and waited until that life
+// was acquired, though it had run nowhere.
+func TestStartThatIsWithheldFromTheNextLifeGoesElsewhere(t *testing.T) {
+	s := newCrashSim(t, 2)
+	s.submit(patientJob("j", 1, 20000))
+	s.tick(ms)
+	o := takeEffects[fleet.Start](s.harness)[0]
+	s.p.StartDone(s.now, o, fleet.Reply{Answer: fleet.Unreachable, Incarnation: 2})
+	assert.Equal(t, s.p.targets[o.Target.ID].Incarnation, int64(2))
+	assert.Equal(t, len(s.p.targets[o.Target.ID].runs), 0)
+	s.tick(ms)
+	again := takeEffects[fleet.Start](s.harness)
+	assert.Equal(t, len(again), 1)
+	assert.Assert(t, again[0].Target.ID != o.Target.ID)
+	assert.Assert(t, s.p.suspected["j"] == nil, "a target was said to be lost under it")
+}
--- a/internal/pool/run.go
+++ b/internal/pool/run.go
@@ -69,6 +69,7 @@
 	if t == nil || !p.leading {
 		return
 	}
+	p.releaseWithheld(now, t, o, rep)
 	byOther := rep.Answer == fleet.OtherIncarnation // its clock and incarnation are not the target's
 	if !byOther && p.otherIncarnation(now, t, rep.Incarnation) {
 		return
@@ -125,6 +126,17 @@
 	}
 }
 
+// releaseWithheld releases the run of a start that was not sent since another life of its target was there. That
+// comes before the loss of the former life, under which the run never was.
+func (p *Pool) releaseWithheld(now time.Duration, t *target, o fleet.Start, rep fleet.Reply) {
+	r := t.runs[runKey{o.Task, o.Run}]
+	if rep.Answer != fleet.Unreachable || rep.Incarnation == 0 || rep.Incarnation == t.Incarnation || r == nil || r.order != o.Number {
+		return
+	}
+	p.log("start", "task", o.Task.String(), "run", o.Run, "target", t.ID, "outcome", "withheld from another life", "life", o.Target.Incarnation, "found", rep.Incarnation)
+	p.releaseAndRequeue(now, r, groundOfAnswer(rep.Answer))
+}
+
 // otherIncarnation reports whether an answer came from another incarnation than the one
 // known, which makes the answer useless. A later incarnation replaces the known one.
 func (p *Pool) otherIncarnation(now time.Duration, t *target, incarnation int64) bool {
