An end of a target's former life holds back no acknowledgement to the next one

After a restart of a target, all ends of its present life could stay unacknowledged, and the target be asked every 15 ms, until the record of some restored job was saved, which takes as long as an outage of the store.

Ends of stored jobs that are not restored yet are kept by job, with their number. If the target started again before the job was restored, that number was held at the next life too, which numbers its ends from 1: an end 1 of the former life held back all of the next one. The end itself still counts for its task; it is not held at a life that has not reported it.

Found by reading. TestEndOfAFormerLifeHoldsBackNoneOfTheNext failed before: "0 (int64) != 2 (int64): held back by an end of the former life".

--- a/internal/pool/held.go
+++ b/internal/pool/held.go
@@ -8,10 +8,11 @@
 
 // heldEnd is the end of a run that must not be acknowledged before a record is saved.
 type heldEnd struct {
-	target    *target
-	end       fleet.End
-	job       string
-	recordSeq int // of the record; math.MaxInt while the job, or its occurrence, is not restored
+	target      *target
+	incarnation int64 // of the target; its ends can't be acknowledged to the next one
+	end         fleet.End
+	job         string
+	recordSeq   int // of the record; math.MaxInt while the job, or its occurrence, is not restored
 }
 
 // holdEnd delays the acknowledgement of an end until the record that contains it is
@@ -20,7 +21,7 @@
 	if e.Kind != fleet.EndDone && e.Kind != fleet.EndFailed {
 		return
 	}
-	h := heldEnd{target: t, end: e, job: fleet.BaseJobID(e.Task.Job)}
+	h := heldEnd{target: t, incarnation: t.Incarnation, end: e, job: fleet.BaseJobID(e.Task.Job)}
 	j, ended, rj := p.jobs[e.Task.Job], p.stored.ended[h.job], p.stored.recurring[h.job]
 	switch {
 	case rj != nil && p.comesLater(rj, e.Task.Job):
@@ -48,6 +49,9 @@
 // need not renew its ownership while it has no jobs, and does not notice then that another has it.
 func (s *storedState) ofLaterOwner(run int) bool { return run >= (s.epoch+1)*runsPerEpoch }
 
+// isOver reports whether the incarnation of the target that has reported the end is over.
+func (h *heldEnd) isOver() bool { return h.incarnation != 0 && h.incarnation != h.target.Incarnation }
+
 // takeHeldEnds removes and returns the ends that were held until the job is restored.
 func (p *Pool) takeHeldEnds(id string) []heldEnd {
 	ends := p.stored.unknownJobEnds[id]
--- /dev/null
+++ b/internal/pool/reborn_test.go
@@ -0,0 +1,52 @@
+package pool
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"currantstall/internal/fleet"
+	"currantstall/internal/jobstore"
+)
+
+// nextLife answers the pending holds of a target as its next life, on its own clock, which has begun anew.
+func (b *harness) nextLife(id string, incarnation int64, running []fleet.Running, ended []fleet.End) {
+	for _, h := range takeEffects[fleet.Hold](b) {
+		if h.Target.ID == id {
+			b.p.HoldDone(b.now, b.now, h, fleet.HoldReply{Answer: fleet.Accepted, ClockMS: 200, Incarnation: incarnation, Running: running, Ended: ended})
+		} else {
+			b.acceptHold(h, nil, nil)
+		}
+	}
+}
+
+// liveOn plays some rounds in which a target answers as its next life.
+func (b *harness) liveOn(id string, incarnation int64, running []fleet.Running, ended []fleet.End) {
+	for range 5 {
+		b.tick(5 * ms)
+		b.nextLife(id, incarnation, running, ended)
+	}
+}
+
+// Guards against ends that stay unacknowledged by the number of an end of the former life, whose job is restored now.
+func TestEndOfAFormerLifeHoldsBackNoneOfTheNext(t *testing.T) {
+	b := newHarness(t, 1)
+	b.p.ExpectStored()
+	j := storedJob("j", 2)
+	b.p.targets["t00"].refreshDue = true
+	b.tick(ms)
+	b.answerHold("t00", nil, []fleet.End{{Number: 1, Task: fleet.TaskID{Job: "j"}, Run: 1, Kind: fleet.EndDone}})
+	b.tick(restorePause)
+	interrupted := []fleet.End{{Number: 1, Task: fleet.TaskID{Job: "x"}, Run: 1, Kind: fleet.EndInterrupted}, {Number: 2, Task: fleet.TaskID{Job: "x"}, Run: 2, Kind: fleet.EndInterrupted}}
+	b.liveOn("t00", 2, nil, interrupted)
+	assert.Equal(t, b.p.targets["t00"].ackNumber(), int64(2))
+
+	b.p.TakeOverStored(b.now, b.now, 1, []jobstore.StoredJob{restoredJob(j)})
+	b.p.RenewStored(b.now+time.Minute, b.now+time.Minute)
+
+	saves := takeEffects[jobstore.Save](b)
+	assert.Equal(t, len(saves), 1)
+	assert.Assert(t, saves[0].Record.IsDone(0), "it is done all the same")
+	assert.Equal(t, b.p.targets["t00"].ackNumber(), int64(2), "held back by an end of the former life")
+}
--- a/internal/pool/stored.go
+++ b/internal/pool/stored.go
@@ -231,7 +231,9 @@
 func (p *Pool) reconcileStored(now time.Duration, j *job, rec fleet.Record) {
 	for _, h := range p.takeHeldEnds(j.ID) {
 		p.handleUnknownEnd(now, h.target, h.end)
-		p.holdEnd(h.target, h.end)
+		if !h.isOver() {
+			p.holdEnd(h.target, h.end)
+		}
 	}
 	if p.jobs[j.ID] != j {
 		return // ended by the held ends
