A row of a target that lacks its birth does not hide a restart

Ends of tasks could be acknowledged unread, and a run of a former life pass for one that goes on, so that a done task was done again or a lost one not started.

A listed target whose row lacks `born` was taken over with incarnation 0, "not known", in place of the one that was known. The next answer then only filled it in: a restart in between was not noticed, and the life that knows nothing of before got the numbers of ends, leases and runs of the former one. Such a row now leaves the known incarnation as it is.

Found by reading; the decoder of rows accepts one without `born` (trial: incarnation 0, usable), which only another writer makes. TestRowWithoutABirthDoesNotHideTheNextLife failed before: "7 (int64) != 0 (int64): ends of the next life are acknowledged unread".

--- a/internal/pool/reborn_test.go
+++ b/internal/pool/reborn_test.go
@@ -29,6 +29,25 @@
 	}
 }
 
+// Guards against ends that are acknowledged unread: a row without a birth made the next life pass for the one before.
+func TestRowWithoutABirthDoesNotHideTheNextLife(t *testing.T) {
+	b := newHarness(t, 1)
+	b.submit(jobOf("j", queue("q", 0), 1, 20000, 60*ms))
+	b.tick(ms)
+	first := b.acceptStarts()[0]
+	b.tick(5 * ms)
+	b.answerHold("t00", []fleet.Running{{Task: first.Task, Run: first.Run, PercentDone: 1}}, []fleet.End{{Number: 7, Task: fleet.TaskID{Job: "gone"}, Run: 1, Kind: fleet.EndDone}})
+
+	list := targetList(1)
+	list[0].Incarnation = 0
+	b.p.SetTargets(b.now, list)
+	b.tick(5 * ms)
+	b.nextLife("t00", 2, nil, nil)
+
+	assert.Equal(t, b.p.targets["t00"].Incarnation, int64(2))
+	assert.Equal(t, b.p.targets["t00"].ackNumber(), int64(0), "ends of the next life are acknowledged unread")
+}
+
 // Guards against ends that stay unacknowledged by the number of an end of the former life, whose job is restored now.
 func TestEndOfAFormerLifeHoldsBackNoneOfTheNext(t *testing.T) {
 	b := newHarness(t, 1)
--- a/internal/pool/target.go
+++ b/internal/pool/target.go
@@ -199,7 +199,10 @@
 
 // updateTarget applies the target's listed properties.
 func (p *Pool) updateTarget(now time.Duration, t *target, info fleet.Target) {
-	if info.Incarnation != t.Incarnation && info.Incarnation != 0 && t.Incarnation != 0 {
+	if info.Incarnation == 0 {
+		info.Incarnation = t.Incarnation // a row that lacks it shows no restart, and hides none
+	}
+	if info.Incarnation != t.Incarnation && t.Incarnation != 0 {
 		if info.Incarnation < t.Incarnation {
 			return // the target itself has reported a later incarnation
 		}
