A target that has started again gets no tasks by the row of its former life

A target that came back smaller, or with other labels, could be started beyond its capacity, or with tasks that it must not run, until its row was read again (every 0.7 s by a leader).

A restart is often noticed by an answer, before the list shows it. The target was acquired at once and got tasks by the capacity, the service and the labels that the life before had registered; a new life may be of a different kind.

A life that was noticed by its answers now gets tasks only once a row of this life was read, or after 2 s, as the platform's store may be out of reach. It is acquired, and its runs are known, as before. So a restarted target is idle for up to one read of the list longer than before.

Found by reading. TestNextLifeGetsNoTasksByTheRowOfTheFormerOne failed before: "1 (int) != 0 (int): started by the room of the former life". TestNextLifeWhoseRowIsNotReadGetsTasksAfterAWhile bounds the wait.

--- a/internal/pool/health.go
+++ b/internal/pool/health.go
@@ -173,10 +173,10 @@
 	return n
 }
 
-// endEjections starts the trial of targets whose ejection is over, and ends pauses.
+// endEjections starts the trial of targets whose ejection is over, and ends pauses and waits for rows.
 func (p *Pool) endEjections(now time.Duration) {
 	for _, t := range p.sortedTargets {
-		t.paused = now < t.pauseUntil
+		t.paused, t.rowDue = now < t.pauseUntil, now < t.rowDueUntil
 		if t.state == statechart.TargetHealthEjected && now >= t.ejectedUntil {
 			t.consecutiveFailures = 0
 			t.step(statechart.TargetHealthOnCooled)
--- a/internal/pool/place.go
+++ b/internal/pool/place.go
@@ -214,7 +214,7 @@
 }
 
 // available reports whether the target may get tasks, regardless of its free capacity.
-func (t *target) available() bool { return t.owned && t.listed && !t.Leaving }
+func (t *target) available() bool { return t.owned && t.listed && !t.Leaving && !t.rowDue }
 
 // answersStarts reports whether the target's health and answers permit a task now.
 func (t *target) answersStarts() bool { return t.acceptsTasks(len(t.runs)) && t.unansweredHolds == 0 }
--- a/internal/pool/reborn_test.go
+++ b/internal/pool/reborn_test.go
@@ -29,6 +29,42 @@
 	}
 }
 
+// Guards against starts on a target that is smaller, or of another kind, than the life before it: it answers before its
+// row is read, and got tasks by the row of that life.
+func TestNextLifeGetsNoTasksByTheRowOfTheFormerOne(t *testing.T) {
+	b := newHarness(t, 1)
+	b.p.targets["t00"].refreshDue = true
+	b.liveOn("t00", 2, nil, nil)
+	b.submit(jobOf("j", queue("q", 0), 1, 20000, 60*ms))
+	b.tick(ms)
+	assert.Equal(t, len(takeEffects[fleet.Start](b)), 0, "started by the room of the former life")
+
+	list := targetList(1)
+	b.p.SetTargets(b.now, list) // read before it was written anew
+	b.tick(ms)
+	assert.Equal(t, len(takeEffects[fleet.Start](b)), 0, "started by the room of the former life")
+
+	list[0].Incarnation = 2
+	b.p.SetTargets(b.now, list)
+	b.tick(ms)
+	assert.Equal(t, len(takeEffects[fleet.Start](b)), 1)
+}
+
+// Guards against a target that stays idle while the platform's store is out of reach.
+func TestNextLifeWhoseRowIsNotReadGetsTasksAfterAWhile(t *testing.T) {
+	b := newHarness(t, 1)
+	b.p.targets["t00"].refreshDue = true
+	begin := b.now
+	b.liveOn("t00", 2, nil, nil)
+	b.submit(patientJob("j", 1, 20000))
+	for len(takeEffects[fleet.Start](b)) == 0 {
+		b.tick(10 * ms)
+		b.nextLife("t00", 2, nil, nil)
+		assert.Assert(t, b.now < begin+maxRowWait+50*ms)
+	}
+	assert.Assert(t, b.now >= begin+maxRowWait)
+}
+
 // Guards against ends that are acknowledged unread: a row without a birth made the next life pass for the one before.
 func TestRowWithoutABirthDoesNotHideTheNextLife(t *testing.T) {
 	b := newHarness(t, 1)
--- a/internal/pool/target.go
+++ b/internal/pool/target.go
@@ -57,6 +57,8 @@
 	answered         bool              // it has answered there
 	suspectRuns      int               // runs of tasks that were suspects at their start
 	largestRoom      structs.Resources // largest capacity listed for this incarnation, by resource
+	rowDueUntil      time.Duration     // until when its row may be that of an earlier incarnation; 0 if it is not
+	rowDue           bool              // it gets no tasks for that reason
 
 	holds holdsInFlight
 	health
@@ -216,7 +218,7 @@
 		t.nextAcquireAt = now
 	}
 	p.noteListed(t, &info)
-	t.Target, t.listed = info, true
+	t.Target, t.listed, t.rowDueUntil = info, true, 0
 	t.noteRoom(info.Capacity)
 	if info.Leaving {
 		t.step(statechart.TargetHealthOnLeave)
@@ -258,6 +260,7 @@
 	t.Incarnation, t.clockMS, t.clockReadAt, t.lastEnd, t.ackedEnd = incarnation, 0, 0, 0, 0
 	t.nextAcquireAt, t.unknownLeasesEnd = now, now+maxLease
 	t.seenMS, t.lossRecorded, t.replaced, t.largestRoom = 0, false, false, structs.Resources{}
+	t.rowDueUntil = now + maxRowWait
 	t.ownAddr, t.answered = t.Addr, false
 	t.lossSettled, t.processGone = false, false
 	for _, r := range sortedRuns(before) {
@@ -270,6 +273,10 @@
 	p.reviewSuspicions(now, t)
 }
 
+// maxRowWait is how long an incarnation that was noticed by its answers gets no tasks until its row is read: it may have less room
+// than the one before, or other labels. The platform's store may be out of reach for longer.
+const maxRowWait = 2 * time.Second
+
 // maxLease is the longest lease that a target grants, including clock drift and the
 // duration of a call.
 const maxLease = 1300 * time.Millisecond
