Stop of a cancelled task is not given up after a second

Callers that cancelled many tasks at once got may_have_run for some of them, and these ran on at their target, up to their own end.

Cause: the stop of a task had one second in all, and that counted the wait for the stops before it: a sixteenth of an entry's connections to a target is kept for control requests, and each of them opens one, which holds its place for 20 ms more. A stop that was late for any reason was never sent again. In a traced run (24 copies of TestMassCancelStopsAllTasks on one core) stops waited for up to 1.6 s for a connection, then took 0.3 to 0.9 s; 59 of 200 tasks ran on. A cancel at another entry than the coordinator gave up after 2 s with home_unreachable or not_found.

A stop is now tried like every other look-up: a target is lost after four that failed in a row, a second each at most. A cancel at another entry waits for as long, and no longer for entries that are silent once the coordinator has responded. A cancel of a task at a silent target takes up to 5 s where it took 1.

The tests failed before: stop_wave_test.go:85: 8 (int) != 0 (int): tasks run on after the cancel cancel_test.go:60: may_have_run != failed: cancelled by the caller

--- a/internal/dispatch/lookup.go
+++ b/internal/dispatch/lookup.go
@@ -34,6 +34,9 @@
 	maxReservationHold = time.Minute
 	// cleanupTimeout bounds the lookup for an attempt whose context has ended.
 	cleanupTimeout = time.Second
+	// StopTimeout bounds the stop of a cancelled task. A stop may wait for others to
+	// the same target, and the task runs on if it is given up.
+	StopTimeout = (maxFailedLookups + 1) * lookupTimeout
 )
 
 // probe looks up a silent attempt until the result is known or ctx ends.
@@ -53,11 +56,13 @@
 	q := lookupQuery{mode: target.LookupFence, reason: res.err.Reason}
 	if ctx.Err() != nil {
 		q.once = true
+		timeout := cleanupTimeout
 		if a.mustStop(ctx) {
 			q.mode = target.LookupStop
+			timeout = StopTimeout
 		}
 		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(context.WithoutCancel(ctx), cleanupTimeout)
+		ctx, cancel = context.WithTimeout(context.WithoutCancel(ctx), timeout)
 		defer cancel()
 	}
 	found, ok := a.lookUp(ctx, q)
--- a/internal/engine/cancel.go
+++ b/internal/engine/cancel.go
@@ -6,13 +6,15 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"currantstall/internal/dispatch"
 	"currantstall/internal/key"
 	"currantstall/internal/structs"
 	"currantstall/internal/verdict"
 )
 
-// cancelTimeout limits the search for the entry that holds the work to cancel.
-const cancelTimeout = 2 * time.Second
+// cancelTimeout limits the search for the entry that holds the work to cancel. That
+// entry responds once the tasks have stopped.
+const cancelTimeout = dispatch.StopTimeout + time.Second
 
 // cancelLocal cancels work that this entry runs as its coordinator, and waits
 // until all its tasks have ended, or ctx ends.
@@ -52,6 +54,8 @@
 // callCancelLocal sends opCancelLocal to every linked entry of the data centre
 // and returns the outcome that the coordinator of the work reports, or nil.
 func (e *Engine) callCancelLocal(ctx context.Context, k key.Key) *structs.Outcome {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
 	found := make(chan *structs.Outcome, 1)
 	var g errgroup.Group
 	for _, name := range e.Links.Linked(e.DC) {
@@ -61,6 +65,7 @@
 			if d != nil && !d.Declined && d.Outcome != nil && d.Outcome.Reason != verdict.NotFound {
 				select {
 				case found <- d.Outcome:
+					cancel() // the entries that are silent need not respond
 				default:
 				}
 			}
