A target whose clock was set back before it started again is acquired

Tasks could stay with a target that had started again for good: never done, never started elsewhere, and no task ran there, until the leader changed or the row of the target was gone. The target was asked anew at each tick meanwhile.

Lives are ordered by `born`, by the clock of the target's VM. An answer or a row with an earlier one than known counted as left over from a life before. If that clock was set back by more than the former life had lasted, all answers of the present life were such.

Rows of lives that are over are ignored also if they name a later birth, since taking them up would release runs that go on. A row with an earlier birth may be old or tell of a restart; an owned target is asked.

Found by reading. TestNextLifeThatIsBornEarlierIsAcquired ("0 (int) != 1 (int)": the task is not started again) and TestIdleTargetIsAskedIfItsRowShowsAnEarlierBirth ("5000 != 3000") failed before.

--- a/internal/pool/reborn_test.go
+++ b/internal/pool/reborn_test.go
@@ -84,6 +84,52 @@
 	assert.Equal(t, b.p.targets["t00"].ackNumber(), int64(0), "ends of the next life are acknowledged unread")
 }
 
+// Guards against a target that is never acquired again, whose runs are never taken for over: the clock of its VM was set back
+// before it started anew.
+func TestNextLifeThatIsBornEarlierIsAcquired(t *testing.T) {
+	b := newHarness(t, 1)
+	listed := func(incarnation int64) {
+		list := targetList(1)
+		list[0].Incarnation = incarnation
+		b.p.SetTargets(b.now, list)
+	}
+	listed(5000)
+	b.tick(ms)
+	b.acquireTargets()
+	b.submit(jobOf("j", queue("q", 0), 1, 20000, 60*ms))
+	b.tick(ms)
+	start := b.acceptStarts()[0]
+	assert.Equal(t, start.Target.Incarnation, int64(5000))
+
+	b.liveOn("t00", 3000, nil, nil)
+	listed(3000)
+	b.tick(ms)
+	again := b.acceptStarts()
+	assert.Equal(t, len(again), 1)
+	assert.Assert(t, again[0].Target.Incarnation == 3000 && again[0].Run > start.Run)
+
+	listed(5000) // a row from before
+	b.liveOn("t00", 3000, []fleet.Running{{Task: again[0].Task, Run: again[0].Run, PercentDone: 1}}, nil)
+	assert.Equal(t, b.p.targets["t00"].Incarnation, int64(3000))
+	assert.Equal(t, len(b.p.targets["t00"].runs), 1, "its run goes on")
+	assert.Equal(t, len(takeEffects[fleet.Start](b)), 0)
+}
+
+// Guards against an idle target that is taken for what it was before: its row is the first to show a restart with an earlier birth.
+func TestIdleTargetIsAskedIfItsRowShowsAnEarlierBirth(t *testing.T) {
+	b := newHarness(t, 1)
+	list := targetList(1)
+	list[0].Incarnation = 5000
+	b.p.SetTargets(b.now, list)
+	b.tick(ms)
+	b.acquireTargets()
+	list[0].Incarnation = 3000
+	b.p.SetTargets(b.now, list)
+	b.liveOn("t00", 3000, nil, nil)
+	assert.Equal(t, b.p.targets["t00"].Incarnation, int64(3000))
+	assert.Assert(t, b.p.targets["t00"].owned)
+}
+
 // Guards against ends that stay unacknowledged by the number of an end of the former life, whose job is restored now.
 func TestEndOfAFormerLifeHoldsBackNoneOfTheNext(t *testing.T) {
 	b := newHarness(t, 1)
--- a/internal/pool/target.go
+++ b/internal/pool/target.go
@@ -57,6 +57,7 @@
 	answered         bool              // it has answered there
 	suspectRuns      int               // runs of tasks that were suspects at their start
 	largestRoom      structs.Resources // largest capacity listed for this incarnation, by resource
+	lastBirth        int64             // the latest of the incarnations that are over
 	rowDueUntil      time.Duration     // until when its row may be that of an earlier incarnation; 0 if it is not
 	rowDue           bool              // it gets no tasks for that reason
 
@@ -205,8 +206,9 @@
 		info.Incarnation = t.Incarnation // a row that lacks it shows no restart, and hides none
 	}
 	if info.Incarnation != t.Incarnation && t.Incarnation != 0 {
-		if info.Incarnation < t.Incarnation {
-			return // the target itself has reported a later incarnation
+		if info.Incarnation <= max(t.Incarnation, t.lastBirth) {
+			t.refreshDue = t.refreshDue || t.owned
+			return // a row from before, unless the clock of the VM was set back, which the target's own answers show
 		}
 		p.newIncarnation(now, t, info.Incarnation)
 		t.ownAddr = info.Addr
@@ -257,6 +259,7 @@
 	}
 	t.reset()
 	t.health = newHealth()
+	t.lastBirth = max(t.lastBirth, t.Incarnation)
 	t.Incarnation, t.clockMS, t.clockReadAt, t.lastEnd, t.ackedEnd = incarnation, 0, 0, 0, 0
 	t.nextAcquireAt, t.unknownLeasesEnd = now, now+maxLease
 	t.seenMS, t.lossRecorded, t.replaced, t.largestRoom = 0, false, false, structs.Resources{}
