Tests of the recall ask for exact moments, and for what no test needed

What the ticks of 10 ms had not brought with them is a lower bound: TestRecallEndsWithTheLossOfItsTarget accepted a first start at any tick of 2.5 s. It now demands each start at its moment, within 20 ms, and TestRestoredLongRunningJobDoesNotWaitForALostTarget as well (100 ms before), with no other start for 0.1 s after, as before.

TestRecallForRestoredTasksEndsWithTheirWait promised an occurrence that falls due later, and had none; it has one now, and fails without formerOver in timed.go. TestOwnerOfAllTargetsRecallsNothingForRestoredTasks had no end if the task never starts.

Not noticed still: stepDownWait of another length (the tests name the constant), and stop_ms left out of longestRecallWait where all targets are owned and the list is old.

--- a/internal/pool/restored_recall_test.go
+++ b/internal/pool/restored_recall_test.go
@@ -59,43 +59,90 @@
 // A new owner that reaches all targets recalls nothing, whatever it waits for.
 func TestOwnerOfAllTargetsRecallsNothingForRestoredTasks(t *testing.T) {
 	b := newHarness(t, 2)
+	begin := b.now
 	b.ownStored(restoredJob(storedJob("j", 1)))
 	for started := 0; started == 0; started = len(takeEffects[fleet.Start](b)) {
 		b.tick(5 * ms)
+		assert.Assert(t, b.now <= begin+formerRunsTimeout+20*ms, "it waits for a recall")
 		b.answerHolds(nil)
 		assert.Equal(t, len(takeEffects[RecallStored](b)), 0)
 	}
 }
 
-// A recall for restored tasks ends with the wait for them, and an occurrence that falls due later needs none.
+// A recall for restored tasks ends with the wait for them, and an occurrence that falls due later needs none: it starts at once.
 func TestRecallForRestoredTasksEndsWithTheirWait(t *testing.T) {
 	j := storedJob("j", 1)
 	j.Steps[0].LongRunning = true
 	x := restoreLost(t, j, 0)
-	b, recalls := x.leader, []RecallStored{}
+	b, recalls, started := x.leader, []RecallStored{}, map[string]time.Duration{}
+	const dueIn = formerRunsTimeout + 100*ms
+	b.setWallClock()
+	later := recurringTestJob("later", 1)
+	later.FirstDueMS, later.Steps[0].LongRunning = testStartUnixMS+dueIn.Milliseconds(), true
+	restored := restoredJob(later)
+	b.p.restoreJob(b.now, &restored)
 	for b.now < x.begin+formerRunsTimeout+200*ms {
 		b.tick(5 * ms)
 		x.answer(b, false)
-		b.acceptStarts()
+		for _, s := range b.acceptStarts() {
+			if id := fleet.BaseJobID(s.Task.Job); started[id] == 0 {
+				started[id] = b.now - x.begin
+			}
+		}
 		recalls = append(recalls, takeEffects[RecallStored](b)...)
 	}
+	assert.Assert(t, started["j"] >= formerRunsTimeout && started["j"] <= formerRunsTimeout+10*ms, "%v", started)
+	assert.Assert(t, started["later"] >= dueIn && started["later"] <= dueIn+dueMargin+10*ms, "%v", started)
 	assert.Equal(t, len(recalls), 2)
 	assert.Assert(t, recalls[0].From >= x.begin+formerRunsTimeout-withDrift(jobstore.KeepLease)-timeToEnd)
 	assert.Equal(t, recalls[1].From, time.Duration(0))
 }
 
-// playUntilStart advances all, with leaders in turn, until the task is started again.
-func (s *recallSim) playUntilStart(limit time.Duration) {
-	draw := func() time.Duration {
-		return s.now + time.Duration(rapid.IntRange(300, 6000).Draw(s.t, "leads"))*time.Millisecond
-	}
-	leads := draw()
-	for s.startedAt == 0 && s.now < limit {
-		if s.step(); s.now >= leads {
-			s.newLeader()
-			leads = draw()
+// A recall that has begun goes on if the lost target is seen for a moment: the tasks do not wait for another one.
+func TestRecallForRestoredTasksOutlastsAGlimpseOfTheirTarget(t *testing.T) {
+	j := storedJob("j", 1)
+	j.Steps[0].LongRunning = true
+	x := restoreLost(t, j, 0)
+	b, lost := x.leader, x.leader.p.targets[x.target]
+	over, recalls := x.begin+formerRunsTimeout, 0
+	glimpse := over - 500*ms
+	for len(takeEffects[fleet.Start](b)) == 0 {
+		b.tick(5 * ms)
+		x.answer(b, false)
+		recalls += len(takeEffects[RecallStored](b))
+		switch b.now {
+		case glimpse:
+			assert.Equal(t, recalls, 1)
+			lost.owned = true
+		case glimpse + 50*ms:
+			b.p.markUnreachable(b.now, lost)
 		}
+		assert.Assert(t, b.now < over+20*ms)
+	}
+	assert.Assert(t, b.now >= over)
+}
+
+// A restored job whose tasks all run waits for no former run, and another leader may keep what it has found.
+func TestNothingIsRecalledForRestoredJobsThatWaitForNothing(t *testing.T) {
+	b := newHarness(t, 2)
+	b.p.markUnreachable(b.now, b.p.targets["t01"])
+	b.p.targets["t01"].nextAcquireAt = b.now + time.Hour
+	b.p.ExpectStored()
+	running := []fleet.Running{{Task: fleet.TaskID{Job: "j"}, Run: runsPerEpoch + 1, PercentDone: 10}}
+	b.p.targets["t00"].refreshDue = true
+	b.tick(ms)
+	b.answerHold("t00", running, nil)
+	j := storedJob("j", 1)
+	j.Steps[0].LongRunning = true
+	begin := b.now
+	b.ownStored(restoredJob(j))
+	for b.now < begin+formerRunsTimeout+time.Second {
+		b.tick(5 * ms)
+		b.answerHolds(running)
+		assert.Equal(t, len(takeEffects[RecallStored](b)), 0)
+		assert.Equal(t, len(takeEffects[fleet.Start](b)), 0)
 	}
+	assert.Equal(t, len(b.p.targets["t00"].runs), 1)
 }
 
 // A target that is silent does not bring the recall forward: it puts the start off.
--- a/internal/pool/stored_test.go
+++ b/internal/pool/stored_test.go
@@ -520,16 +520,12 @@
 	j, ordinary := storedJob("j", 1), storedJob("ordinary", 1)
 	j.Steps[0].LongRunning = true
 	b.ownStored(restoredJob(j), restoredJob(ordinary))
-	for lastSeen := b.now; b.now < lastSeen+formerRunsTimeout-100*ms; {
+	start := b.onlyStartAt(b.now + formerRunsTimeout) // runs of the former owner may be at work until then
+	assert.Equal(t, start.Task.Job, "j")
+	for range 10 {
 		b.tick(10 * ms)
-		assert.Equal(t, len(takeEffects[fleet.Start](b)), 0, "runs of the former owner may still be at work")
+		assert.Equal(t, len(takeEffects[fleet.Start](b)), 0, "the ordinary task may have completed on the lost target")
 	}
-
-	b.tick(200 * ms)
-
-	starts := takeEffects[fleet.Start](b)
-	assert.Equal(t, len(starts), 1)
-	assert.Equal(t, starts[0].Task.Job, "j")
 }
 
 // Guards against a count of pending jobs that leaves out those whose starts were refused.
