A target whose clock was set back is noticed also by orders that are withheld from it

Once orders go only to the life that they name, a renewing hold, a start or a stop for a former life is not sent, and its answer names the life that was found. A life with an earlier birth was taken up from an accepted hold only. An owned target gets none but renewing ones, so that its restart was never noticed: its runs went on for the leader, and starts were sent to it one after another.

Every answer to a hold in flight counts now, for the reason given for accepted ones. An answer to a start or stop may be older; it makes the target be asked.

TestNextLifeThatIsBornEarlierIsAcquired/withheld=true ("0 (int) != 1 (int)") and both cases of TestIdleTargetThatWasBornEarlierIsAsked ("5000 != 3000") failed before. The tests of internal/pool pass.

--- a/internal/pool/reborn_test.go
+++ b/internal/pool/reborn_test.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -84,50 +85,90 @@
 	assert.Equal(t, b.p.targets["t00"].ackNumber(), int64(0), "ends of the next life are acknowledged unread")
 }
 
+// withhold answers the pending orders to a target as its next life does, to which none that renews, acknowledges, starts or stops is sent.
+func (b *harness) withhold(id string, incarnation int64) {
+	for _, h := range takeEffects[fleet.Hold](b) {
+		rep := fleet.HoldReply{Answer: fleet.Accepted, ClockMS: 200, Incarnation: incarnation}
+		if h.Target.Incarnation != incarnation && (h.LeaseUntilMS != 0 || h.AckedEnd != 0) {
+			rep = fleet.HoldReply{Answer: fleet.Unanswered, Incarnation: incarnation}
+		}
+		b.p.HoldDone(b.now, b.now, h, rep)
+	}
+	for _, o := range takeEffects[fleet.Start](b) {
+		rep := fleet.Reply{Answer: fleet.Accepted, ClockMS: 200, Incarnation: incarnation}
+		if o.Target.Incarnation != incarnation {
+			rep = fleet.Reply{Answer: fleet.Unreachable, Incarnation: incarnation}
+		}
+		b.p.StartDone(b.now, o, rep)
+	}
+}
+
+// bornAt lists the only target with the given birth.
+func (b *harness) bornAt(incarnation int64) {
+	list := targetList(1)
+	list[0].Incarnation = incarnation
+	b.p.SetTargets(b.now, list)
+}
+
 // Guards against a target that is never acquired again, whose runs are never taken for over: the clock of its VM was set back
 // before it started anew.
 func TestNextLifeThatIsBornEarlierIsAcquired(t *testing.T) {
-	b := newHarness(t, 1)
-	listed := func(incarnation int64) {
-		list := targetList(1)
-		list[0].Incarnation = incarnation
-		b.p.SetTargets(b.now, list)
+	for _, withheld := range []bool{false, true} {
+		t.Run(fmt.Sprintf("withheld=%v", withheld), func(t *testing.T) {
+			b := newHarness(t, 1)
+			b.bornAt(5000)
+			b.tick(ms)
+			b.acquireTargets()
+			b.submit(jobOf("j", queue("q", 0), 1, 20000, 60*ms))
+			b.tick(ms)
+			start := b.acceptStarts()[0]
+			assert.Equal(t, start.Target.Incarnation, int64(5000))
+
+			if withheld {
+				for range 5 {
+					b.tick(5 * ms)
+					b.withhold("t00", 3000)
+				}
+			} else {
+				b.liveOn("t00", 3000, nil, nil)
+			}
+			b.bornAt(3000)
+			b.tick(ms)
+			again := b.acceptStarts()
+			assert.Equal(t, len(again), 1)
+			assert.Assert(t, again[0].Target.Incarnation == 3000 && again[0].Run > start.Run)
+
+			b.bornAt(5000) // a row from before
+			b.liveOn("t00", 3000, []fleet.Running{{Task: again[0].Task, Run: again[0].Run, PercentDone: 1}}, nil)
+			assert.Equal(t, b.p.targets["t00"].Incarnation, int64(3000))
+			assert.Equal(t, len(b.p.targets["t00"].runs), 1, "its run goes on")
+			assert.Equal(t, len(takeEffects[fleet.Start](b)), 0)
+		})
 	}
-	listed(5000)
-	b.tick(ms)
-	b.acquireTargets()
-	b.submit(jobOf("j", queue("q", 0), 1, 20000, 60*ms))
-	b.tick(ms)
-	start := b.acceptStarts()[0]
-	assert.Equal(t, start.Target.Incarnation, int64(5000))
-
-	b.liveOn("t00", 3000, nil, nil)
-	listed(3000)
-	b.tick(ms)
-	again := b.acceptStarts()
-	assert.Equal(t, len(again), 1)
-	assert.Assert(t, again[0].Target.Incarnation == 3000 && again[0].Run > start.Run)
-
-	listed(5000) // a row from before
-	b.liveOn("t00", 3000, []fleet.Running{{Task: again[0].Task, Run: again[0].Run, PercentDone: 1}}, nil)
-	assert.Equal(t, b.p.targets["t00"].Incarnation, int64(3000))
-	assert.Equal(t, len(b.p.targets["t00"].runs), 1, "its run goes on")
-	assert.Equal(t, len(takeEffects[fleet.Start](b)), 0)
 }
 
-// Guards against an idle target that is taken for what it was before: its row is the first to show a restart with an earlier birth.
-func TestIdleTargetIsAskedIfItsRowShowsAnEarlierBirth(t *testing.T) {
-	b := newHarness(t, 1)
-	list := targetList(1)
-	list[0].Incarnation = 5000
-	b.p.SetTargets(b.now, list)
-	b.tick(ms)
-	b.acquireTargets()
-	list[0].Incarnation = 3000
-	b.p.SetTargets(b.now, list)
-	b.liveOn("t00", 3000, nil, nil)
-	assert.Equal(t, b.p.targets["t00"].Incarnation, int64(3000))
-	assert.Assert(t, b.p.targets["t00"].owned)
+// Guards against an idle target that is taken for what it was before: its row, or a start, is the first to show a restart with
+// an earlier birth.
+func TestIdleTargetThatWasBornEarlierIsAsked(t *testing.T) {
+	for _, by := range []string{"row", "start"} {
+		t.Run(by, func(t *testing.T) {
+			b := newHarness(t, 1)
+			b.bornAt(5000)
+			b.tick(ms)
+			b.acquireTargets()
+			if by == "row" {
+				b.bornAt(3000)
+			} else {
+				b.submit(patientJob("j", 1, 20000))
+			}
+			for range 5 {
+				b.tick(5 * ms)
+				b.withhold("t00", 3000)
+			}
+			assert.Equal(t, b.p.targets["t00"].Incarnation, int64(3000))
+			assert.Assert(t, b.p.targets["t00"].owned)
+		})
+	}
 }
 
 // Guards against ends that stay unacknowledged by the number of an end of the former life, whose job is restored now.
--- a/internal/pool/report.go
+++ b/internal/pool/report.go
@@ -78,7 +78,7 @@
 		p.answeredByOther(now, t, o.Target.Addr, rep.Incarnation)
 		return
 	}
-	if rep.Answer == fleet.Accepted && rep.Incarnation != 0 && rep.Incarnation < t.Incarnation {
+	if rep.Incarnation != 0 && rep.Incarnation < t.Incarnation {
 		p.newIncarnation(now, t, rep.Incarnation) // the hold was sent when the earlier ones were over: the clock of the VM was set back
 		return
 	}
--- a/internal/pool/run.go
+++ b/internal/pool/run.go
@@ -148,7 +148,8 @@
 		return false
 	}
 	if incarnation < t.Incarnation {
-		return true // from an earlier incarnation
+		t.refreshDue = t.refreshDue || t.owned // the answer to a hold shows whether it is from an earlier one
+		return true
 	}
 	p.newIncarnation(now, t, incarnation)
 	return true
