A late refusal of a start ends no run of the target's next life

A caller could see a task start while its run went on: a start for the former life of a target was refused or withheld, and its answer came late; the next life ran the same task and number for another leader, and this one had taken that run for its own. The late answer released it. A run that a report has shown is not ended by the answer to a start any more.

Also: a target that was out of reach and restarted in between is left to the leader whose runs it has, as before the restart, and starts that are withheld are paused (100 starts in 100 ms before, TestWithheldStartsArePaused).

--- a/internal/pool/next_life_test.go
+++ b/internal/pool/next_life_test.go
@@ -76,3 +76,24 @@
 	assert.Assert(t, again[0].Target.ID != o.Target.ID)
 	assert.Assert(t, s.p.suspected["j"] == nil, "a target was said to be lost under it")
 }
+
+// Starts for a life that the list tells of, while another one answers, went out again and again without a pause.
+func TestWithheldStartsArePaused(t *testing.T) {
+	s := newCrashSim(t, 1)
+	s.submit(patientJob("j", 1, 20000))
+	s.tick(ms)
+	o := takeEffects[fleet.Start](s.harness)[0]
+	was := o.Target.Incarnation
+	s.p.targets[o.Target.ID].Incarnation = was + 5 // as if acquired in that life
+	starts := 0
+	for range 100 {
+		s.p.StartDone(s.now, o, fleet.Reply{Answer: fleet.Unreachable, Incarnation: was})
+		s.tick(ms)
+		again := takeEffects[fleet.Start](s.harness)
+		starts += len(again)
+		if len(again) > 0 {
+			o = again[0]
+		}
+	}
+	assert.Assert(t, starts <= 3, "%d starts within 100 ms", starts)
+}
--- a/internal/pool/reborn_test.go
+++ b/internal/pool/reborn_test.go
@@ -171,6 +171,24 @@
 	}
 }
 
+// Guards against runs that are stopped for nothing: a target was out of reach and has another leader since. It was taken from
+// that one since it had crashed in between.
+func TestNextLifeThatAnotherLeaderUsesIsLeftToIt(t *testing.T) {
+	others := []fleet.Running{{Task: fleet.TaskID{Job: "other"}, Run: 1, PercentDone: 10}}
+	for name, incarnation := range map[string]int64{"same life": 1, "next life": 2} {
+		t.Run(name, func(t *testing.T) {
+			b := newHarness(t, 1)
+			b.p.markUnreachable(b.now, b.p.targets["t00"])
+			for range 100 {
+				b.tick(5 * ms)
+				b.nextLife("t00", incarnation, others, nil)
+				assert.Equal(t, len(takeEffects[fleet.Stop](b)), 0)
+			}
+			assert.Assert(t, !b.p.targets["t00"].owned)
+		})
+	}
+}
+
 // Guards against ends that stay unacknowledged by the number of an end of the former life, whose job is restored now.
 func TestEndOfAFormerLifeHoldsBackNoneOfTheNext(t *testing.T) {
 	b := newHarness(t, 1)
--- a/internal/pool/run.go
+++ b/internal/pool/run.go
@@ -81,6 +81,9 @@
 	if r == nil || r.order != o.Number {
 		return // each leadership, and each return of a job, numbers the runs of a task from 1
 	}
+	if rep.Answer != fleet.Accepted && r.startedAt > 0 {
+		return // a report has shown it: the start of another leader, for the next life of the target, has the same number
+	}
 	if rep.Answer != fleet.Accepted {
 		p.log("start", "task", o.Task.String(), "run", o.Run, "target", t.ID, "outcome", rep.Answer.String())
 	}
@@ -130,10 +133,11 @@
 // comes before the loss of the former life, under which the run never was.
 func (p *Pool) releaseWithheld(now time.Duration, t *target, o fleet.Start, rep fleet.Reply) {
 	r := t.runs[runKey{o.Task, o.Run}]
-	if rep.Answer != fleet.Unreachable || rep.Incarnation == 0 || rep.Incarnation == t.Incarnation || r == nil || r.order != o.Number {
+	if rep.Answer != fleet.Unreachable || rep.Incarnation == 0 || rep.Incarnation == t.Incarnation || r == nil || r.order != o.Number || r.startedAt > 0 {
 		return
 	}
 	p.log("start", "task", o.Task.String(), "run", o.Run, "target", t.ID, "outcome", "withheld from another life", "life", o.Target.Incarnation, "found", rep.Incarnation)
+	t.pauseUntil = now + rejectedStartPause // until it shows which life is there
 	p.releaseAndRequeue(now, r, groundOfAnswer(rep.Answer))
 }
 
--- a/internal/pool/target.go
+++ b/internal/pool/target.go
@@ -257,7 +257,9 @@
 	if !t.lossRecorded {
 		p.noteLoss(now, t, suspects)
 	}
+	unreachable := t.wasUnreachable
 	t.reset()
+	t.wasUnreachable = unreachable // it may have another owner since
 	t.health = newHealth()
 	t.lastBirth = max(t.lastBirth, t.Incarnation)
 	t.Incarnation, t.clockMS, t.clockReadAt, t.lastEnd, t.ackedEnd = incarnation, 0, 0, 0, 0
