--- a/internal/pool/property_test.go
+++ b/internal/pool/property_test.go
@@ -35,6 +35,8 @@
 	// coordinated is set if a coordinator decides which owner's answer counts for a job.
 	coordinated  bool
 	longestRunMS int
+	// withholds is set if orders are sent only to the life of a target that they name.
+	withholds bool
 }
 
 // pendingHold is a hold that was not answered yet.
@@ -149,7 +151,11 @@
 		case fleet.Stop:
 			x := s.target(e.Target.ID)
 			rep := fleet.Reply{Answer: fleet.Unanswered}
-			if !x.cut[owner] {
+			switch {
+			case x.cut[owner]:
+			case s.withheld(x, &e.Target):
+				rep = fleet.Reply{Answer: fleet.Unreachable, Incarnation: x.info.Incarnation}
+			default:
 				rep = fleet.Reply{Answer: s.doStop(x, e), ClockMS: x.clock(s.now), Incarnation: x.info.Incarnation}
 			}
 			if x.muted[owner] {
@@ -177,6 +183,8 @@
 	switch {
 	case x.cut[owner]:
 		p.StartDone(s.now, o, unanswered)
+	case s.withheld(x, &o.Target):
+		p.StartDone(s.now, o, fleet.Reply{Answer: fleet.Unreachable, Incarnation: x.info.Incarnation})
 	case fate == 0 || x.muted[owner]: // carried out, its answer lost
 		s.doStart(x, o, s.now)
 		p.StartDone(s.now, o, unanswered)
@@ -244,6 +252,8 @@
 		p := s.pools[h.owner]
 		unread := len(x.ends) > int(h.hold.AckedEnd)
 		switch {
+		case !x.cut[h.owner] && (h.hold.LeaseUntilMS != 0 || h.hold.AckedEnd != 0) && s.withheld(x, &h.hold.Target):
+			p.HoldDone(s.now, h.sent, h.hold, fleet.HoldReply{Answer: fleet.Unanswered, Incarnation: x.info.Incarnation})
 		case x.cut[h.owner] || x.muted[h.owner]:
 			if !x.cut[h.owner] && h.hold.Fence >= x.fence {
 				x.fence = h.hold.Fence
@@ -276,6 +286,11 @@
 	s.holds = rest
 }
 
+// withheld reports whether an order for a life of a target is not sent to the present one.
+func (s *faultSim) withheld(x *simTarget, to *fleet.Target) bool {
+	return s.withholds && to.Incarnation != x.info.Incarnation
+}
+
 // crash restarts a target as a new incarnation without runs.
 func (s *faultSim) crash(x *simTarget) {
 	x.info.Incarnation++
