Cancel outlasts a link that is down for a moment

A cancel at another entry than the coordinator got 503 home_unreachable at once if the link to the coordinator was down, or broke before it responded, and the work ran on although its caller had cancelled it.

Cause: only entries that are linked at that moment were asked, once; and a call ended with its link, though the peer keeps its response until the link is up again. Entries that get no processor time lose their links for a moment (TestCancelOfManyJobs at load 121: e2 closed both links as peer_silent, then 45 of 100 jobs had home_unreachable).

While the key is claimed and no coordinator has responded, or its home is out of reach, the cancel now asks again until its time ends. A cancel that was sent waits for the response across the loss of the link, unless the peer is another run of its process or has left the view.

The tests failed before: cancel_test.go:95: may_have_run (home_unreachable): no entry responded cancel_test.go:128: may_have_run (home_unreachable): no entry responded

TestCancelOfManyJobs beside other tests, four copies at once on one core: 4 of 4 fail before and after, as the entries lose their leases there; home_unreachable in 28 to 68 of 100 jobs before, 22 to 41 after. In 8 plays each at load 97 to 110 it failed neither before nor after.

--- a/internal/engine/cancel.go
+++ b/internal/engine/cancel.go
@@ -8,6 +8,7 @@
 
 	"currantstall/internal/dispatch"
 	"currantstall/internal/key"
+	"currantstall/internal/sleep"
 	"currantstall/internal/structs"
 	"currantstall/internal/verdict"
 )
@@ -34,21 +35,26 @@
 
 // cancelAtPeers asks every linked entry of the data centre to cancel the work,
 // since any of them may be its coordinator. If none is, it returns the recorded
-// outcome of the key.
+// outcome of the key. While the key is claimed without one, or its home is out of
+// reach, it tries again: the link to the coordinator or to the home may be down.
 func (e *Engine) cancelAtPeers(ctx context.Context, k key.Key) (structs.Outcome, error) {
 	ctx, cancel := context.WithTimeout(ctx, cancelTimeout)
 	defer cancel()
-	if o := e.callCancelLocal(ctx, k); o != nil {
-		return *o, nil
+	for {
+		if o := e.callCancelLocal(ctx, k); o != nil {
+			return *o, nil
+		}
+		o, err := e.Claims.Outcome(ctx, k)
+		switch {
+		case o != nil:
+			return *o, nil
+		case err != nil && verdict.FromError(err).Reason != verdict.HomeUnreachable:
+			return structs.Outcome{}, err
+		}
+		if sleep.For(ctx, forwardRetryDelay) != nil {
+			return structs.Outcome{}, unreachable(k)
+		}
 	}
-	o, err := e.Claims.Outcome(ctx, k)
-	if err != nil {
-		return structs.Outcome{}, err
-	}
-	if o == nil {
-		return structs.Outcome{}, unreachable(k)
-	}
-	return *o, nil
 }
 
 // callCancelLocal sends opCancelLocal to every linked entry of the data centre
--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -93,6 +93,9 @@
 	if o, ok := f.ended[k]; ok {
 		return &o, nil
 	}
+	if f.held[k] {
+		return nil, nil
+	}
 	return nil, verdict.New(verdict.MayHaveRun, verdict.NotFound, "no record")
 }
 
@@ -133,6 +136,13 @@
 	return n.notMembers[name]
 }
 
+// setCut cuts an entry off from the others, or undoes that.
+func (n *fakeNet) setCut(name string, cut bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.cut[name] = cut
+}
+
 // fakeLinks holds the links of one engine in a fakeNet.
 type fakeLinks struct {
 	net  *fakeNet
--- a/internal/engine/forward.go
+++ b/internal/engine/forward.go
@@ -51,6 +51,9 @@
 	to   string
 	done chan *forwardDone
 	lost chan struct{} // closed when the peer can no longer respond
+	// outlastsLink means that the call waits for the response, which the peer keeps,
+	// while the link is down.
+	outlastsLink bool
 }
 
 func newForwarder(e *Engine) *forwarder {
@@ -209,7 +212,7 @@
 }
 
 func (f *forwarder) register(to string, req *forward) *forwardCall {
-	c := &forwardCall{to: to, done: make(chan *forwardDone, 1), lost: make(chan struct{})}
+	c := &forwardCall{to: to, done: make(chan *forwardDone, 1), lost: make(chan struct{}), outlastsLink: req.Op == opCancelLocal}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.lastID++
@@ -240,12 +243,22 @@
 	c.done <- d
 }
 
-// failCalls ends the calls to an entry that can't be reached.
-func (f *forwarder) failCalls(name string) {
+// linkDown ends the calls to an entry that can't be reached, but for those that outlast
+// a link.
+func (f *forwarder) linkDown(name string) {
+	f.failCalls(func(c *forwardCall) bool { return c.to == name && !c.outlastsLink })
+}
+
+// peerLost ends the calls to an entry that will not respond to them.
+func (f *forwarder) peerLost(name string) {
+	f.failCalls(func(c *forwardCall) bool { return c.to == name })
+}
+
+func (f *forwarder) failCalls(match func(*forwardCall) bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for id, c := range f.calls {
-		if c.to == name {
+		if match(c) {
 			close(c.lost)
 			delete(f.calls, id)
 		}
--- a/internal/engine/inbox.go
+++ b/internal/engine/inbox.go
@@ -77,7 +77,7 @@
 func (e *Engine) LinkDown(name string) {
 	e.requests.linkDown(name)
 	e.jobs.linkDown(name)
-	e.forwarder.failCalls(name)
+	e.forwarder.linkDown(name)
 }
 
 // PeerRemoved tells the engine that an entry has left the view in force of this
@@ -91,6 +91,6 @@
 func (e *Engine) peerLost(name string) {
 	e.requests.peerLost(name)
 	e.jobs.peerLost(name)
-	e.forwarder.failCalls(name)
+	e.forwarder.peerLost(name)
 	e.outbox.discard(name)
 }
