Copy of a running request is answered at its deadline

A caller that submitted a request again while another copy held its claim got no response until that copy had ended. Work that may not be repeated may run for 30 s past its deadline, or wait that long for the result of an entry that took it over, so that a request with a deadline of 1 s was answered after up to half a minute.

The wait now ends at the deadline with may_have_run (timeout), but lasts 600 ms at least: a claim that no other copy holds is decided within the claim timeout of 500 ms, and a refusal can then still say not_run.

The test failed before: attached_test.go:37: context deadline exceeded: no response by the deadline

--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -155,7 +155,7 @@
 		return e.forwardOrRefuse(ctx, w, verdict.New(verdict.NotRun, verdict.NotReady, "this entry is not a member of the view in force").WithRetryAfter(retryAfterShort))
 	}
 	if claimed {
-		c, err := e.Claims.Acquire(ctx, w.Key, w.Digest())
+		c, err := e.acquire(ctx, w)
 		if err != nil {
 			return structs.OutcomeFromError(err)
 		}
