Tests check each not_run up to the next submission

TestDrawnFaults failed with "got not_run after 1 starts" although the not_run was true when it was said. The check was wrong: it took the last verdict of a key and all its starts, also those of later submissions that got no response.

In this moment the log of e1 and e2 says that the link to e3 ended: the play killed e3 (its seventh second: kill and restart of e3), and the task takes 30 ms. The six submissions before that were refused with no_target, after which the claim was given back, or got no claim at all (home_unreachable). The log does not say when the task started.

The check is now stricter in what it may tell: stand-ins keep the time of each start; each not_run of a key, not only the last, must have no start before the next submission, and none at all if it is the last; and a request whose last submission got no response is submitted again, so that the last word is an entry's. The failure names the times of the starts. The test of the check fails with the old rule in two cases: it rejects "start of a submission without a response" and misses "start before a later submission".

--- a/internal/integration/fleet_test.go
+++ b/internal/integration/fleet_test.go
@@ -348,6 +348,18 @@
 	return counts
 }
 
+// startTimes returns the times of all starts of each key.
+func (cl *cluster) startTimes() map[string][]time.Time {
+	all := make(map[string][]time.Time)
+	for _, s := range cl.targets {
+		for id, times := range s.StartTimes() {
+			k := id.Key.String()
+			all[k] = append(all[k], times...)
+		}
+	}
+	return all
+}
+
 // blackhole makes the connections through an entry's proxy silent: they stay
 // open, but no data arrives.
 func (cl *cluster) blackhole(name string) {
--- a/internal/standin/taskserver/handlers.go
+++ b/internal/standin/taskserver/handlers.go
@@ -82,7 +82,7 @@
 	defer s.mu.Unlock()
 	now := time.Now()
 	s.records[r.id] = r
-	s.starts[r.id]++
+	s.starts[r.id] = append(s.starts[r.id], now)
 	r.started = now
 	r.finish(verdict.Failed, []byte("failed at once"), now)
 }
