Entry keeps connections that callers hold in reserve

A caller's request got EOF or "connection reset by peer" from an entry that had not ended (TestFloodAtAnEntryWithoutTargets at high load), so that the caller could not tell whether it had run.

Cause: net/http counts the time for the header of the first request, 10 s, from the accept. A caller's client that dials a connection for a request, and then sends this over another one that became free, keeps the new one in reserve. The entry closed it after 10 s; a request that was sent over it at that moment got no response, and clients don't repeat a POST. Traced with the states of the entry's connections, for two requests that failed:

38.257 [127.0.0.1:53502 reused=true idle=true ...] EOF 34.345 conn closed remote=127.0.0.1:53502 age_ms=10000 last=new 42.195 [127.0.0.1:51414 reused=true idle=true ...] EOF 41.465 conn closed remote=127.0.0.1:51414 age_ms=10018 last=new

The time for the first header now counts from its first byte. A connection without one is closed after the time for idle ones, 2 min.

The test failed before: unused_test.go:47: unexpected EOF

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -163,7 +163,7 @@
 	mux := http.NewServeMux()
 	mux.Handle(peer.Path, p.node)
 	p.peerServer = &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
-	p.spawn(func() { p.serveListener(p.callerServer, callers) })
+	p.spawn(func() { p.serveListener(p.callerServer, unusedListener{callers, headerTimeout, idleTimeout}) })
 	p.spawn(func() { p.serveListener(p.peerServer, peers) })
 }
 
