Leaders keep notes of jobs that are in other pools

What protects a job that its caller submits again (the coordinators that had it before, the runs that have left) is known to the leader of one pool. The leader of a job's home pool now takes notes of the coordinators that have handed the job to another pool: a job that comes to it from another coordinator waits until their runs are over, and they are asked to give it up. A claim ends the attempt that the pool has itself, and returns until when runs of other attempts may be at work.

Nothing sends notes yet.

--- a/internal/pool/job.go
+++ b/internal/pool/job.go
@@ -57,6 +57,7 @@
 	started             bool          // a run is known to have begun
 	mayHaveRunElsewhere bool          // a former owner may have started a task
 	formerRunsEnd       time.Duration // when all runs of a former owner are over
+	elsewhereUntil      time.Duration // when all its runs in other pools are over
 	restored            bool          // taken over from a former owner
 	seq                 int           // of the last record emitted to be saved
 	savedSeq            int           // of the last record known to be saved
@@ -140,6 +141,7 @@
 		if s.MayHaveRun {
 			j.markMayHaveStarted()
 		}
+		p.awaitElsewhere(now, j)
 		p.enqueue(j)
 		p.learnSuspicions(now, j, s.Suspicions)
 		return
@@ -147,6 +149,7 @@
 	j := p.newJob(now, s)
 	p.jobs[j.ID] = j
 	p.countCoordinator(j.coordinator, 1)
+	p.awaitElsewhere(now, j)
 	if s.MayHaveRun {
 		p.log("job", "job", j.ID, "outcome", "taken over", "coordinator", s.Coordinator, "safe_in_ms", (j.formerRunsEnd - now).Milliseconds())
 	}
--- a/internal/pool/left.go
+++ b/internal/pool/left.go
@@ -26,13 +26,7 @@
 	if j.Stored {
 		return
 	}
-	var until time.Duration
-	for _, r := range j.currentRuns() {
-		until = max(until, j.withdrawnUntil+p.cfg.TakeoverDelay-p.cfg.VouchFor)
-		if r.target.silent {
-			until = max(until, j.withdrawnUntil+silentWait)
-		}
-	}
+	until := p.runsOver(j)
 	if j.lostRun && j.vouch != nil {
 		// The coordinator may have handed the job to a leader that renews the lost run.
 		until = max(until, j.arrived+j.Timeout+CoordinatorGrace+p.cfg.TakeoverDelay)
@@ -42,6 +36,17 @@
 	}
 }
 
+// runsOver returns until when the present runs of a job that has ended or is an orphan may be at work.
+func (p *Pool) runsOver(j *job) (until time.Duration) {
+	for _, r := range j.currentRuns() {
+		until = max(until, j.withdrawnUntil+p.cfg.TakeoverDelay-p.cfg.VouchFor)
+		if r.target.silent {
+			until = max(until, j.withdrawnUntil+silentWait)
+		}
+	}
+	return until
+}
+
 // waitForLeftRuns delays the start of a submitted job until the runs are over that it may have from
 // before it left the pool. A coordinator that submits its job again knows of them.
 func (p *Pool) waitForLeftRuns(now time.Duration, j *job, s *Submit) {
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -67,7 +67,7 @@
 
 // Effect is an action that the pool asks its entry to carry out: a fleet.Start,
 // fleet.Stop, fleet.Hold, fleet.AdviceRequest, Ended, Suspected, VouchRequest,
-// StoredDropped, RecallStored, TargetsWanted or jobstore.Save.
+// CallerReturned, StoredDropped, RecallStored, TargetsWanted or jobstore.Save.
 type Effect any
 
 // Ended reports a job's outcome to its coordinator.
@@ -99,6 +99,8 @@
 	rankedQueues   []*queueState          // sorted by urgency
 	keptOutcomes   map[string]keptOutcome // by job ID
 	leftRuns       map[string]leftRuns    // by job ID
+	elsewhere      map[string][]elsewhere // by job ID
+	keptElsewhere  int                    // number of these notes
 	departures     departures             // of callers that have stated a deadline
 	unclaimedRuns  map[string][]*run      // runs of unknown jobs, by job ID
 	vouches        map[Voucher]*vouch
@@ -172,6 +174,7 @@
 	p.rankedQueues = nil
 	p.keptOutcomes = make(map[string]keptOutcome)
 	p.leftRuns, p.departures = make(map[string]leftRuns), nil
+	p.elsewhere, p.keptElsewhere = make(map[string][]elsewhere), 0
 	p.unclaimedRuns = make(map[string][]*run)
 	p.vouches = make(map[Voucher]*vouch)
 	p.coordinators = make(map[string]int)
@@ -285,6 +288,7 @@
 	}
 	p.nextForgetAt = now + forgetInterval
 	p.forgetLeftRuns(now)
+	p.forgetOverElsewhere(now)
 	for id, kept := range p.keptOutcomes {
 		if now > kept.until {
 			delete(p.keptOutcomes, id)
--- a/internal/pool/vouch.go
+++ b/internal/pool/vouch.go
@@ -179,7 +179,7 @@
 	if j.mayHaveRunElsewhere && p.contactsDue {
 		return false // some may be silent
 	}
-	return now >= j.formerRunsEnd && p.vouchedUntil(j) >= j.vouchFrom+p.cfg.VouchFor && p.permittedUntil(j) >= now+p.cfg.Lease
+	return now >= max(j.formerRunsEnd, j.elsewhereUntil) && p.vouchedUntil(j) >= j.vouchFrom+p.cfg.VouchFor && p.permittedUntil(j) >= now+p.cfg.Lease
 }
 
 // VouchRequest asks a voucher to answer a heartbeat of this moment.
