A job that goes to another pool than its home is claimed there first

Callers whose connection was lost at their end only had two runs of a task at one time on deployments with several pools: their first entry goes on vouching for the job, and the entry at which they came again chose another pool, by the capacities that it had heard of, whose leader knew nothing of the first one.

Each job now has a home: the pool that all entries choose at equal capacities. A coordinator that chooses another pool tells the leader of the home before, and waits for its answer, 0.1 s at most, and for the runs of earlier attempts. The leader asks the earlier coordinators to give the job up, which tell until when runs may last by their last answers to heartbeats. So it does not matter at which pools the attempts are; the bound is that of a coordinator that gives a leader up, 1.17 s.

Entries of earlier releases are sent none: greetings tell who reads them.

--- a/internal/node/counts.go
+++ b/internal/node/counts.go
@@ -17,6 +17,11 @@
 	abandoned tally.Counter
 	late      tally.Counter
 	otherPool tally.Counter
+	// homeClaims counts the jobs that did not go to their home pool, homeUnasked those of which no leader of it
+	// could be told in time, homeWaits those that waited for the runs of an earlier attempt, and homeReturned
+	// those that this entry gave up since their callers were back elsewhere.
+	homeClaims, homeUnasked, homeWaits, homeReturned tally.Counter
+
 	panics    tally.Counter
 	invalid   tally.Counter
 	latency   tally.Histogram
@@ -36,6 +41,7 @@
 	s := m.Scope().SubScope("node")
 	c := &counts{
 		m: m, starts: s.Counter("starts"), abandoned: s.Counter("abandoned"), late: s.Counter("late_outcomes"), otherPool: s.Counter("submitted_to_other_pool"),
+		homeClaims: s.Counter("home_claims"), homeUnasked: s.Counter("home_not_asked"), homeWaits: s.Counter("home_waits"), homeReturned: s.Counter("home_returned"),
 		panics: s.Counter("contained_panics"), invalid: s.Counter("invalid_messages"),
 		latency: s.Histogram("answer_seconds", latencyBuckets), queueWait: s.Histogram("queue_wait_seconds", queueWaitBuckets),
 		requestWait: s.Histogram("request_wait_seconds", queueWaitBuckets), answers: make(map[string]tally.Counter),
--- a/internal/node/directory.go
+++ b/internal/node/directory.go
@@ -104,6 +104,8 @@
 	RoomsKnownFor time.Duration `cbor:"11,keyasint,omitempty"`
 	// AskedAt is the SentAt of the request that this body answers.
 	AskedAt time.Duration `cbor:"12,keyasint,omitempty"`
+	// TakesHomeNotes is set in greetings if the sender reads wire.PoolHome, as earlier releases do not.
+	TakesHomeNotes bool `cbor:"13,keyasint,omitempty"`
 }
 
 func newDirectory() directory {
@@ -269,6 +271,10 @@
 	if b.Greeting {
 		n.greeted(now, from)
 	}
+	if b.TakesHomeNotes && !n.takesHomeNotes[from] {
+		n.takesHomeNotes[from] = true
+		n.repeatHomeNotesTo(now, from)
+	}
 	n.mergeDirectory(now, b)
 	if b.Request == nil {
 		return
--- a/internal/node/fuzz_test.go
+++ b/internal/node/fuzz_test.go
@@ -22,6 +22,7 @@
 		directoryBody{Layout: &fleet.Layout{Version: 1, Pools: []fleet.Scope{{DC: "a"}}}, Config: &fleet.Config{Version: 1}, Targets: []fleet.Target{{ID: "t"}}, Members: []fleet.Member{{Name: "e"}}},
 		vouchBody{HeartbeatAt: 1, Leader: "e", Origin: "f"},
 		suspicionsBody{Job: "a", Suspicions: fleet.Suspicions{1: {{Target: "t", Crashed: true}}}},
+		homeBody{Kind: homeClaim, Job: "a", Pool: 1, Layout: 2, For: time.Second},
 	} {
 		b, err := wire.Encode(body)
 		assert.NilError(f, err)
@@ -29,7 +30,7 @@
 		f.Add(uint8(i), b[:len(b)/2])
 	}
 	f.Fuzz(func(t *testing.T, kind uint8, b []byte) {
-		switch kind % 10 {
+		switch kind % 11 {
 		case 0:
 			checkRoundTrip[submitBody](t, b)
 		case 1:
@@ -48,6 +49,8 @@
 			checkRoundTrip[vouchBody](t, b)
 		case 8:
 			checkRoundTrip[suspicionsBody](t, b)
+		case 9:
+			checkRoundTrip[homeBody](t, b)
 		default:
 			checkRoundTrip[directoryBody](t, b)
 		}
--- a/internal/node/jobs.go
+++ b/internal/node/jobs.go
@@ -32,6 +32,8 @@
 	origin       string                   // the coordinator, if the job is relayed
 	relays       int                      // how many entries have relayed the job, this one included
 	suspicions   fleet.Suspicions         // against its tasks, as the last leader has told
+	home         atHome                   // what its home pool has told, if the job goes to another one
+	moveTo       int                      // number (from 1) of the pool that it goes to after another has rejected it, 0 if none
 }
 
 // leaderlessTimeout is how long a job waits for a leader before it is rejected.
@@ -54,13 +56,13 @@
 	p := &pendingJob{job: j, pool: -1, arrived: arrived, readAfter: waited, waiters: []waiter{w}}
 	n.pending[j.ID] = p
 	views := n.poolViews()
-	s, leader := n.shardFor(now, p, views), ""
+	s, leader, chosen := n.shardFor(now, p, views), "", -1
 	if s != nil {
-		leader = s.decision.Leader
-		n.submitTo(now, s, p)
+		leader, chosen = s.decision.Leader, s.index
+		n.submit(now, s, p)
 	}
-	n.log.Info("job", append([]any{"job", j.ID, "queue", j.Queue.Name, "tasks", j.TaskCount(), "outcome", "accepted", "pool", p.pool, "leader", leader,
-		"config", n.configVersion(), "waited_ms", waited.Milliseconds(), "layout", n.layout.Version}, choiceFields(p.pool, views)...)...)
+	n.log.Info("job", append([]any{"job", j.ID, "queue", j.Queue.Name, "tasks", j.TaskCount(), "outcome", "accepted", "pool", chosen, "leader", leader,
+		"config", n.configVersion(), "waited_ms", waited.Milliseconds(), "layout", n.layout.Version}, choiceFields(chosen, views)...)...)
 }
 
 // joinPending adds a waiter to a pending job. The leader goes by the deadline of the caller that it
@@ -69,6 +71,7 @@
 	p.waiters = append(p.waiters, w)
 	if p.relayFor == "" && p.extend(now, arrived, j) {
 		n.resubmit(now, p)
+		n.noteHome(now, p)
 	}
 }
 
@@ -156,7 +159,7 @@
 			views = n.poolViews()
 		}
 		if s := n.shardFor(now, p, views); s != nil {
-			n.submitTo(now, s, p)
+			n.submit(now, s, p)
 		}
 	}
 }
@@ -191,6 +194,9 @@
 			return -1
 		}
 	}
+	if at := p.moveTo - 1; at >= 0 && views[at].led {
+		return at
+	}
 	return choosePool(p.job.ID, views, p.tried)
 }
 
@@ -205,7 +211,7 @@
 	if n.pending[p.job.ID] != p {
 		return // its caller has left
 	}
-	p.pool = s.index
+	p.pool, p.moveTo = s.index, 0
 	f := p.formerVouches(now, former{leader, s.index})
 	n.lastSubmission++
 	p.number = n.lastSubmission
@@ -337,7 +343,8 @@
 	}
 	n.log.Info("job", "job", p.job.ID, "outcome", "submitted to another pool", "reason", o.Reason, "pool", p.pool, "next", next)
 	n.counts.otherPool.Inc(1)
-	n.submitTo(now, n.shards[next], p)
+	p.sentTo, p.moveTo = "", next+1
+	n.submit(now, n.shards[next], p)
 	return true
 }
 
@@ -349,6 +356,7 @@
 		return
 	}
 	delete(n.pending, id)
+	n.leaveHome(now, p)
 	n.log.Info("answer", "job", id, "queue", p.job.Queue.Name, "verdict", o.Verdict.String(), "reason", o.Reason,
 		"from", p.sentTo, "ms", (now - p.arrived).Milliseconds(), "retry_after_ms", o.RetryAfter.Milliseconds())
 	n.counts.outcome(o, now-p.arrived)
--- a/internal/node/layout.go
+++ b/internal/node/layout.go
@@ -88,7 +88,8 @@
 		if p.sentTo != "" {
 			n.reclaim(now, p)
 		}
-		p.pool = -1
+		p.pool, p.moveTo = -1, 0
+		p.home = atHome{until: p.home.until}
 	}
 	n.shards = n.newShards(l, now)
 	n.setPoolTargets(now)
--- a/internal/node/links.go
+++ b/internal/node/links.go
@@ -48,6 +48,7 @@
 	delete(n.stored.peerStoreReadAt, name)
 	delete(n.stored.peerClocks, name)
 	delete(n.takesSuspicions, name)
+	delete(n.takesHomeNotes, name)
 	n.electionsDue = true
 	for _, s := range n.shards {
 		s.election.RemovePeer(name)
@@ -93,6 +94,8 @@
 		err = decodeAndPost(n, m, func(now time.Duration, b endedBody) { n.handleOutcome(now, from.Name, b) })
 	case wire.PoolSuspects:
 		err = decodeAndPost(n, m, func(_ time.Duration, b suspicionsBody) { n.handleSuspicions(from.Name, b) })
+	case wire.PoolHome:
+		err = decodeAndPost(n, m, func(now time.Duration, b homeBody) { n.handleHome(now, from.Name, b) })
 	case wire.PoolAbandon:
 		err = decodeAndPost(n, m, func(now time.Duration, b abandonBody) { n.handleAbandon(now, from.Name, b) })
 	case wire.PoolStart:
@@ -290,7 +293,7 @@
 
 // greet tells a new peer what it needs to know of this entry at once.
 func (n *Node) greet(now time.Duration, to string, greeting bool) {
-	hello := directoryBody{Self: n.cfg.Self, Greeting: greeting, Rooms: n.rooms.Known(), RoomsKnownFor: n.rooms.KnownFor(now)}
+	hello := directoryBody{Self: n.cfg.Self, Greeting: greeting, Rooms: n.rooms.Known(), RoomsKnownFor: n.rooms.KnownFor(now), TakesHomeNotes: true}
 	if n.layoutKnown {
 		l := n.layout
 		hello.Layout = &l
--- a/internal/node/shard.go
+++ b/internal/node/shard.go
@@ -133,6 +133,7 @@
 		s.decision = d
 		if d.Leader != before.Leader {
 			n.reclaimFromLeader(now, before.Leader, s)
+			n.repeatHomeNotes(now, s)
 		}
 	}
 }
@@ -180,6 +181,8 @@
 			n.updateTargetInterval()
 		case pool.VouchRequest:
 			n.requestVouch(now, e)
+		case pool.CallerReturned:
+			n.tellReturned(now, s, e)
 		case pool.Suspected:
 			n.tellSuspicions(e)
 		case jobstore.Save:
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -52,6 +52,7 @@
 	PoolBeat                      // node: a leader's heartbeat, passed on to the entry for which the sender relays jobs
 	PoolVouch                     // node: a coordinator still wants the jobs that it has submitted
 	PoolSuspects                  // node: which tasks of a submitted job may crash their targets
+	PoolHome                      // node: a job that is not in its home pool, between its coordinator and the leader of that pool
 	maxType
 )
 
@@ -75,7 +76,7 @@
 	"", "hello", "hello_ack", "ping", "pong", "ack", "membership", "ledger", "run", "run_done", "run_cancel",
 	"forward", "forward_done", "load", "manifest_new", "manifest_get", "manifest_all",
 	"pool_beat", "pool_submit", "pool_ended", "pool_abandon", "directory", "job_ask", "job_told", "job_store",
-	"pool_start", "pool_started", "pool_relayed_beat", "pool_vouch", "pool_suspects",
+	"pool_start", "pool_started", "pool_relayed_beat", "pool_vouch", "pool_suspects", "pool_home",
 }
 
 // String returns the name of the type in metrics.
