Coordinators that were not linked are asked again to give a job up

A job that came to its home while another entry had noted it waited for the caller's former deadline if that entry was not linked at this moment, since it was asked once. TestEarlierCoordinatorIsAskedAgain failed before (no second request).

--- a/internal/pool/elsewhere.go
+++ b/internal/pool/elsewhere.go
@@ -150,9 +150,13 @@
 	p.elsewhere[id] = kept
 }
 
-// forgetOverElsewhere forgets the notes of runs that are over.
-func (p *Pool) forgetOverElsewhere(now time.Duration) {
+// sweepElsewhere forgets the notes of runs that are over. Coordinators that were not linked when a job
+// began to wait for theirs are asked again.
+func (p *Pool) sweepElsewhere(now time.Duration) {
 	for id := range p.elsewhere {
 		p.forgetElsewhere(id, func(e elsewhere) bool { return e.until <= now })
+		if j := p.jobs[id]; j != nil && !j.orphaned && j.elsewhereUntil > now {
+			p.askToGiveUp(now, j.attempt(), id)
+		}
 	}
 }
--- a/internal/pool/elsewhere_test.go
+++ b/internal/pool/elsewhere_test.go
@@ -49,6 +49,20 @@
 	assert.Equal(t, len(b.acceptStarts()), 1)
 }
 
+// The earlier coordinator was lost, and its next life is linked only later.
+func TestEarlierCoordinatorIsAskedAgain(t *testing.T) {
+	b := newHarness(t, 1)
+	b.p.NoteElsewhere(b.now, "e1", "j", b.now+time.Minute)
+	b.p.NoteElsewhere(b.now, "e1", "other", b.now+time.Minute)
+	b.submitFrom("e2", jobOf("j", patientQueue(), 1, 14000, 60*ms))
+	assert.Equal(t, len(takeEffects[CallerReturned](b)), 1)
+	b.tick(2 * forgetInterval)
+	assert.DeepEqual(t, takeEffects[CallerReturned](b), []CallerReturned{{"e1", "j"}})
+	b.p.GoneElsewhere("e1", "j", b.now+time.Second)
+	b.tick(2 * forgetInterval)
+	assert.Equal(t, len(takeEffects[CallerReturned](b)), 0)
+}
+
 // A coordinator whose job returns from another pool knows its runs there.
 func TestJobDoesNotWaitForTheNoteOfItsOwnCoordinator(t *testing.T) {
 	for _, relayed := range []bool{false, true} {
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -288,7 +288,7 @@
 	}
 	p.nextForgetAt = now + forgetInterval
 	p.forgetLeftRuns(now)
-	p.forgetOverElsewhere(now)
+	p.sweepElsewhere(now)
 	for id, kept := range p.keptOutcomes {
 		if now > kept.until {
 			delete(p.keptOutcomes, id)
