--- a/internal/node/home_test.go
+++ b/internal/node/home_test.go
@@ -166,6 +166,23 @@
 	assert.Assert(t, time.Since(began) > time.Second)
 }
 
+// A job that its pool had shed after a while was rejected as leaderless while its home was asked.
+func TestJobThatWaitsForItsHomeIsNotLeaderless(t *testing.T) {
+	n, _ := startNode(t)
+	n.ask(func() int {
+		now := n.now()
+		p := &pendingJob{job: patientJob("a"), arrived: now - 2*leaderlessTimeout, retryAt: never}
+		p.home.awaited = "other"
+		n.pending["a"] = p
+		n.rejectLeaderless(now)
+		assert.Check(t, n.pending["a"] == p)
+		p.home.awaited = ""
+		n.rejectLeaderless(now)
+		assert.Check(t, n.pending["a"] == nil)
+		return 0
+	})
+}
+
 // A job that one pool has rejected was submitted to another one, where nobody knew of it.
 func TestJobThatMovesToAnotherPoolIsClaimed(t *testing.T) {
 	d := startManyPools(t, 2)
--- a/internal/node/jobs.go
+++ b/internal/node/jobs.go
@@ -372,7 +372,7 @@
 // leaderlessTimeout and that no earlier leader can have started.
 func (n *Node) rejectLeaderless(now time.Duration) {
 	for id, p := range n.pending {
-		if p.sentTo == "" && now > p.arrived+p.readAfter+leaderlessTimeout && !p.mayHaveRun {
+		if p.sentTo == "" && p.home.awaited == "" && now > p.arrived+p.readAfter+leaderlessTimeout && !p.mayHaveRun {
 			n.settle(now, id, fleet.Outcome{Verdict: verdict.NotRun, Reason: verdict.NoTarget, RetryAfter: time.Second})
 		}
 	}
