Test of many jobs that come again at any pools

Thirty jobs come three times, at other entries and with other capacities each time, so that homes, first and later pools differ.

--- a/internal/node/again_test.go
+++ b/internal/node/again_test.go
@@ -26,6 +26,7 @@
 	began    time.Time
 	targets  map[string]*busyTarget
 	starts   map[string]int // by target
+	ofJob    map[string]int // starts by job
 	overlaps []string
 }
 
@@ -36,7 +37,7 @@
 }
 
 func newBusyTargets() *busyTargets {
-	return &busyTargets{began: time.Now().Add(-time.Minute), targets: make(map[string]*busyTarget), starts: make(map[string]int)}
+	return &busyTargets{began: time.Now().Add(-time.Minute), targets: make(map[string]*busyTarget), starts: make(map[string]int), ofJob: make(map[string]int)}
 }
 
 func (f *busyTargets) clock() int64 { return time.Since(f.began).Milliseconds() }
@@ -71,6 +72,7 @@
 	}
 	t := f.target(o.Target.ID)
 	f.starts[o.Target.ID]++
+	f.ofJob[o.Task.Job]++
 	t.runs[o.Task] = o.Run
 	t.leaseUntilMS = max(t.leaseUntilMS, o.LeaseUntilMS)
 	return fleet.Reply{Answer: fleet.Accepted, ClockMS: f.clock(), Incarnation: 1}
@@ -213,7 +215,7 @@
 	}
 	d.busy.mu.Lock()
 	defer d.busy.mu.Unlock()
-	d.t.Fatalf("not true within 20 s: %s; starts %v, %v", what, d.busy.starts, d.notes)
+	d.t.Fatalf("not true within 20 s: %s; starts %v, overlaps %v, %v", what, d.busy.starts, d.busy.overlaps, d.notes)
 }
 
 // submit submits a job of a caller whose connection is lost at the caller's end only: the entry goes
@@ -280,3 +282,42 @@
 		})
 	}
 }
+
+// The same with many jobs, each of which has its home, its first and its second pool anywhere.
+func TestManyJobsThatComeAgainHaveOneRunAtATime(t *testing.T) {
+	const entries, jobs = 3, 30
+	d := startManyPools(t, entries)
+	chosen := make(map[string]int) // by job: its pool
+	starts := make(map[string]int) // by job: one for each pool that it goes to, at least
+	submitAll := func(entry int, capacities ...int64) {
+		d.setCapacities(capacities)
+		views := make([]poolView, entries)
+		for i, c := range capacities {
+			views[i] = poolView{led: true, capacity: c}
+		}
+		for i := range jobs {
+			job := fmt.Sprintf("%016x", 1+i)
+			if at, before := choosePool(job, views, nil), starts[job] > 0; !before || at != chosen[job] {
+				chosen[job] = at
+				starts[job]++
+			}
+			d.submit(d.nodes[(entry+i)%entries], job)
+		}
+		d.eventually("all jobs run where they should", func() bool {
+			d.busy.mu.Lock()
+			defer d.busy.mu.Unlock()
+			for job, n := range starts {
+				if d.busy.ofJob[job] < n {
+					return false
+				}
+			}
+			return true
+		})
+	}
+	submitAll(0, 20000, 60000, 40000)
+	submitAll(1, 60000, 30000, 20000)
+	submitAll(2, 20000, 20000, 90000)
+	d.busy.mu.Lock()
+	defer d.busy.mu.Unlock()
+	assert.Equal(t, len(d.busy.overlaps), 0, "%v", d.busy.overlaps)
+}
