Log what a lost target had shown when its runs were taken for over

ownership outcome=lapsed and the start that follows name the contact that the target's last hold has shown: connected, missed, refused, not_connected, unknown, or the answer. A refusal by the kernel is told apart from a new connection that ends without an answer, which a network may cause too.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -350,11 +350,22 @@
 	ContactMissed
 )
 
+var contactNames = [...]string{"unknown", "not_connected", "connected", "missed"}
+
+// String returns the name used in logs.
+func (c Contact) String() string {
+	if int(c) >= len(contactNames) {
+		return "invalid"
+	}
+	return contactNames[c]
+}
+
 // HoldReply is a target's answer to a Hold.
 type HoldReply struct {
 	Answer      Answer
 	Contact     Contact // if unanswered
 	ProcessGone bool    // if unanswered: a new connection was refused, or ended at once
+	Refused     bool    // if unanswered: the kernel of the target's VM has refused a new connection
 	ClockMS     int64
 	Incarnation int64
 	Running     []Running
--- a/internal/pool/ownership.go
+++ b/internal/pool/ownership.go
@@ -245,7 +245,7 @@
 			released++
 		}
 		if released > 0 {
-			p.log("ownership", "target", t.ID, "outcome", "lapsed", "runs", released, "lease_over_ms", (now - t.leasesEnd()).Milliseconds())
+			p.log("ownership", "target", t.ID, "outcome", "lapsed", "runs", released, "lease_over_ms", (now - t.leasesEnd()).Milliseconds(), "contact", t.lastContact)
 		}
 	}
 }
@@ -274,6 +274,7 @@
 // noteContact records whether the target is silent, or may be. An order over a connection from before tells
 // nothing of that.
 func (t *target) noteContact(rep *fleet.HoldReply) {
+	t.lastContact = contactName(rep)
 	if rep.Answer != fleet.Unanswered || rep.Contact != fleet.ContactUnknown {
 		t.contactKnown = rep.Answer == fleet.Unanswered
 		t.askedAgain, t.contactShown = false, true
@@ -281,6 +282,17 @@
 	}
 }
 
+// contactName returns what a hold has shown of its target, for the log.
+func contactName(rep *fleet.HoldReply) string {
+	switch {
+	case rep.Answer != fleet.Unanswered:
+		return rep.Answer.String()
+	case rep.Refused:
+		return "refused"
+	}
+	return rep.Contact.String()
+}
+
 // sortedRuns returns the runs sorted by task and number, for a deterministic order.
 func sortedRuns(m map[runKey]*run) []*run {
 	rs := make([]*run, 0, len(m))
--- a/internal/pool/release.go
+++ b/internal/pool/release.go
@@ -34,13 +34,14 @@
 	// leaseOver is how long before that the last lease on the target had ended, by the
 	// account of this owner. It is known for groundLapsed only.
 	leaseOver time.Duration
+	contact   string // what the target's last hold has shown of it; for groundLapsed only
 }
 
 // noteRelease records why a run is no longer the current one of its task.
 func (tk *task) noteRelease(now time.Duration, r *run, why ground) {
 	tk.released = &release{ground: why, target: r.target.ID, run: r.number, at: now}
 	if why == groundLapsed {
-		tk.released.leaseOver = now - r.target.leasesEnd()
+		tk.released.leaseOver, tk.released.contact = now-r.target.leasesEnd(), r.target.lastContact
 	}
 }
 
@@ -65,7 +66,7 @@
 	if last != nil {
 		fields = append(fields, "after", string(last.ground), "after_run", last.run, "after_target", last.target, "after_ms", (now - last.at).Milliseconds())
 		if last.ground == groundLapsed {
-			fields = append(fields, "lease_over_ms", last.leaseOver.Milliseconds())
+			fields = append(fields, "lease_over_ms", last.leaseOver.Milliseconds(), "contact", last.contact)
 		}
 	}
 	if j.vouch != nil && j.vouch.known {
--- a/internal/pool/target.go
+++ b/internal/pool/target.go
@@ -23,6 +23,7 @@
 	lapse          lapseContact
 	contactShown   bool          // has shown since the leadership began whether it is silent
 	contactKnown   bool          // an unanswered hold has shown since it was last owned whether it is silent
+	lastContact    string        // what its last hold has shown of it, for the log
 	lastOwnedAt    time.Duration // the last time at which it was owned
 
 	fence           uint64 // fencing token of the orders sent to it
@@ -114,6 +115,7 @@
 	t.runs = make(map[runKey]*run)
 	t.latestLeaseMS, t.wasUnreachable, t.probed = 0, false, false
 	t.silent, t.contactKnown, t.askedAgain, t.contactShown = false, false, false, false
+	t.lastContact = ""
 	t.lapse = lapseContact{}
 }
 
