A target that can't be connected to is judged by its row in the platform's list

What callers saw: two runs of one task. Where connections to a target time out, its runs were taken for over 50 ms after their leases: it counted as one that runs on behind a cut and ends its runs in time. A target that stands still behind the cut, or is suspended with its VM, looks the same from an entry.

A target renews its row while it runs. The second renewal that was written after the end of the leases shows that its process has run since; a first one may have been on its way. A row that is gone, while no connection is accepted, is the platform's word that the target is to be taken for gone. Until one of these, the runs stay open, and jobs that are taken over wait as well. The reads of the list are made anyway.

--- a/internal/node/directory.go
+++ b/internal/node/directory.go
@@ -191,6 +191,16 @@
 	})
 }
 
+// ObserveRenewals records the versions of the targets' rows, by ID, that a read of the platform's list shows which was sent
+// at the given time. Targets renew their rows while they run.
+func (n *Node) ObserveRenewals(versions map[string]uint64, at time.Time) {
+	n.post(func(time.Duration) {
+		for _, s := range n.shards {
+			s.pool.ObserveRenewals(n.clock.of(at), versions)
+		}
+	})
+}
+
 // setTargets replaces the list of targets by one that was current at a time, as far as is known, and was
 // read no sooner than readAt.
 func (n *Node) setTargets(now time.Duration, list []fleet.Target, at, readAt time.Duration) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -38,6 +38,8 @@
 	MilliCPU int64
 	// LinkBytesPerSecond is the capacity of the VM's network link, 0 if unknown.
 	LinkBytesPerSecond float64
+	// RowsRenewed is set if ObserveRenewals is called after each read of the targets.
+	RowsRenewed bool
 	// Seeds are addresses of entries that may know the others.
 	Seeds   []string
 	Metrics *metrics.Metrics
--- a/internal/node/shard.go
+++ b/internal/node/shard.go
@@ -34,8 +34,10 @@
 // newShards returns the shards of a layout.
 func (n *Node) newShards(l fleet.Layout, now time.Duration) []*shard {
 	shards := make([]*shard, len(l.Pools))
+	settings := pool.DefaultSettings()
+	settings.RowsRenewed = n.cfg.RowsRenewed
 	for i, scope := range l.Pools {
-		p := pool.New(pool.DefaultSettings(), func(event string, args ...any) { n.logDecision(event, append(args, "pool", i)...) })
+		p := pool.New(settings, func(event string, args ...any) { n.logDecision(event, append(args, "pool", i)...) })
 		p.ShareRooms(n.rooms)
 		shards[i] = &shard{
 			index: i, scope: scope, pool: p, reports: make(map[string]poolReport),
