Targets that have just stood still are chosen last

A target that goes on after a standstill got the next tasks at once, also where others had room; one that stands still again holds up the jobs of all of them. For 3 s it is set back behind all others, as slow targets are. It is not left out: an entry that stood still itself takes many targets for silent for a moment. TestTargetThatHasStoodStillIsChosenLast fails without the penalty.

--- a/internal/pool/cut_off_evidence_test.go
+++ b/internal/pool/cut_off_evidence_test.go
@@ -153,3 +153,28 @@
 		})
 	}
 }
+
+// A target that has just gone on after a standstill gets tasks only where no other has room for them.
+func TestTargetThatHasStoodStillIsChosenLast(t *testing.T) {
+	b := newHarness(t, 2)
+	j := jobOf("first", queue("q", 0), 1, 10000, 900*ms)
+	b.submit(j)
+	b.tick(ms)
+	first := b.acceptStarts()[0]
+	stood := b.p.targets[first.Target.ID]
+	b.p.markUnreachable(b.now, stood)
+	stood.silent = true
+	b.tick(ms)
+	for _, h := range takeEffects[fleet.Hold](b) {
+		if h.Target.ID == first.Target.ID {
+			b.acceptHold(h, []fleet.Running{{Task: first.Task, Run: first.Run}}, nil)
+		}
+	}
+	assert.Assert(t, stood.owned && !stood.silent)
+	b.submit(jobOf("second", queue("q", 0), 1, 20000, 900*ms)) // fits best beside the first task
+	b.tick(ms)
+	assert.Assert(t, b.acceptStarts()[0].Target.ID != first.Target.ID)
+	b.submit(jobOf("third", queue("q", 0), 1, 15000, 900*ms))
+	b.tick(ms)
+	assert.Equal(t, b.acceptStarts()[0].Target.ID, first.Target.ID)
+}
--- a/internal/pool/health.go
+++ b/internal/pool/health.go
@@ -39,6 +39,8 @@
 	pauseUntil          time.Duration // after a rejected start
 	paused              bool          // gets no tasks until pauseUntil
 	logSlowdown         float64       // mean logarithm of the ratio of run time to expected time
+	stoodStillUntil     time.Duration // it has gone on after a standstill, and may stand still again
+	stoodStill          bool          // stoodStillUntil has not come
 }
 
 // newHealth returns the health of a target without any runs.
@@ -68,15 +70,23 @@
 	}
 }
 
-// penalty returns how much a slow target is set back in the choice of a target, in
+// penalty returns how much a target that is slow, or has stood still lately, is set back in the choice of a target, in
 // thousandths of a core.
 func (h *health) penalty() int64 {
-	if h.logSlowdown == 0 {
-		return 0
+	penalty := int64(h.logSlowdown * slowPenalty)
+	if h.stoodStill {
+		penalty += standstillPenalty
 	}
-	return int64(h.logSlowdown * slowPenalty)
+	return penalty
 }
 
+const (
+	// standstillPenalty sets a target back behind all that have not stood still lately, in thousandths of a core.
+	standstillPenalty = 1 << 32
+	// standstillMemory is how long a target that has gone on after a standstill is set back.
+	standstillMemory = 3 * time.Second
+)
+
 // slowPenalty is the penalty of a target that is e times slower than expected, in
 // thousandths of a core.
 const slowPenalty = 4000
@@ -176,7 +186,7 @@
 // endEjections starts the trial of targets whose ejection is over, and ends pauses and waits for rows.
 func (p *Pool) endEjections(now time.Duration) {
 	for _, t := range p.sortedTargets {
-		t.paused, t.rowDue = now < t.pauseUntil, now < t.rowDueUntil
+		t.paused, t.rowDue, t.stoodStill = now < t.pauseUntil, now < t.rowDueUntil, now < t.stoodStillUntil
 		if t.state == statechart.TargetHealthEjected && now >= t.ejectedUntil {
 			t.consecutiveFailures = 0
 			t.step(statechart.TargetHealthOnCooled)
--- a/internal/pool/ownership.go
+++ b/internal/pool/ownership.go
@@ -280,6 +280,9 @@
 func (t *target) noteContact(sent time.Duration, addr string, rep *fleet.HoldReply) {
 	t.lastContact = contactName(rep)
 	t.signs.note(sent, t, addr, rep)
+	if t.silent && rep.Answer != fleet.Unanswered {
+		t.stoodStillUntil = sent + standstillMemory
+	}
 	if rep.Answer != fleet.Unanswered || rep.Contact != fleet.ContactUnknown {
 		t.contactKnown = rep.Answer == fleet.Unanswered
 		t.askedAgain, t.contactShown = false, true
