Replaced targets, and jobs moved away, in the rule of evidence

A target at whose own address another one answers is over. One that is gone from the list, and at whose listed address another one answers, can't be asked: it is taken for gone as the list says. A job that its coordinator had moved to another leader, and that comes again over another coordinator, waits for targets that have shown nothing, as other jobs that may have run elsewhere do. Lost targets are asked for signs of life only while jobs wait for them.

--- a/internal/pool/evidence.go
+++ b/internal/pool/evidence.go
@@ -24,6 +24,8 @@
 	answeredMS int64         // the latest clock in such an answer, 0 if unknown
 	refused    bool          // since its last answer, the kernel of its VM has refused a connection
 	row        renewals
+	// otherAnswered is set if another target has answered last at the address at which this one is listed.
+	otherAnswered bool
 }
 
 // renewals follows the versions of a target's row.
@@ -58,11 +60,14 @@
 // note records what the answer to a hold that was sent to an address at the given time shows.
 func (s *lifeSigns) note(sent time.Duration, t *target, addr string, rep *fleet.HoldReply) {
 	switch {
+	case rep.Answer == fleet.OtherIncarnation:
+		s.otherAnswered = true
 	case rep.Refused && addr == t.ownAddr:
 		s.refused = true
 	case rep.Answer == fleet.Unanswered, rep.Incarnation != 0 && rep.Incarnation != t.Incarnation:
 	default:
 		s.answeredAt, s.answeredMS, s.refused = max(s.answeredAt, sent), max(s.answeredMS, rep.ClockMS), false
+		s.otherAnswered = false
 	}
 }
 
@@ -84,14 +89,14 @@
 // expired by the account of this owner, are over.
 func (p *Pool) lostRunsOver(t *target) bool {
 	switch {
-	case t.signs.refused || t.endedRuns():
+	case t.signs.refused || t.replaced && t.answered || t.endedRuns():
 		return true
 	case t.silent:
 		return false
 	case !p.cfg.RowsRenewed:
 		return true
 	}
-	return !t.listed && t.contactKnown
+	return !t.listed && (t.contactKnown || t.signs.otherAnswered)
 }
 
 // formerRunsShownOn returns the latest time for which a target has shown the runs that former owners had there until then,
@@ -110,11 +115,11 @@
 
 // formerRunsShown reports whether all targets have shown the runs that former owners had until the given time, or that they are over. If not, the
 // targets are asked.
-func (p *Pool) formerRunsShown(until time.Duration) bool {
+func (p *Pool) formerRunsShown(now, until time.Duration) bool {
 	if p.formerShown >= until {
 		return true
 	}
-	p.formerWanted = max(p.formerWanted, until)
+	p.formerWanted, p.formerWantedAt = max(p.formerWanted, until), now
 	return false
 }
 
@@ -124,7 +129,8 @@
 	if !p.cfg.RowsRenewed || t.holds.contact != 0 || now < t.signsAskedAt+reacquireBackoff {
 		return
 	}
-	wanted := t.listed && !t.owned && now >= p.formerWanted && t.signs.aliveAt() < p.formerWanted
+	waitedFor := p.formerWanted > 0 && now < p.formerWantedAt+reacquireBackoff
+	wanted := t.listed && waitedFor && now >= p.formerWanted && t.signs.aliveAt() < p.formerWanted
 	if wanted || !t.listed && len(t.runs) > 0 {
 		t.signsAskedAt = now
 		p.sendContact(t)
--- a/internal/pool/former.go
+++ b/internal/pool/former.go
@@ -97,7 +97,7 @@
 // others. Other leaders may keep runs on targets that this owner has not seen until these are recalled.
 func (p *Pool) formerRunsOver(now time.Duration, longRunningOnly bool) bool {
 	return now >= p.stored.runsOver(longRunningOnly) && (p.seesFormerTargets(now) || p.recalledEverywhere(now)) &&
-		p.formerRunsShown(p.stored.lastSeen+formerRunsTimeout)
+		p.formerRunsShown(now, p.stored.lastSeen+formerRunsTimeout)
 }
 
 // seesFormerTargets reports whether all targets on which former owners could start runs are listed, and owned or known to be over.
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -113,6 +113,7 @@
 	lostTargets    int                    // out of reach with runs of stored jobs, as of the last tick
 	formerShown    time.Duration          // all targets have shown the runs of former owners until then, as of the last tick
 	formerWanted   time.Duration          // the latest time for which jobs wait for that
+	formerWantedAt time.Duration          // when one did last
 	contactsDue    bool                   // targets are about to show whether they are silent, as of the last tick
 	lapsedAt       time.Duration          // when runs were last taken for over since their leases had expired
 	suspected      map[string]*suspectJob // by job ID
@@ -184,7 +185,7 @@
 	p.coordinators = make(map[string]int)
 	p.orphans, p.resubmitted = make(map[string]*job), make(map[string]*job)
 	p.suspected = make(map[string]*suspectJob)
-	p.losses, p.formerWanted = nil, 0
+	p.losses, p.formerShown, p.formerWanted = nil, 0, 0
 	p.falls.stale = true
 	p.stored.reset()
 	p.advice = make(map[fleet.TaskID]*stepAdvice)
--- a/internal/pool/report.go
+++ b/internal/pool/report.go
@@ -54,6 +54,8 @@
 		t.holds.contact = 0
 		if rep.Answer != fleet.OtherIncarnation {
 			t.noteContact(sent, o.Target.Addr, &rep)
+		} else {
+			t.signs.note(sent, t, o.Target.Addr, &rep)
 		}
 		t.lapse.shown = rep.Answer != fleet.Unanswered || rep.Contact != fleet.ContactUnknown
 		return
--- a/internal/pool/vouch.go
+++ b/internal/pool/vouch.go
@@ -142,6 +142,7 @@
 	p.countCoordinator(j.coordinator, -1)
 	p.countCoordinator(s.Coordinator, 1)
 	if j.movedAway {
+		j.mayHaveRunElsewhere = true
 		j.waitForRunsUntil(now, now+p.cfg.TakeoverDelay)
 	}
 	until := p.vouchedUntil(j)
@@ -173,7 +174,7 @@
 
 // mayStartVouched reports whether tasks of a job that is not stored may be started now.
 func (p *Pool) mayStartVouched(now time.Duration, j *job) bool {
-	if j.mayHaveRunElsewhere && (p.contactsDue || !p.formerRunsShown(j.formerRunsEnd)) || j.hasLeftRuns() {
+	if j.mayHaveRunElsewhere && (p.contactsDue || !p.formerRunsShown(now, j.formerRunsEnd)) || j.hasLeftRuns() {
 		return false
 	}
 	return now >= max(j.formerRunsEnd, j.elsewhereUntil) && p.vouchedUntil(j) >= j.vouchFrom+p.cfg.VouchFor && p.permittedUntil(j) >= now+p.cfg.Lease
