A gang of a reborn target does not wait for the next life's report

What callers saw: a gang with several tasks on one target was not started again when a later life of the target was listed, until that life had answered. Cause: the release of the first run stops the others of its gang, and newIncarnation then took those for runs whose stop is under way, which it keeps for the next life's report. That life may stand still, or be cut off.

Evidence: TestGangOfARebornTargetStartsBeforeTheNextLifeAnswers; before: "not started again" within 5 s.

Now the runs that were at work in the former life are chosen before the first one is released. Those that were ordered, or were being stopped before, are kept as they were.

--- a/internal/pool/target.go
+++ b/internal/pool/target.go
@@ -276,12 +276,16 @@
 	t.ownAddr, t.answered = t.Addr, false
 	t.lossSettled, t.processGone = false, false
 	t.signs = lifeSigns{}
+	var over []*run // before the release of one stops the others of its gang
 	for _, r := range sortedRuns(before) {
 		t.carryOver(r)
 		if r.state == runRunning {
-			p.releaseAndRequeue(now, r, groundReborn)
+			over = append(over, r)
 		}
 	}
+	for _, r := range over {
+		p.releaseAndRequeue(now, r, groundReborn)
+	}
 	p.suspectTasks(now, suspects, true)
 	p.reviewSuspicions(now, t)
 }
