The record of a stored job names its runs on targets that stand still

What callers saw: two runs of one task of a stored job. Cause: an owner keeps the runs of a lost target open until there is evidence that they are over, but what it knew was lost with it. If the target's row was gone by then, the next owner did not know the target, and started the task 2.6 s (long-running) to 4 s after the takeover, while the first run stood still.

Evidence: TestRestoredTaskWaitsForARunOnATargetThatIsListedNoMore, TestRestoredTaskStartsOnceTheTargetOfItsRunIsGone and TestRestoredTaskWaitsForTheEndOfTheLeaseOnTheClockOfASuspendedVM, for plain and long-running tasks, gangs and recurring jobs. Before, all of their cases failed: "started 4s after the takeover", long-running 2.6 s.

Now the owner saves with the record which runs are open when the leases on their target have expired (field 7; releases without it skip it), and the next owner restores each as the current run of its task on that target, which it asks at the address in the record. So only that task waits, by the same evidence as at the owner that has lost the target. A later run of the task shows that the named one is over (TestLaterRunIsKeptThoughTheRecordNamesAnEarlierOne), since its end alone is not saved. Targets that only a record names hold up no other job.

--- a/internal/fleet/record.go
+++ b/internal/fleet/record.go
@@ -40,6 +40,9 @@
 	// FailedRuns has the number of the last run of each task whose failure is counted in
 	// Failures. Records of earlier releases lack it.
 	FailedRuns map[int]int `cbor:"6,keyasint,omitempty"`
+	// Open names the runs of which the owner had no evidence that they are over, one item a target. An item may outlast
+	// its runs: it is dropped with the next change that is saved.
+	Open []OpenRuns `cbor:"7,keyasint,omitempty"`
 }
 
 // IsDone reports whether a task is done.
--- a/internal/pool/evidence.go
+++ b/internal/pool/evidence.go
@@ -81,7 +81,7 @@
 		return true
 	}
 	// The clock of a suspended VM stands still, so that its leases last longer than this owner counts.
-	byItsClock := t.signs.answeredMS == 0 || t.signs.answeredMS >= t.latestLeaseMS+timeToEnd.Milliseconds()
+	byItsClock := t.signs.answeredMS == 0 || t.signs.answeredMS >= max(t.latestLeaseMS, t.namedLeaseMS)+timeToEnd.Milliseconds()
 	return t.signs.answeredAt >= end && byItsClock
 }
 
@@ -91,7 +91,7 @@
 	switch {
 	case t.signs.refused || t.replaced && t.answered || t.endedRuns():
 		return true
-	case t.silent:
+	case t.silent || t.namedOpen && !t.contactShown:
 		return false
 	case !p.cfg.RowsRenewed:
 		return true
@@ -126,10 +126,10 @@
 // askLost asks a target that is not about to be acquired for a sign of life, if runs on it are open or jobs wait for the runs of
 // former owners there.
 func (p *Pool) askLost(now time.Duration, t *target) {
-	if !p.cfg.RowsRenewed || t.holds.contact != 0 || now < t.signsAskedAt+reacquireBackoff {
+	if t.holds.contact != 0 || now < t.signsAskedAt+reacquireBackoff {
 		return
 	}
-	waitedFor := p.formerWanted > 0 && now < p.formerWantedAt+reacquireBackoff
+	waitedFor := p.cfg.RowsRenewed && p.formerWanted > 0 && now < p.formerWantedAt+reacquireBackoff
 	wanted := t.listed && waitedFor && now >= p.formerWanted && t.signs.aliveAt() < p.formerWanted
 	if wanted || !t.listed && len(t.runs) > 0 {
 		t.signsAskedAt = now
--- a/internal/pool/former.go
+++ b/internal/pool/former.go
@@ -66,7 +66,7 @@
 		return false
 	}
 	for _, t := range p.sortedTargets {
-		if !t.replaced && t.reportedAt < p.stored.formerStartsEnd {
+		if !t.replaced && !t.neverListed && t.reportedAt < p.stored.formerStartsEnd {
 			return false
 		}
 	}
@@ -80,7 +80,7 @@
 		return false
 	}
 	for _, t := range p.sortedTargets {
-		if !t.owned && !t.replaced && t.reportedAt < p.stored.formerStartsEnd {
+		if !t.owned && !t.replaced && !t.neverListed && t.reportedAt < p.stored.formerStartsEnd {
 			return false
 		}
 	}
--- a/internal/pool/ownership.go
+++ b/internal/pool/ownership.go
@@ -163,7 +163,7 @@
 		listed[runKey{e.Task, e.Run}] = true
 	}
 	for _, r := range sortedRuns(t.runs) {
-		r.weakLoss = false // that loss was none
+		r.weakLoss, r.open = false, false // that loss was none
 		if !listed[r.key()] {
 			p.releaseAndRequeue(now, r, groundNotAcquired) // its start had a lower fencing token and can't take effect
 		}
@@ -231,6 +231,7 @@
 		}
 		if !p.lostRunsOver(t) {
 			p.noteOpenRuns(now, t)
+			p.recordOpenRuns(t)
 			continue
 		}
 		released := 0
--- a/internal/pool/release.go
+++ b/internal/pool/release.go
@@ -18,6 +18,7 @@
 	groundInterrupted ground = "interrupted"  // the target has reported such an end
 	groundFailed      ground = "failed"       // the target has reported such an end
 	groundEnded       ground = "ended"        // a run of a long-running task
+	groundSuperseded  ground = "superseded"   // a later run shows that its owner knew that it was over
 	// groundStartPrefix precedes the answer to a start that had no effect.
 	groundStartPrefix = "start_"
 )
--- a/internal/pool/report.go
+++ b/internal/pool/report.go
@@ -202,6 +202,12 @@
 // runs of which all owners number in one sequence.
 func (p *Pool) handleUnknownEnd(now time.Duration, t *target, e fleet.End) {
 	tk := p.task(e.Task)
+	if tk != nil {
+		p.supersedeOpenRuns(now, tk, e.Run)
+		if r := tk.currentRun; r != nil && r.open && r.target == t && r.number == e.Run {
+			p.releaseAndRequeue(now, r, groundInterrupted) // the end was held until the job was restored
+		}
+	}
 	if tk == nil || tk.state == taskDone || tk.step.LongRunning {
 		return // a long-running task is started again, however a run of it ended
 	}
@@ -299,6 +305,7 @@
 		if r.checkpoint != "" {
 			tk.checkpoint = r.checkpoint
 		}
+		p.supersedeOpenRuns(now, tk, r.number)
 		if tk.state != taskWaiting {
 			p.stopRun(now, r, "task is running elsewhere or done")
 			continue
@@ -307,6 +314,7 @@
 			"fence", r.target.fence, "coordinator", j.coordinator)
 		j.started = true
 		p.markPlaced(tk, r)
+		r.target.lapse.saved = false
 	}
 }
 
--- a/internal/pool/run.go
+++ b/internal/pool/run.go
@@ -42,6 +42,7 @@
 	order        uint64 // number of its start, 0 if another owner has started it
 	suspect      bool   // its task was a suspect at the start
 	weakLoss     bool   // the loss of its target is weak evidence against its task
+	open         bool   // the leases on its lost target have expired without evidence that it is over
 }
 
 const (
--- a/internal/pool/stored.go
+++ b/internal/pool/stored.go
@@ -222,6 +222,7 @@
 	p.awaitFormerOwner(j)
 	p.jobs[j.ID] = j
 	p.applyRecord(j, rec)
+	p.restoreOpenRuns(now, j, rec.Open)
 	p.reconcileStored(now, j, rec)
 	return j
 }
@@ -276,9 +277,12 @@
 	p.unblock(j)
 }
 
-// record returns the progress of a job that must survive its owner.
-func (j *job) record(state fleet.JobState) fleet.Record {
+// record returns the progress of a job that must survive its owner, with open runs on at most the given number of targets.
+func (j *job) record(state fleet.JobState, openTargets int) fleet.Record {
 	rec := fleet.Record{State: state}
+	if !state.Ended() {
+		rec.Open = j.openOnLostTargets(openTargets)
+	}
 	if j.suspected != nil {
 		rec.Suspicions = j.suspected.tasks.Clone()
 		j.suspicionsSaved = j.suspicionsSaved || len(rec.Suspicions) > 0
@@ -310,7 +314,7 @@
 		return
 	}
 	j.seq++
-	p.emit(jobstore.Save{Job: j.ID, Seq: j.seq, Epoch: p.stored.epoch, Record: j.record(state)})
+	p.emit(jobstore.Save{Job: j.ID, Seq: j.seq, Epoch: p.stored.epoch, Record: j.record(state, fleet.MaxOpenTargets)})
 }
 
 // endStoredJob records how a stored job ended. The end is shown once the record is
--- a/internal/pool/target.go
+++ b/internal/pool/target.go
@@ -15,6 +15,7 @@
 type target struct {
 	fleet.Target
 	listed         bool // listed by discovery
+	neverListed    bool // known by the record of a job only
 	acquirePolicy  AcquirePolicy
 	wasUnreachable bool // became unreachable since it was last acquired
 	probed         bool // has answered a probe since it was last unreachable
@@ -59,6 +60,8 @@
 	replaced         bool              // another incarnation has answered at its own address, under another ID
 	ownAddr          string            // where this incarnation has answered last; until then where it was listed first
 	answered         bool              // it has answered there
+	namedOpen        bool              // a record has named open runs on it
+	namedLeaseMS     int64             // the latest lease that such a record names, in ms of the target's clock
 	suspectRuns      int               // runs of tasks that were suspects at their start
 	largestRoom      structs.Resources // largest capacity listed for this incarnation, by resource
 	lastBirth        int64             // the latest of the incarnations that are over
@@ -85,6 +88,7 @@
 	askedAt time.Duration
 	shown   bool // it has answered one, or shown whether it is silent
 	open    bool // it was logged that its runs are open
+	saved   bool // the records of the stored jobs with runs on it name these
 }
 
 // acquiring reports whether a hold is in flight that acquires the target, or prepares that.
@@ -121,6 +125,7 @@
 	t.silent, t.contactKnown, t.askedAgain, t.contactShown = false, false, false, false
 	t.lastContact = ""
 	t.lapse, t.signsAskedAt = lapseContact{}, 0
+	t.namedOpen, t.namedLeaseMS = false, 0
 	t.signs = lifeSigns{row: t.signs.row}
 }
 
@@ -197,11 +202,17 @@
 			p.noteSucceededTarget(now, o)
 		}
 	}
+	t := p.insertTarget(info, now)
+	p.falls.stale = true
+	p.reviewSuspicions(now, t)
+	return t
+}
+
+// insertTarget adds a target that is not known.
+func (p *Pool) insertTarget(info fleet.Target, now time.Duration) *target {
 	t := &target{Target: info, nextAcquireAt: now, listedAt: now, ownAddr: info.Addr, health: newHealth()}
 	t.reset()
 	p.targets[info.ID] = t
-	p.falls.stale = true
-	p.reviewSuspicions(now, t)
 	at, _ := slices.BinarySearchFunc(p.sortedTargets, info.ID, func(t *target, id string) int { return strings.Compare(t.ID, id) })
 	p.sortedTargets = slices.Insert(p.sortedTargets, at, t)
 	return t
@@ -227,7 +238,7 @@
 		t.nextAcquireAt = now
 	}
 	p.noteListed(t, &info)
-	t.Target, t.listed, t.rowDueUntil = info, true, 0
+	t.Target, t.listed, t.neverListed, t.rowDueUntil = info, true, false, 0
 	t.noteRoom(info.Capacity)
 	if info.Leaving {
 		t.step(statechart.TargetHealthOnLeave)
--- a/internal/pool/timed.go
+++ b/internal/pool/timed.go
@@ -108,14 +108,21 @@
 	p.jobs[j.ID] = j
 	p.log("job", "job", rj.ID, "occurrence", k, "outcome", "due", "late_ms", late.Milliseconds())
 	p.applyRecord(j, rec)
+	p.restoreOpenRuns(now, j, rec.Open)
 	p.reconcileStored(now, j, rec)
 }
 
 // saveRecurring emits the records of all occurrences to be saved as one.
 func (p *Pool) saveRecurring(rj *recurringJob, state fleet.JobState) {
 	rec := fleet.Record{State: state, Occurrences: maps.Clone(rj.records)}
-	for k, j := range rj.openOccurrences {
-		rec.Occurrences[k] = j.record(fleet.JobRunning)
+	left := fleet.MaxOpenTargets
+	for _, r := range rj.records {
+		left -= len(r.Open)
+	}
+	for _, k := range slices.Sorted(maps.Keys(rj.openOccurrences)) {
+		r := rj.openOccurrences[k].record(fleet.JobRunning, left)
+		left -= len(r.Open)
+		rec.Occurrences[k] = r
 	}
 	rj.seq++
 	p.emit(jobstore.Save{Job: rj.ID, Seq: rj.seq, Epoch: p.stored.epoch, Record: rec})
