Another life at the address of a target that is listed no more ends its runs

What callers saw: a task that is never started again (LOST for a kept one). Cause: a target that stood still until its row was gone is asked by holds that only show contact. The answer of a later life, or of another target at that address, was dropped there: only the holds that acquire a target, which one that is not listed does not get, took it for evidence. The target then counted as silent for good. Besides, such a target was asked at the address of its last row, which may be wrong, and then shows nothing.

Evidence: TestTaskStartsOnceAnotherLifeAnswersAtTheAddressOfATargetThatIsListedNoMore (all eight cases: "not started again") and TestTargetThatIsListedNoMoreIsAskedAtItsOwnAddress ("wrong" for "a00") failed before.

Now these answers count as those to other holds, by the same rules (own address, younger), and the address is the one at which the target has answered itself. TestAnswerOfAnOlderTargetEndsNoRunOfOneThatIsListedNoMore: older lives still end nothing.

--- a/internal/pool/evidence.go
+++ b/internal/pool/evidence.go
@@ -132,11 +132,24 @@
 	waitedFor := p.cfg.RowsRenewed && p.formerWanted > 0 && now < p.formerWantedAt+reacquireBackoff
 	wanted := t.listed && waitedFor && now >= p.formerWanted && t.signs.aliveAt() < p.formerWanted
 	if wanted || !t.listed && len(t.runs) > 0 {
+		if !t.listed {
+			t.Addr = t.ownAddr // its last row may have named another one
+		}
 		t.signsAskedAt = now
 		p.sendContact(t)
 	}
 }
 
+// followedUnlisted handles an answer that another life, or another target, has given to a hold for a target that is not listed: no hold to
+// acquire it will show that. It reports whether it was one.
+func (p *Pool) followedUnlisted(now time.Duration, t *target, addr string, rep *fleet.HoldReply) bool {
+	if rep.Answer == fleet.OtherIncarnation {
+		p.answeredByOther(now, t, addr, rep.Incarnation)
+		return true
+	}
+	return p.otherIncarnation(now, t, rep.Incarnation)
+}
+
 // openRuns returns the runs of earlier attempts at a job, or of the job itself, that are not over.
 func (j *job) openRuns() []*run {
 	open := j.currentRuns()
--- a/internal/pool/report.go
+++ b/internal/pool/report.go
@@ -52,6 +52,9 @@
 	switch o.Number {
 	case t.holds.contact:
 		t.holds.contact = 0
+		if !t.listed && p.followedUnlisted(now, t, o.Target.Addr, &rep) {
+			return
+		}
 		if rep.Answer != fleet.OtherIncarnation {
 			t.noteContact(sent, o.Target.Addr, &rep)
 		} else {
