A recall of stored runs does not last for as long as a target stands still

What callers saw: after the loss of an owner whose row showed a recall, all runs of stored jobs lapse, since no other leader may keep them. Cause: since runs on a lost target stay open until there is evidence, the recall for them stayed in the row as long: 59.98 s of a minute's standstill. With an open run that was restored from a record it began with the takeover, 1.26 s after the former owner was seen last, and stopped the runs that other leaders keep for the new one.

Now the recall is dropped after the 12 s that a lost target has anyway, and is in force again for its 0.97 s once there is evidence. Restored open runs are recalled by evidence only, and not before the time at which the former owner's leases end. Nothing starts sooner: a run is still released only after evidence and a recall.

--- a/internal/pool/recall.go
+++ b/internal/pool/recall.go
@@ -121,11 +121,16 @@
 	if t.owned || !p.stored.owned {
 		return due
 	}
+	if (t.namedOpen || t.lapse.open && now >= t.lastOwnedAt+unreachableWait) && !p.lostRunsOver(t) {
+		return due // once there is evidence, which may be long in coming
+	}
 	for _, r := range t.runs {
 		switch {
 		case r.task == nil || !r.task.job.Stored:
 		case p.mayHaveCompleted(now, t, r):
 			due = min(due, t.lastOwnedAt+unreachableWait-recallWait(t))
+		case t.namedOpen: // other leaders may be about to leave their targets to this one
+			due = min(due, p.stored.lastSeen+formerRunsTimeout-recallWait(t))
 		case t.wasUnreachable && p.lostTargets <= fewLostTargets:
 			return now
 		default: // not by leasesEnd, which other owners put off
