A kept run is over by evidence from after the recall only

What callers saw: two runs of one task of a stored job. Cause: another leader puts the lease of a run off until the owner's recall is over, but the evidence that the target's process has run counted from the end of the owner's own leases, and for restored jobs from 3.6 s after the former owner was seen. A target that answered, or wrote its row, between the two and then stood still had not ended the run, and the recall, a time on our clock, stood for that.

Now a sign of life counts for runs of stored jobs if it is from after the recall as well. The records name such runs as open. A recall during which the target has shown nothing for 12 s is dropped until it shows something, and not kept for the length of the standstill. A target that runs on behind a cut is judged by its row up to two writes (3 s) later than before, where another leader may keep its runs.

--- a/internal/pool/evidence.go
+++ b/internal/pool/evidence.go
@@ -74,9 +74,8 @@
 // aliveAt returns a time at or after which the target's process has run.
 func (s *lifeSigns) aliveAt() time.Duration { return max(s.answeredAt, s.row.aliveAt) }
 
-// endedRuns reports whether the target has run since its leases have expired, and so has ended the runs.
-func (t *target) endedRuns() bool {
-	end := t.leasesEnd() + timeToEnd
+// endedRuns reports whether the target has run since its leases have expired, at the given time, and so has ended the runs.
+func (t *target) endedRuns(end time.Duration) bool {
 	if t.signs.row.aliveAt >= end {
 		return true
 	}
@@ -87,9 +86,17 @@
 
 // lostRunsOver reports whether there is evidence that the runs on a target that is not owned, all of whose leases have
 // expired by the account of this owner, are over.
-func (p *Pool) lostRunsOver(t *target) bool {
+func (p *Pool) lostRunsOver(t *target) bool { return p.runsOverSince(t, t.leasesEnd()+timeToEnd) }
+
+// keptRunsOver is lostRunsOver for runs of stored jobs, whose leases other leaders have put off until the recall was over.
+func (p *Pool) keptRunsOver(t *target) bool {
+	return p.runsOverSince(t, max(t.leasesEnd()+timeToEnd, p.stored.recall.since+recallWait(t)))
+}
+
+// runsOverSince is lostRunsOver for runs whose leases have expired, and that their target has had time to end, by the given time.
+func (p *Pool) runsOverSince(t *target, end time.Duration) bool {
 	switch {
-	case t.signs.refused || t.replaced && t.answered || t.endedRuns():
+	case t.signs.refused || t.replaced && t.answered || t.endedRuns(end):
 		return true
 	case t.silent || t.namedOpen && !t.contactShown:
 		return false
--- a/internal/pool/former.go
+++ b/internal/pool/former.go
@@ -96,8 +96,18 @@
 // formerRunsOver reports whether the runs of former owners are over, for restored jobs that have long-running steps only, or for
 // others. Other leaders may keep runs on targets that this owner has not seen until these are recalled.
 func (p *Pool) formerRunsOver(now time.Duration, longRunningOnly bool) bool {
-	return now >= p.stored.runsOver(longRunningOnly) && (p.seesFormerTargets(now) || p.recalledEverywhere(now)) &&
-		p.formerRunsShown(now, p.stored.lastSeen+formerRunsTimeout)
+	if now < p.stored.runsOver(longRunningOnly) {
+		return false
+	}
+	over := p.stored.lastSeen + formerRunsTimeout
+	switch {
+	case p.seesFormerTargets(now):
+	case !p.recalledEverywhere(now):
+		return false
+	default:
+		over = max(over, p.stored.recall.since+recallWait(nil))
+	}
+	return p.formerRunsShown(now, over)
 }
 
 // seesFormerTargets reports whether all targets on which former owners could start runs are listed, and owned or known to be over.
--- a/internal/pool/ownership.go
+++ b/internal/pool/ownership.go
@@ -234,7 +234,7 @@
 			p.recordOpenRuns(t)
 			continue
 		}
-		released := 0
+		released, kept := 0, false
 		for _, r := range sortedRuns(t.runs) {
 			if p.mayHaveCompleted(now, t, r) {
 				continue
@@ -242,6 +242,10 @@
 			if r.task != nil && r.task.job.Stored && !p.recalled(now, t) {
 				continue // another leader may keep it
 			}
+			if r.task != nil && r.task.job.Stored && !p.keptRunsOver(t) {
+				kept = true
+				continue
+			}
 			if p.lapsedAt = now; r.task != nil {
 				r.task.job.requireVouchFrom(now)
 				r.task.job.lostRun = true
@@ -249,6 +253,13 @@
 			p.releaseAndRequeue(now, r, groundLapsed)
 			released++
 		}
+		if kept {
+			p.noteOpenRuns(now, t)
+			p.recordOpenRuns(t)
+			if now >= p.stored.recall.since+recallWait(t)+unreachableWait {
+				t.lapse.recallEnded = now
+			}
+		}
 		if released > 0 {
 			p.log("ownership", "target", t.ID, "outcome", "lapsed", "runs", released, "lease_over_ms", (now - t.leasesEnd()).Milliseconds(), "contact", t.lastContact)
 		}
--- a/internal/pool/recall.go
+++ b/internal/pool/recall.go
@@ -121,7 +121,8 @@
 	if t.owned || !p.stored.owned {
 		return due
 	}
-	if (t.namedOpen || t.lapse.open && now >= t.lastOwnedAt+unreachableWait) && !p.lostRunsOver(t) {
+	waits := t.namedOpen || t.lapse.open && now >= t.lastOwnedAt+unreachableWait
+	if waits && !p.runsOverSince(t, max(t.leasesEnd()+timeToEnd, t.lapse.recallEnded)) {
 		return due // once there is evidence, which may be long in coming
 	}
 	for _, r := range t.runs {
--- a/internal/pool/target.go
+++ b/internal/pool/target.go
@@ -89,6 +89,8 @@
 	shown   bool // it has answered one, or shown whether it is silent
 	open    bool // it was logged that its runs are open
 	saved   bool // the records of the stored jobs with runs on it name these
+	// recallEnded is when a recall ended during which the target has shown nothing; 0 for none.
+	recallEnded time.Duration
 }
 
 // acquiring reports whether a hold is in flight that acquires the target, or prepares that.
