A task that may be done waits for a target that goes on late

What callers saw: a start of a task of a stored job after a run of it has ended as done. Cause: such a task waits 12 s from the loss of its target for the target to come back with the end. A target that stands still for longer goes on with nothing left of these 12 s: the first answer after that, to a hold that only asks, shows that its runs are over, and the task was started before the target was listed and its ends were read. The 12 s stood for that.

Now such a target has 5 s from the moment at which it is known to have gone on. A target that never stood still is known to run some 3 s after its loss, so that the 12 s hold as before; a target that refuses connections, or is gone, has none of the 5 s.

--- a/internal/pool/ownership.go
+++ b/internal/pool/ownership.go
@@ -234,6 +234,7 @@
 			p.recordOpenRuns(t)
 			continue
 		}
+		t.noteReturn(now)
 		released, kept := 0, false
 		for _, r := range sortedRuns(t.runs) {
 			if p.mayHaveCompleted(now, t, r) {
--- a/internal/pool/recall.go
+++ b/internal/pool/recall.go
@@ -121,6 +121,7 @@
 	if t.owned || !p.stored.owned {
 		return due
 	}
+	t.noteReturn(now)
 	waits := t.namedOpen || t.lapse.open && now >= t.lastOwnedAt+unreachableWait
 	if waits && !p.runsOverSince(t, max(t.leasesEnd()+timeToEnd, t.lapse.recallEnded)) {
 		return due // once there is evidence, which may be long in coming
@@ -129,7 +130,7 @@
 		switch {
 		case r.task == nil || !r.task.job.Stored:
 		case p.mayHaveCompleted(now, t, r):
-			due = min(due, t.lastOwnedAt+unreachableWait-recallWait(t))
+			due = min(due, t.returnsUntil()-recallWait(t))
 		case t.namedOpen: // other leaders may be about to leave their targets to this one
 			due = min(due, p.stored.lastSeen+formerRunsTimeout-recallWait(t))
 		case t.wasUnreachable && p.lostTargets <= fewLostTargets:
@@ -189,5 +190,25 @@
 // not run again: the target gets time to come back. A long-running task never completes.
 func (p *Pool) mayHaveCompleted(now time.Duration, t *target, r *run) bool {
 	left := !t.listed && t.Leaving
-	return !left && now < t.lastOwnedAt+unreachableWait && r.task != nil && r.task.job.Stored && !r.task.step.LongRunning
+	return !left && now < t.returnsUntil() && r.task != nil && r.task.job.Stored && !r.task.step.LongRunning
+}
+
+// returnWait is how long a target has to come back once its process is known to have gone on: to write its row, and to be acquired. The end of a
+// run that it has found done is read then.
+const returnWait = 5 * time.Second
+
+// returnsUntil returns until when a target that is not owned has time to come back.
+func (t *target) returnsUntil() time.Duration {
+	until := t.lastOwnedAt + unreachableWait
+	if t.lapse.returnedAt != 0 {
+		until = max(until, t.lapse.returnedAt+returnWait)
+	}
+	return until
+}
+
+// noteReturn notes when the process of a lost target is first known to have run since its leases have expired.
+func (t *target) noteReturn(now time.Duration) {
+	if t.lapse.returnedAt == 0 && !t.signs.refused && t.endedRuns(t.leasesEnd()+timeToEnd) {
+		t.lapse.returnedAt = now
+	}
 }
--- a/internal/pool/target.go
+++ b/internal/pool/target.go
@@ -91,6 +91,7 @@
 	saved   bool // the records of the stored jobs with runs on it name these
 	// recallEnded is when a recall ended during which the target has shown nothing; 0 for none.
 	recallEnded time.Duration
+	returnedAt  time.Duration // when it was noticed that its process has run since; 0 if it was not
 }
 
 // acquiring reports whether a hold is in flight that acquires the target, or prepares that.
