A target that is listed no more is not silent once another answers there

What callers saw: a task that is never started again. Cause: a lost target that was silent and is listed no more counts as over once another target answers at its address, whatever its age, but it stayed silent, which bars that.

Evidence: TestTaskStartsOnceAnotherLifeAnswersAtTheAddressOfATargetThatIsListedNoMore with another target that is not younger: "not started again" before.

Now such an answer shows that the address is not the lost target's any more.

--- a/internal/pool/evidence.go
+++ b/internal/pool/evidence.go
@@ -98,7 +98,7 @@
 	switch {
 	case t.signs.refused || t.replaced && t.answered || t.endedRuns(end):
 		return true
-	case t.silent || t.namedOpen && !t.contactShown:
+	case t.silent || t.namedOpen && !t.contactShown && !t.signs.otherAnswered:
 		return false
 	case !p.cfg.RowsRenewed:
 		return true
@@ -151,6 +151,7 @@
 // acquire it will show that. It reports whether it was one.
 func (p *Pool) followedUnlisted(now time.Duration, t *target, addr string, rep *fleet.HoldReply) bool {
 	if rep.Answer == fleet.OtherIncarnation {
+		t.signs.otherAnswered, t.silent = true, false
 		p.answeredByOther(now, t, addr, rep.Incarnation)
 		return true
 	}
