A job that comes again at the next leader waits for its open runs

What callers saw: a job that was answered "may have run" at its deadline, and came again 1.3 s later, ran twice at once where its first run was on a target that stands still and the leader that knew of it had been lost or had stepped down meanwhile.

Cause: open runs are in the memory of one leader. A submission says that a former leader had the job only if the coordinator still has the attempt; once that is answered nobody tells the next leader.

With Pool.NoteLeft doing nothing, TestJobThatComesAgainAtTheNextLeaderWaitsForATargetThatStandsStill (six cases) and TestEachCopyOfAJobWaitsForATargetThatStandsStill fail too, and TestLeaderThatLeadsAgainHasForgottenWhatTargetsHaveShown without the reset of formerShown.

Now the coordinator keeps the question whether runs of the job are open and puts it to the leader of the pool until that answers no. The question tells a new leader of the job, which then waits there until every target has shown the runs of former owners, or that they are over, however long one stands still. A leader that has had the job goes by its own memory, so that other targets do not matter. Asking was taken rather than telling the coordinators of each end: an answer that is lost is asked for again, the leader remembers no askers, and jobs that ended otherwise cost nothing. Entries of the last release are not asked.

--- a/internal/node/again_test.go
+++ b/internal/node/again_test.go
@@ -31,6 +31,7 @@
 }
 
 type busyTarget struct {
+	still        bool // its process stands still: it answers nothing, and ends nothing
 	leaseUntilMS int64
 	runs         map[fleet.TaskID]int
 	ended        []fleet.End
@@ -49,7 +50,7 @@
 		t = &busyTarget{runs: make(map[fleet.TaskID]int)}
 		f.targets[id] = t
 	}
-	if f.clock() >= t.leaseUntilMS {
+	if f.clock() >= t.leaseUntilMS && !t.still {
 		for task := range t.runs {
 			t.end(task)
 		}
@@ -71,6 +72,9 @@
 		}
 	}
 	t := f.target(o.Target.ID)
+	if t.still {
+		return fleet.Reply{Answer: fleet.Unanswered}
+	}
 	f.starts[o.Target.ID]++
 	f.ofJob[o.Task.Job]++
 	t.runs[o.Task] = o.Run
@@ -81,7 +85,11 @@
 func (f *busyTargets) Stop(_ context.Context, o fleet.Stop) fleet.Reply {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if t := f.target(o.Target.ID); t.runs[o.Task] == o.Run {
+	t := f.target(o.Target.ID)
+	if t.still {
+		return fleet.Reply{Answer: fleet.Unanswered}
+	}
+	if t.runs[o.Task] == o.Run {
 		t.end(o.Task)
 	}
 	return fleet.Reply{Answer: fleet.Accepted, ClockMS: f.clock(), Incarnation: 1}
@@ -95,6 +103,9 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	t := f.target(o.Target.ID)
+	if t.still {
+		return fleet.HoldReply{Answer: fleet.Unanswered, Contact: fleet.Connected}
+	}
 	t.leaseUntilMS = max(t.leaseUntilMS, o.LeaseUntilMS)
 	r := fleet.HoldReply{Answer: fleet.Accepted, ClockMS: f.clock(), Incarnation: 1}
 	for task, run := range t.runs {
--- a/internal/node/caller.go
+++ b/internal/node/caller.go
@@ -151,6 +151,7 @@
 		"deadline_ms", p.job.Timeout.Milliseconds())
 	n.counts.abandoned.Inc(1)
 	n.sendAbandon(now, p, abandonBody{id, callerGone})
+	n.keepQuestion(now, p)
 	n.leaveHome(now, p)
 	delete(n.pending, id)
 }
--- a/internal/node/directory.go
+++ b/internal/node/directory.go
@@ -106,6 +106,8 @@
 	AskedAt time.Duration `cbor:"12,keyasint,omitempty"`
 	// TakesHomeNotes is set in greetings if the sender reads wire.PoolHome, as earlier releases do not.
 	TakesHomeNotes bool `cbor:"13,keyasint,omitempty"`
+	// TakesLeftJobs is set in greetings if the sender answers questions about jobs that have left its pools.
+	TakesLeftJobs bool `cbor:"14,keyasint,omitempty"`
 }
 
 func newDirectory() directory {
@@ -271,6 +273,9 @@
 	if b.Greeting {
 		n.greeted(now, from)
 	}
+	if b.TakesLeftJobs {
+		n.takesLeftJobs[from] = true
+	}
 	if b.TakesHomeNotes && !n.takesHomeNotes[from] {
 		n.takesHomeNotes[from] = true
 		n.repeatHomeNotesTo(now, from)
--- a/internal/node/fuzz_test.go
+++ b/internal/node/fuzz_test.go
@@ -23,6 +23,7 @@
 		vouchBody{HeartbeatAt: 1, Leader: "e", Origin: "f"},
 		suspicionsBody{Job: "a", Suspicions: fleet.Suspicions{1: {{Target: "t", Crashed: true}}}},
 		homeBody{Kind: homeClaim, Job: "a", Pool: 1, Layout: 2, For: time.Second},
+		homeBody{Kind: homeLeft, Pool: 1, Layout: 2, HeartbeatAt: time.Second, Left: []leftJob{{Job: "a", Number: 3, VouchedAgo: 1, HereOnly: true, ArrivedAgo: 2}, {Job: "b", Open: true}}},
 	} {
 		b, err := wire.Encode(body)
 		assert.NilError(f, err)
--- a/internal/node/home.go
+++ b/internal/node/home.go
@@ -19,11 +19,13 @@
 type homeKind uint8
 
 const (
-	homeNote     homeKind = iota + 1 // to the leader: the sender has the job in another pool
-	homeClaim                        // the same, before it submits the job there; wants an answer
-	homeAnswer                       // of the leader to a claim
-	homeGone                         // to the leader: the sender has given the job up
-	homeReturned                     // of the leader: another entry has the job from its caller
+	homeNote       homeKind = iota + 1 // to the leader: the sender has the job in another pool
+	homeClaim                          // the same, before it submits the job there; wants an answer
+	homeAnswer                         // of the leader to a claim
+	homeGone                           // to the leader: the sender has given the job up
+	homeReturned                       // of the leader: another entry has the job from its caller
+	homeLeft                           // to the leader of a pool: are runs open of jobs that had left it
+	homeLeftAnswer                     // of the leader to that
 )
 
 // homeBody is the body of wire.PoolHome.
@@ -35,6 +37,10 @@
 	Layout uint64 `cbor:"4,keyasint,omitempty"`
 	// For is how long the sender's runs of the job may be at work, or in an answer those of other entries.
 	For time.Duration `cbor:"5,keyasint,omitempty"`
+	// Left are the jobs of a homeLeft, which names no other, and of the answer. HeartbeatAt is SentAt of the receiver's last
+	// heartbeat, 0 if there was none.
+	Left        []leftJob     `cbor:"6,keyasint,omitempty"`
+	HeartbeatAt time.Duration `cbor:"7,keyasint,omitempty"`
 }
 
 const (
@@ -169,6 +175,7 @@
 	for _, s := range n.shards {
 		if s.decision.Leader == leader {
 			n.repeatHomeNotes(now, s)
+			n.tellOfOpenRuns(now, s)
 		}
 	}
 }
@@ -207,6 +214,9 @@
 	case homeReturned:
 		n.giveUpReturned(now, from, b)
 		return
+	case homeLeftAnswer:
+		n.questionsAnswered(now, from, b.Left)
+		return
 	}
 	if b.Layout != n.layout.Version || b.Pool < 0 || b.Pool >= len(n.shards) || !n.shards[b.Pool].pool.Leading() {
 		return
@@ -221,6 +231,8 @@
 		until := home.ClaimElsewhere(now, from, b.Job, now+b.For)
 		b.Kind, b.For = homeAnswer, max(until-now, 0)
 		n.sendHome(now, from, b)
+	case homeLeft:
+		n.answerQuestions(now, from, home, b)
 	}
 }
 
--- a/internal/node/jobs.go
+++ b/internal/node/jobs.go
@@ -356,6 +356,9 @@
 		return
 	}
 	delete(n.pending, id)
+	if o.Verdict == verdict.MayHaveRun {
+		n.keepQuestion(now, p)
+	}
 	n.leaveHome(now, p)
 	n.log.Info("answer", "job", id, "queue", p.job.Queue.Name, "verdict", o.Verdict.String(), "reason", o.Reason,
 		"from", p.sentTo, "ms", (now - p.arrived).Milliseconds(), "retry_after_ms", o.RetryAfter.Milliseconds())
--- a/internal/node/links.go
+++ b/internal/node/links.go
@@ -49,6 +49,7 @@
 	delete(n.stored.peerClocks, name)
 	delete(n.takesSuspicions, name)
 	delete(n.takesHomeNotes, name)
+	delete(n.takesLeftJobs, name)
 	n.electionsDue = true
 	for _, s := range n.shards {
 		s.election.RemovePeer(name)
@@ -293,7 +294,7 @@
 
 // greet tells a new peer what it needs to know of this entry at once.
 func (n *Node) greet(now time.Duration, to string, greeting bool) {
-	hello := directoryBody{Self: n.cfg.Self, Greeting: greeting, Rooms: n.rooms.Known(), RoomsKnownFor: n.rooms.KnownFor(now), TakesHomeNotes: true}
+	hello := directoryBody{Self: n.cfg.Self, Greeting: greeting, Rooms: n.rooms.Known(), RoomsKnownFor: n.rooms.KnownFor(now), TakesHomeNotes: true, TakesLeftJobs: true}
 	if n.layoutKnown {
 		l := n.layout
 		hello.Layout = &l
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -115,6 +115,8 @@
 	relaxed         map[string]bool // peers whose loss need not be noticed quickly
 	takesSuspicions map[string]bool // linked peers that read wire.PoolSuspects
 	takesHomeNotes  map[string]bool // linked peers that read wire.PoolHome
+	takesLeftJobs   map[string]bool // linked peers that answer questions about jobs that have left their pools
+	questions       questions
 	linked          map[string]bool
 	linkPlan        linkPlanner
 	pending         map[string]*pendingJob
@@ -137,7 +139,7 @@
 		cfg: cfg, log: cfg.Log, counts: newCounts(cfg.Metrics), clock: newClock(), nextDeparture: never,
 		events: make(chan event, eventQueueLength), targetsDue: make(chan struct{}, 1), stopped: make(chan struct{}),
 		ctx: ctx, cancel: cancel,
-		linked: make(map[string]bool), linkPlan: linkPlanner{wantedAt: make(map[string]time.Duration), redialedAt: make(map[string]time.Duration)}, relaxed: make(map[string]bool), takesSuspicions: make(map[string]bool), takesHomeNotes: make(map[string]bool), pending: make(map[string]*pendingJob),
+		linked: make(map[string]bool), linkPlan: linkPlanner{wantedAt: make(map[string]time.Duration), redialedAt: make(map[string]time.Duration)}, relaxed: make(map[string]bool), takesSuspicions: make(map[string]bool), takesHomeNotes: make(map[string]bool), takesLeftJobs: make(map[string]bool), questions: newQuestions(), pending: make(map[string]*pendingJob),
 		directory: newDirectory(), stored: newStoredJobs(&cfg),
 		lane: startLane{bytesPerSecond: cfg.LinkBytesPerSecond, delegatedBytes: make(map[string]int)}, delegated: delegations{open: make(map[uint64]delegatedStart)}, vouching: newVouching(),
 	}
@@ -300,6 +302,7 @@
 		n.expireDelegated(now)
 	}
 	n.releaseVouches(now)
+	n.askQuestions(now)
 	n.submitPending(now)
 	ready := false
 	for _, s := range n.shards {
--- a/internal/node/shard.go
+++ b/internal/node/shard.go
@@ -135,6 +135,9 @@
 			n.reclaimFromLeader(now, before.Leader, s)
 			n.repeatHomeNotes(now, s)
 		}
+		if d.Leader != before.Leader || d.Leading != before.Leading {
+			n.tellOfOpenRuns(now, s)
+		}
 	}
 }
 
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -184,7 +184,7 @@
 	p.coordinators = make(map[string]int)
 	p.orphans, p.resubmitted = make(map[string]*job), make(map[string]*job)
 	p.suspected = make(map[string]*suspectJob)
-	p.losses, p.formerWanted = nil, 0
+	p.losses, p.formerShown, p.formerWanted = nil, 0, 0
 	p.falls.stale = true
 	p.stored.reset()
 	p.advice = make(map[fleet.TaskID]*stepAdvice)
