A job that comes again at another pool waits for its open runs

What callers saw: a job that was answered "may have run" at its deadline, and came again 1.3 s later at an entry that chose another pool, ran twice at once where its first run was on a target that stands still. The same where it came again at the entry of the first attempt.

Cause: the first coordinator told the home of the job that its runs end with their leases, and an entry that has the job again does not count its own note. A claim that was answered with open runs was cleared after a second without another answer (openClaim).

Now the coordinator's note at the home stays open as long as the question whether runs are open, for 5 s from each time that it is noted, and ends with the answer. The coordinator itself submits the job to no other pool meanwhile, and a claim that is answered with open runs holds for 5 s, longer than best-effort callers wait: these have their answer by the deadline. Where nobody answers for 5 s, or the leader's release answers no questions, the runs end with their leases as before.

TestClaimCountsTheRunsOfFormerLeaders asks for an exact time of a leader that has not ticked once, and so does not know yet that all its targets are owned. It passed since the second for which such runs counted as open was less than that time. It ticks first now, and asks for the same time.

--- a/internal/node/home.go
+++ b/internal/node/home.go
@@ -77,7 +77,7 @@
 
 // submit submits a job to a pool, unless it has to wait for the word of its home pool or for earlier runs.
 func (n *Node) submit(now time.Duration, s *shard, p *pendingJob) {
-	if n.clearedByHome(now, s, p) {
+	if !n.awaitsOpenRuns(now, s, p) && n.clearedByHome(now, s, p) {
 		n.submitTo(now, s, p)
 	}
 }
@@ -161,8 +161,13 @@
 	}
 }
 
-// repeatHomeNotes tells the new leader of a pool which jobs that have their home there are in others.
+// repeatHomeNotes tells the new leader of a pool which jobs that have their home there are in others, or have open runs there.
 func (n *Node) repeatHomeNotes(now time.Duration, s *shard) {
+	for _, q := range n.questions.all() {
+		if homePool(q.job, len(n.shards)) == s.index && n.questionOverdue(now, q) == "" {
+			n.noteOpenAtHome(now, q)
+		}
+	}
 	for id, p := range n.pending {
 		if p.home.claimed && homePool(id, len(n.shards)) == s.index {
 			n.noteHome(now, p)
@@ -180,8 +185,12 @@
 	}
 }
 
-// leaveHome tells the leader of a job's home that this entry has given the job up.
+// leaveHome tells the leader of a job's home that this entry has given the job up, or that its runs are open.
 func (n *Node) leaveHome(now time.Duration, p *pendingJob) {
+	if q := n.openElsewhere(p.job.ID); q != nil {
+		n.noteOpenAtHome(now, q)
+		return
+	}
 	if p.home.claimed {
 		n.tellHome(now, n.shards[homePool(p.job.ID, len(n.shards))], p, homeGone, n.runsLastFor(now, p))
 	}
@@ -248,6 +257,9 @@
 	b.Kind, b.For = homeGone, pool.DefaultTakeoverDelay
 	p := n.pending[b.Job]
 	if p == nil || p.relayFor != "" {
+		if q := n.openElsewhere(b.Job); q != nil {
+			b.For = n.openFor(now, q)
+		}
 		n.sendHome(now, from, b)
 		return
 	}
@@ -257,5 +269,8 @@
 	n.leaveLeader(now, p, callerGone)
 	p.home.claimed = false // told here
 	n.settle(now, b.Job, fleet.Outcome{Verdict: verdict.MayHaveRun, Reason: verdict.Resubmitted})
+	if q := n.openElsewhere(b.Job); q != nil {
+		b.For = n.openFor(now, q)
+	}
 	n.sendHome(now, from, b)
 }
--- a/internal/node/jobs.go
+++ b/internal/node/jobs.go
@@ -33,6 +33,7 @@
 	relays       int                      // how many entries have relayed the job, this one included
 	suspicions   fleet.Suspicions         // against its tasks, as the last leader has told
 	home         atHome                   // what its home pool has told, if the job goes to another one
+	awaitsOpen   bool                     // it has waited for runs that are open in another pool
 	moveTo       int                      // number (from 1) of the pool that it goes to after another has rejected it, 0 if none
 }
 
--- a/internal/node/question.go
+++ b/internal/node/question.go
@@ -12,7 +12,8 @@
 // A job that this entry has answered as one that may have run may still be at work, on a target that stands still.
 // The leader of its pool remembers that until there is evidence, but the next leader knows nothing of it. So the
 // coordinator keeps the question whether runs are open, and puts it to the leader until that one answers that none is. The
-// question tells a new leader of the job, so that a copy of it waits.
+// question tells a new leader of the job, so that a copy of it waits. Meanwhile the coordinator submits the job to no other pool, and its
+// note at the job's home stays open.
 
 const (
 	// maxQuestions limits the questions that an entry keeps. The oldest ones are dropped.
@@ -39,7 +40,9 @@
 	vouchedAt time.Duration // when this entry last vouched for the job to any leader
 	keptAt    time.Duration
 	askAt     time.Duration
-	told      bool // a leader has answered that runs are open
+	openAt    time.Duration // when it was last told that runs are open, or the question was kept
+	notedAt   time.Duration // when the home of the job was last told
+	told      bool          // a leader has answered that runs are open
 }
 
 // questions are the open questions of an entry, by age.
@@ -105,7 +108,7 @@
 	}
 	q := &openQuestion{
 		job: p.job.ID, shard: n.shards[p.pool], leader: p.onlyLeader(), arrivedAt: p.arrived,
-		vouchedAt: now + n.runsLastFor(now, p) - pool.DefaultTakeoverDelay, keptAt: now, askAt: now + questionInterval,
+		vouchedAt: now + n.runsLastFor(now, p) - pool.DefaultTakeoverDelay, keptAt: now, openAt: now, askAt: now + questionInterval,
 	}
 	if before := n.questions.of(q.job); before != nil && before.shard == q.shard {
 		q.arrivedAt, q.vouchedAt, q.told = min(q.arrivedAt, before.arrivedAt), max(q.vouchedAt, before.vouchedAt), before.told
@@ -182,6 +185,9 @@
 		if now < q.keptAt+newQuestionFor {
 			q.askAt = now + questionInterval
 		}
+		if now >= q.notedAt+questionPause {
+			n.noteOpenAtHome(now, q)
+		}
 		l := leftJob{Job: q.job, Number: q.number, VouchedAgo: now - q.vouchedAt, ArrivedAgo: now - q.arrivedAt, HereOnly: q.leader == q.shard.decision.Leader}
 		asked[q.shard] = append(asked[q.shard], l)
 	}
@@ -231,15 +237,74 @@
 		if q == nil || q.number != l.Number {
 			continue
 		}
-		switch {
-		case !l.Open:
-			n.questions.remove(q.job)
-			if q.told {
-				n.log.Info("job", "job", q.job, "outcome", "open runs are over", "leader", from, "pool", q.shard.index, "ms", (now - q.keptAt).Milliseconds())
-			}
-		case !q.told:
-			q.told = true
+		if !l.Open {
+			n.closeQuestion(now, from, q)
+			continue
+		}
+		if !q.told {
 			n.log.Info("job", "job", q.job, "outcome", "runs are open", "leader", from, "pool", q.shard.index)
 		}
+		q.told, q.openAt = true, now
+	}
+}
+
+// closeQuestion handles the answer that no run of a job is open.
+func (n *Node) closeQuestion(now time.Duration, from string, q *openQuestion) {
+	n.questions.remove(q.job)
+	if q.told {
+		n.log.Info("job", "job", q.job, "outcome", "open runs are over", "leader", from, "pool", q.shard.index, "ms", (now - q.keptAt).Milliseconds())
+	}
+	n.tellHomeOf(now, q, homeGone, max(q.leasesEnd()-now, 0))
+}
+
+// leasesEnd returns when the leases of all runs of a job have ended.
+func (q *openQuestion) leasesEnd() time.Duration { return q.vouchedAt + pool.DefaultTakeoverDelay }
+
+// openFor returns how long runs of a job count as open from now, unless the question is answered before. If nobody
+// answers for pool.OpenFor they do no longer, and those of a leader whose release answers no questions end with their leases.
+func (n *Node) openFor(now time.Duration, q *openQuestion) time.Duration {
+	until, leader := q.leasesEnd(), q.shard.decision.Leader
+	if answersNone := n.vouching.greeted[leader] && !n.takesLeftJobs[leader]; !answersNone {
+		until = max(until, q.openAt+pool.OpenFor)
+	}
+	return max(until-now, 0)
+}
+
+// noteOpenAtHome tells the leader of a job's home that runs of the job are open in another pool.
+func (n *Node) noteOpenAtHome(now time.Duration, q *openQuestion) {
+	q.notedAt = now
+	n.tellHomeOf(now, q, homeNote, n.openFor(now, q))
+}
+
+// tellHomeOf sends a message about a job with open runs to the leader of its home, if that is another pool. Where the job is pending again,
+// and goes to another pool, the note about that stands.
+func (n *Node) tellHomeOf(now time.Duration, q *openQuestion, kind homeKind, runsFor time.Duration) {
+	home := homePool(q.job, len(n.shards))
+	if p := n.pending[q.job]; home == q.shard.index || p != nil && p.home.claimed {
+		return
+	}
+	n.sendHome(now, n.shards[home].decision.Leader, homeBody{Kind: kind, Job: q.job, Pool: home, Layout: n.layout.Version, For: runsFor})
+}
+
+// openElsewhere returns the question about a job if its home is another pool than the one whose runs are open, or nil.
+func (n *Node) openElsewhere(job string) *openQuestion {
+	q := n.questions.of(job)
+	if q == nil || homePool(job, len(n.shards)) == q.shard.index {
+		return nil
+	}
+	return q
+}
+
+// awaitsOpenRuns reports whether a job has to wait since runs of an earlier attempt are open in another pool than the given one, whose
+// leader does not know of them.
+func (n *Node) awaitsOpenRuns(now time.Duration, s *shard, p *pendingJob) bool {
+	q := n.questions.of(p.job.ID)
+	if q == nil || q.shard == s || p.relayFor != "" || n.openFor(now, q) == 0 {
+		return false
+	}
+	if !p.awaitsOpen {
+		n.log.Info("job", "job", p.job.ID, "outcome", "waits for its open runs", "pool", q.shard.index, "next", s.index)
 	}
+	p.awaitsOpen, p.mayHaveRun, p.leaderLostAt, p.retryAt = true, true, now, now+homeClaimPause
+	return true
 }
--- a/internal/node/question_test.go
+++ b/internal/node/question_test.go
@@ -9,6 +9,7 @@
 	"gotest.tools/v3/assert"
 
 	"currantstall/internal/fleet"
+	"currantstall/internal/pool"
 	"currantstall/internal/structs"
 	"currantstall/internal/verdict"
 )
@@ -40,13 +41,17 @@
 	return f.ofJob[job]
 }
 
-// setTargets lists targets by their pool.
+// setTargets lists targets by their pool. Those that stand still add no capacity.
 func (d *manyPools) setTargets(pools map[string]int) {
 	var list []fleet.Target
 	capacities := make(map[int]int64)
 	for id, at := range pools {
 		list = append(list, fleet.Target{ID: id, Service: "s", DC: dcName(at), Capacity: structs.Resources{MilliCPU: 1000}})
-		capacities[at] += 1000
+		d.busy.mu.Lock()
+		if !d.busy.target(id).still {
+			capacities[at] += 1000
+		}
+		d.busy.mu.Unlock()
 	}
 	for _, n := range d.nodes {
 		n.SetTargets(list, time.Now())
@@ -80,15 +85,15 @@
 }
 
 // loseLeader ends the process of the entry that leads a pool, and waits until the others follow another one, and its capacity.
-func (d *manyPools) loseLeader(pool int, capacity int64) {
-	lost := d.nodes[pool]
-	d.nodes = append(d.nodes[:pool:pool], d.nodes[pool+1:]...)
+func (d *manyPools) loseLeader(at int, capacity int64) {
+	lost := d.nodes[at]
+	d.nodes = append(d.nodes[:at:at], d.nodes[at+1:]...)
 	lost.Close()
 	for _, n := range d.nodes {
 		d.eventually("the pool has another leader", func() bool {
 			return n.ask(func() int {
-				v := n.poolViews()[pool]
-				if leader := n.shards[pool].decision.Leader; leader == "" || leader == lost.cfg.Self.Name || v.capacity != capacity {
+				v := n.poolViews()[at]
+				if leader := n.shards[at].decision.Leader; leader == "" || leader == lost.cfg.Self.Name || v.capacity != capacity {
 					return 0
 				}
 				return 1
@@ -148,6 +153,45 @@
 	}
 }
 
+// Guards against a second run in another pool, whose leader knows nothing of a run on a target that stands still. The
+// job's home is the pool of the first attempt, that of the second one, or a third one, whose leader is lost meanwhile or not.
+func TestJobThatComesAgainAtAnotherPoolWaitsForItsOpenRun(t *testing.T) {
+	for _, c := range []struct {
+		home, again int // the second entry: that of the first attempt, 1, or another one
+		lose        int // the entry that is lost, 0 if none is
+	}{{home: 0, again: 1}, {home: 0, again: 2}, {home: 1, again: 1}, {home: 1, again: 2}, {home: 2, again: 1}, {home: 2, again: 2}, {home: 2, again: 1, lose: 2}, {home: 2, again: 0, lose: 2}} {
+		t.Run(fmt.Sprintf("home %d, again at entry %d, loss of %d", c.home, c.again, c.lose), func(t *testing.T) {
+			t.Parallel()
+			d := startManyPools(t, 3)
+			d.setTargets(map[string]int{"a": 0})
+			job := preferring(c.home, 3)
+			first, again := d.nodes[1], d.nodes[c.again]
+			d.awaitChoice(first, job, 0)
+			answer := make(chan verdict.Verdict, 1)
+			go func() { answer <- d.attempt(first, job) }()
+			still := d.standStill(job)
+			assert.Equal(t, <-answer, verdict.MayHaveRun)
+			ended := time.Now()
+			d.setTargets(map[string]int{"a": 0, "b": 1, "c": 1})
+			if c.lose > 0 {
+				d.loseLeader(c.lose, 0)
+			}
+			d.awaitChoice(again, job, 1)
+			time.Sleep(time.Until(ended.Add(callerPause)))
+			for range 2 {
+				assert.Equal(t, d.attempt(again, job), verdict.MayHaveRun)
+			}
+			d.noOverlaps()
+			assert.Equal(t, d.busy.startsOf(job), 1)
+
+			d.busy.setStill(still, false)
+			d.submit(again, job)
+			d.eventually("the job runs again", func() bool { return d.busy.startsOf(job) == 2 })
+			d.noOverlaps()
+		})
+	}
+}
+
 // leave gives up a pending job that another leader has had.
 func (n *Node) leave(now time.Duration, job string) {
 	n.keepQuestion(now, &pendingJob{job: patientJob(job), arrived: now, sentTo: "other", pool: 0})
@@ -202,3 +246,46 @@
 		return 0
 	})
 }
+
+// Guards against a leader of the home that does not answer for a moment: a job that it has told to wait for open runs was cleared
+// after a second.
+func TestJobThatWaitsForOpenRunsIsNotClearedSinceItsHomeDoesNotAnswer(t *testing.T) {
+	n, _ := startNode(t)
+	n.SetLayout(fleet.Layout{Version: 1, Targets: 2, Pools: []fleet.Scope{{}, {}}})
+	job := callerJob(preferring(1, 2), attemptTimeout)
+	n.ask(func() int {
+		now := n.now()
+		p := &pendingJob{job: job, pool: -1, arrived: now, waiters: []waiter{{done: make(chan fleet.Outcome, 1)}}}
+		n.pending[job.ID] = p
+		home := pool.New(pool.DefaultSettings(), nil)
+		home.SetTargets(now, []fleet.Target{{ID: "stands still", Service: "s"}})
+		home.BecomeLeader(now, 1)
+		assert.Check(t, home.NoteLeft(now, pool.LeftNote{Coordinator: "e", Job: job.ID, VouchedAgo: pool.DefaultTakeoverDelay}))
+		n.homeAnswered(now, p, "other", home.ClaimElsewhere(now, "self", job.ID, now+time.Minute)-now)
+		n.shards[1].decision.Leader, n.shards[1].decision.Leading = "other", false // answers nothing more
+		for ; now < p.arrived+attemptTimeout+pool.CoordinatorGrace; now += homeClaimPause {
+			assert.Check(t, !n.clearedByHome(now, n.shards[0], p), "cleared after %v", now-p.arrived)
+		}
+		delete(n.pending, job.ID)
+		return 0
+	})
+}
+
+// Guards against jobs that wait for the answer of a leader whose release gives none, or which is lost for good.
+func TestOpenRunsDoNotCountForEverWhereNobodyAnswers(t *testing.T) {
+	n, _ := startNode(t)
+	n.ask(func() int {
+		now, s := n.now(), n.shards[0]
+		n.leave(now, "a")
+		q := n.questions.of("a")
+		s.decision.Leader = ""
+		assert.Check(t, n.openFor(now, q) == pool.OpenFor)
+		assert.Check(t, n.openFor(now+pool.OpenFor, q) == 0)
+		s.decision.Leader = "other"
+		n.vouching.greeted["other"] = true
+		assert.Check(t, n.openFor(now, q) == q.leasesEnd()-now)
+		n.takesLeftJobs["other"] = true
+		assert.Check(t, n.openFor(now, q) == pool.OpenFor)
+		return 0
+	})
+}
--- a/internal/pool/elsewhere.go
+++ b/internal/pool/elsewhere.go
@@ -80,7 +80,7 @@
 		over, open = max(over, p.runsOver(j)), open || slices.ContainsFunc(j.openRuns(), onLostTarget)
 	}
 	if open {
-		over = max(over, now+openClaim)
+		over = max(over, now+OpenFor)
 	}
 	return over
 }
--- a/internal/pool/elsewhere_test.go
+++ b/internal/pool/elsewhere_test.go
@@ -105,6 +105,7 @@
 // Runs that a former leader may have of a job ended with the memory of the job.
 func TestClaimCountsTheRunsOfFormerLeaders(t *testing.T) {
 	b := newHarness(t, 1)
+	b.tick(0) // all targets are owned, and so have shown the runs of former leaders
 	over := b.now + DefaultTakeoverDelay - 100*ms
 	b.p.Submit(b.now, Submit{
 		Coordinator: "e1", Job: jobOf("j", patientQueue(), 1, 14000, 60*ms), NeedsVouch: true, HeartbeatAt: b.now,
--- a/internal/pool/evidence.go
+++ b/internal/pool/evidence.go
@@ -15,8 +15,9 @@
 //   - an answer, or renewals of its row in the platform's list, from after the end of the leases: its process has run since,
 //   - its row is gone from the list and its VM accepts no connection: the platform says that it is to be taken for gone.
 
-// openClaim is how long open runs are said to last at least, to those who ask again before that.
-const openClaim = time.Second
+// OpenFor is how long open runs are said to last at least, to those who ask or are told again before that. It is longer than
+// the callers of best-effort jobs wait for an answer, so that one who hears nothing more starts no other run for them.
+const OpenFor = 5 * time.Second
 
 // lifeSigns is what shows until when the process of a target has run at least.
 type lifeSigns struct {
