Claims at a new leader of a home count runs that its targets have reported

What callers could see: a second run in another pool while the first one was on a target of its home. Cause: a claim looked at the jobs and the memory of the leader, but a new one has neither, only the reports of its targets. It stops a run whose job it does not know, but the target may stand still before the stop arrives.

Evidence: TestClaimAtANewLeaderCountsOpenRunsThatTargetsHaveReported failed before: "cleared 9.98s before the target goes on". Found by reading, not seen in a play.

Such runs count as open now until the target shows that they are over. TestClaimAtANewLeaderCountsTheRunsOfWhichACoordinatorHasTold covers the other source, the question of a coordinator; it passes without this change.

--- a/internal/pool/elsewhere.go
+++ b/internal/pool/elsewhere.go
@@ -75,7 +75,7 @@
 	p.NoteElsewhere(now, coordinator, id, until)
 	p.askToGiveUp(now, coordinator, id)
 	left := p.leftRuns[id]
-	over, open := max(p.elsewhereUntil(id, coordinator), left.until), p.isOpen(&left)
+	over, open := max(p.elsewhereUntil(id, coordinator), left.until), p.isOpen(&left) || len(p.unclaimedRuns[id]) > 0
 	if j := p.jobs[id]; j != nil {
 		over, open = max(over, p.runsOver(j)), open || slices.ContainsFunc(j.openRuns(), onLostTarget)
 	}
--- a/internal/pool/noted_test.go
+++ b/internal/pool/noted_test.go
@@ -178,3 +178,42 @@
 	}
 	assert.Equal(t, len(b.p.leftRuns), 0)
 }
+
+// Guards against a claim that a new leader of the home clears while a run is open that only its targets have shown: the leader has stopped
+// it, and the target stands still since.
+func TestClaimAtANewLeaderCountsOpenRunsThatTargetsHaveReported(t *testing.T) {
+	b := newNextLeader(t, 0)
+	run := fleet.Running{Task: fleet.TaskID{Job: "j"}, Run: 1}
+	for _, h := range takeEffects[fleet.Hold](b.harness) {
+		if h.Target.ID == "t00" {
+			b.acceptHold(h, []fleet.Running{run}, nil)
+		} else {
+			b.acceptHold(h, nil, nil)
+		}
+	}
+	b.goesOn = b.now + 10*time.Second
+	claim := func() time.Duration { return b.p.ClaimElsewhere(b.now, "e2", "j", b.now+time.Minute) - b.now }
+	for b.now < b.goesOn-100*ms {
+		b.step()
+		assert.Assert(t, claim() > 0, "cleared %v before the target goes on", b.goesOn-b.now)
+	}
+	for range 50 {
+		b.step()
+	}
+	assert.Assert(t, claim() <= 0, "the run is over")
+}
+
+// Guards against a claim that a new leader of the home clears while a target stands still that may have a run of the job.
+func TestClaimAtANewLeaderCountsTheRunsOfWhichACoordinatorHasTold(t *testing.T) {
+	b := newNextLeader(t, 8*time.Second)
+	b.p.NoteLeft(b.now, LeftNote{Coordinator: "e1", Job: "j", VouchedAgo: time.Second})
+	claim := func() time.Duration { return b.p.ClaimElsewhere(b.now, "e2", "j", b.now+time.Minute) - b.now }
+	for b.now < b.goesOn-100*ms {
+		b.step()
+		assert.Assert(t, claim() >= OpenFor, "%v before the target goes on", b.goesOn-b.now)
+	}
+	for range 50 {
+		b.step()
+	}
+	assert.Assert(t, claim() <= 0, "the run is over")
+}
