--- a/internal/node/home.go
+++ b/internal/node/home.go
@@ -19,11 +19,13 @@
 type homeKind uint8
 
 const (
-	homeNote     homeKind = iota + 1 // to the leader: the sender has the job in another pool
-	homeClaim                        // the same, before it submits the job there; wants an answer
-	homeAnswer                       // of the leader to a claim
-	homeGone                         // to the leader: the sender has given the job up
-	homeReturned                     // of the leader: another entry has the job from its caller
+	homeNote       homeKind = iota + 1 // to the leader: the sender has the job in another pool
+	homeClaim                          // the same, before it submits the job there; wants an answer
+	homeAnswer                         // of the leader to a claim
+	homeGone                           // to the leader: the sender has given the job up
+	homeReturned                       // of the leader: another entry has the job from its caller
+	homeLeft                           // to the leader of a pool: are runs open of jobs that had left it
+	homeLeftAnswer                     // of the leader to that
 )
 
 // homeBody is the body of wire.PoolHome.
@@ -35,6 +37,10 @@
 	Layout uint64 `cbor:"4,keyasint,omitempty"`
 	// For is how long the sender's runs of the job may be at work, or in an answer those of other entries.
 	For time.Duration `cbor:"5,keyasint,omitempty"`
+	// Left are the jobs of a homeLeft, which names no other, and of the answer. HeartbeatAt is SentAt of the receiver's last
+	// heartbeat, 0 if there was none.
+	Left        []leftJob     `cbor:"6,keyasint,omitempty"`
+	HeartbeatAt time.Duration `cbor:"7,keyasint,omitempty"`
 }
 
 const (
@@ -71,7 +77,7 @@
 
 // submit submits a job to a pool, unless it has to wait for the word of its home pool or for earlier runs.
 func (n *Node) submit(now time.Duration, s *shard, p *pendingJob) {
-	if n.clearedByHome(now, s, p) {
+	if !n.awaitsOpenRuns(now, s, p) && n.clearedByHome(now, s, p) {
 		n.submitTo(now, s, p)
 	}
 }
@@ -155,8 +161,13 @@
 	}
 }
 
-// repeatHomeNotes tells the new leader of a pool which jobs that have their home there are in others.
+// repeatHomeNotes tells the new leader of a pool which jobs that have their home there are in others, or have open runs there.
 func (n *Node) repeatHomeNotes(now time.Duration, s *shard) {
+	for _, q := range n.questions.all() {
+		if homePool(q.job, len(n.shards)) == s.index && n.questionOverdue(now, q) == "" {
+			n.noteOpenAtHome(now, q)
+		}
+	}
 	for id, p := range n.pending {
 		if p.home.claimed && homePool(id, len(n.shards)) == s.index {
 			n.noteHome(now, p)
@@ -169,12 +180,17 @@
 	for _, s := range n.shards {
 		if s.decision.Leader == leader {
 			n.repeatHomeNotes(now, s)
+			n.tellOfOpenRuns(now, s)
 		}
 	}
 }
 
-// leaveHome tells the leader of a job's home that this entry has given the job up.
+// leaveHome tells the leader of a job's home that this entry has given the job up, or that its runs are open.
 func (n *Node) leaveHome(now time.Duration, p *pendingJob) {
+	if q := n.openElsewhere(p.job.ID); q != nil {
+		n.noteOpenAtHome(now, q)
+		return
+	}
 	if p.home.claimed {
 		n.tellHome(now, n.shards[homePool(p.job.ID, len(n.shards))], p, homeGone, n.runsLastFor(now, p))
 	}
@@ -207,6 +223,9 @@
 	case homeReturned:
 		n.giveUpReturned(now, from, b)
 		return
+	case homeLeftAnswer:
+		n.questionsAnswered(now, from, b.Left)
+		return
 	}
 	if b.Layout != n.layout.Version || b.Pool < 0 || b.Pool >= len(n.shards) || !n.shards[b.Pool].pool.Leading() {
 		return
@@ -221,6 +240,8 @@
 		until := home.ClaimElsewhere(now, from, b.Job, now+b.For)
 		b.Kind, b.For = homeAnswer, max(until-now, 0)
 		n.sendHome(now, from, b)
+	case homeLeft:
+		n.answerQuestions(now, from, home, b)
 	}
 }
 
@@ -236,6 +257,9 @@
 	b.Kind, b.For = homeGone, pool.DefaultTakeoverDelay
 	p := n.pending[b.Job]
 	if p == nil || p.relayFor != "" {
+		if q := n.openElsewhere(b.Job); q != nil {
+			b.For = n.openFor(now, q)
+		}
 		n.sendHome(now, from, b)
 		return
 	}
@@ -245,5 +269,8 @@
 	n.leaveLeader(now, p, callerGone)
 	p.home.claimed = false // told here
 	n.settle(now, b.Job, fleet.Outcome{Verdict: verdict.MayHaveRun, Reason: verdict.Resubmitted})
+	if q := n.openElsewhere(b.Job); q != nil {
+		b.For = n.openFor(now, q)
+	}
 	n.sendHome(now, from, b)
 }
--- a/internal/node/jobs.go
+++ b/internal/node/jobs.go
@@ -33,6 +33,7 @@
 	relays       int                      // how many entries have relayed the job, this one included
 	suspicions   fleet.Suspicions         // against its tasks, as the last leader has told
 	home         atHome                   // what its home pool has told, if the job goes to another one
+	awaitsOpen   bool                     // it has waited for runs that are open in another pool
 	moveTo       int                      // number (from 1) of the pool that it goes to after another has rejected it, 0 if none
 }
 
@@ -356,6 +357,9 @@
 		return
 	}
 	delete(n.pending, id)
+	if o.Verdict == verdict.MayHaveRun {
+		n.keepQuestion(now, p)
+	}
 	n.leaveHome(now, p)
 	n.log.Info("answer", "job", id, "queue", p.job.Queue.Name, "verdict", o.Verdict.String(), "reason", o.Reason,
 		"from", p.sentTo, "ms", (now - p.arrived).Milliseconds(), "retry_after_ms", o.RetryAfter.Milliseconds())
