--- a/internal/pool/elsewhere.go
+++ b/internal/pool/elsewhere.go
@@ -75,6 +75,9 @@
 	p.NoteElsewhere(now, coordinator, id, until)
 	p.askToGiveUp(now, coordinator, id)
 	left := p.leftRuns[id]
+	if p.formerShown < left.formerRunsEnd {
+		p.formerShown = p.formerRunsShownByAll(now) // targets may have been acquired since the last tick
+	}
 	over, open := max(p.elsewhereUntil(id, coordinator), left.until), p.isOpen(&left) || len(p.unclaimedRuns[id]) > 0
 	if j := p.jobs[id]; j != nil {
 		over, open = max(over, p.runsOver(j)), open || slices.ContainsFunc(j.openRuns(), onLostTarget)
--- a/internal/pool/evidence.go
+++ b/internal/pool/evidence.go
@@ -121,6 +121,15 @@
 	return max(t.lastOwnedAt, t.signs.aliveAt())
 }
 
+// formerRunsShownByAll returns the latest time for which all targets have shown that.
+func (p *Pool) formerRunsShownByAll(now time.Duration) time.Duration {
+	shown := forever
+	for _, t := range p.sortedTargets {
+		shown = min(shown, p.formerRunsShownOn(now, t))
+	}
+	return shown
+}
+
 // formerRunsShown reports whether all targets have shown the runs that former owners had until the given time, or that they are over. If not, the
 // targets are asked.
 func (p *Pool) formerRunsShown(now, until time.Duration) bool {
--- a/internal/pool/noted.go
+++ b/internal/pool/noted.go
@@ -32,7 +32,7 @@
 		return p.hasOpenRuns(now, n.Job)
 	}
 	if now >= until {
-		p.formerRunsShown(until) // asks the targets
+		p.formerRunsShown(now, until) // asks the targets
 	}
 	if j != nil {
 		p.awaitNoted(now, j, until)
--- a/internal/pool/ownership.go
+++ b/internal/pool/ownership.go
@@ -214,9 +214,8 @@
 // releaseExpired releases the runs on targets that are not owned once all their leases
 // have expired, the targets have had time to end them, and there is evidence that they have.
 func (p *Pool) releaseExpired(now time.Duration) {
-	p.formerShown, p.contactsDue = forever, false
+	p.formerShown, p.contactsDue = p.formerRunsShownByAll(now), false
 	for _, t := range p.sortedTargets {
-		p.formerShown = min(p.formerShown, p.formerRunsShownOn(now, t))
 		p.contactsDue = p.contactsDue || now < p.leadingSince+contactWait && t.listed && !t.owned && !t.contactShown
 		if t.owned {
 			t.lastOwnedAt, t.lapse = now, lapseContact{}
