What a review of the rule of evidence found

- Answers counted for the runs of former leaders though the leases there last on: the clock of a VM that was suspended stood still.
An answer counts once the target's clock is past the first one of this leadership by a lease.
- A second renewal of a row may be sent just as the target goes on, where the first one was on its way for long: a third one is waited for.
- A target whose row can't be used, or that a layout moves, counted as gone; versions of rows that can't be used counted as renewals.
Gone is now a row that the last read lacks.
- A silent target whose row is gone was forgotten while jobs waited for the runs of former leaders there.
Stored jobs still end that wait with the row.
- What the address in a wrong row had shown counted for the target; one that is listed no more is asked at its own address.
- Runs of gang members that another member's end has completed were forgotten with their job; stops to a silent target were sent each 0.1 s.

--- a/internal/node/directory.go
+++ b/internal/node/directory.go
@@ -194,7 +194,7 @@
 }
 
 // ObserveRenewals records the versions of the targets' rows, by ID, that a read of the platform's list shows which was sent
-// at the given time. Targets renew their rows while they run.
+// at the given time, 0 for rows that can't be used. Targets renew their rows while they run.
 func (n *Node) ObserveRenewals(versions map[string]uint64, at time.Time) {
 	n.post(func(time.Duration) {
 		for _, s := range n.shards {
--- a/internal/pool/evidence.go
+++ b/internal/pool/evidence.go
@@ -12,7 +12,7 @@
 //
 //   - the target's own report, or another life that answers at its address,
 //   - a connection that the kernel of its VM refuses, since nothing listens there,
-//   - an answer, or renewals of its row in the platform's list, from after the end of the leases: its process has run since,
+//   - an answer, or renewals of its row in the platform's list, from after the end of the leases by its own clock: its process has run since,
 //   - its row is gone from the list and its VM accepts no connection: the platform says that it is to be taken for gone.
 
 // OpenFor is how long open runs are said to last at least, to those who ask or are told again before that. It is longer than
@@ -23,6 +23,7 @@
 type lifeSigns struct {
 	answeredAt time.Duration // when the last hold was sent that this incarnation has answered
 	answeredMS int64         // the latest clock in such an answer, 0 if unknown
+	firstMS    int64         // the first one in this leadership
 	refused    bool          // since its last answer, the kernel of its VM has refused a connection
 	row        renewals
 	// otherAnswered is set if another target has answered last at the address at which this one is listed.
@@ -33,31 +34,38 @@
 type renewals struct {
 	version uint64
 	readAt  time.Duration // when the last read that shows the version was sent, 0 before the first
-	// unseenAt is when the last read was sent that does not show the version yet. So it was written after that.
-	unseenAt time.Duration
-	// aliveAt is a time after which the target has written its row. A write that was seen since may have been on
-	// its way, the one after it was sent when that was done.
+	// unseenAt is when the last read was sent that does not show the version yet, so that it arrived after that; before is
+	// unseenAt of the version before.
+	unseenAt, before time.Duration
+	// aliveAt is a time after which the target has run for longer than any lease, by its own clock: the first write that arrived after that may have
+	// been on its way, the next one was sent when that was done, and the third one a heartbeat later.
 	aliveAt time.Duration
+	present bool // the last read has the row, whether it can be used or not
 }
 
 // observe records the version of the row that a read shows which was sent at the given time.
 func (r *renewals) observe(version uint64, readAt time.Duration) {
 	if version != r.version {
-		r.aliveAt, r.unseenAt, r.version = max(r.aliveAt, r.unseenAt), r.readAt, version
+		r.aliveAt, r.before, r.unseenAt, r.version = max(r.aliveAt, r.before), r.unseenAt, r.readAt, version
 	}
 	r.readAt = max(r.readAt, readAt)
 }
 
 // ObserveRenewals records the versions of the targets' rows, by ID, as a read of the platform's list shows them that was
-// sent at the given time.
+// sent at the given time. The version of a row that can't be used is 0.
 func (p *Pool) ObserveRenewals(readAt time.Duration, versions map[string]uint64) {
 	for _, t := range p.sortedTargets {
-		if v := versions[t.ID]; v != 0 {
+		v, present := versions[t.ID]
+		t.signs.row.present = present
+		if v != 0 {
 			t.signs.row.observe(v, readAt)
 		}
 	}
 }
 
+// isGone reports whether the platform's list shows that the target is gone.
+func (p *Pool) isGone(t *target) bool { return !t.listed && !t.signs.row.present }
+
 // note records what the answer to a hold that was sent to an address at the given time shows.
 func (s *lifeSigns) note(sent time.Duration, t *target, addr string, rep *fleet.HoldReply) {
 	switch {
@@ -69,11 +77,20 @@
 	default:
 		s.answeredAt, s.answeredMS, s.refused = max(s.answeredAt, sent), max(s.answeredMS, rep.ClockMS), false
 		s.otherAnswered = false
+		if s.firstMS == 0 {
+			s.firstMS = rep.ClockMS
+		}
 	}
 }
 
-// aliveAt returns a time at or after which the target's process has run.
-func (s *lifeSigns) aliveAt() time.Duration { return max(s.answeredAt, s.row.aliveAt) }
+// outlivedLeases returns a time until which the leases of former leaders have been granted that are over by the target's own clock.
+func (t *target) outlivedLeases(lease time.Duration) time.Duration {
+	s := &t.signs
+	if s.firstMS != 0 && s.answeredMS < s.firstMS+(lease+timeToEnd).Milliseconds() {
+		return s.row.aliveAt // the clock of a suspended VM stood still
+	}
+	return max(s.answeredAt, s.row.aliveAt)
+}
 
 // endedRuns reports whether the target has run since its leases have expired, at the given time, and so has ended the runs.
 func (t *target) endedRuns(end time.Duration) bool {
@@ -104,7 +121,7 @@
 	case !p.cfg.RowsRenewed:
 		return true
 	}
-	return !t.listed && (t.contactKnown || t.signs.otherAnswered)
+	return p.isGone(t) && (t.contactKnown || t.signs.otherAnswered)
 }
 
 // formerRunsShownOn returns the latest time for which a target has shown the runs that former owners had there until then,
@@ -112,13 +129,25 @@
 func (p *Pool) formerRunsShownOn(now time.Duration, t *target) time.Duration {
 	asked := t.contactShown || now >= p.leadingSince+contactWait
 	switch {
-	case t.owned || t.replaced || t.signs.refused || !t.listed:
+	case t.owned || t.replaced || t.signs.refused || p.isGone(t) && !t.silent:
 		return forever
 	case t.silent || !asked:
-	case !p.cfg.RowsRenewed || t.listedAt > p.leadingSince+contactWait:
+	case !p.cfg.RowsRenewed:
 		return forever
 	}
-	return max(t.lastOwnedAt, t.signs.aliveAt())
+	return max(t.lastOwnedAt, t.outlivedLeases(p.cfg.Lease))
+}
+
+// formerRunsShownByListed is formerRunsShownByAll but for targets that are gone by the platform's list. The record of a stored job names the open
+// runs that are known there.
+func (p *Pool) formerRunsShownByListed(now time.Duration) time.Duration {
+	shown := forever
+	for _, t := range p.sortedTargets {
+		if !p.isGone(t) {
+			shown = min(shown, p.formerRunsShownOn(now, t))
+		}
+	}
+	return shown
 }
 
 // formerRunsShownByAll returns the latest time for which all targets have shown that.
@@ -147,7 +176,7 @@
 		return
 	}
 	waitedFor := p.cfg.RowsRenewed && p.formerWanted > 0 && now < p.formerWantedAt+reacquireBackoff
-	wanted := t.listed && waitedFor && now >= p.formerWanted && t.signs.aliveAt() < p.formerWanted
+	wanted := waitedFor && now >= p.formerWanted && p.formerRunsShownOn(now, t) < p.formerWanted
 	if wanted || !t.listed && len(t.runs) > 0 {
 		if !t.listed {
 			t.Addr = t.ownAddr // its last row may have named another one
@@ -171,14 +200,21 @@
 // openRuns returns the runs of earlier attempts at a job, or of the job itself, that are not over.
 func (j *job) openRuns() []*run {
 	open := j.currentRuns()
-	for _, r := range j.leftRuns {
-		if r.isOpen() {
-			open = append(open, r)
+	for _, runs := range [...][]*run{j.leftRuns, j.passedOver} {
+		for _, r := range runs {
+			if r.isOpen() {
+				open = append(open, r)
+			}
 		}
 	}
 	return open
 }
 
+// awaitsSigns reports whether jobs wait, or have waited lately, for what the target shows.
+func (p *Pool) awaitsSigns(now time.Duration, t *target) bool {
+	return p.formerWanted > 0 && now < p.formerWantedAt+OpenFor && p.formerRunsShownOn(now, t) < p.formerWanted
+}
+
 // isOpen reports whether there is no evidence yet that the run is over.
 func (r *run) isOpen() bool { return r.target.runs[r.key()] == r }
 
--- a/internal/pool/former.go
+++ b/internal/pool/former.go
@@ -107,7 +107,7 @@
 	default:
 		over = max(over, p.stored.recall.since+recallWait(nil))
 	}
-	return p.formerRunsShown(now, over)
+	return p.formerRunsShown(now, over) || p.formerRunsShownByListed(now) >= over
 }
 
 // seesFormerTargets reports whether all targets on which former owners could start runs are listed, and owned or known to be over.
--- a/internal/pool/gang.go
+++ b/internal/pool/gang.go
@@ -108,6 +108,9 @@
 		if tk.state == taskWaiting {
 			j.waiting--
 		}
+		if tk.currentRun != nil {
+			j.passedOver = append(j.passedOver, tk.currentRun)
+		}
 		tk.currentRun, tk.state = nil, taskDone
 		j.remaining[tk.id.Step]--
 	}
--- a/internal/pool/job.go
+++ b/internal/pool/job.go
@@ -72,6 +72,7 @@
 	departureIndex      int           // in the heap of the pool
 	earlier             []earlierCoordinator
 	leftRuns            []*run // of earlier attempts, while these are not over
+	passedOver          []*run // of tasks that other runs have completed
 	lostRun             bool   // a run on a target out of reach was taken for over
 	movedAway           bool   // its coordinator submits it to another owner
 	withdrawn           bool   // its runs may continue until withdrawnUntil only
--- a/internal/pool/report.go
+++ b/internal/pool/report.go
@@ -223,6 +223,7 @@
 	}
 	if tk.currentRun != nil {
 		p.stopRun(now, tk.currentRun, "another run completed the task")
+		tk.job.passedOver = append(tk.job.passedOver, tk.currentRun)
 		tk.currentRun = nil
 	}
 	p.taskDone(now, tk)
--- a/internal/pool/run.go
+++ b/internal/pool/run.go
@@ -49,6 +49,8 @@
 	// stopRetryPause is the pause before a stop is sent again for a run that is not
 	// reported as over.
 	stopRetryPause = 100 * time.Millisecond
+	// silentStopRetryPause replaces it for a target that stands still.
+	silentStopRetryPause = time.Second
 	// staleRunStep is added to the task's run number after a target has rejected the
 	// number as stale.
 	staleRunStep = 64
@@ -162,8 +164,11 @@
 
 // stopRun sends a stop for a run, but not again within stopRetryPause.
 func (p *Pool) stopRun(now time.Duration, r *run, reason string) {
-	stopped := r.state == runStopping || r.state == runStopAccepted
-	if stopped && now < r.stopAt+stopRetryPause {
+	stopped, pause := r.state == runStopping || r.state == runStopAccepted, stopRetryPause
+	if r.target.silent {
+		pause = silentStopRetryPause
+	}
+	if stopped && now < r.stopAt+pause {
 		return
 	}
 	if !stopped {
--- a/internal/pool/target.go
+++ b/internal/pool/target.go
@@ -24,7 +24,6 @@
 	lapse          lapseContact
 	signs          lifeSigns
 	signsAskedAt   time.Duration // when it was last asked for a sign of life
-	listedAt       time.Duration // when discovery first listed it
 	contactShown   bool          // has shown since the leadership began whether it is silent
 	contactKnown   bool          // an unanswered hold has shown since it was last owned whether it is silent
 	lastContact    string        // what its last hold has shown of it, for the log
@@ -189,6 +188,7 @@
 	for _, t := range slices.Clone(p.sortedTargets) {
 		if !present[t.ID] && t.listed {
 			t.listed = false
+			p.askAfterUnlisting(t)
 			if !t.replaced && !addrs[t.Addr] { // a successor at its address, once owned, proves that it is over
 				p.lastUnlistedAt = now
 			}
@@ -198,6 +198,18 @@
 	p.tickRecall(now) // a target that has left is not waited for
 }
 
+// askAfterUnlisting makes a lost target that is not listed any more show again whether its VM accepts connections, at its own
+// address: the row may have named another one.
+func (p *Pool) askAfterUnlisting(t *target) {
+	if !p.cfg.RowsRenewed || t.owned {
+		return
+	}
+	if t.Addr != t.ownAddr {
+		t.Addr, t.silent, t.signs.otherAnswered = t.ownAddr, false, false
+	}
+	t.contactKnown, t.signsAskedAt = false, 0
+}
+
 // addTarget adds a target that discovery listed for the first time.
 func (p *Pool) addTarget(info fleet.Target, now time.Duration) *target {
 	for _, o := range p.sortedTargets {
@@ -213,7 +225,7 @@
 
 // insertTarget adds a target that is not known.
 func (p *Pool) insertTarget(info fleet.Target, now time.Duration) *target {
-	t := &target{Target: info, nextAcquireAt: now, listedAt: now, ownAddr: info.Addr, health: newHealth()}
+	t := &target{Target: info, nextAcquireAt: now, ownAddr: info.Addr, health: newHealth()}
 	t.reset()
 	p.targets[info.ID] = t
 	at, _ := slices.BinarySearchFunc(p.sortedTargets, info.ID, func(t *target, id string) int { return strings.Compare(t.ID, id) })
@@ -254,7 +266,7 @@
 // could still be running.
 func (p *Pool) removeUnlisted(now time.Duration) {
 	for _, t := range slices.Clone(p.sortedTargets) {
-		if t.listed || len(t.runs) > 0 {
+		if t.listed || len(t.runs) > 0 || (t.silent || !p.isGone(t)) && p.awaitsSigns(now, t) {
 			continue
 		}
 		delete(p.targets, t.ID)
