Targets of the node tests report the runs that they have accepted

TestDuplicateOfARelayedJobJoinsIt failed with GOMAXPROCS=1: "the leader has ended the job by the first deadline".

Cause: the stand-in, not the leader's deadline. idleTargets accepted each start, answered each hold at once and reported no runs, which no target does.

The nodes of these tests now have busyTargets, whose runs last until they are stopped or the lease ends, whose holds wait as asked, and which were there for the tests of several pools. No check is changed: the same values are asserted.

Open: the entry starts a task again without a pause for as long as its target accepts starts and reports none of them.

--- a/internal/node/again_test.go
+++ b/internal/node/again_test.go
@@ -115,6 +115,17 @@
 	return f.starts[id]
 }
 
+// started returns how many runs were started.
+func (f *busyTargets) started() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	started := 0
+	for _, n := range f.starts {
+		started += n
+	}
+	return started
+}
+
 // manyPools is a deployment with a pool for each data centre, each led by the entry there.
 type manyPools struct {
 	t     *testing.T
--- a/internal/node/caller_test.go
+++ b/internal/node/caller_test.go
@@ -61,7 +61,7 @@
 	assert.Equal(t, o.Verdict, verdict.NotRun)
 	assert.Equal(t, o.Reason, verdict.DeadlinePassed)
 	assert.Assert(t, o.RetryAfter > 0)
-	assert.Equal(t, targets.starts.Load(), int64(0))
+	assert.Equal(t, targets.started(), 0)
 }
 
 // The loop has not noticed the pause yet.
--- a/internal/node/contain_test.go
+++ b/internal/node/contain_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"io"
 	"log/slog"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -18,25 +17,9 @@
 	"currantstall/internal/wire"
 )
 
-// idleTargets accepts every order.
-type idleTargets struct{ starts atomic.Int64 }
-
-func (f *idleTargets) Start(context.Context, fleet.Start) fleet.Reply {
-	f.starts.Add(1)
-	return fleet.Reply{Answer: fleet.Accepted, ClockMS: 1}
-}
-
-func (f *idleTargets) Stop(context.Context, fleet.Stop) fleet.Reply {
-	return fleet.Reply{Answer: fleet.Accepted, ClockMS: 1}
-}
-
-func (f *idleTargets) Hold(context.Context, fleet.Hold) fleet.HoldReply {
-	return fleet.HoldReply{Answer: fleet.Accepted, ClockMS: 1}
-}
-
 // startNode starts a node without peers that leads two targets.
-func startNode(tb testing.TB) (*Node, *idleTargets) {
-	targets := &idleTargets{}
+func startNode(tb testing.TB) (*Node, *busyTargets) {
+	targets := newBusyTargets()
 	n, err := Start(Config{
 		Self: fleet.Member{Name: "self", DC: "dc-1", Addr: "127.0.0.1:1"}, Secret: []byte("a secret of the tests"),
 		Targets: targets, Metrics: metrics.NewNop(), Log: slog.New(slog.NewTextHandler(io.Discard, nil)),
@@ -165,7 +148,7 @@
 		return 0
 	})
 	assert.DeepEqual(t, answers, []fleet.Answer{fleet.NotSent, fleet.NotSent, fleet.NotSent})
-	assert.Equal(t, targets.starts.Load(), int64(0))
+	assert.Equal(t, targets.started(), 0)
 }
 
 // An entry that stepped down had orders in its lane, beside those of its successor.
@@ -181,7 +164,7 @@
 		return 0
 	})
 	assert.Equal(t, got, fleet.NotSent)
-	assert.Equal(t, targets.starts.Load(), int64(0))
+	assert.Equal(t, targets.started(), 0)
 }
 
 // A coordinator whose caller has left must not send the order of a leader that does not
@@ -196,7 +179,7 @@
 		return 0
 	})
 	time.Sleep(50 * time.Millisecond)
-	assert.Equal(t, targets.starts.Load(), int64(0))
+	assert.Equal(t, targets.started(), 0)
 }
 
 // Entries that lead nothing read the list of all targets as often as leaders did, which took
--- a/internal/node/greeting_test.go
+++ b/internal/node/greeting_test.go
@@ -51,7 +51,7 @@
 		self := fleet.Member{Name: name, DC: "dc-1", Addr: via(srv.Listener.Addr().String())}
 		n, err := Start(Config{
 			Self: self, Secret: []byte("a secret of the tests"),
-			Targets: &idleTargets{}, Metrics: metrics.NewNop(), Log: slog.New(slog.NewTextHandler(log, nil)),
+			Targets: newBusyTargets(), Metrics: metrics.NewNop(), Log: slog.New(slog.NewTextHandler(log, nil)),
 		})
 		assert.NilError(t, err)
 		mu.Lock()
--- a/internal/node/home_test.go
+++ b/internal/node/home_test.go
@@ -62,7 +62,7 @@
 func TestDeploymentWithOnePoolClaimsNothing(t *testing.T) {
 	n, targets := startNode(t)
 	go func() { _, _ = n.Submit(t.Context(), callerJob("a", time.Hour), Caller{}) }()
-	for targets.starts.Load() == 0 {
+	for targets.started() == 0 {
 		time.Sleep(time.Millisecond)
 	}
 	assert.Assert(t, !n.hasClaimed("a"))
--- a/internal/node/relay_test.go
+++ b/internal/node/relay_test.go
@@ -24,12 +24,13 @@
 func startChain(t *testing.T, length int) []*Node {
 	nodes, list := make([]*Node, length), make([]fleet.Member, length)
 	var before *httptest.Server // of the entry before
+	targets := newBusyTargets()
 	for i := range nodes {
 		// Other entries can't be dialled: the address that they tell is wrong, and where they
 		// listen, they accept the link to the next entry only.
 		self := fleet.Member{Name: fmt.Sprintf("e%d", i), DC: "dc-1", Addr: "127.0.0.1:1"}
 		n, err := Start(Config{
-			Self: self, Secret: []byte("a secret of the tests"), Targets: &idleTargets{},
+			Self: self, Secret: []byte("a secret of the tests"), Targets: targets,
 			Metrics: metrics.NewNop(), Log: slog.New(slog.NewTextHandler(io.Discard, nil)),
 		})
 		assert.NilError(t, err)
--- a/internal/node/vouch_test.go
+++ b/internal/node/vouch_test.go
@@ -52,11 +52,11 @@
 	receive(t, n, wire.PoolSubmit, submitBody{Job: patientJob("a"), Vouches: true})
 	receive(t, n, wire.PoolVouch, vouchBody{HeartbeatAt: 1 << 60}) // of a heartbeat that was not sent
 	assert.Equal(t, poolJobs(n), 1)
-	assert.Equal(t, targets.starts.Load(), int64(0))
+	assert.Equal(t, targets.started(), 0)
 	now := time.Duration(n.ask(func() int { return int(n.now()) }))
 	receive(t, n, wire.PoolVouch, vouchBody{HeartbeatAt: now})
 	for range 1000 {
-		if targets.starts.Load() > 0 {
+		if targets.started() > 0 {
 			return
 		}
 		time.Sleep(time.Millisecond)
