Test of a mass cancel waits until all tasks are started

TestMassCancelStopsAllTasks failed with "not_run (dial_failed): dial target: i/o timeout" where one core had too little time to open 200 connections within a second.

Cause: the test, not the cancel. A start that can't be dialled is refused as not_run, which is true, and goes to another target, of which the test has none. So it failed before the cancel that it is about. Besides, the test cancelled after 5 s, whether or not all tasks had been started.

Its starts now have a minute to be dialled, and the cancel comes once all 200 tasks run; the test fails if they do not within a minute. The checks are the same: no task runs on, and each is told that it has failed. Tasks that were not started no longer stand aside, so the stops that the test is about are more.

--- a/internal/dispatch/fault_test.go
+++ b/internal/dispatch/fault_test.go
@@ -12,6 +12,7 @@
 	toxiproxy "github.com/Shopify/toxiproxy/v2"
 	"github.com/rs/zerolog"
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 
 	"currantstall/internal/key"
 	"currantstall/internal/platform"
@@ -392,7 +393,7 @@
 	w, err := worker.New(taskserver.Config{})
 	assert.NilError(t, err)
 	t.Cleanup(w.Close)
-	pool := target.NewPool(target.PoolConfig{})
+	pool := target.NewPool(target.PoolConfig{DialTimeout: time.Minute}) // the starts have no other target
 	t.Cleanup(pool.Close)
 	pool.SetShare(w.Addr(), target.ConnShare(0, 1, true))
 	d := New(Config{Targets: pool})
@@ -411,7 +412,12 @@
 			})
 		})
 	}
-	waitStarts([]*taskserver.Server{w}, tasks)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if n := len(w.Starts()); n < tasks {
+			return poll.Continue("%d of %d tasks are started", n, tasks)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(time.Minute), poll.WithDelay(time.Millisecond))
 	cancel()
 	wg.Wait()
 
