A lone member releases the claims that it has no lease for

Callers of an entry that is the only member of its view, whose process had stood still, got may_have_run (lease_lapsed), and then may_have_run (timeout: the deadline passed while another copy of the request was waited for) for each further attempt with the same key. There was no other copy.

Cause: a home that is also the holder and has no backup records the claim at once and grants it to itself. If the grant is then refused (no lease, after the claim timeout, stopping, the caller has left), abortAcquire released only claims that had been sent to another member or were being replicated. The record stayed open, and nobody was to end it: later copies attached to it and waited. Only the expiry of the key ends that.

A claim now counts as sent as soon as the home has been asked, whether that is another member or this one. So the refusal releases it and leaves the refusal mark, as for any other home, and the next copy is granted the claim after the mark.

--- a/internal/ledger/acquire.go
+++ b/internal/ledger/acquire.go
@@ -28,7 +28,7 @@
 	arrivedAt time.Time
 	callIDs   []uint64 // the first is granted the claim, the others wait for its outcome
 	stage     acquireStage
-	claimSent bool // the home may have granted the claim
+	claimSent bool // the home, which may be this member, may have granted the claim
 	claim     *claimState
 }
 
@@ -89,8 +89,8 @@
 // is the home.
 func (l *Ledger) requestClaim(now time.Time, id ID, p *pendingAcquire) {
 	home, backup := l.latestView().homeAndBackup(id)
+	p.claimSent = true
 	if !home.Same(*l.self) {
-		p.claimSent = true
 		l.send(home, Claim{ID: id, Attempt: p.attempt, Digest: p.digest, External: p.external})
 		return
 	}
