A target whose VM has just accepted connections is not gone since these break off

The leader took the first of these for the end of the VM and started the tasks again 0.4 s before the targets went on.

The list says that the process is silent, and accepted connections that its VM is there: they outweigh the list. So such a target is gone only if its VM accepts none for as long as it takes until a row is out of the list. Refused connections, and another target at its address, end its runs at once as before. The case of cut_off_evidence_test.go fails without this.

--- a/internal/pool/cut_off_evidence_test.go
+++ b/internal/pool/cut_off_evidence_test.go
@@ -50,7 +50,13 @@
 		"one was, and one as it goes on":   {reply: notConnected, row: func(now time.Duration) uint64 { return 1 + uint64(min(now/(3*time.Second), 2)) }},
 		"row is gone":                      {reply: notConnected, row: goneFrom(4500 * ms), start: 4500 * ms},
 		"row is gone, accepts connections": {reply: connected, row: goneFrom(4500 * ms)},
-		"runs on, accepts connections":     {reply: connected, row: writesFrom(0), start: 3 * rowWrites},
+		"row is gone, accepts connections for a time": {reply: func(now time.Duration) fleet.HoldReply {
+			if now < 8*time.Second {
+				return connected(now)
+			}
+			return notConnected(now)
+		}, row: goneFrom(4500 * ms), start: 8*time.Second - reacquireBackoff + goneAfter},
+		"runs on, accepts connections": {reply: connected, row: writesFrom(0), start: 3 * rowWrites},
 		"connection ends at once": {reply: func(time.Duration) fleet.HoldReply {
 			return fleet.HoldReply{Answer: fleet.Unanswered, Contact: fleet.ContactUnknown, ProcessGone: true}
 		}, row: standsStill},
--- a/internal/pool/evidence.go
+++ b/internal/pool/evidence.go
@@ -63,8 +63,16 @@
 	}
 }
 
-// isGone reports whether the platform's list shows that the target is gone.
-func (p *Pool) isGone(t *target) bool { return !t.listed && !t.signs.row.present }
+// goneAfter is how long a target has to be without any sign of its VM to be gone: as long as it takes until its row is out of the list.
+const goneAfter = 7 * time.Second
+
+// hasNoRow reports whether the platform's list shows that the target is gone.
+func (t *target) hasNoRow() bool { return !t.listed && !t.signs.row.present }
+
+// isGone reports whether the target is gone: by the platform's list, and unless its VM has accepted a connection lately.
+func (p *Pool) isGone(t *target) bool {
+	return t.hasNoRow() && (t.silentAt == 0 || t.signs.otherAnswered || p.lastTick >= t.silentAt+goneAfter)
+}
 
 // note records what the answer to a hold that was sent to an address at the given time shows.
 func (s *lifeSigns) note(sent time.Duration, t *target, addr string, rep *fleet.HoldReply) {
@@ -143,7 +151,7 @@
 func (p *Pool) formerRunsShownByListed(now time.Duration) time.Duration {
 	shown := forever
 	for _, t := range p.sortedTargets {
-		if !p.isGone(t) {
+		if !t.hasNoRow() {
 			shown = min(shown, p.formerRunsShownOn(now, t))
 		}
 	}
--- a/internal/pool/ownership.go
+++ b/internal/pool/ownership.go
@@ -299,6 +299,9 @@
 		t.contactKnown = rep.Answer == fleet.Unanswered
 		t.askedAgain, t.contactShown = false, true
 		t.silent = rep.Answer == fleet.Unanswered && (rep.Contact == fleet.Connected || rep.Contact == fleet.ContactMissed)
+		if t.silent {
+			t.silentAt = sent
+		}
 	}
 }
 
--- a/internal/pool/target.go
+++ b/internal/pool/target.go
@@ -22,6 +22,7 @@
 	silent         bool // accepts connections and answers nothing: its process may stand still
 	askedAgain     bool // since its last answer, another hold followed at once on one that did not show whether it is silent
 	lapse          lapseContact
+	silentAt       time.Duration // when the last hold was sent that has shown it silent, 0 for none
 	signs          lifeSigns
 	signsAskedAt   time.Duration // when it was last asked for a sign of life
 	contactShown   bool          // has shown since the leadership began whether it is silent
@@ -125,7 +126,7 @@
 	t.runs = make(map[runKey]*run)
 	t.latestLeaseMS, t.wasUnreachable, t.probed = 0, false, false
 	t.silent, t.contactKnown, t.askedAgain, t.contactShown = false, false, false, false
-	t.lastContact = ""
+	t.lastContact, t.silentAt = "", 0
 	t.lapse, t.signsAskedAt = lapseContact{}, 0
 	t.namedOpen, t.namedLeaseMS = false, 0
 	t.signs = lifeSigns{row: t.signs.row}
