--- a/internal/pool/evidence.go
+++ b/internal/pool/evidence.go
@@ -205,34 +205,7 @@
 	return p.otherIncarnation(now, t, rep.Incarnation)
 }
 
-// openRuns returns the runs of earlier attempts at a job, or of the job itself, that are not over.
-func (j *job) openRuns() []*run {
-	open := j.currentRuns()
-	for _, runs := range [...][]*run{j.leftRuns, j.passedOver} {
-		for _, r := range runs {
-			if r.isOpen() {
-				open = append(open, r)
-			}
-		}
-	}
-	return open
-}
-
 // awaitsSigns reports whether jobs wait, or have waited lately, for what the target shows.
 func (p *Pool) awaitsSigns(now time.Duration, t *target) bool {
 	return p.formerWanted > 0 && now < p.formerWantedAt+OpenFor && p.formerRunsShownOn(now, t) < p.formerWanted
 }
-
-// isOpen reports whether there is no evidence yet that the run is over.
-func (r *run) isOpen() bool { return r.target.runs[r.key()] == r }
-
-// hasLeftRuns reports whether runs of earlier attempts at a job are not over.
-func (j *job) hasLeftRuns() bool {
-	for len(j.leftRuns) > 0 && !j.leftRuns[0].isOpen() {
-		j.leftRuns = j.leftRuns[1:]
-	}
-	return len(j.leftRuns) > 0
-}
-
-// onLostTarget reports whether a run is on a target that is not owned.
-func onLostTarget(r *run) bool { return !r.target.owned }
