A question stays open while a copy of its job waits for the run

A copy of a job was attached to it at its leader, where a run of the first attempt was open. The leader then answered the first coordinator that no run is open, since the job was no orphan any more. The coordinator of the copy, the only one left that knew, was cut off together with the leader, and a third attempt started at the next leader.

The question is now answered as open for as long as the job has runs on lost targets.

--- a/internal/pool/noted.go
+++ b/internal/pool/noted.go
@@ -1,6 +1,9 @@
 package pool
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // A leader remembers which runs of a job that has left its pool are open. The next leader does not, so the
 // coordinators tell it of the jobs that they have answered as ones that may have run. Until all targets have shown the
@@ -78,5 +81,5 @@
 		return false
 	}
 	waits := j.mayHaveRunElsewhere && (now < j.formerRunsEnd || p.formerShown < j.formerRunsEnd)
-	return j.orphaned || waits || j.hasLeftRuns()
+	return j.orphaned || waits || j.hasLeftRuns() || slices.ContainsFunc(j.openRuns(), onLostTarget)
 }
--- a/internal/pool/noted_test.go
+++ b/internal/pool/noted_test.go
@@ -217,3 +217,38 @@
 	}
 	assert.Assert(t, claim() <= 0, "the run is over")
 }
+
+// Guards against a question that is closed though the run is open: a copy of the job has been attached to it, and its coordinator
+// may be lost together with the leader.
+func TestQuestionStaysOpenWhileACopyOfItsJobWaitsForTheRun(t *testing.T) {
+	b := newHarness(t, 2)
+	b.p.cfg.RowsRenewed = true
+	j := jobOf("j", queue("q", 0), 1, 20000, 900*ms)
+	j.Timeout, j.CallerLeaves = 1500*ms, true
+	b.submitFrom("e1", j)
+	b.tick(ms)
+	lost := b.acceptStarts()[0].Target.ID
+	begin, back := b.now, false
+	question := LeftNote{Coordinator: "e1", Job: "j", VouchedAgo: 3 * time.Second, HereOnly: true, ArrivedAt: begin}
+	for b.now < begin+8*time.Second {
+		b.tick(10 * ms)
+		if (b.now-begin)%(200*ms) == 0 {
+			b.hear("e1")
+			b.hear("e2")
+		}
+		for _, h := range takeEffects[fleet.Hold](b) {
+			if h.Target.ID != lost {
+				b.acceptHold(h, nil, nil)
+			} else {
+				b.p.HoldDone(b.now, b.now, h, connected(0))
+			}
+		}
+		if !back && b.now >= begin+2800*ms {
+			back = true
+			b.submitFrom("e2", j)
+		}
+		if b.now >= begin+2*time.Second {
+			assert.Assert(t, b.p.NoteLeft(b.now, question), "closed after %v", b.now-begin)
+		}
+	}
+}
