Crowds of jobs and calls beyond the limits of memory

The crowds so far send bodies whose decoded form is small, to entries without targets. New ones send whole bodies of legal size that decode to much more than their bytes, to an entry without targets, to one whose targets have too little room, and to six linked entries; callers that read no answer; and large calls of the product's own interface. Crowds, limits and bounds are those of the other tests: 128 MiB, 400 descriptors, an ordinary request afterwards.

--- a/internal/intake/crowds/process_test.go
+++ b/internal/intake/crowds/process_test.go
@@ -38,11 +38,12 @@
 	pollInterval = 20 * time.Millisecond
 	queueHost    = "queue.example"
 	queuePrefix  = "/unlock/"
+	service      = "svc"
 	peerSecret   = "a secret for the tests alone"
 )
 
-// binary is the path of the built program.
-var binary string
+// binary is the path of the built program, and targetsBinary that of the stand-ins of targets.
+var binary, targetsBinary string
 
 func TestMain(m *testing.M) { os.Exit(runTests(m)) }
 
@@ -53,8 +54,8 @@
 		return 1
 	}
 	defer func() { _ = os.RemoveAll(dir) }()
-	binary = filepath.Join(dir, "currantstall")
-	build := exec.Command("go", "build", "-o", binary, "currantstall/cmd/currantstall")
+	binary, targetsBinary = filepath.Join(dir, "currantstall"), filepath.Join(dir, "soakrun")
+	build := exec.Command("go", "build", "-o", dir+"/", "currantstall/cmd/currantstall", "currantstall/platform/soak/soakrun")
 	build.Stderr = os.Stderr
 	if err := build.Run(); err != nil {
 		fmt.Fprintln(os.Stderr, "build:", err)
@@ -86,6 +87,7 @@
 		_ = p.cmd.Wait()
 		close(p.exited)
 	}()
+	go p.endRunaway()
 	t.Cleanup(func() {
 		_ = p.cmd.Process.Kill()
 		<-p.exited
@@ -96,6 +98,36 @@
 	return p
 }
 
+// runawayMiB is the resident size at which a process is killed, far above the bound, so that a
+// failing test doesn't take the memory of the machine.
+const runawayMiB = 8 * memoryMiB
+
+// endRunaway kills the process if it grows to runawayMiB.
+func (p *process) endRunaway() {
+	for {
+		select {
+		case <-p.exited:
+			return
+		case <-time.After(pollInterval):
+		}
+		if mib, err := residentMiB(p.cmd.Process.Pid, "VmRSS:"); err == nil && mib > runawayMiB {
+			_ = p.cmd.Process.Kill()
+		}
+	}
+}
+
+// residentMiB returns a resident size of a process from a field of its status.
+func residentMiB(pid int, field string) (int, error) {
+	b, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	if err != nil {
+		return 0, err
+	}
+	_, rest, _ := strings.Cut(string(b), field)
+	text, _, _ := strings.Cut(strings.TrimSpace(rest), " ")
+	kib, err := strconv.Atoi(text)
+	return kib / 1024, err
+}
+
 // freeAddrs returns addresses with ports that are free now, below the range from which the
 // kernel chooses ports.
 func freeAddrs(t *testing.T, n int) []string {
@@ -113,31 +145,47 @@
 	return addrs
 }
 
-// startServe starts an entry on the platform's settings.
-func startServe(t *testing.T) *process {
+// startStore starts a stand-in of the platform's store with a configuration in force.
+func startStore(t *testing.T, routes ...map[string]any) *platformd.Server {
 	t.Helper()
 	s, err := platformd.Start("")
 	assert.NilError(t, err)
 	t.Cleanup(func() { _ = s.Close() })
 	s.Store.SetFaults(platformd.Faults{})
-	config, err := json.Marshal(map[string]any{
-		"version": 1, "limits": map[string]any{"max_body_bytes": bodyBytes},
-		"routes": []map[string]any{{"name": "unlock", "host": queueHost, "prefix": queuePrefix, "service": "svc", "prio": 0, "attempts": 4, "stretch": 1.6, "slo_ms": 8000}},
-	})
+	config, err := json.Marshal(map[string]any{"version": 1, "limits": map[string]any{"max_body_bytes": bodyBytes}, "routes": routes})
 	assert.NilError(t, err)
 	s.Store.Put(store.OperatorTable, "config", config)
-	addrs := freeAddrs(t, 3)
+	return s
+}
+
+// route returns the route of a queue. prio 0 is the most urgent.
+func route(name, prefix string, prio int) map[string]any {
+	return map[string]any{"name": name, "host": queueHost, "prefix": prefix, "service": service, "prio": prio, "attempts": 4, "stretch": 1.6, "slo_ms": 8000}
+}
+
+// launchServe starts an entry on the platform's settings.
+func launchServe(t *testing.T, s *platformd.Server, name string, addrs []string) *process {
+	t.Helper()
 	file := filepath.Join(t.TempDir(), "node.yaml")
-	assert.NilError(t, os.WriteFile(file, fmt.Appendf(nil, `node: "entry-1"
+	assert.NilError(t, os.WriteFile(file, fmt.Appendf(nil, `node: %q
 zone: "dc-1"
 listen: {front: %q, ready: %q, control: %q}
 seeds: []
 limits: {cpu_share: 1, cores: 1, memory_mb: %d, max_fds: %d, link_mbps: 1000.0}
 bounds: {grace_s: 6}
 platform: {addr: %q}
-`, addrs[0], addrs[1], addrs[2], memoryMiB, maxDescriptors, s.Addr()), 0o600))
+`, name, addrs[0], addrs[1], addrs[2], memoryMiB, maxDescriptors, s.Addr()), 0o600))
 	p := launch(t, []string{"CURRANTSTALL_NODE_FILE=" + file, "CURRANTSTALL_PEER_SECRET=" + peerSecret}, "serve")
 	p.servers = map[string]string{"callers": addrs[0], "ready": addrs[1], "peers": addrs[2]}
+	return p
+}
+
+// startServe starts an entry on the platform's settings.
+func startServe(t *testing.T) *process {
+	t.Helper()
+	s := startStore(t, route("unlock", queuePrefix, 0))
+	addrs := freeAddrs(t, 3)
+	p := launchServe(t, s, "entry-1", addrs)
 	job := 0
 	p.ask = func() error {
 		job++ // a new one each time, stored
@@ -181,22 +229,28 @@
 // send sends a request over a connection of its own. It returns an error unless the status
 // is 200.
 func send(method, url, host, body string) error {
+	_, err := answer(method, url, host, body)
+	return err
+}
+
+// answer is send, and returns the body of the answer.
+func answer(method, url, host, body string) (string, error) {
 	req, err := http.NewRequest(method, url, strings.NewReader(body))
 	if err != nil {
-		return err
+		return "", err
 	}
 	req.Host, req.Close = host, true
 	c := http.Client{Timeout: waitTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
 	resp, err := c.Do(req)
 	if err != nil {
-		return err
+		return "", err
 	}
 	defer func() { _ = resp.Body.Close() }()
 	b, err := io.ReadAll(resp.Body)
 	if err == nil && resp.StatusCode != http.StatusOK {
 		err = fmt.Errorf("status %d: %s", resp.StatusCode, b)
 	}
-	return err
+	return string(b), err
 }
 
 // eventually polls until check returns nil, and fails the test if the process ends before.
@@ -219,13 +273,9 @@
 // peakMiB returns the largest resident size of the process so far.
 func (p *process) peakMiB() int {
 	p.t.Helper()
-	b, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.cmd.Process.Pid))
-	assert.NilError(p.t, err)
-	_, rest, _ := strings.Cut(string(b), "VmHWM:")
-	text, _, _ := strings.Cut(strings.TrimSpace(rest), " ")
-	kib, err := strconv.Atoi(text)
+	mib, err := residentMiB(p.cmd.Process.Pid, "VmHWM:")
 	assert.NilError(p.t, err)
-	return kib / 1024
+	return mib
 }
 
 // descriptors watches the number of open descriptors of the process until stop is called,
