--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -104,7 +104,7 @@
 	Estimate time.Duration     `cbor:"3,keyasint"` // declared run time of each task; may be far off
 	// DependsOn lists the earlier steps whose tasks must all be done before a
 	// task of this step starts.
-	DependsOn []int `cbor:"4,keyasint,omitempty"`
+	DependsOn []uint16 `cbor:"4,keyasint,omitempty"`
 	// RequiredLabel, if not empty, is a label that the target must carry.
 	RequiredLabel string `cbor:"5,keyasint,omitempty"`
 	// PreferredRack, if not empty, names the rack that holds the data. Tasks are
--- a/internal/fleet/validate.go
+++ b/internal/fleet/validate.go
@@ -58,7 +58,7 @@
 	if !s.Needs.Valid() {
 		return fmt.Errorf("needs %v: %w", s.Needs, errOutOfRange)
 	}
-	if slices.ContainsFunc(s.DependsOn, func(d int) bool { return d < 0 || d >= index }) {
+	if slices.ContainsFunc(s.DependsOn, func(d uint16) bool { return int(d) >= index }) {
 		return errors.New("depends on a step that is not earlier")
 	}
 	return nil
--- a/internal/node/contain_test.go
+++ b/internal/node/contain_test.go
@@ -70,8 +70,8 @@
 	for _, change := range []func(j *fleet.Job){
 		func(j *fleet.Job) { j.Steps[0].Count = -1 },
 		func(j *fleet.Job) { j.Steps[0].Count = 1 << 40 },
-		func(j *fleet.Job) { j.Steps[0].DependsOn = []int{7} },
-		func(j *fleet.Job) { j.Steps[0].DependsOn = []int{0} },
+		func(j *fleet.Job) { j.Steps[0].DependsOn = []uint16{7} },
+		func(j *fleet.Job) { j.Steps[0].DependsOn = []uint16{0} },
 		func(j *fleet.Job) { j.Steps[0].Needs.MilliCPU = -5 },
 		func(j *fleet.Job) { j.Steps = nil },
 		func(j *fleet.Job) { j.Timeout = -1 },
--- a/internal/node/lost_test.go
+++ b/internal/node/lost_test.go
@@ -78,7 +78,7 @@
 
 func TestLongestChain(t *testing.T) {
 	j := fleet.Job{Steps: []fleet.Step{
-		{Estimate: time.Second}, {Estimate: 5 * time.Second}, {Estimate: 2 * time.Second, DependsOn: []int{0}}, {Estimate: 3 * time.Second, DependsOn: []int{0, 2}},
+		{Estimate: time.Second}, {Estimate: 5 * time.Second}, {Estimate: 2 * time.Second, DependsOn: []uint16{0}}, {Estimate: 3 * time.Second, DependsOn: []uint16{0, 2}},
 	}}
 	assert.Equal(t, longestChain(&j), 6*time.Second)
 	assert.Equal(t, longestChain(&fleet.Job{}), time.Duration(0))
--- a/internal/pool/evidence_test.go
+++ b/internal/pool/evidence_test.go
@@ -206,7 +206,7 @@
 	b.p.cfg.RowsRenewed = true
 	j := jobOf("j", queue("q", 0), 2, 20000, 900*ms)
 	j.Steps[0].Gang = true
-	j.Steps = append(j.Steps, fleet.Step{Count: 1, Needs: j.Steps[0].Needs, Estimate: 900 * ms, DependsOn: []int{0}})
+	j.Steps = append(j.Steps, fleet.Step{Count: 1, Needs: j.Steps[0].Needs, Estimate: 900 * ms, DependsOn: []uint16{0}})
 	j.Queue.Slack, j.Timeout = time.Hour, 3*time.Second
 	b.submitFrom("e1", j)
 	b.tick(ms)
--- a/internal/pool/job.go
+++ b/internal/pool/job.go
@@ -340,7 +340,7 @@
 // depends are done.
 func (p *Pool) unblock(j *job) {
 	for i := range j.Steps {
-		ready := !slices.ContainsFunc(j.Steps[i].DependsOn, func(a int) bool { return j.remaining[a] > 0 })
+		ready := !slices.ContainsFunc(j.Steps[i].DependsOn, func(a uint16) bool { return j.remaining[a] > 0 })
 		for _, tk := range j.steps[i] {
 			if ready && tk.state == taskBlocked {
 				tk.state = taskWaiting
--- a/internal/strictjson/strictjson.go
+++ b/internal/strictjson/strictjson.go
@@ -24,31 +24,67 @@
 	return nil
 }
 
-// shortList is the size of a JSON list, in bytes, whose decoded form is small whatever it holds.
-const shortList = 16 << 10
-
-// DecodeList decodes a valid JSON list, and stops after one item more than most, so that
-// a list that is too long takes little memory and is still seen to be too long.
+// DecodeList decodes a JSON list that json.Unmarshal has found to be valid. It stops after
+// one item more than most, so that a list that is too long takes little memory and is still
+// seen to be too long.
 func DecodeList[T any](b []byte, most int) ([]T, error) {
 	var list []T
-	if len(b) <= shortList {
-		err := json.Unmarshal(b, &list)
-		return list, err
+	err := EachItem(b, func(item []byte) (more bool, err error) {
+		var v T
+		if err := json.Unmarshal(item, &v); err != nil {
+			return false, fmt.Errorf("item %d: %w", len(list), err)
+		}
+		list = append(list, v)
+		return len(list) <= most, nil
+	})
+	return list, err
+}
+
+// EachItem calls f with the items of a JSON list that json.Unmarshal has found to be valid,
+// until f returns false or an error. The items are parts of b. It treats null as an empty list.
+func EachItem(b []byte, f func(item []byte) (more bool, err error)) error {
+	b = bytes.TrimSpace(b)
+	if string(b) == "null" {
+		return nil
 	}
-	d := json.NewDecoder(bytes.NewReader(b))
-	start, err := d.Token()
-	if err != nil || start == nil {
-		return nil, err
+	if len(b) < 2 || b[0] != '[' {
+		return errNoList
 	}
-	if start != json.Delim('[') {
-		return nil, fmt.Errorf("%v in place of a list", start)
+	rest := bytes.TrimSpace(b[1 : len(b)-1])
+	for len(rest) > 0 {
+		end := itemEnd(rest)
+		more, err := f(bytes.TrimSpace(rest[:end]))
+		if err != nil || !more {
+			return err
+		}
+		rest = rest[min(end+1, len(rest)):]
 	}
-	for d.More() && len(list) <= most {
-		var item T
-		if err := d.Decode(&item); err != nil {
-			return nil, fmt.Errorf("item %d: %w", len(list), err)
+	return nil
+}
+
+var errNoList = errors.New("another value in place of a list")
+
+// itemEnd returns the index of the comma after the first item of a valid list without its
+// brackets, and the length of b if there is none.
+func itemEnd(b []byte) int {
+	depth := 0
+	for i := 0; i < len(b); i++ {
+		switch b[i] {
+		case '"':
+			for i++; i < len(b) && b[i] != '"'; i++ {
+				if b[i] == '\\' {
+					i++
+				}
+			}
+		case '[', '{':
+			depth++
+		case ']', '}':
+			depth--
+		case ',':
+			if depth == 0 {
+				return i
+			}
 		}
-		list = append(list, item)
 	}
-	return list, nil
+	return len(b)
 }
--- a/internal/strictjson/strictjson_test.go
+++ b/internal/strictjson/strictjson_test.go
@@ -1,12 +1,17 @@
 package strictjson
 
 import (
+	"encoding/json"
 	"strings"
 	"testing"
 
+	"github.com/google/go-cmp/cmp/cmpopts"
 	"gotest.tools/v3/assert"
 )
 
+// shortList is the size of a list that is worth a look at how much of it is decoded, in bytes.
+const shortList = 16 << 10
+
 func TestDecodeList(t *testing.T) {
 	long := "[" + strings.Repeat("1,", shortList) + "1]"
 	for name, c := range map[string]struct {
@@ -32,3 +37,25 @@
 		})
 	}
 }
+
+// FuzzEachItem checks that the items of a valid list are those that encoding/json finds.
+func FuzzEachItem(f *testing.F) {
+	for _, text := range []string{"null", "[]", " [ 1 , 2 ] ", `["a,b","\\",{"c":[1,"]"]}]`, `[[],{}]`, `[""]`, `{"a":1}`, "7", `["\"]`} {
+		f.Add([]byte(text))
+	}
+	f.Fuzz(func(t *testing.T, b []byte) {
+		if !json.Valid(b) {
+			return
+		}
+		var want, got []json.RawMessage
+		wantErr := json.Unmarshal(b, &want)
+		err := EachItem(b, func(item []byte) (bool, error) {
+			got = append(got, item)
+			return true, nil
+		})
+		assert.Equal(t, err != nil, wantErr != nil)
+		if err == nil {
+			assert.DeepEqual(t, got, want, cmpopts.EquateEmpty())
+		}
+	})
+}
