Refusals do not repeat long names and numbers

Cause: errors of encoding/json contain the number or the unknown field, and the answer contains the error. Errors of decoding are now cut to 256 bytes on both interfaces.

--- a/internal/strictjson/strictjson.go
+++ b/internal/strictjson/strictjson.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"strings"
 )
 
 // Decode decodes one JSON value into v. It refuses unknown fields, wrong types
@@ -16,7 +17,7 @@
 	d := json.NewDecoder(bytes.NewReader(b))
 	d.DisallowUnknownFields()
 	if err := d.Decode(v); err != nil {
-		return err
+		return ShortError(err)
 	}
 	if _, err := d.Token(); !errors.Is(err, io.EOF) {
 		return errors.New("more than one JSON value")
@@ -24,6 +25,19 @@
 	return nil
 }
 
+// maxErrorBytes bounds the text of an error.
+const maxErrorBytes = 256
+
+// ShortError returns err, or an error with the start of its text if that is long: encoding/json
+// repeats names and numbers of its input, which a refusal is not to send back whole.
+func ShortError(err error) error {
+	text := err.Error()
+	if len(text) <= maxErrorBytes {
+		return err
+	}
+	return errors.New(strings.ToValidUTF8(strings.Clone(text[:maxErrorBytes]), "") + "...")
+}
+
 // DecodeList decodes a JSON list that json.Unmarshal has found to be valid. It stops after
 // one item more than most, so that a list that is too long takes little memory and is still
 // seen to be too long.
--- a/internal/strictjson/strictjson_test.go
+++ b/internal/strictjson/strictjson_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"strings"
 	"testing"
+	"unicode/utf8"
 
 	"github.com/google/go-cmp/cmp/cmpopts"
 	"gotest.tools/v3/assert"
@@ -38,6 +40,17 @@
 	}
 }
 
+func TestErrorsAreShort(t *testing.T) {
+	long := strings.Repeat("1", shortList)
+	var v struct{ A int }
+	for _, text := range []string{`{"a":` + long + `}`, `{"` + long + `":1}`} {
+		err := Decode([]byte(text), &v)
+		assert.Assert(t, err != nil && len(err.Error()) < 2*maxErrorBytes, "%.300v", err)
+	}
+	assert.Error(t, ShortError(errors.New("short")), "short")
+	assert.Assert(t, utf8.ValidString(ShortError(errors.New(strings.Repeat("a", maxErrorBytes-1)+"é")).Error()))
+}
+
 // FuzzEachItem checks that the items of a valid list are those that encoding/json finds.
 func FuzzEachItem(f *testing.F) {
 	for _, text := range []string{"null", "[]", " [ 1 , 2 ] ", `["a,b","\\",{"c":[1,"]"]}]`, `[[],{}]`, `[""]`, `{"a":1}`, "7", `["\"]`} {
