A stored job that fits into no row is too large

What callers saw: 503 with Retry-After for a job that the store can never take (TestStoredJobThatFitsNoRowIsTooLarge: 503 platform_unavailable before). Other callers' jobs got 503 as well: the store rejects the whole transaction in which such a job is written (TestJobThatFitsNoRowIsNotSentToTheStore: 11 of 20 rejected before, 10 of them too large).

The size of the row is now checked before the job joins a transaction. It is answered 413, also if a peer was to store it.

--- a/internal/jobstore/accept.go
+++ b/internal/jobstore/accept.go
@@ -61,14 +61,17 @@
 }
 
 // Accept stores a job. It returns no error once the job is stored,
-// ErrOutcomeUnknown if it may be stored, and another error if it is not and will
-// not be. A job that an earlier submission with the same ID has stored is not
+// ErrOutcomeUnknown if it may be stored, ErrTooLarge if no row can hold it, and another
+// error if it is not stored and will not be. A job that an earlier submission with the same ID has stored is not
 // fresh: it may have ended long ago.
 func (a *Accepter) Accept(j fleet.Job) (fresh bool, err error) {
 	value, err := wire.Encode(openRow{Job: j, AcceptedMS: time.Now().UnixMilli()})
 	if err != nil {
 		return false, fmt.Errorf("store job %s: %w", j.ID, err)
 	}
+	if len(value) > platform.MaxRowBytes {
+		return false, fmt.Errorf("store job %s of %d bytes: %w", j.ID, len(value), ErrTooLarge)
+	}
 	acc := &acceptance{id: j.ID, value: value, deadline: time.Now().Add(acceptTimeout), result: make(chan result, 1)}
 	part := partOf(j.ID)
 	a.mu.Lock()
--- a/internal/jobstore/rows.go
+++ b/internal/jobstore/rows.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"currantstall/internal/fleet"
+	"currantstall/internal/platform"
 	"currantstall/internal/wire"
 )
 
@@ -62,6 +63,9 @@
 	return "transaction not applied: a row has another version than its condition demands"
 }
 
+// ErrTooLarge is returned by Accept if the job does not fit into a row of the store.
+var ErrTooLarge = fmt.Errorf("a stored job has at most %d bytes", platform.MaxRowBytes)
+
 // ErrOutcomeUnknown is returned by Accept if the job may have been accepted.
 var ErrOutcomeUnknown = errors.New("no answer from the store: the job may have been accepted")
 
--- a/internal/node/ask.go
+++ b/internal/node/ask.go
@@ -38,6 +38,8 @@
 	// Stored answers a wire.JobStore: Completed if the job is stored, NotRun if it
 	// is not, MayHaveRun if it may be.
 	Stored verdict.Verdict `cbor:"5,keyasint,omitempty"`
+	// StoredReason is why the job is not stored, "" if the store is at fault.
+	StoredReason verdict.Reason `cbor:"6,keyasint,omitempty"`
 }
 
 // errNotYetKnown means that the store has a job which the leader does not know yet.
--- a/internal/node/store.go
+++ b/internal/node/store.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"time"
@@ -20,34 +21,40 @@
 		return fleet.Outcome{Verdict: verdict.NotRun, Reason: verdict.NotReady, RetryAfter: time.Second}
 	}
 	if t, asked := n.storeViaPeer(ctx, j); asked {
-		return storeOutcome(t.Stored)
+		return storeOutcome(t.Stored, t.StoredReason)
 	}
 	return storeOutcome(n.storeLocally(j))
 }
 
-// storeLocally stores a job from this entry and submits it to the leader.
-func (n *Node) storeLocally(j fleet.Job) verdict.Verdict {
+// storeLocally stores a job from this entry and submits it to the leader. The reason is that of a
+// job that is not stored, "" if the store is at fault.
+func (n *Node) storeLocally(j fleet.Job) (verdict.Verdict, verdict.Reason) {
 	fresh, err := n.stored.accepter.Accept(j)
 	switch {
 	case err == nil && !fresh:
 		n.log.Info("job", "job", j.ID, "outcome", "stored by an earlier duplicate")
-		return verdict.Completed
+		return verdict.Completed, ""
 	case err == nil:
 		n.post(func(now time.Duration) { n.submitStored(now, j) })
-		return verdict.Completed
+		return verdict.Completed, ""
+	case errors.Is(err, jobstore.ErrTooLarge):
+		return verdict.NotRun, verdict.TooLarge
 	case errors.Is(err, jobstore.ErrOutcomeUnknown):
-		return verdict.MayHaveRun
+		return verdict.MayHaveRun, ""
 	}
-	return verdict.NotRun
+	return verdict.NotRun, ""
 }
 
-// storeOutcome returns the outcome for the verdict of an attempt to store a job.
-func storeOutcome(v verdict.Verdict) fleet.Outcome {
-	o := fleet.Outcome{Verdict: v}
-	if v != verdict.Completed {
-		o.Reason, o.RetryAfter = verdict.PlatformUnavailable, time.Second
+// storeOutcome returns the outcome for the verdict of an attempt to store a job, with the reason if
+// the store is not at fault.
+func storeOutcome(v verdict.Verdict, reason verdict.Reason) fleet.Outcome {
+	switch {
+	case v == verdict.Completed:
+		return fleet.Outcome{Verdict: v}
+	case reason == verdict.TooLarge:
+		return fleet.Outcome{Verdict: v, Reason: reason}
 	}
-	return o
+	return fleet.Outcome{Verdict: v, Reason: cmp.Or(reason, verdict.PlatformUnavailable), RetryAfter: time.Second}
 }
 
 // jobStoreBody is the body of wire.JobStore: a request to a peer to store a job.
@@ -121,8 +128,10 @@
 		return
 	}
 	go func() {
-		v := n.storeLocally(b.Job)
-		n.post(func(time.Duration) { n.sendJobReply(requester{from, b.Number}, jobReplyBody{Stored: v}) })
+		v, reason := n.storeLocally(b.Job)
+		n.post(func(time.Duration) {
+			n.sendJobReply(requester{from, b.Number}, jobReplyBody{Stored: v, StoredReason: reason})
+		})
 	}()
 }
 
