A record that fits into no row stops no other job

What callers saw: stored jobs that never end. Found by the question what an accepted job keeps, not by a crowd: a job whose tasks fail, from some 5,500 of 10,000 on, has a record of over 65,536 bytes (119,451 for all).

One that still fits into no row is left out, with a line in the log.

--- a/internal/jobstore/rows.go
+++ b/internal/jobstore/rows.go
@@ -120,14 +120,6 @@
 	return AcceptedJob{Job: o.Job, Waited: min(max(waited, 0), maxPlausibleWait)}, nil
 }
 
-func decodeRecord(r Row) (fleet.Record, error) {
-	var rec fleet.Record
-	if err := wire.Decode(r.Value, &rec); err != nil {
-		return rec, fmt.Errorf("decode the record of job %s: %w", r.Key, err)
-	}
-	return rec, nil
-}
-
 // ownerRow is the value of the row that names the owner of the stored jobs.
 type ownerRow struct {
 	// Holder is the owning entry; it is empty after the ownership was released.
--- a/internal/jobstore/save.go
+++ b/internal/jobstore/save.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"time"
 
@@ -107,17 +108,23 @@
 // ended. Records that exceed maxBatchBytes are queued again.
 func (o *Owner) save(ctx context.Context, saves []Save) error {
 	var puts []Row
+	var saved []Save
 	size := 0
 	for i, s := range saves {
-		value, err := wire.Encode(s.Record)
+		value, err := encodeRecord(s.Record)
+		if errors.Is(err, ErrTooLarge) {
+			// The store would reject the records of the other jobs with it.
+			o.log.Error("record of a job not saved: it fits into no row of the store", "job", s.Job)
+			continue
+		}
 		if err != nil {
 			return fmt.Errorf("save record of job %s: %w", s.Job, err)
 		}
-		if size += len(value); i > 0 && size > maxBatchBytes {
+		if size += len(value); len(saved) > 0 && size > maxBatchBytes {
 			o.requeueSaves(saves[i:])
-			saves = saves[:i]
 			break
 		}
+		saved = append(saved, s)
 		puts = append(puts, Row{Table: tableProgress, Part: ownerPart, Key: s.Job, Value: value})
 		if s.Record.State.Ended() {
 			state, err := wire.Encode(endedRow{State: s.Record.State, EndedMS: time.Now().UnixMilli()})
@@ -128,10 +135,10 @@
 		}
 	}
 	if err := o.apply(ctx, puts, nil); err != nil {
-		o.requeueSaves(saves)
+		o.requeueSaves(saved)
 		return err
 	}
-	for _, s := range saves {
+	for _, s := range saved {
 		o.events.RecordSaved(s.Job, s.Seq)
 		if s.Record.State.Ended() {
 			o.mu.Lock()
