--- a/internal/api/decode.go
+++ b/internal/api/decode.go
@@ -13,25 +13,25 @@
 )
 
 // readBody reads a whole body of at most limit bytes, with memory from that for all
-// requests. The caller must call release when the body is no longer used. The key in a
+// requests. The caller must release the hold when the body is no longer used. The key in a
 // body that was not read to its end is uncertain, so the errors do not claim that the
 // request has not run.
-func (s *server) readBody(c echo.Context, limit int64) (body []byte, release func(), err error) {
-	body, release, err = s.Intake.ReadBody(c.Request(), limit)
+func (s *server) readBody(c echo.Context, limit int64) (body []byte, hold intake.Hold, err error) {
+	body, hold, err = s.Intake.ReadBody(c.Request(), limit)
 	if err == nil {
-		return body, release, nil
+		return body, hold, nil
 	}
 	switch {
 	case errors.Is(err, intake.ErrTooLarge):
-		return body, nil, verdict.New(verdict.MayHaveRun, verdict.TooLarge, "request body is longer than the limit of %d bytes", limit)
+		return body, hold, verdict.New(verdict.MayHaveRun, verdict.TooLarge, "request body is longer than the limit of %d bytes", limit)
 	case errors.Is(err, intake.ErrNoRoom):
 		c.Response().Header().Set("Connection", "close")
-		return body, nil, verdict.New(verdict.MayHaveRun, verdict.MemoryFull, "request body was not read to its end: %w", err).WithRetryAfter(retryAfterMemoryFull)
+		return body, hold, verdict.New(verdict.MayHaveRun, verdict.MemoryFull, "request body was not read to its end: %w", err).WithRetryAfter(retryAfterMemoryFull)
 	case errors.Is(err, intake.ErrTooSlow):
 		c.Response().Header().Set("Connection", "close")
-		return body, nil, verdict.New(verdict.MayHaveRun, verdict.TooSlow, "request body was not read to its end: %w", err)
+		return body, hold, verdict.New(verdict.MayHaveRun, verdict.TooSlow, "request body was not read to its end: %w", err)
 	}
-	return body, nil, verdict.New(verdict.MayHaveRun, verdict.BadRequest, "request body ended early, after %d bytes: %w", len(body), err)
+	return body, hold, verdict.New(verdict.MayHaveRun, verdict.BadRequest, "request body ended early, after %d bytes: %w", len(body), err)
 }
 
 // decodeStrict decodes one JSON value into v. It refuses unknown fields, wrong
--- a/internal/api/operators.go
+++ b/internal/api/operators.go
@@ -115,11 +115,11 @@
 		e := verdict.New(verdict.NotRun, verdict.BadRequest, "parameter base must be the version to replace, or 0 for the first manifest")
 		return s.writeError(c, key.Key{}, e)
 	}
-	body, release, err := s.readBody(c, maxManifestBytes)
+	body, hold, err := s.readBody(c, maxManifestBytes)
 	if err != nil {
 		return s.writeError(c, key.Key{}, err)
 	}
-	defer release()
+	defer hold.Release()
 	m, err := manifest.Decode(body)
 	if err != nil {
 		return s.writeError(c, key.Key{}, verdict.New(verdict.NotRun, verdict.ManifestInvalid, "%w", err))
@@ -178,11 +178,11 @@
 }
 
 func (s *server) postAccountClaims(c echo.Context) error {
-	body, release, err := s.readBody(c, maxClaimsBytes)
+	body, hold, err := s.readBody(c, maxClaimsBytes)
 	if err != nil {
 		return s.writeError(c, key.Key{}, err)
 	}
-	defer release()
+	defer hold.Release()
 	var cb ClaimsRequest
 	if err := decodeStrict(body, &cb); err != nil {
 		return s.writeError(c, key.Key{}, err)
--- a/internal/api/requests.go
+++ b/internal/api/requests.go
@@ -41,11 +41,11 @@
 	arrived := time.Now()
 	m := s.Manifests.Current()
 	limit := maxBodyBytes(m) + envelopeBytes
-	body, release, err := s.readBody(c, limit)
+	body, hold, err := s.readBody(c, limit)
 	if err != nil {
 		return s.refuseUndecoded(c, body, err)
 	}
-	defer release()
+	defer hold.Release()
 	var rb RequestBody
 	if err := decodeStrict(body, &rb); err != nil {
 		return s.refuseUndecoded(c, body, err)
--- a/internal/api/submissions.go
+++ b/internal/api/submissions.go
@@ -8,6 +8,7 @@
 
 	"github.com/labstack/echo/v4"
 
+	"currantstall/internal/intake"
 	"currantstall/internal/key"
 	"currantstall/internal/strictjson"
 	"currantstall/internal/structs"
@@ -55,25 +56,25 @@
 
 func (s *server) postSubmission(c echo.Context) error {
 	arrived := time.Now()
-	body, release, err := s.readBody(c, maxSubmissionBytes)
+	body, hold, err := s.readBody(c, maxSubmissionBytes)
 	if err != nil {
 		return s.refuseUndecoded(c, body, err)
 	}
 	var sb SubmissionBody
 	if err := decodeStrict(body, &sb); err != nil {
-		release()
+		hold.Release()
 		return s.refuseUndecoded(c, body, err)
 	}
 	w := newJobWork(&sb)
 	if err := s.setKey(w, sb.Key); err != nil {
-		release()
+		hold.Release()
 		return s.writeError(c, key.Key{}, err)
 	}
 	if err := s.validateWork(s.Manifests.Current(), w, arrived, sb.DeadlineMS); err != nil {
-		release()
+		hold.Release()
 		return s.refuseWork(c, w, err)
 	}
-	return s.runJob(c, w, sb.WaitMS, release)
+	return s.runJob(c, w, sb.WaitMS, hold)
 }
 
 func newJobWork(sb *SubmissionBody) *structs.Work {
@@ -91,12 +92,12 @@
 // over, whichever is first. The job does not stop with the call. The state
 // running is reported only when the job was accepted, so that a subsequent cancel
 // finds the job; after acceptTimeout it is reported in any case.
-func (s *server) runJob(c echo.Context, w *structs.Work, waitMS *int64, release func()) error {
+func (s *server) runJob(c echo.Context, w *structs.Work, waitMS *int64, hold intake.Hold) error {
 	done := make(chan structs.Outcome, 1)
 	accepted := make(chan struct{})
 	ctx := context.WithoutCancel(c.Request().Context())
 	go func() {
-		defer release()
+		defer hold.Release()
 		done <- s.Engine.Submit(ctx, w, func() { close(accepted) })
 	}()
 	var timeout <-chan time.Time
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -163,6 +163,22 @@
 	return base
 }
 
+// The memory of a job and of each of its steps, without what they refer to, in bytes.
+const (
+	jobBytes  = 512
+	stepBytes = 128
+)
+
+// MemoryBytes returns about how much memory the job takes, in bytes.
+func (j *Job) MemoryBytes() int64 {
+	n := jobBytes + len(j.ID) + len(j.Spec) + stepBytes*len(j.Steps)
+	for i := range j.Steps {
+		s := &j.Steps[i]
+		n += len(s.RequiredLabel) + len(s.PreferredRack) + 2*len(s.DependsOn)
+	}
+	return int64(n)
+}
+
 // TaskCount returns the number of tasks in all steps of the job.
 func (j *Job) TaskCount() int {
 	n := 0
--- a/internal/intake/bench_test.go
+++ b/internal/intake/bench_test.go
@@ -20,9 +20,9 @@
 	g := NewGate(NewLimits(Machine{Memory: 284 << 20, Descriptors: 4100}, 0), metrics.NewNop())
 	read := map[string]func(*http.Request) error{
 		"limits": func(r *http.Request) error {
-			_, release, err := g.ReadBody(r, 1<<20)
+			_, hold, err := g.ReadBody(r, 1<<20)
 			if err == nil {
-				release()
+				hold.Release()
 			}
 			return err
 		},
--- a/internal/intake/body.go
+++ b/internal/intake/body.go
@@ -21,53 +21,93 @@
 const firstPiece = 4 << 10
 
 // ReadBody reads the body of a request, at most limit bytes. The memory grows with what has
-// arrived. The caller must call release when it no longer uses the body; it may be called
-// more than once. With an error it returns what it has read, and release is not needed.
-func (g *Gate) ReadBody(r *http.Request, limit int64) (body []byte, release func(), err error) {
-	size := r.ContentLength
-	if size > limit {
-		return nil, nil, ErrTooLarge
-	}
-	c := requestConn(r)
-	if c != nil && c.hasWhole(r) {
-		body, err = readAll(r.Body, size, limit, func(int64) error { return nil }, func(int64) {})
-		return body, func() {}, err
-	}
-	id, start, counted := g.lastID.Add(1), g.now(), int64(0)
-	grow := func(capacity int64) error {
-		if capacity -= FreeBytes; capacity > counted {
-			if !g.ask(id, c, Body, capacity-counted) {
-				return ErrNoRoom
-			}
-			counted = capacity
-		}
-		return nil
+// arrived. The caller must call Release of the hold when it no longer uses the body. With an
+// error it returns what it has read, and the hold is released.
+func (g *Gate) ReadBody(r *http.Request, limit int64) (body []byte, hold Hold, err error) {
+	hold = Hold{gate: g, conn: requestConn(r)}
+	if r.ContentLength > limit {
+		return nil, hold, ErrTooLarge
+	}
+	if hold.conn != nil && hold.conn.hasWhole(r) {
+		body, err = readAll(r.Body, r.ContentLength, limit, func(int64) error { return nil }, func(int64) {})
+		return body, hold, err
 	}
+	return g.readArriving(r, limit, hold)
+}
+
+// readArriving reads a body that has not come with its head.
+func (g *Gate) readArriving(r *http.Request, limit int64, hold Hold) ([]byte, Hold, error) {
+	c, start := hold.conn, g.now()
 	arrived := func(n int64) {
-		if counted > 0 {
-			g.arrived(id, false)
+		if hold.counted > 0 {
+			g.arrived(hold.id, false)
 		}
 		if c != nil {
 			_ = c.SetReadDeadline(g.start.Add(g.limits.bodyDeadline(start, g.now(), n)))
 		}
 	}
-	release = func() {
-		if counted > 0 {
-			g.release(id)
-		}
-	}
-	body, err = readAll(r.Body, size, limit, grow, arrived)
+	body, err := readAll(r.Body, r.ContentLength, limit, hold.grow, arrived)
 	if err == nil && c != nil && !c.endBody() {
 		err = os.ErrDeadlineExceeded
 	}
 	if err != nil {
-		release()
-		return body, nil, g.refused(c, err)
+		hold.Release()
+		return body, hold, g.refused(c, err)
+	}
+	if hold.counted > 0 {
+		g.arrived(hold.id, true)
 	}
-	if counted > 0 {
-		g.arrived(id, true)
+	return body, hold, nil
+}
+
+// Hold is the memory of one request. It is not safe for concurrent use.
+type Hold struct {
+	gate    *Gate
+	conn    *conn  // nil if not known
+	id      uint64 // 0 before memory is first counted
+	counted int64
+}
+
+// grow makes the request hold capacity bytes, of which the first FreeBytes are not counted.
+func (h *Hold) grow(capacity int64) error {
+	more := capacity - FreeBytes - h.counted
+	if more <= 0 {
+		return nil
+	}
+	if h.id == 0 {
+		h.id = h.gate.lastID.Add(1)
+	}
+	if !h.gate.ask(h.id, h.conn, Body, more) {
+		return ErrNoRoom
+	}
+	h.counted += more
+	return nil
+}
+
+// Resize makes a request that has arrived whole hold size bytes from now on: what its body decodes
+// to in place of the body. It fails with ErrNoRoom if there is no memory for more.
+func (h *Hold) Resize(size int64) error {
+	if less := h.counted - max(size-FreeBytes, 0); less > 0 {
+		h.gate.shrink(h.id, less)
+		h.counted -= less
+		return nil
+	}
+	counted := h.counted
+	if err := h.grow(size); err != nil {
+		return h.gate.refused(nil, err)
+	}
+	if h.counted > counted {
+		h.gate.arrived(h.id, true)
+	}
+	return nil
+}
+
+// Release frees the memory. It may be called more than once.
+func (h *Hold) Release() {
+	if h.counted > 0 {
+		h.gate.release(h.id)
+		h.counted = 0
 	}
-	return body, release, nil
 }
 
 // refused counts a body that was not read to its end. What the caller still sends is
--- a/internal/intake/gate.go
+++ b/internal/intake/gate.go
@@ -143,6 +143,14 @@
 	}
 }
 
+// shrink frees n bytes of what request id holds.
+func (g *Gate) shrink(id uint64, n int64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.ledger.Shrink(id, n)
+	g.bytes.Update(float64(g.ledger.Used()))
+}
+
 // release frees what request id holds.
 func (g *Gate) release(id uint64) {
 	g.mu.Lock()
--- a/internal/intake/gate_test.go
+++ b/internal/intake/gate_test.go
@@ -25,7 +25,7 @@
 	assert.NilError(t, err)
 	g = NewGate(limits, metrics.NewNop())
 	s := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		body, release, err := g.ReadBody(r, 1<<20)
+		body, hold, err := g.ReadBody(r, 1<<20)
 		switch {
 		case errors.Is(err, ErrTooLarge):
 			w.WriteHeader(http.StatusRequestEntityTooLarge)
@@ -33,7 +33,7 @@
 			w.Header().Set("Connection", "close")
 			w.WriteHeader(http.StatusServiceUnavailable)
 		default:
-			defer release()
+			defer hold.Release()
 			_, _ = w.Write(body)
 		}
 	})}
@@ -161,3 +161,30 @@
 	_, err := silent[0].Read(make([]byte, 1))
 	assert.ErrorIs(t, err, io.EOF)
 }
+
+func TestHoldIsResizedToWhatTheBodyDecodesTo(t *testing.T) {
+	limits := NewLimits(Machine{}, 0)
+	limits.Bytes = 100 << 10
+	g := NewGate(limits, metrics.NewNop())
+	read := func(size int) *Hold {
+		r, err := http.NewRequest(http.MethodPost, "/", strings.NewReader(strings.Repeat("x", size)))
+		assert.NilError(t, err)
+		_, h, err := g.ReadBody(r, 1<<20)
+		assert.NilError(t, err)
+		return &h
+	}
+	used := func() int64 { return g.ledger.Used() }
+	small, large := read(100), read(50<<10)
+	assert.Equal(t, used(), int64(50<<10-FreeBytes))
+	assert.NilError(t, small.Resize(FreeBytes))
+	assert.NilError(t, large.Resize(20<<10))
+	assert.Equal(t, used(), int64(20<<10-FreeBytes), "ordinary requests are not counted")
+	assert.NilError(t, small.Resize(80<<10))
+	assert.ErrorIs(t, large.Resize(60<<10), ErrNoRoom)
+	assert.Equal(t, used(), int64(100<<10-2*FreeBytes), "a request that gets no more keeps what it has")
+	small.Release()
+	assert.NilError(t, large.Resize(60<<10))
+	large.Release()
+	large.Release()
+	assert.Equal(t, used(), int64(0))
+}
--- a/internal/intake/ledger.go
+++ b/internal/intake/ledger.go
@@ -146,6 +146,14 @@
 	}
 }
 
+// Shrink frees n bytes of what the body of request id holds.
+func (l *Ledger) Shrink(id uint64, n int64) {
+	if h := l.holders[id]; h != nil {
+		h.bytes -= n
+		l.used -= n
+	}
+}
+
 // Release frees what request id holds.
 func (l *Ledger) Release(id uint64) {
 	if h := l.holders[id]; h != nil {
