Jobs of a leader have a memory of their own

What callers saw: an entry that ended.

pool.Memory, a quarter of the machine's memory, counts the jobs of all pools that an entry leads, with 256 bytes a task, and refuses one that has no room before its tasks are made: 503, memory_full, Retry-After 1. It has two halves, for the first 8 KiB of each job and for the rest, so that a crowd of large jobs takes no room of ordinary ones.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -45,6 +45,8 @@
 	ReadsEvacuated bool
 	// ColdStart limits the load of targets that are slow after their start; the zero value limits nothing.
 	ColdStart coldstart.Bounds
+	// JobBytes bounds the memory for the jobs of the pools that this entry leads, in bytes; 0 means no bound.
+	JobBytes int64
 	// Seeds are addresses of entries that may know the others.
 	Seeds   []string
 	Metrics *metrics.Metrics
@@ -116,6 +118,7 @@
 	vouching        vouching
 	containment     containment
 	shards          []*shard        // one for each pool of the layout
+	memory          *pool.Memory    // for the jobs of all shards
 	rooms           *pool.Rooms     // of all targets that this entry or a linked peer has ever had listed
 	electionsDue    bool            // something that the elections depend on has changed
 	policiesDue     bool            // a link has come up or gone down
@@ -154,7 +157,7 @@
 		directory: newDirectory(), evacuation: newEvacuations(cfg.Metrics), stored: newStoredJobs(&cfg),
 		lane: startLane{bytesPerSecond: cfg.LinkBytesPerSecond, delegatedBytes: make(map[string]int)}, delegated: delegations{open: make(map[uint64]delegatedStart)}, vouching: newVouching(),
 	}
-	n.directory.self, n.rooms = cfg.Self.Name, pool.NewRooms()
+	n.directory.self, n.rooms, n.memory = cfg.Self.Name, pool.NewRooms(), pool.NewMemory(cfg.JobBytes)
 	n.joined = uint64(time.Now().UnixMilli())
 	n.targetInterval.Store(int64(minTargetInterval))
 	n.layout, n.layoutKnown = fleet.DefaultLayout(), cfg.Layouts == nil
--- a/internal/node/shard.go
+++ b/internal/node/shard.go
@@ -42,7 +42,7 @@
 func (n *Node) newShards(l fleet.Layout, now time.Duration) []*shard {
 	shards := make([]*shard, len(l.Pools))
 	settings := pool.DefaultSettings()
-	settings.RowsRenewed, settings.ColdStart = n.cfg.RowsRenewed, n.cfg.ColdStart
+	settings.RowsRenewed, settings.ColdStart, settings.Memory = n.cfg.RowsRenewed, n.cfg.ColdStart, n.memory
 	for i, scope := range l.Pools {
 		p := pool.New(settings, func(event string, args ...any) { n.logDecision(event, append(args, "pool", i)...) })
 		p.ShareRooms(n.rooms)
--- a/internal/pool/job.go
+++ b/internal/pool/job.go
@@ -48,6 +48,7 @@
 type job struct {
 	fleet.Job
 	queueState      *queueState
+	size            JobSize
 	coordinator     string
 	arrived         time.Duration
 	latestStart     time.Duration // a later start misses the response time that the job aims at
@@ -121,7 +122,7 @@
 
 // Submit accepts a job, or attaches the coordinator to the job if it is known already.
 // It rejects the job if the pool is not leading, if no target that it fits is listed, or
-// to shed load. It fails the job if none ever was.
+// to shed load or for lack of memory. It fails the job if none ever was.
 func (p *Pool) Submit(now time.Duration, s Submit) {
 	if s.Job.Stored {
 		p.submitStored(now, s)
@@ -154,8 +155,12 @@
 		p.learnSuspicions(now, j, s.Suspicions)
 		return
 	}
+	if !p.cfg.Memory.fits(SizeOf(&s.Job)) {
+		p.emit(Ended{s.Coordinator, s.Job.ID, s.Number, fleet.Outcome{Verdict: notRunVerdict(s.MayHaveRun), Reason: verdict.MemoryFull, RetryAfter: memoryRetryAfter}})
+		return
+	}
 	j := p.newJob(now, s)
-	p.jobs[j.ID] = j
+	p.addJob(j)
 	p.countCoordinator(j.coordinator, 1)
 	p.awaitElsewhere(now, j)
 	if s.MayHaveRun {
@@ -178,6 +183,9 @@
 	}
 }
 
+// memoryRetryAfter is the advised wait before a job for which there was no memory is submitted again.
+const memoryRetryAfter = time.Second
+
 // notRunVerdict returns the verdict of a job that is rejected or cancelled.
 func notRunVerdict(mayHaveRun bool) verdict.Verdict {
 	if mayHaveRun {
--- a/internal/pool/orphan.go
+++ b/internal/pool/orphan.go
@@ -92,7 +92,7 @@
 
 // removeJob removes a job that has ended or left the pool.
 func (p *Pool) removeJob(j *job) {
-	delete(p.jobs, j.ID)
+	p.dropJob(j)
 	p.departures.remove(j)
 	if j.vouch != nil {
 		delete(j.vouch.jobs, j.ID)
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -40,6 +40,8 @@
 	RowsRenewed bool
 	// ColdStart limits the load of targets that are slow after their start; the zero value limits nothing.
 	ColdStart coldstart.Bounds
+	// Memory bounds what jobs take; the pools of one entry share it. nil bounds nothing.
+	Memory *Memory
 }
 
 // Defaults of Settings. A caller that lost its connection reconnects after 1.3 s at the
@@ -184,7 +186,7 @@
 }
 
 func (p *Pool) reset() {
-	p.jobs = make(map[string]*job)
+	p.dropAllJobs()
 	p.queues = make(map[string]*queueState)
 	p.rankedQueues, p.division = nil, overload.Division{}
 	p.keptOutcomes = make(map[string]keptOutcome)
--- a/internal/pool/stored.go
+++ b/internal/pool/stored.go
@@ -102,11 +102,11 @@
 // taken over or the ownership was not renewed.
 func (p *Pool) ReleaseStored(now time.Duration, reason string) {
 	p.log("stored", "outcome", "dropped", "reason", reason)
-	for id, j := range p.jobs {
+	for _, j := range p.jobs {
 		if !j.Stored {
 			continue
 		}
-		delete(p.jobs, id)
+		p.dropJob(j)
 		j.queueState.remove(j)
 		for _, r := range j.currentRuns() {
 			p.stopRun(now, r, "job has another owner")
@@ -220,7 +220,7 @@
 	j.restored = restored
 	j.formerRunsEnd = 0
 	p.awaitFormerOwner(j)
-	p.jobs[j.ID] = j
+	p.addJob(j)
 	p.applyRecord(j, rec)
 	p.restoreOpenRuns(now, j, rec.Open)
 	p.reconcileStored(now, j, rec)
--- a/internal/pool/timed.go
+++ b/internal/pool/timed.go
@@ -105,7 +105,7 @@
 	j.formerRunsEnd, j.parent, j.occurrence = 0, rj, k
 	p.awaitFormerOwner(j)
 	rj.openOccurrences[k] = j
-	p.jobs[j.ID] = j
+	p.addJob(j)
 	p.log("job", "job", rj.ID, "occurrence", k, "outcome", "due", "late_ms", late.Milliseconds())
 	p.applyRecord(j, rec)
 	p.restoreOpenRuns(now, j, rec.Open)
@@ -150,7 +150,7 @@
 func (p *Pool) endRecurring(now time.Duration, rj *recurringJob, state fleet.JobState) {
 	delete(p.stored.recurring, rj.ID)
 	for _, j := range rj.openOccurrences {
-		delete(p.jobs, j.ID)
+		p.dropJob(j)
 		j.queueState.remove(j)
 		j.endRecorded = true
 		for _, r := range j.currentRuns() {
