Overlapping occurrences wait for memory

What callers saw: an entry that ended, and so would each one that led next. A stored job of 40 bytes may recur 4,000 times, 1 ms apart, with 10,000 tasks each; the owner made the jobs of all occurrences that were due at once.

An occurrence now waits while others of its job are open and there is no memory for it. One always goes on, so a recurring job is never stuck.

--- a/internal/pool/memory_test.go
+++ b/internal/pool/memory_test.go
@@ -54,3 +54,29 @@
 	p.StepDown()
 	assert.DeepEqual(t, *s.Memory.Room(), JobSize{limit - limit/largeShare, limit / largeShare})
 }
+
+func TestOccurrencesWaitForRoom(t *testing.T) {
+	s := DefaultSettings()
+	j := jobOf("r", queue("q", 0), 100, 100, 60*ms)
+	j.Stored, j.Occurrences, j.FirstDueMS, j.IntervalMS = true, 50, 1, 1
+	size := SizeOf(&j)
+	const room = 3
+	s.Memory = NewMemory(largeShare * (room*size.Large + 100)) // the IDs of occurrences are longer
+	p := New(s, nil)
+	p.BecomeLeader(0, 1)
+	p.SetWallClock(0, 1_000_000)
+	p.TakeOverStored(0, 0, 1, nil)
+	p.RenewStored(0, time.Hour)
+	p.Submit(ms, Submit{Job: j})
+	assert.Equal(t, len(p.jobs), room, "all are due")
+	p.Tick(2 * ms)
+	assert.Equal(t, len(p.jobs), room)
+
+	s.Memory.take(JobSize{Large: room * size.Large}) // of other jobs
+	for id := range p.jobs {
+		p.endOccurrence(3*ms, p.jobs[id], fleet.JobComplete)
+		p.dropJob(p.jobs[id])
+	}
+	p.Tick(4 * ms)
+	assert.Equal(t, len(p.jobs), 1, "one occurrence never waits")
+}
--- a/internal/pool/timed.go
+++ b/internal/pool/timed.go
@@ -58,16 +58,19 @@
 }
 
 // startDue starts the due occurrences of a recurring job, and ends the job after its
-// last occurrence.
+// last occurrence. While others are open, occurrences wait for memory.
 func (p *Pool) startDue(now time.Duration, rj *recurringJob) {
 	if p.zeroUnixMS == 0 {
 		return
 	}
-	wall := p.zeroUnixMS + (now - dueMargin).Milliseconds()
+	wall, size := p.zeroUnixMS+(now-dueMargin).Milliseconds(), SizeOf(&rj.Job)
 	for rj.nextOccurrence < rj.Occurrences && wall >= rj.DueMS(rj.nextOccurrence) && p.stored.recurring[rj.ID] == rj {
 		k := rj.nextOccurrence
-		rj.nextOccurrence++
 		rec, known := rj.records[k]
+		if !known && len(rj.openOccurrences) > 0 && !p.cfg.Memory.fits(size) {
+			break // it waits for room
+		}
+		rj.nextOccurrence++
 		if known && rec.State.Ended() {
 			continue
 		}
