Stored jobs are accepted as far as their owner has memory

What callers saw: an entry that ended (peaks of 992 and 1,012 MiB of 128, over 1 GiB in a deployment of six). An accepted job can't be refused by its owner, which therefore took any number of them, as did the next one.

The owner tells in its heartbeats what memory it has for more, and each entry accepts its share of that, less what it has accepted within the last second. A single large job may take the whole room, so it is served in calm. A job without room is looked up, since an earlier submission may have been accepted, and gets 503 only if none was.

Entries of earlier releases tell no room; their followers accept as before.

--- a/internal/node/links.go
+++ b/internal/node/links.go
@@ -6,6 +6,7 @@
 	"currantstall/internal/election"
 	"currantstall/internal/evacuation"
 	"currantstall/internal/peer"
+	"currantstall/internal/pool"
 	"currantstall/internal/rendezvous"
 	"currantstall/internal/wire"
 )
@@ -189,6 +190,9 @@
 	SentAt time.Duration `cbor:"11,keyasint,omitempty"`
 	// Evacuated is nil while the sender does not know the set, and in heartbeats of earlier releases.
 	Evacuated *evacuation.Set `cbor:"12,keyasint,omitempty"`
+	// StoredRoom is the memory that the sender has for more stored jobs, if it owns them. It is nil without a
+	// bound, and in heartbeats of earlier releases.
+	StoredRoom *pool.JobSize `cbor:"13,keyasint,omitempty"`
 }
 
 // leadState is the part of a heartbeat whose change is sent at once.
@@ -249,10 +253,12 @@
 		ConfigVersion: n.configVersion(), TargetsAge: n.directory.targetsAge(now),
 		HasStored: n.stored.expected, StoreAge: n.storeAge(now), WallMS: time.Now().UnixMilli(), SentAt: max(now, 1),
 	}
+	n.stored.room.sharedBy(len(n.linked) + 1)
 	b.NoStored = n.storedPool().KnowsAllStored() && !n.stored.expected
 	b.Evacuated = n.evacuation.state.Set()
 	if n.storedPool().OwnsStored() {
-		b.Pending = n.storedPool().Pending()
+		b.Pending, b.StoredRoom = n.storedPool().Pending(), n.memory.Room()
+		n.stored.room.told(now, b.StoredRoom)
 	}
 	if !n.layoutKnown {
 		return b
@@ -298,6 +304,9 @@
 	}
 	if from == n.storedLeader() {
 		n.stored.pending, n.stored.pendingAt = b.Pending, now
+		if b.Pending != nil {
+			n.stored.room.told(now, b.StoredRoom)
+		}
 	}
 	if want, ok := n.directory.requestFrom(now, from, b, n.configVersion(), n.layout.Version); ok {
 		want.SentAt = now
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -158,6 +158,7 @@
 		lane: startLane{bytesPerSecond: cfg.LinkBytesPerSecond, delegatedBytes: make(map[string]int)}, delegated: delegations{open: make(map[uint64]delegatedStart)}, vouching: newVouching(),
 	}
 	n.directory.self, n.rooms, n.memory = cfg.Self.Name, pool.NewRooms(), pool.NewMemory(cfg.JobBytes)
+	n.stored.room = newStoreRoom(n.memory.Room())
 	n.joined = uint64(time.Now().UnixMilli())
 	n.targetInterval.Store(int64(minTargetInterval))
 	n.layout, n.layoutKnown = fleet.DefaultLayout(), cfg.Layouts == nil
--- a/internal/node/store.go
+++ b/internal/node/store.go
@@ -20,6 +20,9 @@
 	if n.stored.accepter == nil {
 		return fleet.Outcome{Verdict: verdict.NotRun, Reason: verdict.NotReady, RetryAfter: time.Second}
 	}
+	if size := pool.SizeOf(&j); !n.stored.room.take(n.now(), size) {
+		return n.rejectForRoom(ctx, j.ID)
+	}
 	if t, asked := n.storeViaPeer(ctx, j); asked {
 		return storeOutcome(t.Stored, t.StoredReason)
 	}
--- a/internal/node/stored.go
+++ b/internal/node/stored.go
@@ -35,6 +35,7 @@
 	peerStoreReadAt map[string]time.Duration     // when each linked peer last read it
 	peerClocks      map[string]int64             // each linked peer's wall clock, in Unix ms, at time 0 of this node
 	pendingAt       time.Duration                // when the heartbeat with pending arrived
+	room            *storeRoom
 }
 
 func newStoredJobs(cfg *Config) storedJobs {
