Answers that are not taken end their connection

What callers saw: no answer at all. A caller that sends requests and reads nothing holds its connection for ever, since an answer may be written for any time; 164 of them hold all connections of an entry with 400 descriptors, and ordinary callers were not served within 60 s.

A caller now has 10 s to take each 64 KiB of an answer, counted from the answer and not from the request; the deadline is renewed once half of it is over. While all connections are taken, one that has taken nothing for 1 s makes room, as one does that has sent nothing. Links between entries and handlers with a deadline of their own are left alone.

--- a/internal/intake/conn.go
+++ b/internal/intake/conn.go
@@ -2,9 +2,11 @@
 
 import (
 	"bytes"
+	"errors"
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -21,8 +23,12 @@
 	phaseServed              // the request has arrived, or the connection is a peer's
 )
 
-// refusalWrite bounds the wait for a refusal to be written.
-const refusalWrite = time.Second
+const (
+	// refusalWrite bounds the wait for a refusal to be written.
+	refusalWrite = time.Second
+	// answerPiece is the part of an answer that a caller has to take within Limits.AnswerIdle, in bytes.
+	answerPiece = 64 << 10
+)
 
 // The refusals that are written before net/http has read a head: no request has run.
 const (
@@ -38,6 +44,12 @@
 	phase    atomic.Int32
 	progress atomic.Int64 // time of the last data, as a time.Duration of the gate
 	evicted  atomic.Bool  // set under mu
+	// writing is since when a piece of an answer has waited to be taken, as a time.Duration of the
+	// gate; 0 if none does.
+	writing atomic.Int64
+	// ownDeadline is set while the handler has set a deadline of writes, or has taken the
+	// connection over.
+	ownDeadline atomic.Bool
 
 	// Used by one reader at a time.
 	size, lines int  // of the head so far
@@ -46,8 +58,9 @@
 	buffered    int64 // bytes after the head that came with its end
 	refused     bool
 
-	mu     sync.Mutex // for changes of the phase and of the read deadline
-	closed bool
+	mu         sync.Mutex // for changes of the phase and of the deadlines
+	closed     bool
+	writeUntil time.Time // deadline of writes that Write has set
 }
 
 func newConn(g *Gate, raw net.Conn) *conn {
@@ -170,7 +183,11 @@
 // stateChanged follows the states of net/http.
 func (c *conn) stateChanged(s http.ConnState) {
 	switch s {
-	case http.StateActive, http.StateHijacked:
+	case http.StateActive:
+		c.setPhase(phaseServed)
+	case http.StateHijacked:
+		c.ownDeadline.Store(true)
+		_ = c.Conn.SetWriteDeadline(time.Time{})
 		c.setPhase(phaseServed)
 	case http.StateIdle:
 		c.releaseHead()
@@ -201,20 +218,29 @@
 	return true
 }
 
-// waitingSince returns when the connection has sent something last, if it holds no request
-// that has arrived whole.
+// waitingSince returns since when the connection has sent nothing, or taken nothing of its
+// answer. It is not ok if the connection holds a request that has arrived whole and has no
+// answer yet.
 func (c *conn) waitingSince() (at time.Duration, ok bool) {
+	if at := time.Duration(c.writing.Load()); at > 0 {
+		return at, true
+	}
 	return time.Duration(c.progress.Load()), c.phase.Load() != phaseServed
 }
 
-// evict ends the reads of the connection. A request whose body is read is refused.
+// evict ends the reads of the connection, and an answer that the caller does not take. A request
+// whose body is read is refused.
 func (c *conn) evict(reason verdict.Reason) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.phase.Load() == phaseServed || c.evicted.Swap(true) {
+	writing := c.writing.Load() > 0
+	if c.phase.Load() == phaseServed && !writing || c.evicted.Swap(true) {
 		return // it has got on meanwhile
 	}
 	c.gate.closedFor(reason)
+	if writing {
+		_ = c.Conn.SetWriteDeadline(time.Unix(1, 0))
+	}
 	_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
 }
 
@@ -228,6 +254,54 @@
 	return c.Conn.SetReadDeadline(t)
 }
 
+// SetWriteDeadline sets the deadline of writes. A zero time leaves it to Write.
+func (c *conn) SetWriteDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.ownDeadline.Store(!t.IsZero())
+	c.writeUntil = time.Time{}
+	return c.Conn.SetWriteDeadline(t)
+}
+
+// Write writes to the connection. It fails if the caller does not take an answer.
+func (c *conn) Write(b []byte) (n int, err error) {
+	idle := c.gate.limits.AnswerIdle
+	if idle <= 0 || c.ownDeadline.Load() {
+		return c.Conn.Write(b)
+	}
+	defer c.writing.Store(0)
+	for {
+		if err := c.beginPiece(idle); err != nil {
+			return n, err
+		}
+		m, err := c.Conn.Write(b[n:min(n+answerPiece, len(b))])
+		n += m
+		if errors.Is(err, os.ErrDeadlineExceeded) && !c.evicted.Load() {
+			c.gate.closedFor(verdict.TooSlow)
+		}
+		if err != nil || n == len(b) {
+			return n, err
+		}
+	}
+}
+
+// beginPiece sets the deadline for the next piece of an answer, unless half of the time or more is
+// left until the last one that was set. It fails if the connection is evicted.
+func (c *conn) beginPiece(idle time.Duration) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.evicted.Load() {
+		return os.ErrDeadlineExceeded
+	}
+	now := time.Now()
+	c.writing.Store(int64(now.Sub(c.gate.start)))
+	if c.writeUntil.Sub(now) >= idle/2 {
+		return nil
+	}
+	c.writeUntil = now.Add(idle)
+	return c.Conn.SetWriteDeadline(c.writeUntil)
+}
+
 // SetDeadline sets the deadlines of reads and writes.
 func (c *conn) SetDeadline(t time.Time) error {
 	if err := c.SetWriteDeadline(t); err != nil {
--- a/internal/intake/gate_test.go
+++ b/internal/intake/gate_test.go
@@ -162,6 +162,29 @@
 	assert.ErrorIs(t, err, io.EOF)
 }
 
+func TestAnswerThatIsNotTakenEndsItsConnection(t *testing.T) {
+	limits := NewLimits(Machine{}, 0)
+	limits.AnswerIdle = 50 * time.Millisecond
+	dial, g := serve(t, limits)
+	c := dial()
+	assert.NilError(t, c.(*net.TCPConn).SetReadBuffer(4<<10))
+	for body := post(strings.Repeat("x", 1<<20)); ; { // answered with the same, which is not read
+		if _, err := io.WriteString(c, body); err != nil {
+			break
+		}
+	}
+	open := func() int {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		return len(g.conns)
+	}
+	for open() > 0 {
+		time.Sleep(time.Millisecond)
+	}
+	status, _ := exchange(t, dial(), post("x"))
+	assert.Equal(t, status, http.StatusOK)
+}
+
 func TestHoldIsResizedToWhatTheBodyDecodesTo(t *testing.T) {
 	limits := NewLimits(Machine{}, 0)
 	limits.Bytes = 100 << 10
@@ -188,3 +211,31 @@
 	large.Release()
 	assert.Equal(t, used(), int64(0))
 }
+
+func TestAnswerThatIsNotTakenMakesRoomForAnotherConnection(t *testing.T) {
+	limits := NewLimits(Machine{}, 0)
+	limits.Conns, limits.AnswerIdle = 1, time.Hour
+	dial, g := serve(t, limits)
+	c := dial()
+	assert.NilError(t, c.(*net.TCPConn).SetReadBuffer(4<<10))
+	go func() {
+		for body := post(strings.Repeat("x", 1<<20)); ; { // answered with the same, which is not read
+			if _, err := io.WriteString(c, body); err != nil {
+				return
+			}
+		}
+	}()
+	writing := func() bool {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		for _, c := range g.conns {
+			return c.writing.Load() > 0
+		}
+		return false
+	}
+	for !writing() {
+		time.Sleep(time.Millisecond)
+	}
+	status, _ := exchange(t, dial(), post("x"))
+	assert.Equal(t, status, http.StatusOK)
+}
--- a/internal/intake/ledger.go
+++ b/internal/intake/ledger.go
@@ -28,6 +28,9 @@
 	// it has to arrive with after that time.
 	BodyIdle time.Duration
 	BodyRate int64
+	// AnswerIdle is how long a caller may take nothing of its answer, and half of it at least; 0
+	// means that it may for ever.
+	AnswerIdle time.Duration
 }
 
 // FreeBytes is the memory of each request that is not counted. Heads and bodies of ordinary
--- a/internal/intake/limits.go
+++ b/internal/intake/limits.go
@@ -9,6 +9,8 @@
 	defaultHeadLines = 10_000
 	defaultBodyIdle  = 10 * time.Second
 	defaultBodyRate  = 16 << 10 // bytes per second
+	// defaultAnswerIdle is as long as a body may stop.
+	defaultAnswerIdle = defaultBodyIdle
 	// memoryShare and headShare are the parts of the process's memory and of the memory
 	// for requests that go to requests and to heads.
 	memoryShare = 8
@@ -36,7 +38,7 @@
 func NewLimits(m Machine, bodyBytes int64) Limits {
 	l := Limits{
 		Bytes: defaultBytes, HeadSize: defaultHeadSize, HeadLines: defaultHeadLines,
-		BodyIdle: defaultBodyIdle, BodyRate: defaultBodyRate,
+		BodyIdle: defaultBodyIdle, BodyRate: defaultBodyRate, AnswerIdle: defaultAnswerIdle,
 	}
 	if m.Memory > 0 {
 		l.Bytes = m.Memory / memoryShare
