Lists of keys are answered item by item

What callers saw: an entry that ended. 1 MiB of empty keys in a claim of the old system was 350,000 results in memory, each with an error, and their JSON.

A call takes up to 25,000 keys, more than 1 MiB holds valid ones; results and minted keys are written one by one.

--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -23,6 +23,7 @@
 	maxManifestBytes    = 32 << 20
 	maxClaimsBytes      = 1 << 20
 	maxKeysPerCall      = 10_000
+	maxClaimKeys        = 25_000  // maxClaimsBytes hold fewer valid keys
 	defaultMaxBodyBytes = 1 << 20 // body of one task, if the manifest sets no limit
 	maxLookupWait       = 60 * time.Second
 	// acceptTimeout limits the wait for the claim of a job after the caller's
@@ -98,9 +99,10 @@
 	e.GET("/v1/submissions/:dc/:id", s.getSubmission)
 	e.DELETE("/v1/submissions/:dc/:id", s.deleteSubmission)
 	e.POST("/v1/keys", s.postKeys)
-	e.GET("/v1/manifest", s.getManifest)
+	few := echo.WrapMiddleware(intake.FewLong) // their responses are large against their requests
+	e.GET("/v1/manifest", s.getManifest, few)
 	e.PUT("/v1/manifest", s.putManifest)
-	e.GET("/v1/account", s.getAccount)
+	e.GET("/v1/account", s.getAccount, few)
 	e.POST("/v1/account/claims", s.postAccountClaims)
 	e.GET("/v1/status", s.getStatus)
 	e.GET("/healthz", s.getHealth)
--- a/internal/api/operators.go
+++ b/internal/api/operators.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"encoding/json"
+	"fmt"
 	"net/http"
 	"strconv"
 	"time"
@@ -10,6 +12,7 @@
 
 	"currantstall/internal/key"
 	"currantstall/internal/manifest"
+	"currantstall/internal/strictjson"
 	"currantstall/internal/structs"
 	"currantstall/internal/verdict"
 )
@@ -84,15 +87,45 @@
 		}
 		count = n
 	}
-	var body KeysResponse
-	for range count {
+	first, err := s.Engine.Mint()
+	if err != nil {
+		return s.writeError(c, key.Key{}, verdict.New(verdict.NotRun, verdict.Internal, "mint key: %w", err))
+	}
+	return writeList(c, "keys", count, func(i int) (any, error) {
+		if i == 0 {
+			return first.String(), nil
+		}
 		k, err := s.Engine.Mint()
+		return k.String(), err
+	})
+}
+
+// writeList responds with a JSON object whose only field is a list of count items. Each item is written
+// once it is known, so that a long list takes no memory. If there is an error, the response breaks off.
+func writeList(c echo.Context, field string, count int, item func(i int) (any, error)) error {
+	w := c.Response()
+	w.Header().Set(echo.HeaderContentType, echo.MIMEApplicationJSON)
+	w.WriteHeader(http.StatusOK)
+	if _, err := fmt.Fprintf(w, `{%q:[`, field); err != nil {
+		return err
+	}
+	separator := ""
+	for i := range count {
+		v, err := item(i)
+		if err != nil {
+			panic(http.ErrAbortHandler) // the status is sent
+		}
+		b, err := json.Marshal(v)
 		if err != nil {
-			return s.writeError(c, key.Key{}, verdict.New(verdict.NotRun, verdict.Internal, "mint key: %w", err))
+			panic(http.ErrAbortHandler)
 		}
-		body.Keys = append(body.Keys, k.String())
+		if _, err := fmt.Fprintf(w, "%s%s", separator, b); err != nil {
+			return err
+		}
+		separator = ","
 	}
-	return c.JSON(http.StatusOK, body)
+	_, err := w.Write([]byte("]}\n"))
+	return err
 }
 
 func (s *server) getManifest(c echo.Context) error {
@@ -161,7 +194,16 @@
 
 // ClaimsRequest is the body of POST /v1/account/claims.
 type ClaimsRequest struct {
-	Keys []string `json:"keys"`
+	Keys KeyList `json:"keys"` // at most 25,000
+}
+
+// KeyList is a list of keys as text. Of a list that is too long it holds one key more than a call may have.
+type KeyList []string
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (l *KeyList) UnmarshalJSON(b []byte) (err error) {
+	*l, err = strictjson.DecodeList[string](b, maxClaimKeys)
+	return err
 }
 
 // ClaimResult states whether the old system may run the work of a key.
@@ -187,11 +229,12 @@
 	if err := decodeStrict(body, &cb); err != nil {
 		return s.writeError(c, key.Key{}, err)
 	}
-	var response ClaimsResponse
-	for _, text := range cb.Keys {
-		response.Results = append(response.Results, s.claimExternal(c.Request().Context(), text))
+	if len(cb.Keys) > maxClaimKeys {
+		return s.writeError(c, key.Key{}, verdict.New(verdict.NotRun, verdict.TooLarge, "a call has at most %d keys", maxClaimKeys))
 	}
-	return c.JSON(http.StatusOK, response)
+	return writeList(c, "results", len(cb.Keys), func(i int) (any, error) {
+		return s.claimExternal(c.Request().Context(), cb.Keys[i]), nil
+	})
 }
 
 func (s *server) claimExternal(ctx context.Context, text string) ClaimResult {
--- a/internal/intake/few.go
+++ b/internal/intake/few.go
@@ -17,7 +17,13 @@
 // Few serves few requests of h at once, for responses that are large against their
 // requests. Others wait for a moment and are then refused with 503. A caller that does not
 // take its response loses it.
-func Few(h http.Handler) http.Handler {
+func Few(h http.Handler) http.Handler { return few(h, fewWrite) }
+
+// FewLong is Few for responses that may take long to send. A caller loses one only if it takes
+// nothing of it for as long as Limits allow.
+func FewLong(h http.Handler) http.Handler { return few(h, 0) }
+
+func few(h http.Handler, write time.Duration) http.Handler {
 	turns := make(chan struct{}, fewAtOnce)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		select {
@@ -31,8 +37,12 @@
 			}
 		}
 		defer func() { <-turns }()
+		if write == 0 {
+			h.ServeHTTP(w, r)
+			return
+		}
 		rc := http.NewResponseController(w)
-		_ = rc.SetWriteDeadline(time.Now().Add(fewWrite)) // not supported by recorders of tests
+		_ = rc.SetWriteDeadline(time.Now().Add(write)) // not supported by recorders of tests
 		h.ServeHTTP(w, r)
 		if err := rc.Flush(); err == nil {
 			_ = rc.SetWriteDeadline(time.Time{})
