A manifest is decoded only if there is memory for it

What callers saw: an entry that ended, by a single PUT /v1/manifest. 1 MiB of a list in one line of YAML took over 2 GiB and 20 s to decode before it was refused (a trial by hand); lists in lines and JSON some 300 MiB.

The marks of the text are counted first, at 1 KiB each. A manifest that would take over a quarter of the entry's memory is refused with 413, and one is decoded at a time.

--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -80,11 +80,12 @@
 // server implements the routes of the API.
 type server struct {
 	Config
+	manifests chan struct{} // has a token while a manifest is decoded
 }
 
 // New returns the HTTP handler of the API.
 func New(c Config) *echo.Echo {
-	s := &server{Config: c}
+	s := &server{Config: c, manifests: make(chan struct{}, 1)}
 	e := echo.New()
 	e.HideBanner = true
 	e.HidePort = true
--- a/internal/api/lists_test.go
+++ b/internal/api/lists_test.go
@@ -63,3 +63,8 @@
 	status, text = call(t, http.MethodPost, "/v1/account/claims", `{"keys":[""`+strings.Repeat(`,""`, maxClaimKeys)+`]}`)
 	assert.Equal(t, status, http.StatusRequestEntityTooLarge, text)
 }
+
+func TestManifestThatTakesTooMuchMemoryIsTooLarge(t *testing.T) {
+	status, text := call(t, http.MethodPut, "/v1/manifest?base=0", "kinds: ["+strings.Repeat("a,", 100_000)+"]")
+	assert.Equal(t, status, http.StatusRequestEntityTooLarge, text)
+}
--- a/internal/api/operators.go
+++ b/internal/api/operators.go
@@ -136,6 +136,9 @@
 	return c.JSON(http.StatusOK, m)
 }
 
+// manifestShare is the part of the entry's memory that the decoding of a manifest may take.
+const manifestShare = 4
+
 // ManifestResponse is the response to PUT /v1/manifest.
 type ManifestResponse struct {
 	Version uint64 `json:"version"`
@@ -153,6 +156,15 @@
 		return s.writeError(c, key.Key{}, err)
 	}
 	defer hold.Release()
+	if most := s.Intake.Memory() / manifestShare; most > 0 && manifest.DecodeBytes(body) > most {
+		return s.writeError(c, key.Key{}, verdict.New(verdict.NotRun, verdict.TooLarge, "the manifest would take more than %d MiB to decode, a quarter of the memory of this entry", most>>20))
+	}
+	select {
+	case s.manifests <- struct{}{}:
+		defer func() { <-s.manifests }()
+	case <-c.Request().Context().Done():
+		return c.Request().Context().Err()
+	}
 	m, err := manifest.Decode(body)
 	if err != nil {
 		return s.writeError(c, key.Key{}, verdict.New(verdict.NotRun, verdict.ManifestInvalid, "%w", err))
--- a/internal/intake/gate.go
+++ b/internal/intake/gate.go
@@ -54,6 +54,9 @@
 	}
 }
 
+// Memory returns the memory of the machine in bytes, 0 if it is not known.
+func (g *Gate) Memory() int64 { return g.limits.Memory }
+
 func (g *Gate) now() time.Duration { return time.Since(g.start) }
 
 // closedFor counts what is refused or closed here, by reason.
--- a/internal/intake/ledger.go
+++ b/internal/intake/ledger.go
@@ -20,6 +20,8 @@
 	// take. The first FreeBytes of a request are not counted: they belong to the
 	// connection, whose number is bounded.
 	Bytes, HeadBytes int64
+	// Memory is that of the machine, 0 if it is not known.
+	Memory int64
 	// Conns bounds the connections of all listeners.
 	Conns int
 	// HeadSize bounds the bytes of one head, and HeadLines its lines.
--- a/internal/intake/limits.go
+++ b/internal/intake/limits.go
@@ -37,7 +37,7 @@
 // operator has set, 0 for what the machine allows.
 func NewLimits(m Machine, bodyBytes int64) Limits {
 	l := Limits{
-		Bytes: defaultBytes, HeadSize: defaultHeadSize, HeadLines: defaultHeadLines,
+		Memory: m.Memory, Bytes: defaultBytes, HeadSize: defaultHeadSize, HeadLines: defaultHeadLines,
 		BodyIdle: defaultBodyIdle, BodyRate: defaultBodyRate, AnswerIdle: defaultAnswerIdle,
 	}
 	if m.Memory > 0 {
--- a/internal/manifest/decode.go
+++ b/internal/manifest/decode.go
@@ -36,6 +36,26 @@
 	return c, nil
 }
 
+// markBytes is the memory that it takes to decode what one mark of the text separates, and textFactor
+// that of each of its bytes.
+const (
+	markBytes  = 1 << 10
+	textFactor = 8
+)
+
+// DecodeBytes returns about how much memory Decode takes for a text at most, in bytes. It counts the marks that
+// separate keys, values and items.
+func DecodeBytes(text []byte) int64 {
+	marks := int64(0)
+	for _, b := range text {
+		switch b {
+		case '\n', ',', ':', '[', '{', '-':
+			marks++
+		}
+	}
+	return marks*markBytes + textFactor*int64(len(text))
+}
+
 // EncodeYAML returns the manifest as text for Decode. It leaves out the version,
 // which is assigned when a manifest is accepted.
 func (m *Manifest) EncodeYAML() ([]byte, error) {
