Garbage is collected earlier near the memory of the machine

What was seen: peaks of 102 to 118 MiB of 128 in crowds whose live memory is half of that. The rest is garbage, which the runtime lets grow up to its limit of three quarters of the machine's memory, beside what that does not count: the binary's pages and stacks.

The limit is five eighths now. Ordinary heaps are far below either limit.

--- a/internal/intake/gate.go
+++ b/internal/intake/gate.go
@@ -44,7 +44,7 @@
 
 // collectAbove is the part of the memory of the machine above which the runtime collects
 // garbage more often; the rest is for what it does not count.
-const collectAbove = 0.75
+const collectAbove = 0.625
 
 // LimitRuntime makes the runtime collect garbage more often as the process nears the
 // memory of its machine. It holds for the whole process.
