--- a/internal/intake/crowds/jobs_test.go
+++ b/internal/intake/crowds/jobs_test.go
@@ -105,8 +105,8 @@
 // lastJob numbers the jobs of the crowds.
 var lastJob atomic.Int64
 
-// come submits a job of the caller's own and waits for the answer, or for the caller's patience to
-// end. It returns the connection.
+// come submits a job of the caller's own and waits for the answer, for hold at most. It returns the
+// connection, nil if there is none.
 func (c *jobCrowd) come(addr, prefix string) net.Conn {
 	conn, err := net.Dial("tcp", addr)
 	if err != nil {
