--- a/internal/intake/crowds/jobs_test.go
+++ b/internal/intake/crowds/jobs_test.go
@@ -112,13 +112,8 @@
 	if err != nil {
 		return nil // refused
 	}
-	head := fmt.Sprintf("POST %s%016x HTTP/1.1\r\nHost: %s\r\nX-Deadline-Ms: %d\r\nContent-Length: %d\r\n\r\n",
-		prefix, 1<<32+lastJob.Add(1), queueHost, patience.Milliseconds(), len(c.body))
 	_ = conn.SetWriteDeadline(time.Now().Add(maxWrite))
-	if _, err := io.WriteString(conn, head); err != nil {
-		return conn
-	}
-	if _, err := conn.Write(c.body); err != nil {
+	if err := c.send(conn, prefix); err != nil {
 		return conn
 	}
 	if c.unread {
@@ -132,6 +127,17 @@
 	return conn
 }
 
+// send sends a job of the caller's own.
+func (c *jobCrowd) send(conn net.Conn, prefix string) error {
+	head := fmt.Sprintf("POST %s%016x HTTP/1.1\r\nHost: %s\r\nX-Deadline-Ms: %d\r\nContent-Length: %d\r\n\r\n",
+		prefix, 1<<32+lastJob.Add(1), queueHost, patience.Milliseconds(), len(c.body))
+	if _, err := io.WriteString(conn, head); err != nil {
+		return err
+	}
+	_, err := conn.Write(c.body)
+	return err
+}
+
 // play lets callers come to each process. The connections of the last round stay open until the cleanup.
 func (c *jobCrowd) play(t *testing.T, ps []*process, callers int, prefix string) {
 	t.Helper()
@@ -196,6 +202,37 @@
 	}
 }
 
+// TestLargeJobsInCalm submits one job at a time: each is inside the limits, and is served.
+func TestLargeJobsInCalm(t *testing.T) {
+	p := startDeployment(t, 1)[0]
+	for _, c := range []struct {
+		jobCrowd
+		want string // the state in the answer
+	}{
+		{jobCrowd{name: "many dependencies", body: manyDependencies(bestEffort)}, "complete"},
+		{jobCrowd{name: "dense dependencies", body: denseDependencies(bestEffort)}, "complete"},
+		{jobCrowd{name: "many labels", body: manyLabels(bestEffort)}, "complete"},
+		{jobCrowd{name: "many steps", body: manySteps(bestEffort)}, "complete"},
+		{jobCrowd{name: "many tasks", body: manyTasks(bestEffort)}, "complete"},
+		{jobCrowd{name: "many steps, stored", body: manySteps(stored)}, "queued"},
+		{jobCrowd{name: "many tasks, stored", body: manyTasks(stored)}, "queued"},
+		{jobCrowd{name: "overlapping occurrences", body: manyTasks(overlapping)}, "queued"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			conn, err := net.Dial("tcp", p.servers["callers"])
+			assert.NilError(t, err)
+			defer func() { _ = conn.Close() }()
+			assert.NilError(t, c.send(conn, bulkPrefix))
+			resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			assert.NilError(t, err)
+			text, err := io.ReadAll(resp.Body)
+			assert.NilError(t, err)
+			assert.Equal(t, string(text), fmt.Sprintf("{\"state\":%q}\n", c.want))
+		})
+	}
+	assert.Check(t, p.peakMiB() <= memoryMiB)
+}
+
 // queuedJobs are crowds whose jobs wait in their queue for room on the targets.
 var queuedJobs = []jobCrowd{
 	{name: "many dependencies", body: manyDependencies(bestEffort)},
