--- a/review/_standin3/cases.go
+++ b/review/_standin3/cases.go
@@ -8,11 +8,12 @@
 
 // step is a step of a job as clients send it.
 type step struct {
-	Count int   `json:"count"`
-	CPU   int64 `json:"cpu"`
-	MemMB int64 `json:"mem_mb"`
-	EstMS int64 `json:"est_ms"`
-	After []int `json:"after,omitempty"`
+	Count    int    `json:"count"`
+	CPU      int64  `json:"cpu"`
+	MemMB    int64  `json:"mem_mb"`
+	EstMS    int64  `json:"est_ms"`
+	After    []int  `json:"after,omitempty"`
+	Requires string `json:"requires,omitempty"`
 }
 
 // jobBody is the body of a job.
@@ -47,115 +48,17 @@
 	return nil
 }
 
-// manyEnds has jobs of 32 small tasks at a steady rate, which one runner holds all at once. Then the store is down for 2.2 s, so
-// that the owner of the jobs can't save their progress and acknowledges no end: the runner's list of ends grows beyond
-// what one answer holds.
-func manyEnds(w *world, trouble bool) ([]string, error) {
+// otherKind has a runner that crashes and starts again as one of another kind while the store is down. All jobs require
+// the kind that it had.
+func otherKind(w *world, trouble bool) ([]string, error) {
 	w.configure(3, route("lohu930", 1, 4))
-	if err := w.addRunners(12, "a", 32000); err != nil {
-		return nil, err
-	}
-	if err := w.startEntries(7); err != nil {
-		return nil, err
-	}
-	time.Sleep(4 * time.Second)
-	if err := w.warmUp(w.entries[0].front); err != nil {
-		return nil, err
-	}
-	const (
-		width    = 32
-		interval = 50 * time.Millisecond
-		sendFor  = 3 * time.Second
-		outage   = 2200 * time.Millisecond
-	)
-	job := jobBody{Spec: specText(spec{MS: 1200, CPU: 40}), Steps: []step{{Count: width, CPU: 40, MemMB: 64, EstMS: 1200}}}
-	var wg sync.WaitGroup
-	var mu sync.Mutex
-	accepted := map[string]string{} // entry by path
-	began := time.Now()
-	for i := 0; time.Since(began) < sendFor; i++ {
-		front, path := w.entries[i%len(w.entries)].front, "/lohu930/"+newID()
-		wg.Go(func() {
-			if r := w.call(fmt.Sprintf("c%d", i), "POST", front, path, job, 4*time.Second); r.status == 200 {
-				mu.Lock()
-				defer mu.Unlock()
-				accepted[path] = front
-			}
-		})
-		time.Sleep(time.Until(began.Add(time.Duration(i+1) * interval)))
-	}
-	wg.Wait()
-	if trouble {
-		w.rec.note("store", "down")
-		w.platform.setDown(true)
-		time.Sleep(outage)
-		w.platform.setDown(false)
-		w.rec.note("store", "up")
-	}
-	states := map[string]int{}
-	for path, front := range accepted {
-		states[w.awaitState("c", front, path, 30*time.Second)]++
-	}
-	w.rec.note("client", "the states of %d jobs: %v", len(accepted), states)
-	time.Sleep(2 * time.Second)
-	return twice(w.rec.all()), nil
-}
-
-// cancelRetry has a best-effort job whose client cancels it. The connection of the first DELETE is reset before it arrives;
-// the retry reaches another node.
-func cancelRetry(w *world, trouble bool) ([]string, error) {
-	w.configure(3, route("lohu930", 1, 4))
-	if err := w.addRunners(12, "a", 32000); err != nil {
-		return nil, err
-	}
-	if err := w.startEntries(7); err != nil {
-		return nil, err
-	}
-	time.Sleep(4 * time.Second)
-	id := newID()
-	path := "/lohu930/" + id
-	job := jobBody{Spec: specText(spec{MS: 400, CPU: 2000}), BestEffort: true}
-	for i := range 24 {
-		s := step{Count: 2, CPU: 2000, MemMB: 64, EstMS: 400}
-		if i > 0 {
-			s.After = []int{i - 1}
-		}
-		job.Steps = append(job.Steps, s)
-	}
-	first, other := w.entries[1], w.entries[4]
-	toFirst, err := startProxy(first.front)
-	if err != nil {
+	if err := w.addRunners(3, "a", 32000); err != nil {
 		return nil, err
 	}
-	defer toFirst.close()
-	var wg sync.WaitGroup
-	wg.Go(func() { w.call("c1", "POST", toFirst.addr(), path, job, 20*time.Second) })
-	time.Sleep(time.Second)
-	if trouble {
-		toFirst.reset(true)
-		w.rec.note("network", "new connections of the client to %s are reset", first.name)
-	}
-	r := w.call("c1", "DELETE", toFirst.addr(), path, nil, 4*time.Second)
-	toFirst.reset(false)
-	for tries := 0; r.status/100 != 2 && r.status != 410; tries++ {
-		if tries == 10 {
-			return nil, fmt.Errorf("the cancelling was not acknowledged")
-		}
-		time.Sleep(200 * time.Millisecond)
-		w.rec.note("retry", "the retry of the DELETE reaches %s", other.name)
-		r = w.call("c1", "DELETE", other.front, path, nil, 4*time.Second)
-	}
-	wg.Wait()
-	return startedAfter(w.rec.all(), id, r.at, 3*time.Second), nil
-}
-
-// smallerLife has a runner that crashes and starts again with less capacity while the store is down.
-func smallerLife(w *world, trouble bool) ([]string, error) {
-	w.configure(3, route("lohu930", 1, 4))
-	if err := w.addRunners(3, "a", 32000); err != nil {
+	if err := w.addRunners(3, "b", 48000); err != nil {
 		return nil, err
 	}
-	big, err := w.addRunner("i-b00", zones[0], "b", "r1-1", "127.0.0.1:0", 48000)
+	reborn, err := w.addRunner("i-b0x", zones[0], "b", "r1-1", "127.0.0.1:0", 48000)
 	if err != nil {
 		return nil, err
 	}
@@ -174,7 +77,8 @@
 					return
 				default:
 				}
-				job := jobBody{Spec: specText(spec{MS: 200, CPU: 14000}), Steps: []step{{Count: 2, CPU: 14000, MemMB: 64, EstMS: 200}}, BestEffort: true}
+				job := jobBody{Spec: specText(spec{MS: 200, CPU: 14000}), BestEffort: true,
+					Steps: []step{{Count: 2, CPU: 14000, MemMB: 64, EstMS: 200, Requires: "b"}}}
 				if r := w.call(fmt.Sprintf("c%d", c), "POST", front, "/lohu930/"+newID(), job, 1500*time.Millisecond); r.status != 200 {
 					time.Sleep(time.Second) // as the Retry-After says
 				}
@@ -186,10 +90,10 @@
 		w.rec.note("store", "down")
 		w.platform.setDown(true)
 		time.Sleep(300 * time.Millisecond)
-		addr := big.addr()
-		big.crash()
+		addr := reborn.addr()
+		reborn.crash()
 		time.Sleep(500 * time.Millisecond)
-		if _, err := w.addRunner("i-b00", zones[0], "a", "r1-1", addr, 32000); err != nil {
+		if _, err := w.addRunner("i-b0x", zones[0], "a", "r1-1", addr, 32000); err != nil {
 			return nil, err
 		}
 		time.Sleep(3700 * time.Millisecond)
@@ -199,7 +103,7 @@
 	time.Sleep(3 * time.Second)
 	close(stop)
 	wg.Wait()
-	return limit(w.rec.all()), nil
+	return without("b", w.rec.all()), nil
 }
 
 // silentPolls has the open connections to the store go silent, while new ones work. Soon after that a
--- a/review/_standin3/main.go
+++ b/review/_standin3/main.go
@@ -16,9 +16,7 @@
 
 // cases are the plays by name. Each returns the findings.
 var cases = map[string]func(w *world, trouble bool) ([]string, error){
-	"many-ends":    manyEnds,
-	"cancel-retry": cancelRetry,
-	"smaller-life": smallerLife,
+	"other-kind":   otherKind,
 	"silent-polls": silentPolls,
 	"late-accept":  lateAccept,
 }
--- a/review/_standin3/network.go
+++ b/review/_standin3/network.go
@@ -7,14 +7,13 @@
 )
 
 // proxy passes connections on to a target. Those that are open can go silent for good, as if a box on the way had
-// forgotten them, while new ones work. New ones can be reset.
+// forgotten them, while new ones work.
 type proxy struct {
 	listener net.Listener
 	target   string
 
-	mu     sync.Mutex
-	resets bool
-	conns  map[*proxied]bool
+	mu    sync.Mutex
+	conns map[*proxied]bool
 }
 
 // proxied is a connection that passes the proxy.
@@ -35,30 +34,12 @@
 			if err != nil {
 				return
 			}
-			if p.isResetting() {
-				_ = c.(*net.TCPConn).SetLinger(0)
-				_ = c.Close()
-				continue
-			}
 			go p.pass(c)
 		}
 	}()
 	return p, nil
 }
 
-// reset makes the proxy reset new connections, or no longer.
-func (p *proxy) reset(on bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.resets = on
-}
-
-func (p *proxy) isResetting() bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.resets
-}
-
 func (p *proxy) addr() string { return p.listener.Addr().String() }
 
 func (p *proxy) pass(from net.Conn) {
--- a/review/_standin3/record.go
+++ b/review/_standin3/record.go
@@ -17,8 +17,7 @@
 	run    int
 	how    string
 	n      int64
-	used   int64 // capacity in use after a start, in thousandths of a core
-	cpu    int64 // capacity of the runner
+	label  string // the kind of the runner
 	text   string
 }
 
@@ -37,8 +36,8 @@
 	if e.n > 0 {
 		s += fmt.Sprintf(" n=%d", e.n)
 	}
-	if e.cpu > 0 {
-		s += fmt.Sprintf(" used=%d of=%d", e.used, e.cpu)
+	if e.label != "" {
+		s += " kind=" + e.label
 	}
 	if e.text != "" {
 		s += " " + e.text
--- a/review/_standin3/runner.go
+++ b/review/_standin3/runner.go
@@ -2,12 +2,9 @@
 
 import (
 	"encoding/json"
-	"fmt"
 	"net"
 	"net/http"
 	"slices"
-	"strconv"
-	"strings"
 	"sync"
 	"time"
 )
@@ -21,12 +18,10 @@
 	connsMax = 64
 )
 
-// spec is what a task's spec tells the stand-in: how long its run takes, and how much longer for each
-// index of the task in its step.
+// spec is what a task's spec tells the stand-in: how long its run takes, and its share of the processor.
 type spec struct {
-	MS     float64 `json:"ms"`
-	StepMS float64 `json:"step_ms"`
-	CPU    int64   `json:"cpu"` // of each task, for the judge
+	MS  float64 `json:"ms"`
+	CPU int64   `json:"cpu"`
 }
 
 type runKey struct {
@@ -79,7 +74,6 @@
 	ended    []endRow
 	lastEnd  int64
 	changed  chan struct{}
-	used     int64
 }
 
 // startRunner starts a runner at an address of the loopback, "127.0.0.1:0" for any port.
@@ -96,7 +90,7 @@
 	mux.HandleFunc("POST /api/hold", r.serve(r.hold))
 	r.server = &http.Server{Handler: mux}
 	go func() { _ = r.server.Serve(&limited{Listener: l, room: make(chan struct{}, connsMax)}) }()
-	rec.add(event{kind: "up", runner: id, cpu: cpu})
+	rec.add(event{kind: "up", runner: id, label: kind})
 	return r, nil
 }
 
@@ -243,7 +237,6 @@
 	}
 	a.timer.Stop()
 	delete(r.runs, k)
-	r.used -= a.cpu
 	r.rejected[k.task] = max(r.rejected[k.task], k.run)
 	r.lastEnd++
 	r.ended = append(r.ended, endRow{r.lastEnd, k.task, k.run, how})
@@ -275,17 +268,14 @@
 		return http.StatusConflict, "late", false
 	}
 	r.extend(o.DeadlineMS)
-	parts := strings.Split(o.Task, ".")
-	index, _ := strconv.Atoi(parts[len(parts)-1])
-	length := time.Duration((s.MS + s.StepMS*float64(index)) * float64(time.Millisecond))
+	length := time.Duration(s.MS * float64(time.Millisecond))
 	now := time.Now()
-	r.used += s.CPU
 	r.runs[k] = &activeRun{began: now, due: now.Add(length), cpu: s.CPU, timer: time.AfterFunc(length, func() {
 		r.mu.Lock()
 		defer r.mu.Unlock()
 		r.end(k, "done")
 	})}
-	r.rec.add(event{kind: "start", runner: r.id, task: o.Task, run: o.Run, used: r.used, cpu: r.cpu})
+	r.rec.add(event{kind: "start", runner: r.id, task: o.Task, run: o.Run, label: r.kind})
 	return http.StatusOK, "", false
 }
 
@@ -351,6 +341,3 @@
 	c.once.Do(func() { <-c.room })
 	return c.Conn.Close()
 }
-
-// String names the runner in messages.
-func (r *runner) String() string { return fmt.Sprintf("%s at %s", r.id, r.addr()) }
