--- a/review/_standin3/cases.go
+++ b/review/_standin3/cases.go
@@ -52,7 +52,7 @@
 // the kind that it had.
 func otherKind(w *world, trouble bool) ([]string, error) {
 	w.configure(3, route("lohu930", 1, 4))
-	if err := w.addRunners(3, "a", 32000); err != nil {
+	if err := w.addRunners(4, "a", 32000); err != nil {
 		return nil, err
 	}
 	if err := w.addRunners(3, "b", 48000); err != nil {
