A cancelled job is not stored by an acceptance that comes late

Cause: the entry that was asked to cancel found neither a final state nor a row of the job and answered by that. The store had not performed the acceptance yet; its condition, that no row of the job is there, still held 5 s later.

A missing row is no evidence while a write may be on its way, a row is. The cancellation now writes one into jobs-used, a mark, on the same condition as an acceptance. Either it conflicts, since the job is stored, and the owner cancels it, or any acceptance still on its way conflicts. The job submitted again is answered `cancelled`.

| call | before | after | |---|---|---| | submission | 1 write | 1 write | | cancellation of a stored job that the leader knows | 1 write | 1 write | | cancellation of a job that is not stored | 3 reads | 1 write |

TestCancelledJobIsNotStoredByALateWrite failed before ("the late write has stored the job").

--- a/internal/jobstore/accept.go
+++ b/internal/jobstore/accept.go
@@ -15,13 +15,13 @@
 )
 
 const (
-	// maxBatchJobs limits the jobs accepted by one transaction. Each needs two
-	// conditions and a row; the store's limit is 100.
-	maxBatchJobs = 30
+	// maxBatchRows limits the conditions, puts and removals of one transaction; it is the
+	// store's limit.
+	maxBatchRows = 100
 	// maxBatchBytes limits the rows of one transaction, so that it stays below
 	// 1 MB when encoded.
 	maxBatchBytes = 600_000
-	// acceptTimeout limits how long an acceptance is retried.
+	// acceptTimeout limits how long a write is retried.
 	acceptTimeout = 1200 * time.Millisecond
 	// minBackoff is the backoff after the first failed call to the store; it
 	// doubles up to maxBackoff.
@@ -29,41 +29,22 @@
 	maxBackoff = 300 * time.Millisecond
 )
 
-// Accepter accepts jobs by writing them to the store. Jobs of one part that
-// arrive while a transaction is in flight share the next one. It is safe for
-// concurrent use.
+// Accepter accepts jobs by writing them to the store, and marks the IDs of jobs that are not
+// stored. Writes of one part that arrive while a transaction is in flight share the next one. It is
+// safe for concurrent use.
 type Accepter struct {
-	tables Tables
-	log    *slog.Logger
-
-	mu       sync.Mutex
-	pending  map[string][]*acceptance // by part
-	draining map[string]bool          // parts for which drain runs
-}
-
-// acceptance is a call of Accept that waits for its result.
-type acceptance struct {
-	id       string
-	value    []byte
-	deadline time.Time
-	result   chan result
+	acceptances, marks *batcher
 }
 
 // NewAccepter returns an Accepter that writes to the given tables.
 func NewAccepter(tables Tables, log *slog.Logger) *Accepter {
-	return &Accepter{tables: tables, log: log, pending: make(map[string][]*acceptance), draining: make(map[string]bool)}
-}
-
-// result is the result of an acceptance, as returned by Accept.
-type result struct {
-	fresh bool
-	err   error
+	return &Accepter{acceptances: newBatcher(tables, 0, log), marks: newBatcher(tables, markInterval, log)}
 }
 
 // Accept stores a job. It returns no error once the job is stored,
-// ErrOutcomeUnknown if it may be stored, ErrTooLarge if no row can hold it, and another
-// error if it is not stored and will not be. A job that an earlier submission with the same ID has stored is not
-// fresh: it may have ended long ago.
+// ErrOutcomeUnknown if it may be stored, ErrTooLarge if no row can hold it, ErrCancelled if the job was
+// cancelled before it was stored, and another error if it is not stored and will not be. A job that an earlier
+// submission with the same ID has stored is not fresh: it may have ended long ago.
 func (a *Accepter) Accept(j fleet.Job) (fresh bool, err error) {
 	value, err := wire.Encode(openRow{Job: j, AcceptedMS: time.Now().UnixMilli()})
 	if err != nil {
@@ -72,55 +53,92 @@
 	if len(value) > platform.MaxRowBytes {
 		return false, fmt.Errorf("store job %s of %d bytes: %w", j.ID, len(value), ErrTooLarge)
 	}
-	acc := &acceptance{id: j.ID, value: value, deadline: time.Now().Add(acceptTimeout), result: make(chan result, 1)}
-	part := partOf(j.ID)
-	a.mu.Lock()
-	a.pending[part] = append(a.pending[part], acc)
-	idle := !a.draining[part]
-	a.draining[part] = true
-	a.mu.Unlock()
+	r := <-a.acceptances.add(j.ID, value, 0)
+	return r.fresh, r.err
+}
+
+// batcher applies conditional writes of single jobs in transactions, one at a time for each part.
+type batcher struct {
+	tables   Tables
+	interval time.Duration // pause after each transaction of a part
+	log      *slog.Logger
+
+	mu       sync.Mutex
+	pending  map[string][]*write // by part
+	draining map[string]bool     // parts for which drain runs
+}
+
+// write is the write of one job that waits for its result: its acceptance, or a mark of its ID.
+type write struct {
+	id       string
+	value    []byte // of the row in tableOpen
+	mark     mark   // notMarked for an acceptance
+	deadline time.Time
+	result   chan result
+}
+
+// result is the result of a write. That of an acceptance is returned by Accept.
+type result struct {
+	fresh bool
+	err   error
+}
+
+func newBatcher(tables Tables, interval time.Duration, log *slog.Logger) *batcher {
+	return &batcher{tables: tables, interval: interval, log: log, pending: make(map[string][]*write), draining: make(map[string]bool)}
+}
+
+// add adds a write and returns the channel that receives its result.
+func (b *batcher) add(id string, value []byte, m mark) <-chan result {
+	w := &write{id: id, value: value, mark: m, deadline: time.Now().Add(acceptTimeout), result: make(chan result, 1)}
+	part := partOf(id)
+	b.mu.Lock()
+	b.pending[part] = append(b.pending[part], w)
+	idle := !b.draining[part]
+	b.draining[part] = true
+	b.mu.Unlock()
 	if idle {
-		go a.drain(part)
+		go b.drain(part)
 	}
-	r := <-acc.result
-	return r.fresh, r.err
+	return w.result
 }
 
-// drain stores the pending jobs of a part, batch by batch, until there are none.
-func (a *Accepter) drain(part string) {
+// drain applies the pending writes of a part, batch by batch, until there are none.
+func (b *batcher) drain(part string) {
 	for {
-		a.mu.Lock()
-		batch := nextBatch(a.pending[part])
-		a.pending[part] = a.pending[part][len(batch):]
-		a.draining[part] = len(batch) > 0
-		a.mu.Unlock()
+		b.mu.Lock()
+		batch := nextBatch(b.pending[part])
+		b.pending[part] = b.pending[part][len(batch):]
+		b.draining[part] = len(batch) > 0
+		b.mu.Unlock()
 		if len(batch) == 0 {
 			return
 		}
-		a.storeBatch(part, batch)
+		b.apply(part, batch)
+		sleep.For(context.Background(), b.interval) //nolint:errcheck // a background context does not end
 	}
 }
 
-// nextBatch returns the first of the pending acceptances that fit into one
-// transaction, at least one if there is any.
-func nextBatch(pending []*acceptance) []*acceptance {
-	size := 0
-	for i, acc := range pending {
-		size += len(acc.value)
-		if i == maxBatchJobs || i > 0 && size > maxBatchBytes {
+// nextBatch returns the first of the pending writes that fit into one transaction, at
+// least one if there is any.
+func nextBatch(pending []*write) []*write {
+	rows, size := 0, 0
+	for i, w := range pending {
+		rows += w.rows()
+		size += len(w.value)
+		if i > 0 && (rows > maxBatchRows || size > maxBatchBytes) {
 			return pending[:i]
 		}
 	}
 	return pending
 }
 
-// storeBatch retries one batch until each of its acceptances has a result.
-func (a *Accepter) storeBatch(part string, batch []*acceptance) {
-	mayBeStored := false // an earlier attempt may have taken effect, or may yet
+// apply retries one batch until each of its writes has a result.
+func (b *batcher) apply(part string, batch []*write) {
+	mayBeApplied := false // an earlier attempt may have taken effect, or may yet
 	backoff := minBackoff
 	for len(batch) > 0 {
 		ctx, cancel := context.WithDeadline(context.Background(), batch[0].deadline)
-		_, err := a.tables.Apply(ctx, acceptTx(part, batch))
+		_, err := b.tables.Apply(ctx, batchTx(part, batch))
 		cancel()
 		var conflict *ConflictError
 		switch {
@@ -128,7 +146,7 @@
 			settle(batch, nil)
 			return
 		case errors.As(err, &conflict):
-			remaining := settleDuplicates(batch, conflict.Current)
+			remaining := settleDecided(batch, conflict.Current)
 			if len(remaining) == len(batch) {
 				// The conflicting row was removed in the meantime, since its job has
 				// ended.
@@ -137,15 +155,15 @@
 			batch = remaining
 			continue
 		case errors.Is(err, platform.ErrUnknown):
-			mayBeStored = true
+			mayBeApplied = true
 		case errors.Is(err, platform.ErrRejected):
-			a.log.Error("jobs not accepted: the store rejected the transaction", "part", part, "jobs", len(batch), "may_be_stored", mayBeStored, "err", err)
-			settle(batch, notAccepted(err, mayBeStored))
+			b.log.Error("jobs not accepted or marked: the store rejected the transaction", "part", part, "jobs", len(batch), "may_be_stored", mayBeApplied, "err", err)
+			settle(batch, notApplied(err, mayBeApplied))
 			return
 		}
 		if time.Now().After(batch[0].deadline) {
-			a.log.Warn("jobs not accepted: the store did not confirm them in time", "part", part, "jobs", len(batch), "may_be_stored", mayBeStored, "err", err)
-			settle(batch, notAccepted(err, mayBeStored))
+			b.log.Warn("jobs not accepted or marked: the store did not confirm them in time", "part", part, "jobs", len(batch), "may_be_stored", mayBeApplied, "err", err)
+			settle(batch, notApplied(err, mayBeApplied))
 			return
 		}
 		sleep.For(context.Background(), backoff) //nolint:errcheck // a background context does not end
@@ -153,49 +171,76 @@
 	}
 }
 
-// notAccepted returns the result of acceptances whose last attempt has failed with err. A rejection tells
+// notApplied returns the result of writes whose last attempt has failed with err. A rejection tells
 // nothing of earlier attempts.
-func notAccepted(err error, mayBeStored bool) error {
-	if mayBeStored {
+func notApplied(err error, mayBeApplied bool) error {
+	if mayBeApplied {
 		return ErrOutcomeUnknown
 	}
 	return err
 }
 
-// acceptTx returns the transaction that stores a batch. It conflicts if a job's
-// ID is in use already, by an open job or an ended one.
-func acceptTx(part string, batch []*acceptance) Tx {
+// rows returns the number of conditions and puts of the write.
+func (w *write) rows() int {
+	if w.mark == notMarked {
+		return 3
+	}
+	return 4
+}
+
+// batchTx returns the transaction of a batch. It conflicts if a job's ID is in use
+// already, by an open job, an ended one or a mark.
+func batchTx(part string, batch []*write) Tx {
 	var tx Tx
-	for _, acc := range batch {
-		open := Row{Table: tableOpen, Part: part, Key: acc.id}
-		tx.Conditions = append(tx.Conditions, open, Row{Table: tableUsed, Part: part, Key: acc.id})
-		open.Value = acc.value
-		tx.Puts = append(tx.Puts, open)
+	for _, w := range batch {
+		open, used := Row{Table: tableOpen, Part: part, Key: w.id}, Row{Table: tableUsed, Part: part, Key: w.id}
+		tx.Conditions = append(tx.Conditions, open, used)
+		if w.mark == notMarked {
+			open.Value = w.value
+			tx.Puts = append(tx.Puts, open)
+			continue
+		}
+		used.Value = []byte{byte(w.mark)}
+		tx.Puts = append(tx.Puts, used, Row{Table: tableMarks, Part: part, Key: w.id, Value: used.Value})
 	}
 	return tx
 }
 
-// settleDuplicates settles the acceptances whose jobs are stored already, and
+// settleDecided settles the writes whose result follows from the current rows, and
 // returns the others.
-func settleDuplicates(batch []*acceptance, current []Row) []*acceptance {
-	stored := make(map[string]bool, len(current))
+func settleDecided(batch []*write, current []Row) []*write {
+	found := make(map[string]mark, len(current))
 	for _, r := range current {
-		stored[r.Key] = stored[r.Key] || r.Version > 0 // a job has a row in one of two tables
+		if r.Version > 0 { // a job has a row in one of two tables
+			found[r.Key] = markOf(r)
+		}
 	}
-	var remaining []*acceptance
-	for _, acc := range batch {
-		if stored[acc.id] {
-			acc.result <- result{}
-		} else {
-			remaining = append(remaining, acc)
+	var remaining []*write
+	for _, w := range batch {
+		m, ok := found[w.id]
+		if !ok {
+			remaining = append(remaining, w)
+			continue
 		}
+		w.result <- result{err: w.errOf(m)}
 	}
 	return remaining
 }
 
-// settle sends the same result to all acceptances of a batch.
-func settle(batch []*acceptance, err error) {
-	for _, acc := range batch {
-		acc.result <- result{err == nil, err}
+// errOf returns the result of a write whose job has a row, with a mark or without.
+func (w *write) errOf(m mark) error {
+	switch {
+	case w.mark == notMarked && m == cancelled:
+		return ErrCancelled
+	case w.mark != notMarked && m == notMarked:
+		return ErrStored
+	}
+	return nil
+}
+
+// settle sends the same result to all writes of a batch.
+func settle(batch []*write, err error) {
+	for _, w := range batch {
+		w.result <- result{err == nil, err}
 	}
 }
--- a/internal/jobstore/clean.go
+++ b/internal/jobstore/clean.go
@@ -43,8 +43,8 @@
 // Exists reports whether the store has a job with this ID, which may have ended.
 func Exists(ctx context.Context, tables Tables, id string) (bool, error) {
 	for _, table := range []string{tableOpen, tableUsed} {
-		if _, ok, err := readRow(ctx, tables, table, partOf(id), id); err != nil || ok {
-			return ok, err
+		if row, ok, err := readRow(ctx, tables, table, partOf(id), id); err != nil || ok {
+			return ok && markOf(row) == notMarked, err
 		}
 	}
 	return false, nil
--- a/internal/jobstore/owner.go
+++ b/internal/jobstore/owner.go
@@ -211,6 +211,9 @@
 // Run claims the ownership as soon as there are stored jobs, and saves their
 // records, until the context ends. Then it releases the ownership.
 func (o *Owner) Run(ctx context.Context) {
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	wg.Go(func() { o.expireMarks(ctx) })
 	for ctx.Err() == nil {
 		_, _, err := o.readOwner(ctx)
 		if err == nil {
--- a/internal/jobstore/rows.go
+++ b/internal/jobstore/rows.go
@@ -70,10 +70,12 @@
 var ErrOutcomeUnknown = errors.New("no answer from the store: the job may have been accepted")
 
 // The tables. After a job has ended, its row moves from tableOpen to tableUsed. Its
-// record is in tableProgress until then, and its final state is in tableEnded.
+// record is in tableProgress until then, and its final state is in tableEnded. The ID of a
+// job that is not stored may have a mark in tableUsed; tableMarks lists the marks.
 const (
 	tableOpen     = "jobs-open"     // divided into parts by the job's ID
 	tableUsed     = "jobs-used"     // divided likewise; marks IDs as used
+	tableMarks    = "jobs-marks"    // divided likewise
 	tableProgress = "jobs-progress" // this and the next two have only the part ownerPart
 	tableEnded    = "jobs-ended"
 	tableOwner    = "jobs-owner"
@@ -85,7 +87,7 @@
 // store carries out the transactions of one part one after another.
 const openPartCount = 8
 
-// partOf returns the part of tableOpen and tableUsed that holds a job.
+// partOf returns the part of tableOpen, tableUsed and tableMarks that holds a job.
 func partOf(id string) string {
 	h := fnv.New32a()
 	_, _ = h.Write([]byte(id))
--- a/internal/node/ask.go
+++ b/internal/node/ask.go
@@ -69,7 +69,8 @@
 }
 
 // CancelJob cancels a stored job and reports whether there is one. It returns once
-// the job's end is saved, or with an error after cancelTimeout.
+// the job's end is saved, or with an error after cancelTimeout. A job that is not stored is marked,
+// since its acceptance may still be performed.
 func (n *Node) CancelJob(ctx context.Context, id string) (known bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, cancelTimeout)
 	defer cancel()
@@ -81,7 +82,7 @@
 		case n.stored.tables == nil:
 			return false, nil
 		case ok && reply.Ready:
-			if known, err := n.hasEnded(ctx, id); err == nil {
+			if known, err := n.cancelUnknown(ctx, id); err == nil {
 				return known, nil
 			}
 		}
@@ -91,17 +92,22 @@
 	}
 }
 
-// hasEnded reports whether the store has the final state of a job that the leader
-// does not know. It returns errNotYetKnown if the job exists without one.
-func (n *Node) hasEnded(ctx context.Context, id string) (bool, error) {
-	if _, ended, err := jobstore.FinalState(ctx, n.stored.tables, id); err != nil || ended {
-		return ended, err
+// cancelUnknown cancels a job that the leader does not know, and reports whether the store has its final state. It
+// returns errNotYetKnown if the job is stored without one.
+func (n *Node) cancelUnknown(ctx context.Context, id string) (ended bool, err error) {
+	err = n.stored.accepter.MarkCancelled(ctx, id)
+	if err == nil {
+		n.log.Info("job", "job", id, "outcome", "not stored, marked as cancelled")
+		return false, nil
 	}
-	exists, err := jobstore.Exists(ctx, n.stored.tables, id)
-	if err == nil && exists {
+	if !errors.Is(err, jobstore.ErrStored) {
+		return false, err
+	}
+	_, ended, err = jobstore.FinalState(ctx, n.stored.tables, id)
+	if err == nil && !ended {
 		err = errNotYetKnown // just accepted
 	}
-	return false, err
+	return ended, err
 }
 
 // Pending returns how many stored jobs of a queue wait to be started, if that is
--- a/internal/node/store.go
+++ b/internal/node/store.go
@@ -42,6 +42,9 @@
 		return verdict.Completed, ""
 	case errors.Is(err, jobstore.ErrTooLarge):
 		return verdict.NotRun, verdict.TooLarge
+	case errors.Is(err, jobstore.ErrCancelled):
+		n.log.Info("job", "job", j.ID, "outcome", "cancelled before it was stored")
+		return verdict.NotRun, verdict.Cancelled
 	case errors.Is(err, jobstore.ErrOutcomeUnknown):
 		return verdict.MayHaveRun, ""
 	}
@@ -54,7 +57,7 @@
 	switch {
 	case v == verdict.Completed:
 		return fleet.Outcome{Verdict: v}
-	case reason == verdict.TooLarge:
+	case reason == verdict.TooLarge, reason == verdict.Cancelled:
 		return fleet.Outcome{Verdict: v, Reason: reason}
 	}
 	return fleet.Outcome{Verdict: v, Reason: cmp.Or(reason, verdict.PlatformUnavailable), RetryAfter: time.Second}
