A job rejected for want of room is not stored by an acceptance that comes late

What callers saw: a submission without an outcome (504), the same job rejected with 503 `memory_full`, which says that it has not run and will not, and then the job runs.

Cause: the entry looked for a row of the job and took its absence for the end of earlier submissions. The store may still perform one of them.

The entry now writes a mark of its own kind on the condition that the job is not stored. Acceptances on their way conflict with it. A later submission finds the mark and replaces it, on the condition of its version, so that the caller may come again as Retry-After says.

--- a/internal/jobstore/accept.go
+++ b/internal/jobstore/accept.go
@@ -73,6 +73,7 @@
 	id       string
 	value    []byte // of the row in tableOpen
 	mark     mark   // notMarked for an acceptance
+	replaces uint64 // the version of a rejected mark that the write replaces, 0 if there is none
 	deadline time.Time
 	result   chan result
 }
@@ -137,22 +138,24 @@
 	mayBeApplied := false // an earlier attempt may have taken effect, or may yet
 	backoff := minBackoff
 	for len(batch) > 0 {
+		first := nextBatch(batch) // writes that replace marks take more rows than expected
 		ctx, cancel := context.WithDeadline(context.Background(), batch[0].deadline)
-		_, err := b.tables.Apply(ctx, batchTx(part, batch))
+		_, err := b.tables.Apply(ctx, batchTx(part, first))
 		cancel()
 		var conflict *ConflictError
 		switch {
 		case err == nil:
-			settle(batch, nil)
-			return
+			settle(first, nil)
+			batch = batch[len(first):]
+			continue
 		case errors.As(err, &conflict):
-			remaining := settleDecided(batch, conflict.Current)
-			if len(remaining) == len(batch) {
+			undecided, changed := settleDecided(first, conflict.Current)
+			if !changed {
 				// The conflicting row was removed in the meantime, since its job has
 				// ended.
 				sleep.For(context.Background(), minBackoff) //nolint:errcheck // a background context does not end
 			}
-			batch = remaining
+			batch = append(undecided, batch[len(first):]...)
 			continue
 		case errors.Is(err, platform.ErrUnknown):
 			mayBeApplied = true
@@ -180,54 +183,64 @@
 	return err
 }
 
-// rows returns the number of conditions and puts of the write.
+// rows returns the number of conditions, puts and removals of the write.
 func (w *write) rows() int {
-	if w.mark == notMarked {
-		return 3
+	switch {
+	case w.mark != notMarked:
+		return 4
+	case w.replaces > 0:
+		return 5
 	}
-	return 4
+	return 3
 }
 
 // batchTx returns the transaction of a batch. It conflicts if a job's ID is in use
-// already, by an open job, an ended one or a mark.
+// already, by an open job, an ended one or a mark that the write does not replace.
 func batchTx(part string, batch []*write) Tx {
 	var tx Tx
 	for _, w := range batch {
-		open, used := Row{Table: tableOpen, Part: part, Key: w.id}, Row{Table: tableUsed, Part: part, Key: w.id}
+		open, used := Row{Table: tableOpen, Part: part, Key: w.id}, Row{Table: tableUsed, Part: part, Key: w.id, Version: w.replaces}
 		tx.Conditions = append(tx.Conditions, open, used)
-		if w.mark == notMarked {
-			open.Value = w.value
-			tx.Puts = append(tx.Puts, open)
+		listed := Row{Table: tableMarks, Part: part, Key: w.id}
+		if w.mark != notMarked {
+			used.Value = []byte{byte(w.mark)}
+			listed.Value = used.Value
+			tx.Puts = append(tx.Puts, used, listed)
 			continue
 		}
-		used.Value = []byte{byte(w.mark)}
-		tx.Puts = append(tx.Puts, used, Row{Table: tableMarks, Part: part, Key: w.id, Value: used.Value})
+		open.Value = w.value
+		tx.Puts = append(tx.Puts, open)
+		if w.replaces > 0 {
+			tx.Removals = append(tx.Removals, used, listed)
+		}
 	}
 	return tx
 }
 
 // settleDecided settles the writes whose result follows from the current rows, and
-// returns the others.
-func settleDecided(batch []*write, current []Row) []*write {
-	found := make(map[string]mark, len(current))
+// returns the others. It reports whether any write was settled or is to replace another mark.
+func settleDecided(batch []*write, current []Row) (undecided []*write, changed bool) {
+	found := make(map[string]Row, len(current))
 	for _, r := range current {
 		if r.Version > 0 { // a job has a row in one of two tables
-			found[r.Key] = markOf(r)
+			found[r.Key] = r
 		}
 	}
-	var remaining []*write
 	for _, w := range batch {
-		m, ok := found[w.id]
-		if !ok {
-			remaining = append(remaining, w)
+		row, ok := found[w.id]
+		if m := markOf(row); ok && m != rejected {
+			w.result <- result{err: w.errOf(m)}
+			changed = true
 			continue
 		}
-		w.result <- result{err: w.errOf(m)}
+		changed = changed || w.replaces != row.Version
+		w.replaces = row.Version
+		undecided = append(undecided, w)
 	}
-	return remaining
+	return undecided, changed
 }
 
-// errOf returns the result of a write whose job has a row, with a mark or without.
+// errOf returns the result of a write that conflicts with a stored job, or with the mark of a cancelled one.
 func (w *write) errOf(m mark) error {
 	switch {
 	case w.mark == notMarked && m == cancelled:
--- a/internal/jobstore/marks.go
+++ b/internal/jobstore/marks.go
@@ -18,6 +18,8 @@
 
 const (
 	notMarked mark = 0
+	// rejected means that the submissions up to the mark were rejected. A later one replaces it.
+	rejected mark = 2
 	// cancelled means that the job was cancelled before it was stored. It is never stored.
 	cancelled mark = 3
 )
@@ -33,7 +35,7 @@
 	maxExpiredPerTx = 33
 )
 
-// ErrStored is returned by MarkCancelled if the job is stored. It may have ended.
+// ErrStored is returned by MarkCancelled and MarkRejected if the job is stored. It may have ended.
 var ErrStored = errors.New("the job is stored")
 
 // ErrCancelled is returned by Accept if the job was cancelled before it was stored.
@@ -41,8 +43,10 @@
 
 // markOf returns the mark of a row, notMarked if it is that of a job.
 func markOf(r Row) mark {
-	if r.Table == tableUsed && len(r.Value) == 1 && mark(r.Value[0]) == cancelled {
-		return cancelled
+	if r.Table == tableUsed && len(r.Value) == 1 {
+		if m := mark(r.Value[0]); m == rejected || m == cancelled {
+			return m
+		}
 	}
 	return notMarked
 }
@@ -53,6 +57,12 @@
 	return a.mark(ctx, id, cancelled)
 }
 
+// MarkRejected makes sure that a job which is not stored is stored only if it is submitted again. It returns
+// ErrStored if the job is stored, and another error if nothing is certain.
+func (a *Accepter) MarkRejected(ctx context.Context, id string) error {
+	return a.mark(ctx, id, rejected)
+}
+
 func (a *Accepter) mark(ctx context.Context, id string, m mark) error {
 	select {
 	case r := <-a.marks.add(id, nil, m):
--- a/internal/jobstore/marks_test.go
+++ b/internal/jobstore/marks_test.go
@@ -14,7 +14,7 @@
 	"currantstall/platform/store"
 )
 
-// lateTables hold back each transaction that stores a job, without an answer.
+// lateTables hold back each transaction that stores a job, without an answer, unless it conflicts at first.
 type lateTables struct {
 	jobstore.Tables
 	mu   sync.Mutex
@@ -22,8 +22,8 @@
 }
 
 func (l *lateTables) Apply(ctx context.Context, tx jobstore.Tx) (uint64, error) {
-	if tx.Puts[0].Table != "jobs-open" {
-		return l.Tables.Apply(ctx, tx)
+	if _, err := l.Tables.Apply(ctx, jobstore.Tx{Conditions: tx.Conditions}); err != nil {
+		return 0, err
 	}
 	l.mu.Lock()
 	l.held = append(l.held, tx)
@@ -81,6 +81,49 @@
 	assert.ErrorIs(t, err, jobstore.ErrCancelled)
 }
 
+// Guards against a rejected job that is stored when the store performs an acceptance of before, and against one that can't
+// be submitted again.
+func TestRejectionBeatsALateAcceptance(t *testing.T) {
+	_, tables := startStore(t)
+	a := jobstore.NewAccepter(tables, discard())
+	const jobs = 120 // acceptances that replace marks need more rows than one transaction may have
+	inParallel(jobs, func(i int) { assert.Check(t, a.MarkRejected(t.Context(), job(i).ID)) })
+	early := acceptLate(t, tables, job(0)) // is answered before the second rejection
+	inParallel(jobs, func(i int) { assert.Check(t, a.MarkRejected(t.Context(), job(i).ID)) })
+	assert.Equal(t, early.perform(), 0)
+
+	inParallel(jobs, func(i int) {
+		fresh, err := a.Accept(job(i))
+		assert.Check(t, err)
+		assert.Check(t, fresh)
+	})
+	for i := range jobs {
+		assert.Equal(t, rowsNaming(t, tables, job(i).ID, "jobs-open"), 1)
+		assert.Equal(t, rowsNaming(t, tables, job(i).ID, "jobs-used", "jobs-marks"), 0)
+	}
+	assert.ErrorIs(t, a.MarkRejected(t.Context(), job(0).ID), jobstore.ErrStored)
+}
+
+// Guards against a rejection that lets a cancelled job be submitted again.
+func TestRejectionKeepsTheMarkOfACancellation(t *testing.T) {
+	_, tables := startStore(t)
+	a := jobstore.NewAccepter(tables, discard())
+	assert.NilError(t, a.MarkRejected(t.Context(), job(1).ID))
+	assert.NilError(t, a.MarkCancelled(t.Context(), job(1).ID))
+	assert.NilError(t, a.MarkRejected(t.Context(), job(1).ID))
+	_, err := a.Accept(job(1))
+	assert.ErrorIs(t, err, jobstore.ErrCancelled)
+}
+
+// inParallel calls f with all numbers below n and waits for the calls.
+func inParallel(n int, f func(i int)) {
+	var wg sync.WaitGroup
+	for i := range n {
+		wg.Go(func() { f(i) })
+	}
+	wg.Wait()
+}
+
 // Guards against a stored job whose cancellation is taken for that of a job that was never stored.
 func TestStoredJobIsNotMarked(t *testing.T) {
 	_, tables := startStore(t)
@@ -105,15 +148,8 @@
 func TestMarksExpire(t *testing.T) {
 	_, tables := startStore(t)
 	a := jobstore.NewAccepter(tables, discard())
-	var marked sync.WaitGroup
-	for i := range 300 { // several transactions for each part
-		marked.Go(func() {
-			if err := a.MarkCancelled(t.Context(), job(i).ID); err != nil {
-				t.Error(err)
-			}
-		})
-	}
-	marked.Wait()
+	// Several transactions for each part.
+	inParallel(300, func(i int) { assert.Check(t, a.MarkCancelled(t.Context(), job(i).ID)) })
 	seen, err := jobstore.ExpireMarks(t.Context(), tables, nil)
 	assert.NilError(t, err)
 	assert.Equal(t, len(seen), 300)
--- a/internal/node/storeroom.go
+++ b/internal/node/storeroom.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
 	"currantstall/internal/fleet"
+	"currantstall/internal/jobstore"
 	"currantstall/internal/pool"
 	"currantstall/internal/verdict"
 )
@@ -32,8 +34,8 @@
 	size pool.JobSize
 }
 
-// maxLookups limits the lookups of rejected jobs at a time, each of which may read the store.
-const maxLookups = 1
+// maxLookups limits the lookups of rejected jobs at a time. Their writes to the store share transactions.
+const maxLookups = 64
 
 // newStoreRoom returns the room of an owner without jobs.
 func newStoreRoom(r *pool.JobSize) *storeRoom {
@@ -82,7 +84,7 @@
 }
 
 // rejectForRoom returns the outcome of a job for which there is no room. It is NotRun only if no earlier
-// submission of the job was accepted.
+// submission of the job was accepted, or can be any more.
 func (n *Node) rejectForRoom(ctx context.Context, id string) fleet.Outcome {
 	rejected := fleet.Outcome{Verdict: verdict.NotRun, Reason: verdict.MemoryFull, RetryAfter: time.Second}
 	ctx, cancel := context.WithTimeout(ctx, storeViaPeerTimeout)
@@ -94,11 +96,14 @@
 		rejected.Verdict = verdict.MayHaveRun
 		return rejected
 	}
-	switch _, known, err := n.JobState(ctx, id); {
+	if reply, ok := n.queryLeader(ctx, jobQueryBody{Job: id}, queryTimeout); ok && reply.Known {
+		return fleet.Outcome{Verdict: verdict.Completed}
+	}
+	switch err := n.stored.accepter.MarkRejected(ctx, id); {
+	case errors.Is(err, jobstore.ErrStored):
+		return fleet.Outcome{Verdict: verdict.Completed}
 	case err != nil:
 		rejected.Verdict = verdict.MayHaveRun
-	case known:
-		return fleet.Outcome{Verdict: verdict.Completed}
 	}
 	return rejected
 }
