A job that is said not to exist is not stored by an acceptance that comes late

What callers saw: an entry answered a submission with 504, then a GET of the same job with 410, "no such job", and the job ran. A caller that goes by the 410 and submits its work anew under another ID has it run twice.

The entry that has an acceptance without an outcome looked for a row and answered by its absence.

An entry that does not know of the open acceptance still answers by what is stored at that moment; nothing is given up for it (TestJobThatIsStoredByALateWriteRuns, which passed before as well).

--- a/internal/node/ask.go
+++ b/internal/node/ask.go
@@ -46,7 +46,8 @@
 var errNotYetKnown = errors.New("the job is stored, but the leader does not know it yet")
 
 // JobState returns the state of a stored job. It asks the leader, and reads the
-// store if the leader does not answer or does not know the job.
+// store if the leader does not answer or does not know the job. A job that is not known is not stored at that
+// moment; after an acceptance without an outcome at this entry, it is not stored unless it is submitted again.
 func (n *Node) JobState(ctx context.Context, id string) (state fleet.JobState, known bool, err error) {
 	reply, answered := n.queryLeader(ctx, jobQueryBody{Job: id}, queryTimeout)
 	if answered && reply.Known {
@@ -62,12 +63,25 @@
 	// A job that exists but has no final state has not ended. The leader will know
 	// its state once it has restored all stored jobs.
 	exists, err := jobstore.Exists(ctx, n.stored.tables, id)
+	if err == nil && !exists && n.stored.undecided.has(id) {
+		exists, err = n.rejectEarlier(ctx, id)
+	}
 	if err != nil || !exists {
 		return 0, false, err
 	}
 	return fleet.JobQueued, true, nil
 }
 
+// rejectEarlier rejects the submissions of a job up to now, unless it is stored, and reports whether it is. Until it is
+// submitted again, it is not stored.
+func (n *Node) rejectEarlier(ctx context.Context, id string) (stored bool, err error) {
+	err = n.stored.accepter.MarkRejected(ctx, id)
+	if errors.Is(err, jobstore.ErrStored) {
+		return true, nil
+	}
+	return false, err
+}
+
 // CancelJob cancels a stored job and reports whether there is one. It returns once
 // the job's end is saved, or with an error after cancelTimeout. A job that is not stored is marked,
 // since its acceptance may still be performed.
--- a/internal/node/store.go
+++ b/internal/node/store.go
@@ -23,10 +23,16 @@
 	if size := pool.SizeOf(&j); !n.stored.room.take(n.now(), size) {
 		return n.rejectForRoom(ctx, j.ID)
 	}
+	var o fleet.Outcome
 	if t, asked := n.storeViaPeer(ctx, j); asked {
-		return storeOutcome(t.Stored, t.StoredReason)
+		o = storeOutcome(t.Stored, t.StoredReason)
+	} else {
+		o = storeOutcome(n.storeLocally(j))
 	}
-	return storeOutcome(n.storeLocally(j))
+	if o.Verdict == verdict.MayHaveRun {
+		n.stored.undecided.add(j.ID)
+	}
+	return o
 }
 
 // storeLocally stores a job from this entry and submits it to the leader. The reason is that of a
--- a/internal/node/stored.go
+++ b/internal/node/stored.go
@@ -36,10 +36,11 @@
 	peerClocks      map[string]int64             // each linked peer's wall clock, in Unix ms, at time 0 of this node
 	pendingAt       time.Duration                // when the heartbeat with pending arrived
 	room            *storeRoom
+	undecided       *undecidedJobs
 }
 
 func newStoredJobs(cfg *Config) storedJobs {
-	s := storedJobs{pendingReplies: make(map[uint64]chan jobReplyBody), pendingCancels: make(map[string][]requester), peerStoreReadAt: make(map[string]time.Duration), peerClocks: make(map[string]int64)}
+	s := storedJobs{pendingReplies: make(map[uint64]chan jobReplyBody), pendingCancels: make(map[string][]requester), peerStoreReadAt: make(map[string]time.Duration), peerClocks: make(map[string]int64), undecided: newUndecidedJobs()}
 	if cfg.Jobs != nil {
 		s.tables, s.accepter = cfg.Jobs, jobstore.NewAccepter(cfg.Jobs, cfg.Log)
 	}
--- a/internal/node/storeroom.go
+++ b/internal/node/storeroom.go
@@ -2,12 +2,10 @@
 
 import (
 	"context"
-	"errors"
 	"sync"
 	"time"
 
 	"currantstall/internal/fleet"
-	"currantstall/internal/jobstore"
 	"currantstall/internal/pool"
 	"currantstall/internal/verdict"
 )
@@ -99,11 +97,11 @@
 	if reply, ok := n.queryLeader(ctx, jobQueryBody{Job: id}, queryTimeout); ok && reply.Known {
 		return fleet.Outcome{Verdict: verdict.Completed}
 	}
-	switch err := n.stored.accepter.MarkRejected(ctx, id); {
-	case errors.Is(err, jobstore.ErrStored):
-		return fleet.Outcome{Verdict: verdict.Completed}
+	switch stored, err := n.rejectEarlier(ctx, id); {
 	case err != nil:
 		rejected.Verdict = verdict.MayHaveRun
+	case stored:
+		return fleet.Outcome{Verdict: verdict.Completed}
 	}
 	return rejected
 }
