A cancellation is not lost to a rejection in the same transaction

A job that was cancelled and, at the same entry and moment, rejected for want of room got the mark that came last; if that was the rejection, the job could be submitted again after its cancellation had been acknowledged.

Of several marks of a job in one transaction the cancellation is now written.

--- a/internal/jobstore/accept.go
+++ b/internal/jobstore/accept.go
@@ -53,7 +53,7 @@
 	if len(value) > platform.MaxRowBytes {
 		return false, fmt.Errorf("store job %s of %d bytes: %w", j.ID, len(value), ErrTooLarge)
 	}
-	r := <-a.acceptances.add(j.ID, value, 0)
+	r := <-a.acceptances.add(j.ID, value, notMarked)
 	return r.fresh, r.err
 }
 
@@ -203,7 +203,7 @@
 		tx.Conditions = append(tx.Conditions, open, used)
 		listed := Row{Table: tableMarks, Part: part, Key: w.id}
 		if w.mark != notMarked {
-			used.Value = []byte{byte(w.mark)}
+			used.Value = []byte{byte(strongestMark(batch, w.id))}
 			listed.Value = used.Value
 			tx.Puts = append(tx.Puts, used, listed)
 			continue
@@ -217,6 +217,17 @@
 	return tx
 }
 
+// strongestMark returns the mark of a job that has several in a batch: a cancellation is final.
+func strongestMark(batch []*write, id string) mark {
+	m := notMarked
+	for _, w := range batch {
+		if w.id == id {
+			m = max(m, w.mark)
+		}
+	}
+	return m
+}
+
 // settleDecided settles the writes whose result follows from the current rows, and
 // returns the others. It reports whether any write was settled or is to replace another mark.
 func settleDecided(batch []*write, current []Row) (undecided []*write, changed bool) {
--- a/internal/jobstore/marks.go
+++ b/internal/jobstore/marks.go
@@ -13,7 +13,8 @@
 
 // mark is the value of a row in tableUsed whose job is not stored. An acceptance that has no
 // outcome yet may still be performed by the store, so that a missing row does not show that the
-// job will not be stored. The row of a mark makes such an acceptance conflict.
+// job will not be stored. The row of a mark makes such an acceptance conflict. The rows of stored jobs
+// have the value usedMarker. Of two marks of a job the higher one holds.
 type mark byte
 
 const (
--- a/internal/jobstore/marks_test.go
+++ b/internal/jobstore/marks_test.go
@@ -115,6 +115,21 @@
 	assert.ErrorIs(t, err, jobstore.ErrCancelled)
 }
 
+// Guards against a cancellation that is lost to a rejection in the same transaction.
+func TestCancellationBeatsARejectionInTheSameTransaction(t *testing.T) {
+	_, tables := startStore(t)
+	a := jobstore.NewAccepter(tables, discard())
+	inParallel(20, func(i int) {
+		mark := a.MarkRejected
+		if i == 0 {
+			mark = a.MarkCancelled
+		}
+		assert.Check(t, mark(t.Context(), job(1).ID))
+	})
+	_, err := a.Accept(job(1))
+	assert.ErrorIs(t, err, jobstore.ErrCancelled)
+}
+
 // inParallel calls f with all numbers below n and waits for the calls.
 func inParallel(n int, f func(i int)) {
 	var wg sync.WaitGroup
