A job that may be stored is not rejected while the store is down

What callers saw: a submission without an outcome (504), the same job at the same entry with 503 `platform_unavailable`, which says that it has not run and will not, and then the job runs. Found beside the missing rows: the answer went by the later submission alone, while the write of the earlier one was on its way.

An entry that has a job in mind as undecided now answers 504 to it while the store turns it away; other jobs get 503 as before.

Store calls are unchanged.

--- a/internal/node/store.go
+++ b/internal/node/store.go
@@ -29,8 +29,11 @@
 	} else {
 		o = storeOutcome(n.storeLocally(j))
 	}
-	if o.Verdict == verdict.MayHaveRun {
+	switch {
+	case o.Verdict == verdict.MayHaveRun:
 		n.stored.undecided.add(j.ID)
+	case o.Verdict == verdict.NotRun && o.Reason == verdict.PlatformUnavailable && n.stored.undecided.has(j.ID):
+		o.Verdict = verdict.MayHaveRun // an earlier submission may be stored
 	}
 	return o
 }
